--- /dev/null
+++ b/Source/App/Process.h
@@ -0,0 +1,54 @@
+/// \file
+/// One running process with its roles, on real sockets and files.
+
+#ifndef CORIANDERDYKE_APP_PROCESS_H
+#define CORIANDERDYKE_APP_PROCESS_H
+
+#include "Common/SystemClock.h"
+#include "Http/EventHttpConnector.h"
+#include "Http/EventHttpServer.h"
+#include "Loop/EventLoop.h"
+#include "Operators/OperatorService.h"
+#include "Storage/FileDisk.h"
+#include "Transport/SocketTransport.h"
+
+#include <optional>
+
+namespace corianderdyke {
+
+/// Puts the slices together. Only this layer knows sockets and files.
+class Process {
+public:
+  /// Opens the data folder and the ports; the first that fails is the error.
+  static Expected<std::unique_ptr<Process>> make(const Settings &Options);
+
+  /// Runs until a signal ends it; the exit code.
+  int run();
+
+private:
+  explicit Process(const Settings &Options) : Options(Options) {}
+
+  Expected<void> open();
+  Expected<void> openControl();
+  Expected<void> openListeners();
+  void connectLogs();
+
+  Settings Options;
+  SystemClock Time;
+  EventLoop Loop;
+  EventHttpConnector Connector{Loop};
+  std::unique_ptr<SocketTransport> Peers;
+  std::optional<FileDisk> Disk;
+  std::optional<Journal> Records;
+  std::optional<ReplicatedLog> Log;
+  std::unique_ptr<ControlNode> Control;
+  std::unique_ptr<ProxyNode> Proxy;
+  std::unique_ptr<OperatorService> Operators;
+  std::unique_ptr<EventHttpServer> OperatorPort;
+  std::unique_ptr<EventHttpServer> CallerPort;
+  int ExitCode = 0;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Common/Codec.h
@@ -0,0 +1,53 @@
+/// \file
+/// The one place where cereal's exceptions become errors.
+
+#ifndef CORIANDERDYKE_COMMON_CODEC_H
+#define CORIANDERDYKE_COMMON_CODEC_H
+
+#include "Common/Error.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/set.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <exception>
+#include <sstream>
+#include <string>
+
+namespace corianderdyke {
+
+/// Bytes of \p Value in cereal's portable binary form.
+template <class T> std::string encode(const T &Value) {
+  std::ostringstream Out(std::ios::binary);
+  {
+    cereal::PortableBinaryOutputArchive Archive(Out);
+    Archive(Value);
+  }
+  return std::move(Out).str();
+}
+
+/// The value in \p Bytes; Corrupt where they don't hold a whole one or hold
+/// more. The caller bounds the size of \p Bytes first.
+template <class T> Expected<T> decode(const std::string &Bytes) {
+  try {
+    std::istringstream In(Bytes, std::ios::binary);
+    cereal::PortableBinaryInputArchive Archive(In);
+    T Value;
+    Archive(Value);
+    if (In.peek() != std::istringstream::traits_type::eof())
+      return fail(ErrorCode::Corrupt, "bytes left over after a message");
+    return Value;
+  } catch (const std::exception &Problem) {
+    // A hostile length may ask for more memory than there is: bad_alloc and
+    // length_error are decoding errors here like any other.
+    return fail(ErrorCode::Corrupt, Problem.what());
+  }
+}
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Common/Finding.h
@@ -0,0 +1,34 @@
+/// \file
+/// Faults found in a file that a person wrote, each with its place.
+
+#ifndef CORIANDERDYKE_COMMON_FINDING_H
+#define CORIANDERDYKE_COMMON_FINDING_H
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace corianderdyke {
+
+/// One fault in a settings file or manifest.
+struct Finding {
+  std::string File;
+  std::uint32_t Line = 0;   ///< From 1; 0 where the fault has no line.
+  std::uint32_t Column = 0; ///< From 1; 0 where the fault has no column.
+  std::string Message;
+  std::string Suggestion; ///< What to write instead; may be empty.
+
+  bool operator==(const Finding &) const = default;
+
+  /// "file:line:column: message; suggestion".
+  std::string text() const;
+};
+
+using Findings = std::vector<Finding>;
+
+/// One finding a line.
+std::string text(const Findings &All);
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Consensus/Consensus.h
@@ -0,0 +1,183 @@
+/// \file
+/// Agreement among the control hosts on one log of commands.
+///
+/// A leader is elected by a majority of the voters for a term, with a
+/// pre-vote first. An entry is committed once a majority has it on disk and
+/// it is of the leader's own term. The class is pure: it takes messages and
+/// the time, and leaves what is to be done in its outputs. Only the log that
+/// it is given touches a disk, and it does so before a promise goes out.
+
+#ifndef CORIANDERDYKE_CONSENSUS_CONSENSUS_H
+#define CORIANDERDYKE_CONSENSUS_CONSENSUS_H
+
+#include "Common/Millis.h"
+#include "Consensus/ReplicatedLog.h"
+
+#include <map>
+#include <random>
+#include <set>
+
+namespace corianderdyke {
+
+struct ConsensusOptions {
+  std::string Name;
+  /// All control hosts by name, this one included, as the settings say.
+  std::vector<std::string> Hosts;
+  Millis HeartbeatInterval = Millis(50);
+  /// A follower that hears nothing for this long, and up to as long again,
+  /// asks for votes. A leader that reaches no majority for it steps down.
+  Millis ElectionTimeout = Millis(300);
+  /// Most bytes of entries in one message.
+  std::size_t BatchBytes = 1U << 20U;
+};
+
+/// A message for the control host of that name.
+struct OutgoingConsensus {
+  std::string To;
+  ConsensusMessage Message;
+};
+
+/// A read barrier that a majority has confirmed: the state applied up to
+/// Index holds everything that was committed when the barrier began.
+struct ConfirmedRead {
+  std::uint64_t Ticket = 0;
+  std::uint64_t Index = 0;
+
+  bool operator==(const ConfirmedRead &) const = default;
+};
+
+/// All that the last calls want done, in this order: restore the snapshot,
+/// apply the entries, answer the reads, send the messages.
+struct ConsensusOutputs {
+  std::optional<std::string> RestoredState;
+  std::vector<Entry> Committed;
+  std::vector<ConfirmedRead> Reads;
+  std::vector<std::uint64_t> FailedReads;
+  std::vector<OutgoingConsensus> Messages;
+};
+
+enum class ConsensusRole : std::uint8_t {
+  Founding, ///< No group is known yet.
+  Joining,  ///< The group exists; this disk isn't a voter of it.
+  Follower,
+  PreCandidate,
+  Candidate,
+  Leader,
+};
+
+class Consensus {
+public:
+  Consensus(ConsensusOptions Options, ReplicatedLog &Log, std::uint64_t Seed);
+
+  /// Takes up what the log holds. The outputs hold the snapshot, if any.
+  void start(Millis Now);
+
+  /// Takes a message in. A fault of the disk is kept in failure() and ends
+  /// all further work, since nothing may be promised any more.
+  void receive(const ConsensusMessage &Message, Millis Now);
+
+  /// To be called every few milliseconds.
+  void tick(Millis Now);
+
+  /// Adds a command to the log; its index. Unavailable where this host isn't
+  /// the leader.
+  Expected<std::uint64_t> propose(std::string Command, Millis Now);
+
+  /// Asks a majority whether this host still leads; its ticket comes back in
+  /// the outputs. A stale leader never gets one, so it can't hand out an old
+  /// manifest or a lease.
+  Expected<std::uint64_t> beginRead(Millis Now);
+
+  /// Lets \p State stand for the log up to the applied \p Index.
+  void compact(std::uint64_t Index, std::string State);
+
+  ConsensusOutputs takeOutputs();
+  bool hasOutputs() const;
+
+  ConsensusRole role() const { return Role; }
+  bool isLeader() const { return Role == ConsensusRole::Leader; }
+  /// True once the leader has committed an entry of its own term.
+  bool isSettledLeader() const;
+  /// Name of the host last heard as leader; empty where there's none.
+  const std::string &leader() const { return Leader; }
+  std::uint64_t term() const { return Log.term(); }
+  std::uint64_t commitIndex() const { return CommitIndex; }
+  const std::optional<Error> &failure() const { return Failure; }
+  const ReplicatedLog &log() const { return Log; }
+  /// Hosts that the leader feeds but doesn't count, by name.
+  std::vector<Member> learners() const;
+
+private:
+  struct Peer {
+    Member Identity;
+    std::uint64_t Next = 1;
+    std::uint64_t Match = 0;
+    std::uint64_t Round = 0; ///< Last round that it echoed.
+    Millis LastReply;
+    bool Voter = false;
+  };
+
+  struct PendingRead {
+    std::uint64_t Ticket = 0;
+    std::uint64_t Round = 0;
+    std::uint64_t Index = 0;
+  };
+
+  Member self() const { return {Options.Name, Log.diskId()}; }
+  bool isVoter(const Member &Host) const;
+  std::size_t majority() const { return Voters.size() / 2 + 1; }
+  bool check(const Expected<void> &Result);
+  void send(const std::string &To, ConsensusBody Body);
+  void resetElectionTimer(Millis Now);
+  void reloadVoters();
+
+  void becomeFollower(std::uint64_t Term, const std::string &NewLeader,
+                      Millis Now);
+  void startPreVote(Millis Now);
+  void startElection(Millis Now);
+  void becomeLeader(Millis Now);
+  void failReads();
+
+  void replicate(Peer &To, bool Heartbeat);
+  void startRound(Millis Now);
+  void advanceCommit();
+  void advanceReads();
+  void emitCommitted();
+  void admitLearner(const Member &Host, Millis Now);
+  void replaceCaughtUpLearners(Millis Now);
+  void checkLeadership(Millis Now);
+
+  void on(const Member &From, const VoteRequest &Request, Millis Now);
+  void on(const Member &From, const VoteReply &Reply, Millis Now);
+  void on(const Member &From, const AppendRequest &Request, Millis Now);
+  void on(const Member &From, const AppendReply &Reply, Millis Now);
+  void on(const Member &From, const SnapshotInstall &Request, Millis Now);
+  void on(const Member &From, const FoundingHello &Hello, Millis Now);
+  void found(const Members &Founders, Millis Now);
+
+  ConsensusOptions Options;
+  ReplicatedLog &Log;
+  std::mt19937_64 Random;
+  ConsensusRole Role = ConsensusRole::Founding;
+  Members Voters;
+  std::string Leader;
+  std::uint64_t CommitIndex = 0;
+  /// Entries up to here went out in Committed. Never above CommitIndex.
+  std::uint64_t EmittedIndex = 0;
+  Millis ElectionDeadline;
+  Millis LastLeaderContact = Millis(-1000000);
+  Millis LastHeartbeat;
+  std::set<std::string> Votes;
+  std::map<std::string, Peer> Peers;
+  std::uint64_t Round = 0;
+  std::uint64_t NextTicket = 1;
+  std::vector<PendingRead> Reads;
+  /// While founding: what the other hosts said of themselves.
+  std::map<std::string, Member> Fresh;
+  std::optional<Error> Failure;
+  ConsensusOutputs Out;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Control/ControlNode.cpp
@@ -0,0 +1,291 @@
+/// \file
+/// A control host: the agreement, what it decides, and who must know.
+
+#include "Control/ControlNode.h"
+
+#include "Common/Codec.h"
+
+namespace corianderdyke {
+
+namespace {
+
+constexpr Millis TickInterval(10);
+constexpr std::size_t CompactAtBytes = 4U << 20U;
+/// A proxy is forgotten this many lease durations after it was last heard.
+constexpr std::int64_t RemoveAfterLeases = 10;
+constexpr const char *SystemActor = "control";
+
+ConsensusOptions consensusOptions(const Settings &From) {
+  ConsensusOptions Out;
+  Out.Name = From.Name;
+  for (const ControlHost &Each : From.Controls)
+    Out.Hosts.push_back(Each.Name);
+  return Out;
+}
+
+} // namespace
+
+ControlNode::ControlNode(const Settings &Options, ControlPorts Ports,
+                         ReplicatedLog &Log, std::uint64_t Seed)
+    : Options(Options), Ports(Ports),
+      Agreement(consensusOptions(Options), Log, Seed), Orders(Ports.Connector) {
+}
+
+void ControlNode::start() {
+  Agreement.start(Ports.Time.now());
+  Ports.Peers.signalReceived().connect(
+      sigc::mem_fun(*this, &ControlNode::receive));
+  settle();
+  tick();
+}
+
+void ControlNode::tick() {
+  Agreement.tick(Ports.Time.now());
+  if (Leading)
+    removeExpiredProxies();
+  settle();
+  Ports.Timers.after(TickInterval, [this] { tick(); });
+}
+
+void ControlNode::receive(const Envelope &Arrived) {
+  std::visit([&](const auto &Body) { on(Arrived, Body); }, Arrived.Body);
+}
+
+void ControlNode::on(const Envelope &, const ConsensusMessage &Body) {
+  Agreement.receive(Body, Ports.Time.now());
+  settle();
+}
+
+void ControlNode::on(const Envelope &From, const LeaseRequest &Body) {
+  const Millis Now = Ports.Time.now();
+  const auto Ticket = Agreement.beginRead(Now);
+  if (!Ticket) {
+    Ports.Peers.send(From.ReplyTo, Delivery::Datagram,
+                     NotLeader{Agreement.leader()});
+    return;
+  }
+  Leases.noteRequest(Body, From.ReplyTo, Now);
+  if (State.view().Proxies.count(Body.Proxy) == 0) {
+    // A life that was removed for silence and speaks again is registered
+    // anew: whatever lease it held has run out.
+    propose(SystemActor, RegisterProxy{Body.Proxy, Body.Where},
+            [](const Expected<ApplyResult> &) {});
+    return;
+  }
+  LeaseReads[*Ticket] = {Body, From.ReplyTo, Now};
+  settle();
+}
+
+void ControlNode::on(const Envelope &, const ViewApplied &Body) {
+  Leases.noteApplied(Body.Proxy, Body.Revision);
+  settle();
+}
+
+void ControlNode::on(const Envelope &, const ForwardedAnnouncement &Body) {
+  const TargetAnnouncement *Known = State.view().target(Body.Target.Name);
+  if (!Leading || (Known != nullptr && Known->Sequence >= Body.Target.Sequence))
+    return;
+  propose(SystemActor, RecordTarget{Body.Target},
+          [](const Expected<ApplyResult> &) {});
+}
+
+void ControlNode::propose(std::string Actor, CommandBody Body,
+                          ChangeHandler OnDone) {
+  const Command Entry{std::move(Actor), Ports.Time.wallTime(), std::move(Body)};
+  const auto Index = Agreement.propose(encode(Entry), Ports.Time.now());
+  if (!Index) {
+    OnDone(tl::unexpected(Index.error()));
+    return;
+  }
+  Changes[*Index] = {Agreement.term(), std::move(OnDone)};
+  settle();
+}
+
+void ControlNode::readLatest(ReadHandler OnRead) {
+  const auto Ticket = Agreement.beginRead(Ports.Time.now());
+  if (!Ticket) {
+    OnRead(tl::unexpected(Ticket.error()));
+    return;
+  }
+  StateReads[*Ticket] = std::move(OnRead);
+  settle();
+}
+
+bool ControlNode::isInForce(std::uint64_t Revision) const {
+  return Leases.isInForce(State.view(), Revision, Ports.Time.now());
+}
+
+void ControlNode::settle() {
+  // Handlers called below may come back here; the outer call goes on until
+  // nothing is left.
+  if (Settling)
+    return;
+  Settling = true;
+  do {
+    carryOut(Agreement.takeOutputs());
+    noticeLeadership();
+    publish();
+    if (Leading)
+      coordinate();
+  } while (Agreement.hasOutputs());
+  compactIfLong();
+  Settling = false;
+  if (Agreement.failure())
+    Failed.emit(*Agreement.failure());
+}
+
+void ControlNode::carryOut(ConsensusOutputs Outputs) {
+  if (Outputs.RestoredState) {
+    State =
+        decode<ControlState>(*Outputs.RestoredState).value_or(ControlState());
+    AppliedIndex = Agreement.log().snapshotIndex();
+  }
+  for (const Entry &Each : Outputs.Committed)
+    apply(Each);
+  answerReads(Outputs);
+  for (OutgoingConsensus &Each : Outputs.Messages)
+    for (const ControlHost &Host : Options.Controls)
+      if (Host.Name == Each.To)
+        Ports.Peers.send(Host.Peers, Delivery::Stream, std::move(Each.Message));
+}
+
+void ControlNode::apply(const Entry &Committed) {
+  AppliedIndex = Committed.Index;
+  std::optional<ApplyResult> Result;
+  if (Committed.Kind == EntryKind::Command) {
+    const auto Entry = decode<Command>(Committed.Bytes);
+    if (Entry) {
+      const std::size_t Lines = State.audit().size();
+      Result = State.apply(Committed.Index, *Entry);
+      if (State.audit().size() > Lines)
+        Audited.emit(State.audit().back());
+    }
+  }
+  const auto Waiting = Changes.find(Committed.Index);
+  if (Waiting == Changes.end())
+    return;
+  const WaitingChange Change = std::move(Waiting->second);
+  Changes.erase(Waiting);
+  if (Change.Term != Committed.Term || !Result)
+    Change.OnDone(fail(ErrorCode::Unavailable,
+                       "another leader's entry took the place of this one"));
+  else
+    Change.OnDone(*Result);
+}
+
+void ControlNode::answerReads(const ConsensusOutputs &Outputs) {
+  for (const std::uint64_t Ticket : Outputs.FailedReads) {
+    LeaseReads.erase(Ticket);
+    const auto Waiting = StateReads.find(Ticket);
+    if (Waiting == StateReads.end())
+      continue;
+    const ReadHandler OnRead = std::move(Waiting->second);
+    StateReads.erase(Waiting);
+    OnRead(fail(ErrorCode::Unavailable, "this control host doesn't lead"));
+  }
+  for (const ConfirmedRead &Each : Outputs.Reads) {
+    if (const auto Lease = LeaseReads.find(Each.Ticket);
+        Lease != LeaseReads.end()) {
+      const WaitingLease To = std::move(Lease->second);
+      LeaseReads.erase(Lease);
+      grant(To);
+    }
+    if (const auto Read = StateReads.find(Each.Ticket);
+        Read != StateReads.end()) {
+      const ReadHandler OnRead = std::move(Read->second);
+      StateReads.erase(Read);
+      OnRead(&State);
+    }
+  }
+}
+
+void ControlNode::grant(const WaitingLease &To) {
+  const ClusterView &View = State.view();
+  // Before the first manifest there is nothing to serve.
+  if (!View.Current || View.Proxies.count(To.Request.Proxy) == 0)
+    return;
+  const LeaseGrant Grant{To.Request.Proxy, To.Request.Sequence,
+                         To.Request.SentAt,
+                         View.Current->Failover.LeaseDuration, View.Revision};
+  Leases.noteGrant(Grant, To.ReceivedAt, View.Current->Failover.ClockDriftPpm);
+  Ports.Peers.send(To.ReplyTo, Delivery::Datagram, Grant);
+  if (To.Request.AppliedRevision < View.Revision)
+    sendView(To.ReplyTo);
+}
+
+void ControlNode::noticeLeadership() {
+  if (Agreement.isSettledLeader() == Leading)
+    return;
+  Leading = Agreement.isSettledLeader();
+  if (Leading) {
+    Leases.begin(State.view(), Ports.Time.now());
+    Failover.begin();
+    PublishedRevision = State.view().Revision;
+  } else {
+    failWaiting();
+  }
+  Leadership.emit(Leading);
+}
+
+void ControlNode::failWaiting() {
+  LeaseReads.clear();
+  const auto Waiting = std::exchange(Changes, {});
+  for (const auto &[Index, Change] : Waiting)
+    Change.OnDone(fail(ErrorCode::Unavailable,
+                       "leadership moved before the change was committed; it "
+                       "may or may not take place: send it again"));
+}
+
+void ControlNode::publish() {
+  if (!Leading || State.view().Revision == PublishedRevision)
+    return;
+  PublishedRevision = State.view().Revision;
+  for (const auto &[Id, Holder] : Leases.holders())
+    if (Holder.ReplyTo.Port != 0 && State.view().Proxies.count(Id) != 0)
+      sendView(Holder.ReplyTo);
+}
+
+void ControlNode::sendView(const Endpoint &To) {
+  Ports.Peers.send(To, Delivery::Stream, ViewUpdate{State.view()});
+}
+
+void ControlNode::coordinate() {
+  FailoverActions Actions =
+      Failover.step(State.view(), Leases, Ports.Time.now());
+  for (CommandBody &Each : Actions.Proposals)
+    propose(SystemActor, std::move(Each), [](const Expected<ApplyResult> &) {});
+  for (const TargetCall &Each : Actions.Calls)
+    Orders.send(Each, [this, Each](const TargetPosition &Answer) {
+      Failover.answered(Each, Answer);
+      settle();
+    });
+}
+
+void ControlNode::removeExpiredProxies() {
+  if (!State.view().Current)
+    return;
+  const Millis Now = Ports.Time.now();
+  const Millis Silence =
+      State.view().Current->Failover.LeaseDuration * RemoveAfterLeases;
+  for (const auto &[Id, Where] : State.view().Proxies) {
+    const auto Known = Leases.holders().find(Id);
+    const auto End = Leases.expiry(Id);
+    const bool Expired = !End || *End < Now;
+    const bool Silent = Known == Leases.holders().end() ||
+                        Now - Known->second.LastHeard > Silence;
+    const auto Proposed = ProposedRemoval.find(Id);
+    if (!Expired || !Silent ||
+        (Proposed != ProposedRemoval.end() && Now - Proposed->second < Silence))
+      continue;
+    ProposedRemoval[Id] = Now;
+    propose(SystemActor, RemoveProxy{Id}, [](const Expected<ApplyResult> &) {});
+    return;
+  }
+}
+
+void ControlNode::compactIfLong() {
+  if (Agreement.log().journalBytes() > CompactAtBytes)
+    Agreement.compact(AppliedIndex, encode(State));
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Control/ControlNode.h
@@ -0,0 +1,114 @@
+/// \file
+/// A control host: the agreement, what it decides, and who must know.
+
+#ifndef CORIANDERDYKE_CONTROL_CONTROLNODE_H
+#define CORIANDERDYKE_CONTROL_CONTROLNODE_H
+
+#include "Common/Clock.h"
+#include "Consensus/Consensus.h"
+#include "Control/TargetOrders.h"
+#include "Loop/Scheduler.h"
+#include "Settings/Settings.h"
+#include "State/ControlState.h"
+#include "Transport/Transport.h"
+
+namespace corianderdyke {
+
+/// The outside things that a control host works with.
+struct ControlPorts {
+  Clock &Time;
+  Scheduler &Timers;
+  Transport &Peers;
+  HttpConnector &Connector;
+};
+
+class ControlNode : public sigc::trackable {
+public:
+  /// The state that a committed change led to, or why it wasn't made.
+  using ChangeHandler = std::function<void(Expected<ApplyResult>)>;
+  /// The latest state, or Unavailable where this host doesn't lead.
+  using ReadHandler = std::function<void(Expected<const ControlState *>)>;
+
+  ControlNode(const Settings &Options, ControlPorts Ports, ReplicatedLog &Log,
+              std::uint64_t Seed);
+
+  void start();
+
+  /// Proposes a change; the handler runs once it's committed or refused, or
+  /// with Unavailable where that can't be known here any more.
+  void propose(std::string Actor, CommandBody Body, ChangeHandler OnDone);
+
+  /// Reads through the quorum.
+  void readLatest(ReadHandler OnRead);
+
+  /// Emitted when the disk failed: the process must end.
+  sigc::signal<void(const Error &)> &signalFailed() { return Failed; }
+  /// Emitted for each line that is added to the audit trail here.
+  sigc::signal<void(const AuditRecord &)> &signalAudited() { return Audited; }
+  /// Emitted when this host becomes leader or ceases to be.
+  sigc::signal<void(bool)> &signalLeadership() { return Leadership; }
+
+  const Consensus &consensus() const { return Agreement; }
+  const LeaseRegistry &leases() const { return Leases; }
+  /// What this host has applied; it may be behind unless it leads.
+  const ControlState &applied() const { return State; }
+  /// True once no proxy can act without the revision any more.
+  bool isInForce(std::uint64_t Revision) const;
+
+private:
+  struct WaitingLease {
+    LeaseRequest Request;
+    Endpoint ReplyTo;
+    Millis ReceivedAt;
+  };
+
+  struct WaitingChange {
+    std::uint64_t Term = 0;
+    ChangeHandler OnDone;
+  };
+
+  void tick();
+  void receive(const Envelope &Arrived);
+  void on(const Envelope &From, const ConsensusMessage &Body);
+  void on(const Envelope &From, const LeaseRequest &Body);
+  void on(const Envelope &From, const ViewApplied &Body);
+  void on(const Envelope &From, const ForwardedAnnouncement &Body);
+  template <class Other> void on(const Envelope &, const Other &) {}
+
+  /// Carries out what the agreement wants done, and what follows from it.
+  void settle();
+  void carryOut(ConsensusOutputs Outputs);
+  void apply(const Entry &Committed);
+  void answerReads(const ConsensusOutputs &Outputs);
+  void grant(const WaitingLease &To);
+  void noticeLeadership();
+  void publish();
+  void sendView(const Endpoint &To);
+  void coordinate();
+  void removeExpiredProxies();
+  void compactIfLong();
+  void failWaiting();
+
+  Settings Options;
+  ControlPorts Ports;
+  Consensus Agreement;
+  ControlState State;
+  LeaseRegistry Leases;
+  FailoverCoordinator Failover;
+  TargetOrders Orders;
+  bool Leading = false;
+  bool Settling = false;
+  std::uint64_t AppliedIndex = 0;
+  std::uint64_t PublishedRevision = 0;
+  std::map<std::uint64_t, WaitingChange> Changes;
+  std::map<std::uint64_t, WaitingLease> LeaseReads;
+  std::map<std::uint64_t, ReadHandler> StateReads;
+  std::map<ProcessId, Millis> ProposedRemoval;
+  sigc::signal<void(const Error &)> Failed;
+  sigc::signal<void(const AuditRecord &)> Audited;
+  sigc::signal<void(bool)> Leadership;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Control/TargetOrders.cpp
@@ -0,0 +1,68 @@
+/// \file
+/// Sends orders to targets by their published protocol.
+
+#include "Control/TargetOrders.h"
+
+namespace corianderdyke {
+
+namespace {
+
+constexpr Millis OrderTimeout(300);
+constexpr int StatusOk = 200;
+
+std::string text(const std::vector<Fork> &Forks) {
+  std::string Out;
+  for (const Fork &Each : Forks)
+    Out += (Out.empty() ? "" : ",") + std::to_string(Each.Term) + ":" +
+           std::to_string(Each.Position);
+  return Out;
+}
+
+HttpRequest requestFor(const TargetCall &Call) {
+  HttpRequest Out;
+  Out.Method = HttpMethod::Post;
+  Out.Query["term"] = std::to_string(Call.Term);
+  switch (Call.Order) {
+  case TargetOrder::Fence:
+    Out.Path = "/v1/fence";
+    return Out;
+  case TargetOrder::Promote:
+    Out.Path = "/v1/promote";
+    break;
+  case TargetOrder::Follow:
+    Out.Path = "/v1/follow";
+    Out.Query["primary"] = Call.Primary.text();
+    break;
+  }
+  Out.Query["forks"] = text(Call.Forks);
+  return Out;
+}
+
+} // namespace
+
+void TargetOrders::send(const TargetCall &Call, Handler OnDone) {
+  Link &To = Links[Call.Target.Name];
+  // A new order overtakes one that hangs: the connection is made anew.
+  if (!To.Connection || To.Address != Call.Target.Address || To.Busy)
+    To = Link{Call.Target.Address, Connector.connect(Call.Target.Address),
+              false};
+  To.Busy = true;
+  To.Connection->request(
+      requestFor(Call), OrderTimeout,
+      [this, Name = Call.Target.Name,
+       OnDone = std::move(OnDone)](Expected<HttpResponse> Answer) {
+        Link &From = Links[Name];
+        From.Busy = false;
+        if (!Answer) {
+          From.Connection.reset();
+          return;
+        }
+        if (Answer->Status != StatusOk)
+          return;
+        OnDone({numberOr(Answer->header("Target-Term"), 0),
+                numberOr(Answer->header("Target-Log-Term"), 0),
+                numberOr(Answer->header("Target-Position"), 0)});
+      });
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Http/EventHttpConnector.cpp
@@ -0,0 +1,123 @@
+/// \file
+/// Outgoing HTTP through libevent's evhttp.
+
+#include "Http/EventHttpConnector.h"
+
+#include "Http/EventHttpSupport.h"
+#include "Loop/EventLoop.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+
+namespace corianderdyke {
+
+namespace {
+
+evhttp_cmd_type command(HttpMethod Method) {
+  switch (Method) {
+  case HttpMethod::Post:
+    return EVHTTP_REQ_POST;
+  case HttpMethod::Put:
+    return EVHTTP_REQ_PUT;
+  case HttpMethod::Delete:
+    return EVHTTP_REQ_DELETE;
+  case HttpMethod::Get:
+    break;
+  }
+  return EVHTTP_REQ_GET;
+}
+
+std::string target(const HttpRequest &Request) {
+  std::string Out = Request.Path;
+  char Separator = '?';
+  for (const auto &[Name, Value] : Request.Query) {
+    Out += Separator + uriEncoded(Name) + "=" + uriEncoded(Value);
+    Separator = '&';
+  }
+  return Out;
+}
+
+class EventHttpConnection final : public HttpConnection {
+public:
+  EventHttpConnection(EventLoop &Loop, const Endpoint &To)
+      : Loop(Loop), To(To), Shared(std::make_shared<Link>()) {
+    Shared->Connection = evhttp_connection_base_new(
+        Loop.base(), nullptr, To.Address.c_str(), To.Port);
+    evhttp_connection_set_max_body_size(Shared->Connection, MaxHttpBodyBytes);
+    evhttp_connection_set_max_headers_size(Shared->Connection,
+                                           MaxHttpHeaderBytes);
+    // No retries: a statement that went out twice could run twice.
+    evhttp_connection_set_retries(Shared->Connection, 0);
+  }
+
+  ~EventHttpConnection() override {
+    Shared->OnAnswer = nullptr;
+    // The connection may be destroyed inside its own callback.
+    Loop.defer([Held = Shared] { evhttp_connection_free(Held->Connection); });
+  }
+
+  void request(HttpRequest Request, Millis Timeout, Handler OnAnswer) override {
+    Shared->OnAnswer = std::move(OnAnswer);
+    evhttp_request *Raw =
+        evhttp_request_new(&EventHttpConnection::finished, Shared.get());
+    evkeyvalq *Headers = evhttp_request_get_output_headers(Raw);
+    evhttp_add_header(Headers, "Host", To.text().c_str());
+    for (const auto &[Name, Value] : Request.Headers)
+      evhttp_add_header(Headers, Name.c_str(), Value.c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(Raw), Request.Body.data(),
+                 Request.Body.size());
+    constexpr std::int64_t MillisPerSecond = 1000;
+    constexpr std::int64_t MicrosPerMilli = 1000;
+    const timeval Limit{Timeout.count() / MillisPerSecond,
+                        (Timeout.count() % MillisPerSecond) * MicrosPerMilli};
+    evhttp_connection_set_timeout_tv(Shared->Connection, &Limit);
+    // On failure libevent has freed the request and calls nobody.
+    if (evhttp_make_request(Shared->Connection, Raw, command(Request.Method),
+                            target(Request).c_str()) != 0)
+      Loop.defer([Held = Shared] {
+        Held->finish(
+            fail(ErrorCode::Unavailable, "the request couldn't be sent"));
+      });
+  }
+
+private:
+  /// Lives until libevent has let go of the connection.
+  struct Link {
+    evhttp_connection *Connection = nullptr;
+    Handler OnAnswer;
+
+    void finish(Expected<HttpResponse> Answer) {
+      if (const Handler Waiting = std::exchange(OnAnswer, nullptr))
+        Waiting(std::move(Answer));
+    }
+  };
+
+  static void finished(evhttp_request *Raw, void *Argument) {
+    static_cast<Link *>(Argument)->finish(answerOf(Raw));
+  }
+
+  static Expected<HttpResponse> answerOf(evhttp_request *Raw) {
+    if (Raw == nullptr || evhttp_request_get_response_code(Raw) == 0)
+      return fail(ErrorCode::Unavailable, "no answer");
+    HttpResponse Out;
+    Out.Status = evhttp_request_get_response_code(Raw);
+    Out.Headers = headersOf(evhttp_request_get_input_headers(Raw));
+    Out.Body = bytesOf(evhttp_request_get_input_buffer(Raw));
+    return Out;
+  }
+
+  EventLoop &Loop;
+  Endpoint To;
+  std::shared_ptr<Link> Shared;
+};
+
+} // namespace
+
+std::unique_ptr<HttpConnection>
+EventHttpConnector::connect(const Endpoint &To) {
+  return std::make_unique<EventHttpConnection>(Loop, To);
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Http/EventHttpServer.cpp
@@ -0,0 +1,179 @@
+/// \file
+/// A listener for HTTP through libevent's evhttp.
+
+#include "Http/EventHttpServer.h"
+
+#include "Http/EventHttpSupport.h"
+#include "Loop/EventLoop.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+namespace corianderdyke {
+
+namespace {
+
+/// Idle callers are cut after this long without a byte.
+constexpr int ListenerTimeoutSeconds = 120;
+
+HttpMethod methodOf(evhttp_request *Raw) {
+  switch (evhttp_request_get_command(Raw)) {
+  case EVHTTP_REQ_POST:
+    return HttpMethod::Post;
+  case EVHTTP_REQ_PUT:
+    return HttpMethod::Put;
+  case EVHTTP_REQ_DELETE:
+    return HttpMethod::Delete;
+  default:
+    return HttpMethod::Get;
+  }
+}
+
+HttpRequest requestOf(evhttp_request *Raw) {
+  HttpRequest Out;
+  Out.Method = methodOf(Raw);
+  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Raw);
+  const char *Path = evhttp_uri_get_path(Uri);
+  Out.Path = Path == nullptr ? "/" : Path;
+  if (const char *Query = evhttp_uri_get_query(Uri); Query != nullptr) {
+    evkeyvalq Parsed;
+    if (evhttp_parse_query_str(Query, &Parsed) == 0) {
+      for (const auto &[Name, Value] : headersOf(&Parsed))
+        Out.Query[Name] = Value;
+      evhttp_clear_headers(&Parsed);
+    }
+  }
+  Out.Headers = headersOf(evhttp_request_get_input_headers(Raw));
+  Out.Body = bytesOf(evhttp_request_get_input_buffer(Raw));
+  return Out;
+}
+
+class EventHttpExchange final : public HttpExchange {
+public:
+  explicit EventHttpExchange(evhttp_request *Raw) : Raw(Raw) {}
+
+  ~EventHttpExchange() override {
+    // A request that nobody will answer would hold its caller for ever.
+    if (Raw != nullptr)
+      respond(HttpResponse{500, {}, "dropped without an answer\n"});
+  }
+
+  void respond(HttpResponse Response) override {
+    if (Raw == nullptr)
+      return;
+    evhttp_request *Answered = std::exchange(Raw, nullptr);
+    evkeyvalq *Headers = evhttp_request_get_output_headers(Answered);
+    for (const auto &[Name, Value] : Response.Headers)
+      evhttp_add_header(Headers, Name.c_str(), Value.c_str());
+    evbuffer *Body = evbuffer_new();
+    evbuffer_add(Body, Response.Body.data(), Response.Body.size());
+    evhttp_send_reply(Answered, Response.Status, nullptr, Body);
+    evbuffer_free(Body);
+  }
+
+  void onHangUp(std::function<void()> Action) override {
+    HangUp = std::move(Action);
+  }
+
+  /// The connection is gone; libevent frees the request with it.
+  void closed() {
+    if (std::exchange(Raw, nullptr) == nullptr)
+      return;
+    if (auto Action = std::exchange(HangUp, nullptr))
+      Action();
+  }
+
+private:
+  evhttp_request *Raw;
+  std::function<void()> HangUp;
+};
+
+std::string peerOf(evhttp_connection *Connection) {
+  char *Address = nullptr;
+  ev_uint16_t Port = 0;
+  evhttp_connection_get_peer(Connection, &Address, &Port);
+  return Endpoint{Address == nullptr ? "" : Address, Port}.text();
+}
+
+} // namespace
+
+struct EventHttpServer::Session {
+  EventHttpServer *Owner = nullptr;
+  evhttp_connection *Connection = nullptr;
+  std::string Peer;
+  std::weak_ptr<EventHttpExchange> Current;
+};
+
+EventHttpServer::EventHttpServer(HttpService &Service) : Service(Service) {}
+
+void EventHttpServer::arrived(evhttp_request *Raw) {
+  evhttp_connection *Connection = evhttp_request_get_connection(Raw);
+  std::unique_ptr<Session> &Known = Sessions[Connection];
+  if (!Known) {
+    Known = std::make_unique<Session>();
+    Known->Owner = this;
+    Known->Connection = Connection;
+    Known->Peer = peerOf(Connection);
+    evhttp_connection_set_closecb(
+        Connection,
+        [](evhttp_connection *, void *Argument) {
+          auto *Closed = static_cast<Session *>(Argument);
+          EventHttpServer *Owner = Closed->Owner;
+          const std::unique_ptr<Session> Held =
+              std::move(Owner->Sessions[Closed->Connection]);
+          Owner->Sessions.erase(Held->Connection);
+          if (const auto Exchange = Held->Current.lock())
+            Exchange->closed();
+          Owner->Service.disconnected(Held->Peer);
+        },
+        Known.get());
+  }
+  HttpRequest Request = requestOf(Raw);
+  Request.Peer = Known->Peer;
+  const auto Exchange = std::make_shared<EventHttpExchange>(Raw);
+  Known->Current = Exchange;
+  Service.handle(Request, Exchange);
+}
+
+Expected<std::unique_ptr<EventHttpServer>>
+EventHttpServer::listen(EventLoop &Loop, const Endpoint &At,
+                        HttpService &Service) {
+  std::unique_ptr<EventHttpServer> Made(new EventHttpServer(Service));
+  Made->Http = evhttp_new(Loop.base());
+  evhttp_set_max_body_size(Made->Http, MaxHttpBodyBytes);
+  evhttp_set_max_headers_size(Made->Http, MaxHttpHeaderBytes);
+  evhttp_set_timeout(Made->Http, ListenerTimeoutSeconds);
+  evhttp_set_gencb(
+      Made->Http,
+      [](evhttp_request *Raw, void *Argument) {
+        static_cast<EventHttpServer *>(Argument)->arrived(Raw);
+      },
+      Made.get());
+  Made->Socket =
+      evhttp_bind_socket_with_handle(Made->Http, At.Address.c_str(), At.Port);
+  if (Made->Socket == nullptr)
+    return fail(ErrorCode::System,
+                "can't listen on " + At.text() + ": " + std::strerror(errno));
+  sockaddr_in Bound{};
+  socklen_t Size = sizeof(Bound);
+  getsockname(evhttp_bound_socket_get_fd(Made->Socket),
+              reinterpret_cast<sockaddr *>(&Bound), &Size);
+  Made->At = Endpoint{At.Address, ntohs(Bound.sin_port)};
+  return Made;
+}
+
+EventHttpServer::~EventHttpServer() { evhttp_free(Http); }
+
+void EventHttpServer::stopListening() {
+  if (Socket == nullptr)
+    return;
+  evhttp_del_accept_socket(Http, Socket);
+  Socket = nullptr;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Lease/LeaseRegistry.cpp
@@ -0,0 +1,83 @@
+/// \file
+/// The leader's record of which proxies may still act on old decisions.
+
+#include "Lease/LeaseRegistry.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+namespace {
+
+constexpr std::int64_t Million = 1000000;
+/// Each of the two readings of a clock may be up to a millisecond late.
+constexpr Millis Rounding(2);
+
+} // namespace
+
+Millis longestLease(Millis Duration, std::uint32_t DriftPpm) {
+  const std::int64_t Extra =
+      (Duration.count() * 2 * DriftPpm + Million - 1) / Million;
+  return Duration + Millis(Extra) + Rounding;
+}
+
+void LeaseRegistry::begin(const ClusterView &View, Millis Now) {
+  Holders.clear();
+  const std::uint32_t DriftPpm =
+      View.Current ? View.Current->Failover.ClockDriftPpm : 0;
+  for (const auto &[Id, Where] : View.Proxies) {
+    Holder &Known = Holders[Id];
+    Known.LastHeard = Now;
+    Known.Ends[0] = Now + longestLease(View.LongestLease, DriftPpm);
+  }
+}
+
+void LeaseRegistry::noteRequest(const LeaseRequest &Request,
+                                const Endpoint &ReplyTo, Millis Now) {
+  Holder &Known = Holders[Request.Proxy];
+  Known.ReplyTo = ReplyTo;
+  Known.LastHeard = Now;
+  Known.Reports = Request.Reports;
+  Known.Applied = std::max(Known.Applied, Request.AppliedRevision);
+}
+
+void LeaseRegistry::noteGrant(const LeaseGrant &Grant, Millis ReceivedAt,
+                              std::uint32_t DriftPpm) {
+  Holder &Known = Holders[Grant.Proxy];
+  Millis &End = Known.Ends[Grant.RequiredRevision];
+  End = std::max(End, ReceivedAt + longestLease(Grant.Duration, DriftPpm));
+  while (Known.Ends.size() > 1 && Known.Ends.begin()->second < ReceivedAt)
+    Known.Ends.erase(Known.Ends.begin());
+}
+
+void LeaseRegistry::noteApplied(const ProcessId &Proxy,
+                                std::uint64_t Revision) {
+  const auto Known = Holders.find(Proxy);
+  if (Known != Holders.end())
+    Known->second.Applied = std::max(Known->second.Applied, Revision);
+}
+
+bool LeaseRegistry::isInForce(const ClusterView &View, std::uint64_t Revision,
+                              Millis Now) const {
+  for (const auto &[Id, Where] : View.Proxies) {
+    const auto Known = Holders.find(Id);
+    if (Known == Holders.end() || Known->second.Applied >= Revision)
+      continue;
+    for (const auto &[Required, End] : Known->second.Ends)
+      if (Required < Revision && End > Now)
+        return false;
+  }
+  return true;
+}
+
+std::optional<Millis> LeaseRegistry::expiry(const ProcessId &Proxy) const {
+  const auto Known = Holders.find(Proxy);
+  if (Known == Holders.end() || Known->second.Ends.empty())
+    return std::nullopt;
+  Millis Latest;
+  for (const auto &[Required, End] : Known->second.Ends)
+    Latest = std::max(Latest, End);
+  return Latest;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Logs/LogEvents.h
@@ -0,0 +1,50 @@
+/// \file
+/// The catalogue of numbered log events. Help/log-events.md lists the same.
+
+#ifndef CORIANDERDYKE_LOGS_LOGEVENTS_H
+#define CORIANDERDYKE_LOGS_LOGEVENTS_H
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace corianderdyke {
+
+/// A number is never given to another event, so that alerts stay valid.
+enum class EventId : std::uint16_t {
+  Started = 100,
+  Stopped = 101,
+  StartRefused = 102,
+  StateChanged = 200,
+  LeadershipGained = 201,
+  LeadershipLost = 202,
+  DiskFailed = 203,
+  LeaseGained = 300,
+  LeaseLost = 301,
+};
+
+enum class Severity : std::uint8_t { Info, Warning, Error };
+
+struct EventDescription {
+  EventId Id;
+  Severity Level;
+  const char *Name;
+  const char *Meaning;
+};
+
+/// All events in the order of their numbers.
+const std::vector<EventDescription> &eventCatalogue();
+
+/// Sends later events to standard error as lines for people, or as one JSON
+/// object a line.
+void setUpLogs(bool Json);
+
+using LogFields = std::vector<std::pair<std::string, std::string>>;
+
+/// Writes an event with its fields; empty fields are left out.
+void logEvent(EventId Id, const LogFields &Fields);
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Loop/EventLoop.cpp
@@ -0,0 +1,107 @@
+/// \file
+/// The one loop of a process, on libevent.
+
+#include "Loop/EventLoop.h"
+
+#include <event2/event.h>
+#include <utility>
+
+namespace corianderdyke {
+
+struct EventLoop::Timer {
+  EventLoop *Owner = nullptr;
+  TimerId Id = 0;
+  event *Event = nullptr;
+  std::function<void()> Action;
+
+  ~Timer() {
+    if (Event != nullptr)
+      event_free(Event);
+  }
+};
+
+struct EventLoop::SignalHandler {
+  event *Event = nullptr;
+  std::function<void()> Action;
+
+  ~SignalHandler() {
+    if (Event != nullptr)
+      event_free(Event);
+  }
+};
+
+EventLoop::EventLoop() {
+  // libevent's default clock is coarse, to about 4 ms; a lease check needs
+  // the millisecond.
+  event_config *Config = event_config_new();
+  event_config_set_flag(Config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  Base = event_base_new_with_config(Config);
+  event_config_free(Config);
+}
+
+EventLoop::~EventLoop() {
+  runDeferred();
+  Timers.clear();
+  Signals.clear();
+  event_base_free(Base);
+}
+
+Scheduler::TimerId EventLoop::after(Millis Delay,
+                                    std::function<void()> Action) {
+  auto Made = std::make_unique<Timer>();
+  Made->Owner = this;
+  Made->Id = NextId++;
+  Made->Action = std::move(Action);
+  Made->Event = evtimer_new(
+      Base,
+      [](evutil_socket_t, short, void *Argument) {
+        auto *Fired = static_cast<Timer *>(Argument);
+        // The action may cancel or add timers: take it out first.
+        const std::unique_ptr<Timer> Held =
+            std::move(Fired->Owner->Timers[Fired->Id]);
+        Fired->Owner->Timers.erase(Fired->Id);
+        Held->Action();
+      },
+      Made.get());
+  constexpr std::int64_t MillisPerSecond = 1000;
+  constexpr std::int64_t MicrosPerMilli = 1000;
+  const std::int64_t Count = std::max<std::int64_t>(Delay.count(), 0);
+  const timeval Time{Count / MillisPerSecond,
+                     (Count % MillisPerSecond) * MicrosPerMilli};
+  evtimer_add(Made->Event, &Time);
+  const TimerId Id = Made->Id;
+  Timers[Id] = std::move(Made);
+  return Id;
+}
+
+void EventLoop::cancel(TimerId Id) { Timers.erase(Id); }
+
+void EventLoop::onSignal(int Signal, std::function<void()> Action) {
+  auto Made = std::make_unique<SignalHandler>();
+  Made->Action = std::move(Action);
+  Made->Event = evsignal_new(
+      Base, Signal,
+      [](evutil_socket_t, short, void *Argument) {
+        static_cast<SignalHandler *>(Argument)->Action();
+      },
+      Made.get());
+  event_add(Made->Event, nullptr);
+  Signals.push_back(std::move(Made));
+}
+
+void EventLoop::defer(std::function<void()> Action) {
+  Deferred.push_back(std::move(Action));
+  if (Deferred.size() == 1)
+    after(Millis(0), [this] { runDeferred(); });
+}
+
+void EventLoop::runDeferred() {
+  for (const auto &Action : std::exchange(Deferred, {}))
+    Action();
+}
+
+void EventLoop::run() { event_base_loop(Base, EVLOOP_NO_EXIT_ON_EMPTY); }
+
+void EventLoop::stop() { event_base_loopbreak(Base); }
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Loop/EventLoop.h
@@ -0,0 +1,57 @@
+/// \file
+/// The one loop of a process, on libevent.
+
+#ifndef CORIANDERDYKE_LOOP_EVENTLOOP_H
+#define CORIANDERDYKE_LOOP_EVENTLOOP_H
+
+#include "Loop/Scheduler.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+struct event;
+struct event_base;
+
+namespace corianderdyke {
+
+/// Owns the event base, the timers and the signal handlers.
+class EventLoop final : public Scheduler {
+public:
+  EventLoop();
+  ~EventLoop() override;
+  EventLoop(const EventLoop &) = delete;
+  EventLoop &operator=(const EventLoop &) = delete;
+
+  TimerId after(Millis Delay, std::function<void()> Action) override;
+  void cancel(TimerId Id) override;
+
+  /// Runs \p Action each time the process gets \p Signal.
+  void onSignal(int Signal, std::function<void()> Action);
+
+  /// Runs \p Action once the current callback has returned, or at the latest
+  /// when the loop is destroyed. For freeing what is still on the stack.
+  void defer(std::function<void()> Action);
+
+  /// Runs until stop().
+  void run();
+  void stop();
+
+  event_base *base() const { return Base; }
+
+private:
+  struct Timer;
+  struct SignalHandler;
+
+  void runDeferred();
+
+  event_base *Base;
+  TimerId NextId = 1;
+  std::map<TimerId, std::unique_ptr<Timer>> Timers;
+  std::vector<std::unique_ptr<SignalHandler>> Signals;
+  std::vector<std::function<void()>> Deferred;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Membership/TargetAnnouncement.h
@@ -0,0 +1,30 @@
+/// \file
+/// What a target says of itself when it announces itself.
+
+#ifndef CORIANDERDYKE_MEMBERSHIP_TARGETANNOUNCEMENT_H
+#define CORIANDERDYKE_MEMBERSHIP_TARGETANNOUNCEMENT_H
+
+#include "Common/Identity.h"
+
+namespace corianderdyke {
+
+/// A fact with a sequence: the announcement of a name with the highest
+/// sequence holds. It reaches any proxy through the platform's balancer, and
+/// that proxy passes it on to control.
+struct TargetAnnouncement {
+  std::string Name;
+  std::string Database;
+  Place Where;
+  Endpoint Address;
+  std::uint64_t Sequence = 0;
+  bool Leaving = false;
+
+  auto operator<=>(const TargetAnnouncement &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Name, Database, Where, Address, Sequence, Leaving);
+  }
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Proxy/ProxyNode.cpp
@@ -0,0 +1,146 @@
+/// \file
+/// A proxy: its lease, its view of the decisions, and its callers.
+
+#include "Proxy/ProxyNode.h"
+
+#include "Common/KeyedDigest.h"
+
+namespace corianderdyke {
+
+namespace {
+
+constexpr Millis TickInterval(10);
+/// A lease is asked for this many times in its duration, so that one lost
+/// datagram or a change of the control leader doesn't end it.
+constexpr std::int64_t RequestsPerLease = 5;
+constexpr Millis RequestIntervalWithoutManifest(100);
+/// Another control host is asked after this long without an answer.
+constexpr Millis LeaderPatience(250);
+constexpr int StatusAccepted = 202;
+constexpr int StatusBadRequest = 400;
+constexpr int StatusForbidden = 403;
+constexpr int StatusNotFound = 404;
+
+} // namespace
+
+ProxyNode::ProxyNode(const Settings &Options, ProxyPorts Ports,
+                     std::uint64_t Incarnation)
+    : Options(Options), Ports(Ports), Id{Options.Name, Incarnation}, Lease(Id),
+      Watcher(Ports.Time, Ports.Timers, Ports.Connector, Table),
+      Statements({Ports.Time, Ports.Timers, Ports.Connector}, View, Lease,
+                 Table, Watcher, Options.SessionKey) {}
+
+void ProxyNode::start() {
+  Ports.Peers.signalReceived().connect(
+      sigc::mem_fun(*this, &ProxyNode::receive));
+  // A dead primary is reported at once, not with the next renewal: it's the
+  // first part of the failover gap.
+  Watcher.signalRefused().connect(
+      sigc::hide(sigc::mem_fun(*this, &ProxyNode::requestLease)));
+  tick();
+}
+
+void ProxyNode::tick() {
+  const Millis Now = Ports.Time.now();
+  const Millis Interval =
+      View.Current ? View.Current->Failover.LeaseDuration / RequestsPerLease
+                   : RequestIntervalWithoutManifest;
+  if (Now - LastAnswer > LeaderPatience && Now - LastRequest >= Interval)
+    Leader = (Leader + 1) % Options.Controls.size();
+  if (Now - LastRequest >= Interval)
+    requestLease();
+  if (Lease.isHeld(Now) != HeldLease) {
+    HeldLease = !HeldLease;
+    LeaseChanged.emit(HeldLease);
+  }
+  Ports.Timers.after(TickInterval, [this] { tick(); });
+}
+
+const ControlHost &ProxyNode::leader() const {
+  return Options.Controls[Leader];
+}
+
+void ProxyNode::requestLease() {
+  const Millis Now = Ports.Time.now();
+  LastRequest = Now;
+  const Millis SuspectAfter =
+      View.Current ? View.Current->Failover.SuspectAfter : Millis();
+  Ports.Peers.send(leader().Peers, Delivery::Datagram,
+                   LeaseRequest{Id, Options.Where, Lease.nextSequence(), Now,
+                                Lease.appliedRevision(),
+                                Table.reports(SuspectAfter, Now)});
+}
+
+void ProxyNode::receive(const Envelope &Arrived) {
+  std::visit([&](const auto &Body) { on(Arrived, Body); }, Arrived.Body);
+}
+
+void ProxyNode::on(const Envelope &, const LeaseGrant &Body) {
+  LastAnswer = Ports.Time.now();
+  Lease.grant(Body);
+}
+
+void ProxyNode::on(const Envelope &, const NotLeader &Body) {
+  for (std::size_t Index = 0; Index < Options.Controls.size(); ++Index) {
+    if (Options.Controls[Index].Name != Body.Leader || Index == Leader)
+      continue;
+    Leader = Index;
+    LastAnswer = Ports.Time.now();
+    requestLease();
+    return;
+  }
+}
+
+void ProxyNode::on(const Envelope &From, const ViewUpdate &Body) {
+  LastAnswer = Ports.Time.now();
+  if (Lease.apply(Body.View.Revision)) {
+    View = Body.View;
+    Watcher.update(View);
+    Statements.viewChanged();
+  }
+  // Also for one that was known: the control host may have missed the
+  // confirmation.
+  Ports.Peers.send(From.ReplyTo, Delivery::Datagram,
+                   ViewApplied{Id, Lease.appliedRevision()});
+}
+
+bool ProxyNode::isReady() const { return Lease.isHeld(Ports.Time.now()); }
+
+void ProxyNode::handle(const HttpRequest &Request,
+                       std::shared_ptr<HttpExchange> Exchange) {
+  if (Request.Path == "/statement")
+    Statements.handle(Request, std::move(Exchange));
+  else if (Request.Path == "/announce")
+    announce(Request, *Exchange);
+  else
+    Exchange->respond({StatusNotFound, {}, "no such path\n"});
+}
+
+void ProxyNode::announce(const HttpRequest &Request, HttpExchange &Exchange) {
+  if (!sameDigest(Request.header("Target-Key"), Options.TargetKey)) {
+    Exchange.respond({StatusForbidden, {}, "the target key is wrong\n"});
+    return;
+  }
+  const auto Address = Endpoint::parse(Request.header("Target-Address"));
+  TargetAnnouncement Said{Request.header("Target-Name"),
+                          Request.header("Target-Database"),
+                          {Request.header("Target-Region"),
+                           Request.header("Target-Failure-Domain"),
+                           Request.header("Target-Host")},
+                          Address.value_or(Endpoint()),
+                          numberOr(Request.header("Target-Sequence"), 0),
+                          Request.header("Target-Leaving") == "true"};
+  if (!Address || Said.Name.empty() || Said.Database.empty() ||
+      Said.Sequence == 0) {
+    Exchange.respond({StatusBadRequest,
+                      {},
+                      "Target-Name, Target-Database, Target-Address and "
+                      "Target-Sequence are needed\n"});
+    return;
+  }
+  Ports.Peers.send(leader().Peers, Delivery::Stream,
+                   ForwardedAnnouncement{std::move(Said)});
+  Exchange.respond({StatusAccepted, {}, "passed on\n"});
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Proxy/ProxyNode.h
@@ -0,0 +1,71 @@
+/// \file
+/// A proxy: its lease, its view of the decisions, and its callers.
+
+#ifndef CORIANDERDYKE_PROXY_PROXYNODE_H
+#define CORIANDERDYKE_PROXY_PROXYNODE_H
+
+#include "Proxy/StatementService.h"
+#include "Settings/Settings.h"
+#include "Transport/Transport.h"
+
+namespace corianderdyke {
+
+struct ProxyPorts {
+  Clock &Time;
+  Scheduler &Timers;
+  Transport &Peers;
+  HttpConnector &Connector;
+};
+
+/// Serves callers and targets on the callers' port.
+class ProxyNode final : public HttpService, public sigc::trackable {
+public:
+  ProxyNode(const Settings &Options, ProxyPorts Ports,
+            std::uint64_t Incarnation);
+
+  void start();
+
+  void handle(const HttpRequest &Request,
+              std::shared_ptr<HttpExchange> Exchange) override;
+
+  /// True while the balancer may send callers here.
+  bool isReady() const;
+
+  const ClusterView &view() const { return View; }
+  const LeaseHolder &lease() const { return Lease; }
+  const StatementService &statements() const { return Statements; }
+  const ProcessId &id() const { return Id; }
+
+  /// Emitted when the lease is gained or lost.
+  sigc::signal<void(bool)> &signalLease() { return LeaseChanged; }
+
+private:
+  void tick();
+  void requestLease();
+  void receive(const Envelope &Arrived);
+  void on(const Envelope &From, const LeaseGrant &Body);
+  void on(const Envelope &From, const NotLeader &Body);
+  void on(const Envelope &From, const ViewUpdate &Body);
+  template <class Other> void on(const Envelope &, const Other &) {}
+  void announce(const HttpRequest &Request, HttpExchange &Exchange);
+  const ControlHost &leader() const;
+
+  Settings Options;
+  ProxyPorts Ports;
+  ProcessId Id;
+  ClusterView View;
+  LeaseHolder Lease;
+  TargetTable Table;
+  TargetWatcher Watcher;
+  StatementService Statements;
+  /// Index in Options.Controls of the host that is asked for leases.
+  std::size_t Leader = 0;
+  Millis LastRequest = Millis(-1000000);
+  Millis LastAnswer;
+  bool HeldLease = false;
+  sigc::signal<void(bool)> LeaseChanged;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Proxy/StatementRequest.h
@@ -0,0 +1,47 @@
+/// \file
+/// A caller's statement, as its headers say it.
+
+#ifndef CORIANDERDYKE_PROXY_STATEMENTREQUEST_H
+#define CORIANDERDYKE_PROXY_STATEMENTREQUEST_H
+
+#include "Http/HttpMessage.h"
+#include "Manifest/Manifest.h"
+#include "Session/SessionToken.h"
+
+namespace corianderdyke {
+
+namespace caller_header {
+constexpr const char *Database = "Corianderdyke-Database";
+constexpr const char *Organisation = "Corianderdyke-Organisation";
+constexpr const char *Kind = "Corianderdyke-Kind";
+constexpr const char *Session = "Corianderdyke-Session";
+constexpr const char *Key = "Corianderdyke-Key";
+constexpr const char *DeadlineMs = "Corianderdyke-Deadline-Ms";
+constexpr const char *Outcome = "Corianderdyke-Outcome";
+constexpr const char *RetryAfterMs = "Corianderdyke-Retry-After-Ms";
+constexpr const char *ServedBy = "Corianderdyke-Served-By";
+constexpr const char *Target = "Corianderdyke-Target";
+} // namespace caller_header
+
+/// Everything that the proxy needs of a statement; the body passes through
+/// unread.
+struct StatementRequest {
+  std::string Database;
+  std::string Organisation;
+  KindPolicy Kind;
+  std::string Key; ///< Empty where the kind is repeatable and none was sent.
+  SessionToken Session;
+  Millis Deadline; ///< A span from the arrival.
+  std::string Body;
+
+  auto operator<=>(const StatementRequest &) const = default;
+};
+
+/// Reads a statement's headers; BadInput names the header at fault.
+Expected<StatementRequest> parseStatement(const HttpRequest &From,
+                                          const Manifest &Current,
+                                          const std::string &SessionKey);
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Proxy/TargetWatcher.cpp
@@ -0,0 +1,84 @@
+/// \file
+/// Keeps the target table up to date by asking each target all the time.
+
+#include "Proxy/TargetWatcher.h"
+
+#include "Proxy/TargetProtocol.h"
+
+namespace corianderdyke {
+
+namespace {
+
+/// A target without news answers after this long; it's also how often a
+/// silent target would be missed.
+constexpr Millis HoldFor(50);
+constexpr Millis WatchTimeout(2000);
+constexpr Millis AskAgainAfter(25);
+
+} // namespace
+
+void TargetWatcher::update(const ClusterView &View) {
+  Table.update(View, Time.now());
+  for (auto Each = Watches.begin(); Each != Watches.end();)
+    Each = View.Targets.count(Each->first) == 0 ? Watches.erase(Each)
+                                                : std::next(Each);
+  for (const auto &[Name, Target] : View.Targets) {
+    Watch &Known = Watches[Name];
+    if (Known.Generation != 0 && Known.Address == Target.Address)
+      continue;
+    Known = Watch{Target.Address, nullptr, 0, 0, NextGeneration++};
+    ask(Name);
+  }
+}
+
+void TargetWatcher::ask(const std::string &Name) {
+  const auto Found = Watches.find(Name);
+  if (Found == Watches.end())
+    return;
+  Watch &To = Found->second;
+  if (!To.Connection)
+    To.Connection = Connector.connect(To.Address);
+  HttpRequest Question;
+  Question.Path = "/v1/watch";
+  Question.Query["after"] = std::to_string(To.Position);
+  Question.Query["term"] = std::to_string(To.Term);
+  Question.Query["wait_ms"] = std::to_string(HoldFor.count());
+  To.Connection->request(
+      std::move(Question), WatchTimeout,
+      [this, Name, Generation = To.Generation,
+       AskedAt = Time.now()](const Expected<HttpResponse> &Answer) {
+        answered(Name, Generation, AskedAt, Answer);
+      });
+}
+
+void TargetWatcher::answered(const std::string &Name, std::uint64_t Generation,
+                             Millis AskedAt,
+                             const Expected<HttpResponse> &Answer) {
+  const auto Found = Watches.find(Name);
+  if (Found == Watches.end() || Found->second.Generation != Generation)
+    return;
+  Watch &From = Found->second;
+  if (!Answer) {
+    From.Connection.reset();
+    // An answer that failed at once means that nobody listens there any
+    // more; one that took the whole time says only that it's silent.
+    if (Time.now() - AskedAt < WatchTimeout / 2) {
+      Table.refused(Name);
+      Refused.emit(Name);
+    }
+    Timers.after(AskAgainAfter, [this, Name, Generation] {
+      const auto Again = Watches.find(Name);
+      if (Again != Watches.end() && Again->second.Generation == Generation)
+        ask(Name);
+    });
+    return;
+  }
+  const TargetSighting Seen = sightingOf(*Answer);
+  From.Position = Seen.Position;
+  From.Term = Seen.Term;
+  Table.observe(Name, Seen, AskedAt, Time.now());
+  ask(Name);
+  Changed.emit(Name);
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Routing/Router.h
@@ -0,0 +1,51 @@
+/// \file
+/// Chooses the target of a statement.
+
+#ifndef CORIANDERDYKE_ROUTING_ROUTER_H
+#define CORIANDERDYKE_ROUTING_ROUTER_H
+
+#include "Routing/TargetTable.h"
+#include "Session/SessionToken.h"
+
+#include <functional>
+
+namespace corianderdyke {
+
+/// What the choice depends on besides the view and the table.
+struct RouteQuery {
+  std::string Database;
+  Access Mode = Access::Read;
+  Millis AcceptedAge;
+  std::optional<SessionFloor> Floor;
+  /// Some floor of the session gave way: only the primary is safe.
+  bool PrimaryOnly = false;
+};
+
+struct Route {
+  std::string Target;
+  bool IsPrimary = false;
+  std::uint64_t Term = 0;
+  /// The target must be at or past this position to answer.
+  std::uint64_t Floor = 0;
+
+  auto operator<=>(const Route &) const = default;
+};
+
+/// Statements that this proxy has under way at a target, and that wait here
+/// for one of its connections.
+using LoadOf = std::function<std::size_t(const std::string &Target)>;
+
+/// Chooses a target. A read goes to the least loaded replica that is fresh
+/// enough for its kind and for the session, else to the primary. Without
+/// that preference browsing would crowd the primary, on which every write
+/// and every read of a session's own fresh writes depends.
+///
+/// NotFound for an unknown database; Conflict where the session's last write
+/// was lost in a failover that the manifest allowed; Unavailable where no
+/// target fits now.
+Expected<Route> route(const ClusterView &View, const TargetTable &Table,
+                      const RouteQuery &Query, const LoadOf &Load, Millis Now);
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Routing/TargetTable.h
@@ -0,0 +1,83 @@
+/// \file
+/// What a proxy knows of the targets: reach, terms, positions and ages.
+
+#ifndef CORIANDERDYKE_ROUTING_TARGETTABLE_H
+#define CORIANDERDYKE_ROUTING_TARGETTABLE_H
+
+#include "Lease/Messages.h"
+
+#include <deque>
+
+namespace corianderdyke {
+
+/// What a target said of itself in an answer.
+struct TargetSighting {
+  std::uint64_t Term = 0;
+  std::uint64_t Position = 0;
+  bool IsPrimary = false;
+
+  auto operator<=>(const TargetSighting &) const = default;
+};
+
+/// The age of a replica's data is worked out without anyone's wall clock:
+/// when the primary was asked at time T and answered with position P, then a
+/// replica at P or later shows everything that was written before T.
+class TargetTable {
+public:
+  /// Takes in the targets of a view; those that are gone are forgotten.
+  void update(const ClusterView &View, Millis Now);
+
+  /// An answer to a question that was sent at \p AskedAt.
+  void observe(const std::string &Target, const TargetSighting &Seen,
+               Millis AskedAt, Millis Now);
+
+  /// The target refused a connection: no process listens there.
+  void refused(const std::string &Target);
+
+  bool isReachable(const std::string &Target, Millis SuspectAfter,
+                   Millis Now) const;
+
+  std::vector<TargetReport> reports(Millis SuspectAfter, Millis Now) const;
+
+  /// How many targets of a database hold \p Position of \p Term.
+  std::size_t copies(const std::string &Database, std::uint64_t Term,
+                     std::uint64_t Position) const;
+
+  /// How old the target's data may be at the most; nothing where that can't
+  /// be told. A target of another term than \p Term has no age: it may
+  /// follow a fork.
+  std::optional<Millis> age(const std::string &Target, std::uint64_t Term,
+                            Millis Now) const;
+
+  std::optional<TargetSighting> sighting(const std::string &Target) const;
+
+private:
+  struct Known {
+    std::string Database;
+    std::uint64_t Sequence = 0; ///< Of its announcement.
+    TargetSighting Seen;
+    bool WasSeen = false;
+    bool Refused = false;
+    Millis LastAnswer;
+  };
+
+  /// The primary's position was at most Position when it was asked.
+  struct Sample {
+    Millis AskedAt;
+    std::uint64_t Position = 0;
+  };
+
+  struct History {
+    std::uint64_t Term = 0;
+    std::deque<Sample> Samples; ///< Rising in both members.
+  };
+
+  void sample(History &Of, std::uint64_t Term, const Sample &New);
+
+  std::map<std::string, Known> Targets;
+  std::map<std::string, History> Databases;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Session/SessionToken.cpp
@@ -0,0 +1,74 @@
+/// \file
+/// What a caller carries from request to request.
+
+#include "Session/SessionToken.h"
+
+#include "Common/Codec.h"
+#include "Common/KeyedDigest.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace corianderdyke {
+
+namespace {
+
+std::uint64_t hashOf(const std::string &Name) {
+  return XXH64(Name.data(), Name.size(), 0);
+}
+
+} // namespace
+
+std::optional<SessionFloor>
+SessionToken::floor(const std::string &Database) const {
+  const std::uint64_t Hash = hashOf(Database);
+  for (const SessionFloor &Each : Floors)
+    if (Each.Database == Hash)
+      return Each;
+  return std::nullopt;
+}
+
+SessionToken SessionToken::withWrite(const std::string &Database,
+                                     std::uint64_t Term,
+                                     std::uint64_t Position) const {
+  SessionToken Out = *this;
+  SessionFloor New{hashOf(Database), Term, Position};
+  const auto Known = std::find_if(Out.Floors.begin(), Out.Floors.end(),
+                                  [&New](const SessionFloor &Each) {
+                                    return Each.Database == New.Database;
+                                  });
+  if (Known != Out.Floors.end()) {
+    // Answers may come back in another order than the writes ran.
+    New = std::max(New, *Known);
+    Out.Floors.erase(Known);
+  }
+  Out.Floors.push_back(New);
+  if (Out.Floors.size() > MaxFloors) {
+    Out.Floors.erase(Out.Floors.begin());
+    Out.Partial = true;
+  }
+  return Out;
+}
+
+std::string sealToken(const SessionToken &Token, const std::string &Key) {
+  const std::string Bytes = encode(Token);
+  return toText(keyedDigest(Key, Bytes) + Bytes);
+}
+
+Expected<SessionToken> openToken(const std::string &Text,
+                                 const std::string &Key) {
+  if (Text.empty())
+    return SessionToken();
+  const auto Bytes = fromText(Text);
+  if (!Bytes || Bytes->size() < KeyedDigestBytes ||
+      !sameDigest(Bytes->substr(0, KeyedDigestBytes),
+                  keyedDigest(Key, Bytes->substr(KeyedDigestBytes))))
+    return fail(ErrorCode::BadInput,
+                "the session token was altered or cut short");
+  auto Token = decode<SessionToken>(Bytes->substr(KeyedDigestBytes));
+  if (!Token)
+    return fail(ErrorCode::BadInput, "the session token can't be read");
+  return Token;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Settings/Settings.h
@@ -0,0 +1,47 @@
+/// \file
+/// The settings of one process.
+
+#ifndef CORIANDERDYKE_SETTINGS_SETTINGS_H
+#define CORIANDERDYKE_SETTINGS_SETTINGS_H
+
+#include "Common/Finding.h"
+#include "Common/Identity.h"
+#include "Common/Millis.h"
+
+#include <tl/expected.hpp>
+
+namespace corianderdyke {
+
+/// A control host as every process knows it from its settings.
+struct ControlHost {
+  std::string Name;
+  Endpoint Peers;
+
+  auto operator<=>(const ControlHost &) const = default;
+};
+
+struct Settings {
+  std::string Name;
+  Place Where;
+  bool IsProxy = false;
+  bool IsControl = false;
+  std::string DataFolder; ///< Control only.
+  Endpoint Callers;       ///< Proxy only: where callers and targets connect.
+  Endpoint Operators;     ///< Status, metrics and the manifest.
+  Endpoint Peers;         ///< UDP and TCP among the system's own processes.
+  std::vector<ControlHost> Controls;
+  std::string PeerKey;    ///< Seals messages between the processes.
+  std::string SessionKey; ///< Seals session tokens.
+  std::string TargetKey;  ///< Given by targets that announce themselves.
+  bool JsonLogs = false;
+
+  bool operator==(const Settings &) const = default;
+};
+
+/// The settings in \p Text, or all their faults.
+tl::expected<Settings, Findings> parseSettings(const std::string &File,
+                                               const std::string &Text);
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/State/ClusterView.h
@@ -0,0 +1,78 @@
+/// \file
+/// What the control group has decided, as far as proxies need it.
+
+#ifndef CORIANDERDYKE_STATE_CLUSTERVIEW_H
+#define CORIANDERDYKE_STATE_CLUSTERVIEW_H
+
+#include "Common/Identity.h"
+#include "Manifest/Manifest.h"
+#include "Membership/TargetAnnouncement.h"
+
+#include <map>
+#include <optional>
+
+namespace corianderdyke {
+
+/// Where a term's log began: entries at or before Position are those of the
+/// terms before it, later ones are its own.
+struct Fork {
+  std::uint64_t Term = 0;
+  std::uint64_t Position = 0;
+
+  auto operator<=>(const Fork &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Term, Position); }
+};
+
+enum class GroupPhase : std::uint8_t {
+  Forming,  ///< Too few targets have announced themselves yet.
+  Fencing,  ///< The former primary's term has ended; no one may write.
+  Promoted, ///< Primary holds the term.
+};
+
+/// One database group.
+struct GroupRecord {
+  std::string Database;
+  GroupPhase Phase = GroupPhase::Forming;
+  /// Never goes down. While fencing it's the term of the primary to come.
+  std::uint64_t Term = 0;
+  std::string Primary; ///< Target name; empty unless promoted.
+  std::vector<Fork> Forks;
+
+  auto operator<=>(const GroupRecord &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Database, Phase, Term, Primary, Forks);
+  }
+
+  bool isWritable() const { return Phase == GroupPhase::Promoted; }
+
+  /// True where a position that was acknowledged in \p InTerm is still part
+  /// of the group's log: every later term began at or behind it.
+  bool holds(std::uint64_t InTerm, std::uint64_t Position) const;
+};
+
+/// The state of decisions after one entry of the control log.
+struct ClusterView {
+  std::uint64_t Revision = 0;
+  std::optional<Manifest> Current;
+  std::map<std::string, GroupRecord> Groups;
+  std::map<std::string, TargetAnnouncement> Targets;
+  /// The longest lease that any manifest so far has allowed: a new leader
+  /// doesn't know by which of them its predecessor granted.
+  Millis LongestLease;
+  /// Proxies that may hold a lease, by their incarnation.
+  std::map<ProcessId, Place> Proxies;
+
+  bool operator==(const ClusterView &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Revision, Current, Groups, Targets, LongestLease, Proxies);
+  }
+
+  const GroupRecord *group(const std::string &Database) const;
+  const TargetAnnouncement *target(const std::string &Name) const;
+  /// Targets of a database that aren't leaving.
+  std::vector<TargetAnnouncement> targetsOf(const std::string &Database) const;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/State/ControlState.cpp
@@ -0,0 +1,167 @@
+/// \file
+/// The state machine that the control group's log drives.
+
+#include "State/ControlState.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+namespace {
+
+constexpr std::size_t ShownDigest = 12;
+
+std::string describe(const Manifest &Of) {
+  return "version " + std::to_string(Of.Version) + " (" +
+         Of.digest().substr(0, ShownDigest) + ")";
+}
+
+std::string describe(const GroupRecord &Of) {
+  return "term " + std::to_string(Of.Term) +
+         (Of.Primary.empty() ? "" : " primary " + Of.Primary);
+}
+
+template <class T> void keepLast(std::vector<T> &All, std::size_t Most) {
+  if (All.size() > Most)
+    All.erase(All.begin(), All.end() - static_cast<std::ptrdiff_t>(Most));
+}
+
+} // namespace
+
+ApplyResult ControlState::apply(std::uint64_t Revision, const Command &Entry) {
+  const std::uint64_t Before = View.Revision;
+  View.Revision = Revision;
+  auto Refusal =
+      std::visit([&](const auto &Body) { return on(Entry, Body); }, Entry.Body);
+  if (Refusal)
+    View.Revision = Before;
+  return {Revision, std::move(Refusal)};
+}
+
+void ControlState::note(const Command &Entry, AuditRecord Record) {
+  Record.Revision = View.Revision;
+  Record.WallTime = Entry.WallTime;
+  Record.Actor = Entry.Actor;
+  Audit.push_back(std::move(Record));
+  keepLast(Audit, MaxAuditRecords);
+}
+
+Expected<void> ControlState::check(const Manifest &New) const {
+  if (!View.Current)
+    return {};
+  const Manifest &Now = *View.Current;
+  if (New.Version == Now.Version && New.digest() != Now.digest())
+    return fail(ErrorCode::Conflict,
+                "version " + std::to_string(New.Version) +
+                    " is in force with other content: it has digest " +
+                    Now.digest() + ", the one sent has " + New.digest());
+  if (New.Version < Now.Version)
+    return fail(ErrorCode::Conflict, "version " + std::to_string(Now.Version) +
+                                         " is in force; version " +
+                                         std::to_string(New.Version) +
+                                         " is behind it");
+  return {};
+}
+
+std::optional<Error> ControlState::on(const Command &Entry,
+                                      const ApplyManifest &Body) {
+  if (auto Checked = check(Body.New); !Checked)
+    return Checked.error();
+  // The same change sent again after its answer was lost: accepted before,
+  // so nothing changes and the answer is the same.
+  if (View.Current && View.Current->Version == Body.New.Version)
+    return std::nullopt;
+  note(Entry, {.Action = "manifest-applied",
+               .Subject = "manifest",
+               .From = View.Current ? describe(*View.Current) : "none",
+               .To = describe(Body.New)});
+  View.Current = Body.New;
+  View.LongestLease =
+      std::max(View.LongestLease, Body.New.Failover.LeaseDuration);
+  Manifests.push_back({View.Revision, Entry.WallTime, Entry.Actor,
+                       Body.New.Version, Body.New.digest(), Body.Text});
+  keepLast(Manifests, MaxManifests);
+  for (const DatabasePolicy &Each : Body.New.Databases) {
+    GroupRecord &Group = View.Groups[Each.Name];
+    Group.Database = Each.Name;
+  }
+  return std::nullopt;
+}
+
+std::optional<Error> ControlState::on(const Command &Entry,
+                                      const RegisterProxy &Body) {
+  if (View.Proxies.count(Body.Id) != 0)
+    return Error{ErrorCode::Conflict, "registered before"};
+  View.Proxies[Body.Id] = Body.Where;
+  note(Entry, {.Action = "proxy-joined", .Subject = Body.Id.Name});
+  return std::nullopt;
+}
+
+std::optional<Error> ControlState::on(const Command &Entry,
+                                      const RemoveProxy &Body) {
+  if (View.Proxies.erase(Body.Id) == 0)
+    return Error{ErrorCode::NotFound, "not registered"};
+  note(Entry, {.Action = "proxy-left", .Subject = Body.Id.Name});
+  return std::nullopt;
+}
+
+std::optional<Error> ControlState::on(const Command &Entry,
+                                      const RecordTarget &Body) {
+  const TargetAnnouncement &New = Body.Target;
+  if (View.group(New.Database) == nullptr)
+    return Error{ErrorCode::NotFound, "no database '" + New.Database + "'"};
+  const auto Known = View.Targets.find(New.Name);
+  if (Known != View.Targets.end() && Known->second.Sequence >= New.Sequence)
+    return Error{ErrorCode::Conflict, "a later announcement is known"};
+  const bool Joins = Known == View.Targets.end();
+  View.Targets[New.Name] = New;
+  note(Entry, {.Action = New.Leaving ? "target-leaving"
+                         : Joins     ? "target-joined"
+                                     : "target-changed",
+               .Subject = New.Name,
+               .To = New.Address.text() + " of " + New.Database});
+  return std::nullopt;
+}
+
+std::optional<Error> ControlState::on(const Command &Entry,
+                                      const FenceGroup &Body) {
+  const auto Known = View.Groups.find(Body.Database);
+  if (Known == View.Groups.end())
+    return Error{ErrorCode::NotFound, "no such database"};
+  GroupRecord &Group = Known->second;
+  if (Body.NewTerm != Group.Term + 1)
+    return Error{ErrorCode::Conflict, "the group's term has moved on"};
+  const std::string Before = describe(Group);
+  Group.Phase = GroupPhase::Fencing;
+  Group.Term = Body.NewTerm;
+  Group.Primary.clear();
+  note(Entry, {.Action = "primary-fenced",
+               .Subject = Body.Database,
+               .From = Before,
+               .To = describe(Group),
+               .Reason = Body.Reason});
+  return std::nullopt;
+}
+
+std::optional<Error> ControlState::on(const Command &Entry,
+                                      const PromoteTarget &Body) {
+  const auto Known = View.Groups.find(Body.Database);
+  if (Known == View.Groups.end())
+    return Error{ErrorCode::NotFound, "no such database"};
+  GroupRecord &Group = Known->second;
+  if (Group.Term != Body.Term || Group.Phase != GroupPhase::Fencing)
+    return Error{ErrorCode::Conflict, "the group isn't fenced for that term"};
+  const std::string Before = describe(Group);
+  Group.Phase = GroupPhase::Promoted;
+  Group.Primary = Body.Target;
+  Group.Forks.push_back({Body.Term, Body.Position});
+  note(Entry,
+       {.Action = "target-promoted",
+        .Subject = Body.Database,
+        .From = Before,
+        .To = describe(Group) + " at position " + std::to_string(Body.Position),
+        .Reason = Body.Reason});
+  return std::nullopt;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Storage/FileDisk.cpp
@@ -0,0 +1,167 @@
+/// \file
+/// A data folder on the machine's file system.
+
+#include "Storage/FileDisk.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <sys/file.h>
+#include <unistd.h>
+#include <utility>
+
+namespace corianderdyke {
+
+namespace {
+
+constexpr int FileMode = 0600;
+
+tl::unexpected<Error> systemError(const std::string &What) {
+  return fail(ErrorCode::System, What + ": " + std::strerror(errno));
+}
+
+Expected<void> writeAll(int Descriptor, const std::string &Bytes,
+                        const std::string &What) {
+  std::size_t Done = 0;
+  while (Done < Bytes.size()) {
+    const ssize_t Count =
+        ::write(Descriptor, Bytes.data() + Done, Bytes.size() - Done);
+    if (Count < 0 && errno == EINTR)
+      continue;
+    if (Count < 0)
+      return systemError("can't write " + What);
+    Done += static_cast<std::size_t>(Count);
+  }
+  return {};
+}
+
+} // namespace
+
+Expected<FileDisk> FileDisk::open(const std::string &Folder) {
+  std::error_code Code;
+  std::filesystem::create_directories(Folder, Code);
+  if (Code)
+    return fail(ErrorCode::System,
+                "can't make data folder " + Folder + ": " + Code.message());
+  const std::string Path = Folder + "/lock";
+  const int Lock = ::open(Path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode);
+  if (Lock < 0)
+    return systemError("can't write data folder " + Folder);
+  if (::flock(Lock, LOCK_EX | LOCK_NB) != 0) {
+    ::close(Lock);
+    return fail(ErrorCode::Conflict,
+                "data folder " + Folder + " is held by another process");
+  }
+  return FileDisk(Folder, Lock);
+}
+
+FileDisk::FileDisk(std::string Folder, int Lock)
+    : Folder(std::move(Folder)), Lock(Lock) {}
+
+FileDisk::FileDisk(FileDisk &&Other) noexcept
+    : Folder(std::move(Other.Folder)), Lock(std::exchange(Other.Lock, -1)),
+      Open(std::exchange(Other.Open, {})) {}
+
+FileDisk::~FileDisk() {
+  for (const auto &[Name, Descriptor] : Open)
+    ::close(Descriptor);
+  if (Lock >= 0)
+    ::close(Lock);
+}
+
+Expected<std::string> FileDisk::read(const std::string &Name) {
+  std::ifstream In(Folder + "/" + Name, std::ios::binary);
+  if (!In)
+    return fail(ErrorCode::NotFound, Folder + "/" + Name + " doesn't exist");
+  std::ostringstream Out;
+  Out << In.rdbuf();
+  return std::move(Out).str();
+}
+
+Expected<int> FileDisk::descriptor(const std::string &Name) {
+  const auto Known = Open.find(Name);
+  if (Known != Open.end())
+    return Known->second;
+  const std::string Path = Folder + "/" + Name;
+  const int Descriptor =
+      ::open(Path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FileMode);
+  if (Descriptor < 0)
+    return systemError("can't open " + Path);
+  Open[Name] = Descriptor;
+  // A new file lasts only once its folder entry does.
+  if (auto Done = syncFolder(); !Done)
+    return tl::unexpected(Done.error());
+  return Descriptor;
+}
+
+void FileDisk::forget(const std::string &Name) {
+  const auto Known = Open.find(Name);
+  if (Known == Open.end())
+    return;
+  ::close(Known->second);
+  Open.erase(Known);
+}
+
+Expected<void> FileDisk::append(const std::string &Name,
+                                const std::string &Bytes) {
+  const Expected<int> Descriptor = descriptor(Name);
+  if (!Descriptor)
+    return tl::unexpected(Descriptor.error());
+  return writeAll(*Descriptor, Bytes, Folder + "/" + Name);
+}
+
+Expected<void> FileDisk::sync(const std::string &Name) {
+  const Expected<int> Descriptor = descriptor(Name);
+  if (!Descriptor)
+    return tl::unexpected(Descriptor.error());
+  if (::fdatasync(*Descriptor) != 0)
+    return systemError("can't sync " + Folder + "/" + Name);
+  return {};
+}
+
+Expected<void> FileDisk::truncate(const std::string &Name, std::size_t Size) {
+  const Expected<int> Descriptor = descriptor(Name);
+  if (!Descriptor)
+    return tl::unexpected(Descriptor.error());
+  if (::ftruncate(*Descriptor, static_cast<off_t>(Size)) != 0 ||
+      ::fsync(*Descriptor) != 0)
+    return systemError("can't cut " + Folder + "/" + Name);
+  return {};
+}
+
+Expected<void> FileDisk::writeAtomically(const std::string &Name,
+                                         const std::string &Bytes) {
+  const std::string Path = Folder + "/" + Name;
+  const std::string Temporary = Path + ".new";
+  const int Descriptor = ::open(
+      Temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FileMode);
+  if (Descriptor < 0)
+    return systemError("can't open " + Temporary);
+  Expected<void> Written = writeAll(Descriptor, Bytes, Temporary);
+  if (Written && ::fsync(Descriptor) != 0)
+    Written = systemError("can't sync " + Temporary);
+  ::close(Descriptor);
+  if (!Written)
+    return Written;
+  if (::rename(Temporary.c_str(), Path.c_str()) != 0)
+    return systemError("can't rename " + Temporary);
+  forget(Name);
+  return syncFolder();
+}
+
+Expected<void> FileDisk::syncFolder() {
+  const int Descriptor =
+      ::open(Folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (Descriptor < 0)
+    return systemError("can't open " + Folder);
+  const int Result = ::fsync(Descriptor);
+  ::close(Descriptor);
+  if (Result != 0)
+    return systemError("can't sync " + Folder);
+  return {};
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Storage/Journal.h
@@ -0,0 +1,62 @@
+/// \file
+/// The durable log of a control host: a snapshot file and a journal file.
+///
+/// A record is a fixed header and a payload:
+///   magic (4) | length (4) | synced-to (8) | xxh64 (8) | payload
+/// in little-endian order. "synced-to" is the size of the file that was known
+/// to be on disk when the record was written. It tells a torn tail, which a
+/// crash leaves and which is cut, from a damaged middle, which is refused: a
+/// readable record behind the fault that was written after the faulty bytes
+/// were synced proves that they were whole once.
+
+#ifndef CORIANDERDYKE_STORAGE_JOURNAL_H
+#define CORIANDERDYKE_STORAGE_JOURNAL_H
+
+#include "Storage/Disk.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace corianderdyke {
+
+/// A file of checksummed records, and a snapshot that stands for the records
+/// before it.
+class Journal {
+public:
+  explicit Journal(Disk &Disk) : Files(Disk) {}
+
+  /// What a start found on disk.
+  struct Content {
+    std::string Snapshot; ///< Empty where there is none.
+    std::vector<std::string> Records;
+    std::size_t CutBytes = 0; ///< Size of the torn tail that was cut.
+  };
+
+  /// Reads both files and cuts a torn tail. Corrupt where a record that had
+  /// been synced is damaged, or the snapshot is.
+  Expected<Content> load();
+
+  /// Adds records and syncs once; they last when this returns.
+  Expected<void> append(const std::vector<std::string> &Records);
+
+  /// Replaces the snapshot first and the journal after it, each atomically.
+  /// A crash between the two leaves records that the new snapshot already
+  /// covers; the reader skips them by their index.
+  Expected<void> replace(const std::string &Snapshot,
+                         const std::vector<std::string> &Records);
+
+  /// Bytes in the journal file.
+  std::size_t size() const { return Size; }
+
+  /// The largest payload that is taken for one.
+  static constexpr std::uint32_t MaxRecordBytes = 64U << 20U;
+
+private:
+  Disk &Files;
+  /// Size of the journal file; all of it is synced between two calls.
+  std::size_t Size = 0;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Transport/Envelope.h
@@ -0,0 +1,43 @@
+/// \file
+/// The frame around every message between the system's own processes.
+
+#ifndef CORIANDERDYKE_TRANSPORT_ENVELOPE_H
+#define CORIANDERDYKE_TRANSPORT_ENVELOPE_H
+
+#include "Consensus/Messages.h"
+#include "Lease/Messages.h"
+
+#include <variant>
+
+namespace corianderdyke {
+
+/// New kinds of message are added at the end, so that an older process still
+/// reads the ones it knows.
+using Message =
+    std::variant<ConsensusMessage, LeaseRequest, LeaseGrant, NotLeader,
+                 ViewUpdate, ViewApplied, ForwardedAnnouncement>;
+
+struct Envelope {
+  static constexpr std::uint32_t CurrentVersion = 1;
+
+  std::uint32_t Version = CurrentVersion;
+  std::string From; ///< The sender's process name.
+  Endpoint ReplyTo; ///< Where the sender's peers listener is.
+  Message Body;
+
+  bool operator==(const Envelope &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Version, From, ReplyTo, Body);
+  }
+};
+
+/// Bytes of an envelope, sealed with the key that the processes share.
+std::string seal(const Envelope &Message, const std::string &Key);
+
+/// The envelope in \p Bytes; BadInput where the seal isn't the key's,
+/// Corrupt where the content can't be read.
+Expected<Envelope> open(const std::string &Bytes, const std::string &Key);
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Transport/SocketTransport.cpp
@@ -0,0 +1,233 @@
+/// \file
+/// Transport on UDP and TCP sockets through libevent.
+
+#include "Transport/SocketTransport.h"
+
+#include "Loop/EventLoop.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+#include <unistd.h>
+
+namespace corianderdyke {
+
+namespace {
+
+constexpr std::size_t LengthBytes = 4;
+/// A peer that reads nothing is cut before its messages fill the memory.
+constexpr std::size_t MaxQueuedBytes = 64U << 20U;
+
+sockaddr_in socketAddress(const Endpoint &Of) {
+  sockaddr_in Out{};
+  Out.sin_family = AF_INET;
+  Out.sin_port = htons(Of.Port);
+  inet_pton(AF_INET, Of.Address.c_str(), &Out.sin_addr);
+  return Out;
+}
+
+void sendAtOnce(bufferevent *Buffer) {
+  const int On = 1;
+  setsockopt(bufferevent_getfd(Buffer), IPPROTO_TCP, TCP_NODELAY, &On,
+             sizeof(On));
+}
+
+} // namespace
+
+struct SocketTransport::Stream {
+  SocketTransport *Owner = nullptr;
+  bufferevent *Buffer = nullptr;
+
+  ~Stream() { bufferevent_free(Buffer); }
+};
+
+SocketTransport::SocketTransport(EventLoop &Loop, Endpoint At, std::string Name,
+                                 std::string Key)
+    : Loop(Loop), At(std::move(At)), Name(std::move(Name)),
+      Key(std::move(Key)) {}
+
+Expected<std::unique_ptr<SocketTransport>>
+SocketTransport::listen(EventLoop &Loop, const Endpoint &At, std::string Name,
+                        std::string Key) {
+  std::unique_ptr<SocketTransport> Made(
+      new SocketTransport(Loop, At, std::move(Name), std::move(Key)));
+  if (auto Bound = Made->bind(); !Bound)
+    return tl::unexpected(Bound.error());
+  return Made;
+}
+
+Expected<void> SocketTransport::bind() {
+  const sockaddr_in Address = socketAddress(At);
+  const auto *Raw = reinterpret_cast<const sockaddr *>(&Address);
+  DatagramSocket =
+      ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (DatagramSocket < 0 || ::bind(DatagramSocket, Raw, sizeof(Address)) != 0)
+    return fail(ErrorCode::System, "can't listen on UDP " + At.text() + ": " +
+                                       std::strerror(errno));
+  DatagramEvent = event_new(
+      Loop.base(), DatagramSocket, EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void *Self) {
+        static_cast<SocketTransport *>(Self)->readDatagrams();
+      },
+      this);
+  event_add(DatagramEvent, nullptr);
+  Listener = evconnlistener_new_bind(
+      Loop.base(),
+      [](evconnlistener *, evutil_socket_t Socket, sockaddr *, int,
+         void *Argument) {
+        auto *Self = static_cast<SocketTransport *>(Argument);
+        auto Made = std::make_unique<Stream>();
+        Made->Owner = Self;
+        Made->Buffer = bufferevent_socket_new(Self->Loop.base(), Socket,
+                                              BEV_OPT_CLOSE_ON_FREE);
+        bufferevent_setcb(
+            Made->Buffer,
+            [](bufferevent *, void *From) {
+              auto *Each = static_cast<Stream *>(From);
+              Each->Owner->readFrames(*Each);
+            },
+            nullptr,
+            [](bufferevent *, short, void *From) {
+              auto *Each = static_cast<Stream *>(From);
+              Each->Owner->drop(Each);
+            },
+            Made.get());
+        bufferevent_enable(Made->Buffer, EV_READ | EV_WRITE);
+        Self->Incoming.insert(std::move(Made));
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      -1, Raw, sizeof(Address));
+  if (Listener == nullptr)
+    return fail(ErrorCode::System, "can't listen on TCP " + At.text() + ": " +
+                                       std::strerror(errno));
+  return {};
+}
+
+SocketTransport::~SocketTransport() {
+  Outgoing.clear();
+  Incoming.clear();
+  if (Listener != nullptr)
+    evconnlistener_free(Listener);
+  if (DatagramEvent != nullptr)
+    event_free(DatagramEvent);
+  if (DatagramSocket >= 0)
+    ::close(DatagramSocket);
+}
+
+void SocketTransport::send(const Endpoint &To, Delivery How, Message Body) {
+  const std::string Bytes =
+      seal({Envelope::CurrentVersion, Name, At, std::move(Body)}, Key);
+  Sent += Bytes.size();
+  if (How == Delivery::Datagram && Bytes.size() <= MaxDatagramBytes)
+    sendDatagram(To, Bytes);
+  else
+    sendFrame(To, Bytes);
+}
+
+void SocketTransport::sendDatagram(const Endpoint &To,
+                                   const std::string &Bytes) {
+  const sockaddr_in Address = socketAddress(To);
+  // A datagram that the kernel has no room for is lost like any other.
+  ::sendto(DatagramSocket, Bytes.data(), Bytes.size(), MSG_DONTWAIT,
+           reinterpret_cast<const sockaddr *>(&Address), sizeof(Address));
+}
+
+void SocketTransport::sendFrame(const Endpoint &To, const std::string &Bytes) {
+  std::unique_ptr<Stream> &Open = Outgoing[To];
+  if (!Open) {
+    Open = std::make_unique<Stream>();
+    Open->Owner = this;
+    Open->Buffer =
+        bufferevent_socket_new(Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(
+        Open->Buffer, nullptr, nullptr,
+        [](bufferevent *Buffer, short Events, void *From) {
+          auto *Each = static_cast<Stream *>(From);
+          if ((Events & BEV_EVENT_CONNECTED) != 0)
+            sendAtOnce(Buffer);
+          else
+            Each->Owner->drop(Each);
+        },
+        Open.get());
+    const sockaddr_in Address = socketAddress(To);
+    bufferevent_enable(Open->Buffer, EV_READ | EV_WRITE);
+    if (bufferevent_socket_connect(Open->Buffer,
+                                   reinterpret_cast<const sockaddr *>(&Address),
+                                   sizeof(Address)) != 0) {
+      Outgoing.erase(To);
+      return;
+    }
+  }
+  evbuffer *Queue = bufferevent_get_output(Open->Buffer);
+  if (evbuffer_get_length(Queue) > MaxQueuedBytes) {
+    Outgoing.erase(To);
+    return;
+  }
+  const std::uint32_t Length = htonl(static_cast<std::uint32_t>(Bytes.size()));
+  evbuffer_add(Queue, &Length, LengthBytes);
+  evbuffer_add(Queue, Bytes.data(), Bytes.size());
+}
+
+void SocketTransport::readDatagrams() {
+  std::string Bytes(MaxDatagramBytes + 1, '\0');
+  while (true) {
+    const ssize_t Count =
+        ::recv(DatagramSocket, Bytes.data(), Bytes.size(), MSG_DONTWAIT);
+    if (Count < 0)
+      return;
+    deliver(Bytes.substr(0, static_cast<std::size_t>(Count)));
+  }
+}
+
+void SocketTransport::readFrames(Stream &From) {
+  evbuffer *In = bufferevent_get_input(From.Buffer);
+  while (evbuffer_get_length(In) >= LengthBytes) {
+    std::uint32_t Length = 0;
+    evbuffer_copyout(In, &Length, LengthBytes);
+    Length = ntohl(Length);
+    if (Length > MaxFrameBytes) {
+      ++Rejected;
+      drop(&From);
+      return;
+    }
+    if (evbuffer_get_length(In) < LengthBytes + Length)
+      return;
+    std::string Bytes(Length, '\0');
+    evbuffer_drain(In, LengthBytes);
+    evbuffer_remove(In, Bytes.data(), Length);
+    deliver(Bytes);
+  }
+}
+
+void SocketTransport::deliver(const std::string &Bytes) {
+  ReceivedBytes += Bytes.size();
+  const auto Opened = open(Bytes, Key);
+  if (!Opened) {
+    ++Rejected;
+    return;
+  }
+  signalReceived().emit(*Opened);
+}
+
+void SocketTransport::drop(Stream *Closed) {
+  for (auto Each = Outgoing.begin(); Each != Outgoing.end(); ++Each) {
+    if (Each->second.get() == Closed) {
+      Outgoing.erase(Each);
+      return;
+    }
+  }
+  for (auto Each = Incoming.begin(); Each != Incoming.end(); ++Each) {
+    if (Each->get() == Closed) {
+      Incoming.erase(Each);
+      return;
+    }
+  }
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Transport/Transport.h
@@ -0,0 +1,35 @@
+/// \file
+/// How the system's own processes reach each other.
+
+#ifndef CORIANDERDYKE_TRANSPORT_TRANSPORT_H
+#define CORIANDERDYKE_TRANSPORT_TRANSPORT_H
+
+#include "Transport/Envelope.h"
+
+#include <sigc++/sigc++.h>
+
+namespace corianderdyke {
+
+enum class Delivery : std::uint8_t {
+  Datagram, ///< May be lost; must be small. UDP.
+  Stream,   ///< In order while the connection stands. TCP.
+};
+
+/// Sends and receives messages. No delivery is certain: everything that
+/// matters is asked again until it's answered.
+class Transport {
+public:
+  virtual ~Transport() = default;
+
+  virtual void send(const Endpoint &To, Delivery How, Message Body) = 0;
+
+  /// Emitted for each message that arrives with a good seal.
+  sigc::signal<void(const Envelope &)> &signalReceived() { return Received; }
+
+private:
+  sigc::signal<void(const Envelope &)> Received;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Tests/StandIn/CallerMain.cpp
@@ -0,0 +1,186 @@
+/// \file
+/// A caller for tests and demonstrations: sends one statement, or writes
+/// steadily and measures the failover gap.
+
+#include "Common/SystemClock.h"
+#include "Http/EventHttpConnector.h"
+#include "Loop/EventLoop.h"
+#include "Proxy/StatementRequest.h"
+
+#include <CLI/CLI.hpp>
+#include <arpa/inet.h>
+#include <iostream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace corianderdyke;
+
+namespace {
+
+constexpr Millis AnswerTimeout(10000);
+
+struct CallerOptions {
+  std::vector<std::string> Proxies;
+  std::string Database;
+  std::string Organisation;
+  std::string Kind;
+  std::string Session;
+  std::string Key;
+  std::string Body;
+  std::int64_t PatienceMs = 20000;
+  std::int64_t PauseMs = 2;
+};
+
+/// Sends one statement to one proxy and waits for its answer.
+Expected<HttpResponse> call(EventLoop &Loop, const std::string &Proxy,
+                            const CallerOptions &Options,
+                            const std::string &Key) {
+  const auto At = Endpoint::parse(Proxy);
+  if (!At)
+    return tl::unexpected(At.error());
+  EventHttpConnector Connector(Loop);
+  const auto Connection = Connector.connect(*At);
+  HttpRequest Request;
+  Request.Method = HttpMethod::Post;
+  Request.Path = "/statement";
+  Request.Headers = {{caller_header::Database, Options.Database},
+                     {caller_header::Organisation, Options.Organisation},
+                     {caller_header::Kind, Options.Kind}};
+  if (!Options.Session.empty())
+    Request.Headers[caller_header::Session] = Options.Session;
+  if (!Key.empty())
+    Request.Headers[caller_header::Key] = Key;
+  Request.Body = Options.Body;
+  Expected<HttpResponse> Out = fail(ErrorCode::Unavailable, "no answer");
+  Connection->request(std::move(Request), AnswerTimeout,
+                      [&](Expected<HttpResponse> Answer) {
+                        Out = std::move(Answer);
+                        Loop.stop();
+                      });
+  Loop.run();
+  return Out;
+}
+
+void print(const HttpResponse &Answer) {
+  std::cout << "outcome " << Answer.header(caller_header::Outcome) << "\n"
+            << "served-by " << Answer.header(caller_header::ServedBy) << " "
+            << Answer.header(caller_header::Target) << "\n"
+            << "session " << Answer.header(caller_header::Session) << "\n"
+            << "body " << Answer.Body << "\n";
+}
+
+void pause(EventLoop &Loop, std::int64_t Span) {
+  Loop.after(Millis(Span), [&Loop] { Loop.stop(); });
+  Loop.run();
+}
+
+/// Repeats a statement with the same key until it's done.
+int untilDone(const CallerOptions &Options) {
+  const SystemClock Time;
+  EventLoop Loop;
+  const Millis Until = Time.now() + Millis(Options.PatienceMs);
+  std::size_t Turn = 0;
+  std::string Last = "nothing answered";
+  while (Time.now() < Until) {
+    const auto Answer =
+        call(Loop, Options.Proxies[Turn++ % Options.Proxies.size()], Options,
+             Options.Key);
+    if (Answer && Answer->header(caller_header::Outcome) == "done") {
+      print(*Answer);
+      return 0;
+    }
+    if (Answer)
+      Last = Answer->header(caller_header::Outcome) + ": " + Answer->Body;
+    pause(Loop, Options.PauseMs);
+  }
+  std::cerr << Last << "\n";
+  return 1;
+}
+
+/// Writes steadily until a gap between two successes was seen and ended.
+int measureGap(const CallerOptions &Options) {
+  const SystemClock Time;
+  EventLoop Loop;
+  const Millis Until = Time.now() + Millis(Options.PatienceMs);
+  std::uint64_t Count = 0;
+  Millis LastDone;
+  std::string LastTarget;
+  while (Time.now() < Until) {
+    const std::string Key = Options.Key + std::to_string(++Count);
+    const auto Answer = call(
+        Loop, Options.Proxies[Count % Options.Proxies.size()], Options, Key);
+    const Millis Now = Time.now();
+    if (Answer && Answer->header(caller_header::Outcome) == "done") {
+      const std::string Target = Answer->header(caller_header::Target);
+      if (!LastTarget.empty() && Target != LastTarget) {
+        std::cout << "gap-ms " << (Now - LastDone).count() << "\n"
+                  << "primary " << LastTarget << " -> " << Target << "\n";
+        return 0;
+      }
+      if (LastTarget.empty())
+        std::cout << "writing to " << Target << std::endl;
+      LastTarget = Target;
+      LastDone = Now;
+    }
+    pause(Loop, Options.PauseMs);
+  }
+  std::cerr << "no change of primary was seen\n";
+  return 1;
+}
+
+/// Prints port numbers that are free for TCP and UDP at this moment.
+int freePorts(int Wanted) {
+  std::vector<int> Held;
+  int Found = 0;
+  while (Found < Wanted) {
+    sockaddr_in At{};
+    At.sin_family = AF_INET;
+    At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Size = sizeof(At);
+    auto *Raw = reinterpret_cast<sockaddr *>(&At);
+    const int Stream = socket(AF_INET, SOCK_STREAM, 0);
+    const int Datagram = socket(AF_INET, SOCK_DGRAM, 0);
+    Held.push_back(Stream);
+    Held.push_back(Datagram);
+    if (bind(Stream, Raw, Size) != 0 || getsockname(Stream, Raw, &Size) != 0 ||
+        bind(Datagram, Raw, Size) != 0)
+      continue;
+    std::cout << ntohs(At.sin_port) << "\n";
+    ++Found;
+  }
+  for (const int Each : Held)
+    close(Each);
+  return 0;
+}
+
+} // namespace
+
+int main(int Count, char **Words) {
+  CLI::App App("A caller for tests", "standin-caller");
+  App.require_subcommand(1);
+  CallerOptions Options;
+  int Result = 0;
+  const auto Common = [&Options](CLI::App &To) {
+    To.add_option("--proxy", Options.Proxies)->required();
+    To.add_option("--database", Options.Database)->required();
+    To.add_option("--organisation", Options.Organisation)->required();
+    To.add_option("--kind", Options.Kind)->required();
+    To.add_option("--session", Options.Session);
+    To.add_option("--key", Options.Key);
+    To.add_option("--body", Options.Body)->required();
+    To.add_option("--patience-ms", Options.PatienceMs);
+    To.add_option("--pause-ms", Options.PauseMs);
+  };
+  CLI::App *Send = App.add_subcommand("send", "Sends until it's done");
+  Common(*Send);
+  Send->callback([&] { Result = untilDone(Options); });
+  CLI::App *Gap = App.add_subcommand("gap", "Measures a failover gap");
+  Common(*Gap);
+  Gap->callback([&] { Result = measureGap(Options); });
+  int Ports = 1;
+  CLI::App *Free = App.add_subcommand("free-ports", "Finds free ports");
+  Free->add_option("count", Ports)->required();
+  Free->callback([&] { Result = freePorts(Ports); });
+  CLI11_PARSE(App, Count, Words);
+  return Result;
+}
--- /dev/null
+++ b/Tests/StandIn/StandInTarget.cpp
@@ -0,0 +1,341 @@
+/// \file
+/// A small stand-in for a database target.
+
+#include "StandInTarget.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace corianderdyke {
+
+namespace {
+
+constexpr int StatusConflict = 409;
+constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusUnprocessable = 422;
+constexpr Millis AnnounceInterval(200);
+constexpr Millis PullAgainAfter(20);
+constexpr Millis PullTimeout(1000);
+constexpr Millis PullHold(200);
+
+std::vector<Fork> parseForks(const std::string &Text) {
+  std::vector<Fork> Out;
+  std::istringstream In(Text);
+  std::string Item;
+  while (std::getline(In, Item, ',')) {
+    const std::size_t Colon = Item.find(':');
+    if (Colon != std::string::npos)
+      Out.push_back({numberOr(Item.substr(0, Colon), 0),
+                     numberOr(Item.substr(Colon + 1), 0)});
+  }
+  return Out;
+}
+
+} // namespace
+
+StandInTarget::StandInTarget(StandInOptions Options, Clock &Time,
+                             Scheduler &Timers, HttpConnector &Connector)
+    : Options(std::move(Options)), Time(Time), Timers(Timers),
+      Connector(Connector) {}
+
+void StandInTarget::start() {
+  Sequence = static_cast<std::uint64_t>(Time.wallTime().count());
+  announce();
+}
+
+HttpResponse StandInTarget::answer(int Status, std::string Body) const {
+  HttpResponse Out{Status, {}, std::move(Body)};
+  Out.Headers["Target-Term"] = std::to_string(Term);
+  Out.Headers["Target-Log-Term"] =
+      std::to_string(Log.empty() ? 0 : Log.back().Term);
+  Out.Headers["Target-Position"] = std::to_string(Log.size());
+  Out.Headers["Target-Role"] = Primary ? "primary" : "replica";
+  return Out;
+}
+
+HttpResponse StandInTarget::refusal(const std::string &Reason) const {
+  HttpResponse Out = answer(StatusConflict, Reason + "\n");
+  Out.Headers["Target-Reason"] = Reason;
+  return Out;
+}
+
+void StandInTarget::handle(const HttpRequest &Request,
+                           std::shared_ptr<HttpExchange> Exchange) {
+  if (Request.Path == "/v1/connect")
+    openConnection(Request, std::move(Exchange));
+  else if (Request.Path == "/v1/statement")
+    statement(Request, std::move(Exchange));
+  else if (Request.Path == "/v1/watch")
+    watch(Request, std::move(Exchange));
+  else if (Request.Path == "/v1/log")
+    serveLog(Request, std::move(Exchange));
+  else if (Request.Path == "/v1/fence" || Request.Path == "/v1/promote" ||
+           Request.Path == "/v1/follow")
+    obey(Request, *Exchange);
+  else
+    Exchange->respond(answer(StatusNotFound, "no such path\n"));
+}
+
+void StandInTarget::disconnected(const std::string &Peer) {
+  Connected.erase(Peer);
+}
+
+void StandInTarget::openConnection(const HttpRequest &Request,
+                                   std::shared_ptr<HttpExchange> Exchange) {
+  if (Connected.size() >= Options.Connections) {
+    Exchange->respond(answer(StatusUnavailable, "too many connections\n"));
+    return;
+  }
+  Connected.insert(Request.Peer);
+  Timers.after(Options.ConnectCost, [this, Exchange] {
+    Exchange->respond(answer(200, "connected\n"));
+  });
+}
+
+void StandInTarget::statement(const HttpRequest &Request,
+                              std::shared_ptr<HttpExchange> Exchange) {
+  if (Connected.count(Request.Peer) == 0) {
+    Exchange->respond(refusal("not connected"));
+    return;
+  }
+  Waiting.push_back([this, Request, Exchange] {
+    Timers.after(Options.ServiceTime, [this, Request, Exchange] {
+      execute(Request, *Exchange);
+      --Running;
+      startWaiting();
+    });
+  });
+  startWaiting();
+}
+
+void StandInTarget::startWaiting() {
+  while (Running < Options.Slots && !Waiting.empty()) {
+    ++Running;
+    const auto Next = std::move(Waiting.front());
+    Waiting.pop_front();
+    Next();
+  }
+}
+
+void StandInTarget::execute(const HttpRequest &Request,
+                            HttpExchange &Exchange) {
+  if (numberOr(Request.header("Statement-Term"), 0) != Term)
+    return Exchange.respond(refusal("other term"));
+  if (Request.header("Statement-Access") == "write")
+    return executeWrite(Request, Exchange);
+  if (numberOr(Request.header("Statement-Floor"), 0) > Log.size())
+    return Exchange.respond(refusal("behind the session"));
+  std::istringstream In(Request.Body);
+  std::string Verb;
+  std::string Name;
+  In >> Verb >> Name;
+  const auto Found = Data.find(Name);
+  Exchange.respond(answer(200, Found == Data.end() ? "" : Found->second));
+}
+
+void StandInTarget::executeWrite(const HttpRequest &Request,
+                                 HttpExchange &Exchange) {
+  if (!Primary)
+    return Exchange.respond(refusal("not primary"));
+  const std::string &Key = Request.header("Statement-Key");
+  const auto Known = Key.empty() ? Keys.end() : Keys.find(Key);
+  if (Known != Keys.end()) {
+    const LogEntry &Former = Log[Known->second - 1];
+    if (Former.Body != Request.Body)
+      return Exchange.respond(answer(StatusUnprocessable,
+                                     "the key stands for another statement\n"));
+    HttpResponse Out = answer(200, "ok");
+    Out.Headers["Target-Position"] = std::to_string(Known->second);
+    Out.Headers["Target-Replayed"] = "true";
+    return Exchange.respond(std::move(Out));
+  }
+  Log.push_back({Term, Key, Request.Body});
+  applyToData(Log.back(), Log.size());
+  Exchange.respond(answer(200, "ok"));
+  wakeWatchers();
+}
+
+void StandInTarget::applyToData(const LogEntry &Entry, std::uint64_t Position) {
+  std::istringstream In(Entry.Body);
+  std::string Verb;
+  std::string Name;
+  std::string Value;
+  In >> Verb >> Name >> Value;
+  if (Verb == "add")
+    Data[Name] = std::to_string(numberOr(Data[Name], 0) + numberOr(Value, 0));
+  else
+    Data[Name] = Value;
+  if (!Entry.Key.empty())
+    Keys[Entry.Key] = Position;
+}
+
+void StandInTarget::watch(const HttpRequest &Request,
+                          std::shared_ptr<HttpExchange> Exchange) {
+  auto Each = std::make_shared<Watcher>();
+  Each->After = numberOr(Request.parameter("after"), 0);
+  Each->Term = numberOr(Request.parameter("term"), 0);
+  Each->Exchange = std::move(Exchange);
+  if (Log.size() != Each->After || Term != Each->Term) {
+    Each->Exchange->respond(answer(200, ""));
+    return;
+  }
+  Watchers.push_back(Each);
+  const Millis Hold(
+      static_cast<std::int64_t>(numberOr(Request.parameter("wait_ms"), 0)));
+  Timers.after(Hold, [this, Each] {
+    if (Each->Done)
+      return;
+    Each->Done = true;
+    Each->Exchange->respond(answer(200, ""));
+    Watchers.erase(std::find(Watchers.begin(), Watchers.end(), Each));
+  });
+}
+
+void StandInTarget::wakeWatchers() {
+  const auto Woken = std::exchange(Watchers, {});
+  for (const auto &Each : Woken) {
+    Each->Done = true;
+    Each->Exchange->respond(answer(200, ""));
+  }
+}
+
+void StandInTarget::serveLog(const HttpRequest &Request,
+                             std::shared_ptr<HttpExchange> Exchange) {
+  const std::uint64_t After = numberOr(Request.parameter("after"), 0);
+  const auto Respond = [this, After, Exchange] {
+    nlohmann::json Entries = nlohmann::json::array();
+    for (std::size_t Index = After; Index < Log.size(); ++Index)
+      Entries.push_back({Log[Index].Term, Log[Index].Key, Log[Index].Body});
+    Exchange->respond(answer(200, Entries.dump()));
+  };
+  if (After < Log.size())
+    return Respond();
+  // Reuses the watchers: the pull is answered when something is written.
+  auto Each = std::make_shared<Watcher>();
+  struct LogExchange final : HttpExchange {
+    std::function<void()> Send;
+    void respond(HttpResponse) override { Send(); }
+    void onHangUp(std::function<void()>) override {}
+  };
+  auto Adapter = std::make_shared<LogExchange>();
+  Adapter->Send = Respond;
+  Each->Exchange = Adapter;
+  Watchers.push_back(Each);
+  Timers.after(PullHold, [this, Each] {
+    if (Each->Done)
+      return;
+    Each->Done = true;
+    Each->Exchange->respond({});
+    Watchers.erase(std::find(Watchers.begin(), Watchers.end(), Each));
+  });
+}
+
+void StandInTarget::obey(const HttpRequest &Request, HttpExchange &Exchange) {
+  const std::uint64_t Ordered = numberOr(Request.parameter("term"), 0);
+  if (Ordered < Term)
+    return Exchange.respond(refusal("later term known"));
+  const bool SameRole =
+      Ordered == Term && Primary && Request.Path == "/v1/promote";
+  if (SameRole)
+    return Exchange.respond(answer(200, ""));
+  if (Ordered == Term && Primary)
+    return Exchange.respond(refusal("primary of this term"));
+  Term = Ordered;
+  Primary = false;
+  ++Generation;
+  FollowLink.reset();
+  if (Request.Path != "/v1/fence")
+    truncateToForks(parseForks(Request.parameter("forks")));
+  if (Request.Path == "/v1/promote")
+    Primary = true;
+  if (Request.Path == "/v1/follow") {
+    Followed =
+        Endpoint::parse(Request.parameter("primary")).value_or(Endpoint());
+    pull(Generation);
+  }
+  Exchange.respond(answer(200, ""));
+  wakeWatchers();
+}
+
+void StandInTarget::truncateToForks(const std::vector<Fork> &Forks) {
+  const std::uint64_t LogTerm = Log.empty() ? 0 : Log.back().Term;
+  std::uint64_t Kept = Log.size();
+  for (const Fork &Each : Forks)
+    if (Each.Term > LogTerm)
+      Kept = std::min(Kept, Each.Position);
+  if (Kept == Log.size())
+    return;
+  Log.resize(Kept);
+  rebuild();
+}
+
+void StandInTarget::rebuild() {
+  Data.clear();
+  Keys.clear();
+  for (std::size_t Index = 0; Index < Log.size(); ++Index)
+    applyToData(Log[Index], Index + 1);
+}
+
+void StandInTarget::pull(std::uint64_t OfGeneration) {
+  if (OfGeneration != Generation)
+    return;
+  if (!FollowLink)
+    FollowLink = Connector.connect(Followed);
+  HttpRequest Request;
+  Request.Path = "/v1/log";
+  Request.Query["after"] = std::to_string(Log.size());
+  FollowLink->request(
+      std::move(Request), PullTimeout,
+      [this, OfGeneration](const Expected<HttpResponse> &Answer) {
+        if (OfGeneration != Generation)
+          return;
+        if (!Answer)
+          FollowLink.reset();
+        const bool Good = Answer &&
+                          Answer->header("Target-Role") == "primary" &&
+                          numberOr(Answer->header("Target-Term"), 0) == Term;
+        if (Good && Answer->Body != "[]")
+          Timers.after(Options.Lag, [this, OfGeneration, Body = Answer->Body] {
+            take(Body, OfGeneration);
+          });
+        else
+          Timers.after(Good ? Millis(0) : PullAgainAfter,
+                       [this, OfGeneration] { pull(OfGeneration); });
+      });
+}
+
+void StandInTarget::take(const std::string &Body, std::uint64_t OfGeneration) {
+  if (OfGeneration != Generation)
+    return;
+  for (const auto &Each : nlohmann::json::parse(Body)) {
+    Log.push_back({Each[0], Each[1], Each[2]});
+    applyToData(Log.back(), Log.size());
+  }
+  wakeWatchers();
+  pull(OfGeneration);
+}
+
+void StandInTarget::announce() {
+  if (Options.Proxies.empty())
+    return;
+  const Endpoint &To = Options.Proxies[NextProxy++ % Options.Proxies.size()];
+  AnnounceLink = Connector.connect(To);
+  HttpRequest Request;
+  Request.Method = HttpMethod::Post;
+  Request.Path = "/announce";
+  Request.Headers = {{"Target-Key", Options.TargetKey},
+                     {"Target-Name", Options.Name},
+                     {"Target-Database", Options.Database},
+                     {"Target-Region", Options.Where.Region},
+                     {"Target-Failure-Domain", Options.Where.FailureDomain},
+                     {"Target-Host", Options.Where.Host},
+                     {"Target-Address", Options.Address.text()},
+                     {"Target-Sequence", std::to_string(Sequence)}};
+  AnnounceLink->request(std::move(Request), AnnounceInterval,
+                        [](const Expected<HttpResponse> &) {});
+  Timers.after(AnnounceInterval, [this] { announce(); });
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Tests/StandIn/StandInTarget.h
@@ -0,0 +1,112 @@
+/// \file
+/// A small stand-in for a database target: a log, a term, slots, a limit of
+/// connections and asynchronous replication with a lag.
+
+#ifndef CORIANDERDYKE_TESTS_STANDIN_STANDINTARGET_H
+#define CORIANDERDYKE_TESTS_STANDIN_STANDINTARGET_H
+
+#include "Common/Clock.h"
+#include "Http/HttpClient.h"
+#include "Http/HttpServer.h"
+#include "Loop/Scheduler.h"
+#include "State/ClusterView.h"
+
+#include <deque>
+#include <functional>
+#include <set>
+
+namespace corianderdyke {
+
+struct StandInOptions {
+  std::string Name;
+  std::string Database;
+  Place Where;
+  Endpoint Address;
+  std::vector<Endpoint> Proxies; ///< What the balancer stands before.
+  std::string TargetKey;
+  std::size_t Slots = 2;
+  std::size_t Connections = 16;
+  Millis ConnectCost = Millis(12);
+  Millis ServiceTime = Millis(1);
+  Millis Lag = Millis(5);
+};
+
+/// One statement that changed something.
+struct LogEntry {
+  std::uint64_t Term = 0;
+  std::string Key;  ///< Idempotency key; may be empty.
+  std::string Body; ///< "put NAME VALUE" or "add NAME NUMBER".
+};
+
+class StandInTarget final : public HttpService {
+public:
+  StandInTarget(StandInOptions Options, Clock &Time, Scheduler &Timers,
+                HttpConnector &Connector);
+
+  void start();
+
+  void handle(const HttpRequest &Request,
+              std::shared_ptr<HttpExchange> Exchange) override;
+  void disconnected(const std::string &Peer) override;
+
+  std::uint64_t term() const { return Term; }
+  std::uint64_t position() const { return Log.size(); }
+  bool isPrimary() const { return Primary; }
+
+private:
+  struct Watcher {
+    std::uint64_t After = 0;
+    std::uint64_t Term = 0;
+    std::shared_ptr<HttpExchange> Exchange;
+    bool Done = false;
+  };
+
+  void openConnection(const HttpRequest &Request,
+                      std::shared_ptr<HttpExchange> Exchange);
+  void statement(const HttpRequest &Request,
+                 std::shared_ptr<HttpExchange> Exchange);
+  void startWaiting();
+  void execute(const HttpRequest &Request, HttpExchange &Exchange);
+  void executeWrite(const HttpRequest &Request, HttpExchange &Exchange);
+  void watch(const HttpRequest &Request,
+             std::shared_ptr<HttpExchange> Exchange);
+  void serveLog(const HttpRequest &Request,
+                std::shared_ptr<HttpExchange> Exchange);
+  void obey(const HttpRequest &Request, HttpExchange &Exchange);
+  void truncateToForks(const std::vector<Fork> &Forks);
+  void rebuild();
+  void applyToData(const LogEntry &Entry, std::uint64_t Position);
+  void wakeWatchers();
+  void pull(std::uint64_t Generation);
+  void take(const std::string &Body, std::uint64_t Generation);
+  void announce();
+  HttpResponse answer(int Status, std::string Body) const;
+  HttpResponse refusal(const std::string &Reason) const;
+
+  StandInOptions Options;
+  Clock &Time;
+  Scheduler &Timers;
+  HttpConnector &Connector;
+  std::uint64_t Sequence = 0;
+  std::uint64_t Term = 0;
+  bool Primary = false;
+  std::vector<LogEntry> Log;
+  std::map<std::string, std::string> Data;
+  /// Position of the write that a key stands for.
+  std::map<std::string, std::uint64_t> Keys;
+  std::set<std::string> Connected;
+  std::size_t Running = 0;
+  std::deque<std::function<void()>> Waiting;
+  std::vector<std::shared_ptr<Watcher>> Watchers;
+  Endpoint Followed;
+  std::unique_ptr<HttpConnection> FollowLink;
+  /// Counts up with each order, so that answers for an earlier one are
+  /// recognised and thrown away.
+  std::uint64_t Generation = 0;
+  std::unique_ptr<HttpConnection> AnnounceLink;
+  std::size_t NextProxy = 0;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Tests/Unit/Main.cpp
@@ -0,0 +1,5 @@
+/// \file
+/// The entry point of the unit tests.
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/Utilities/try.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds the program and runs the main job.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Utilities/install-dependencies.sh
+cmake --preset default
+cmake --build --preset default
+Utilities/main-job.sh build/default
