Measure the slopes of docs/CAPACITY.md and index targets by database

A tool measures bytes, processor time and memory on the product's own code at three sizes or more, works out the cost at the size to come with today's and with planned mechanisms, and writes both tables into the page.

Its first run showed two duties that grew with the square of the databases: targetsOf() looked through all targets, and manifest lookups through all entries. Cause confirmed by the slopes: the coordinator took 23.9 ms a step at 1,000 databases (a tick is 10 ms), a route 25 us. Groups now hold the names of their targets, and the manifest's sorted lists are searched as such.

--- a/Source/Manifest/Manifest.cpp
+++ b/Source/Manifest/Manifest.cpp
@@ -6,16 +6,19 @@
 #include "Common/Codec.h"
 #include "Common/KeyedDigest.h"
 
+#include <algorithm>
+
 namespace corianderdyke {
 
 namespace {
 
+/// The lists are sorted by name.
 template <class T>
 const T *byName(const std::vector<T> &All, const std::string &Name) {
-  for (const T &Each : All)
-    if (Each.Name == Name)
-      return &Each;
-  return nullptr;
+  const auto Found = std::lower_bound(
+      All.begin(), All.end(), Name,
+      [](const T &Each, const std::string &Key) { return Each.Name < Key; });
+  return Found == All.end() || Found->Name != Name ? nullptr : &*Found;
 }
 
 } // namespace
--- a/Source/State/ClusterView.cpp
+++ b/Source/State/ClusterView.cpp
@@ -27,9 +27,13 @@
 std::vector<TargetAnnouncement>
 ClusterView::targetsOf(const std::string &Database) const {
   std::vector<TargetAnnouncement> Out;
-  for (const auto &[Name, Each] : Targets)
-    if (Each.Database == Database && !Each.Leaving)
-      Out.push_back(Each);
+  const GroupRecord *Group = group(Database);
+  if (Group == nullptr)
+    return Out;
+  for (const std::string &Name : Group->Targets)
+    if (const TargetAnnouncement *Each = target(Name);
+        Each != nullptr && !Each->Leaving)
+      Out.push_back(*Each);
   return Out;
 }
 
--- a/Source/State/ClusterView.h
+++ b/Source/State/ClusterView.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 namespace corianderdyke {
 
@@ -37,10 +38,12 @@
   std::uint64_t Term = 0;
   std::string Primary; ///< Target name; empty unless promoted.
   std::vector<Fork> Forks;
+  /// Names of all targets that have announced themselves for it.
+  std::set<std::string> Targets;
 
   auto operator<=>(const GroupRecord &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Database, Phase, Term, Primary, Forks);
+    Ar(Database, Phase, Term, Primary, Forks, Targets);
   }
 
   bool isWritable() const { return Phase == GroupPhase::Promoted; }
--- a/Source/State/ControlState.cpp
+++ b/Source/State/ControlState.cpp
@@ -114,6 +114,9 @@
   if (Known != View.Targets.end() && Known->second.Sequence >= New.Sequence)
     return Error{ErrorCode::Conflict, "a later announcement is known"};
   const bool Joins = Known == View.Targets.end();
+  if (!Joins)
+    View.Groups[Known->second.Database].Targets.erase(New.Name);
+  View.Groups[New.Database].Targets.insert(New.Name);
   View.Targets[New.Name] = New;
   note(Entry, {.Action = New.Leaving ? "target-leaving"
                          : Joins     ? "target-joined"
--- /dev/null
+++ b/Utilities/Capacity/Measurements.h
@@ -0,0 +1,27 @@
+/// \file
+/// The slopes that docs/CAPACITY.md rests on, measured on the product's code.
+
+#ifndef CORIANDERDYKE_UTILITIES_CAPACITY_MEASUREMENTS_H
+#define CORIANDERDYKE_UTILITIES_CAPACITY_MEASUREMENTS_H
+
+#include "Slope.h"
+
+#include <map>
+
+namespace corianderdyke {
+
+/// All slopes by name.
+using Slopes = std::map<std::string, Slope>;
+
+/// Bytes on the wire a message, by what it holds.
+void measureMessages(Slopes &Into);
+/// Processor time of the control host's and the proxy's regular duties.
+void measureDuties(Slopes &Into);
+/// Memory of the state, and bytes of journal and manifest.
+void measureState(Slopes &Into);
+/// A target watch over real loopback sockets: processor time and bytes.
+void measureWatch(Slopes &Into);
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Utilities/Capacity/TargetSize.cpp
@@ -0,0 +1,173 @@
+/// \file
+/// What the measured slopes come to at the size to come.
+
+#include "TargetSize.h"
+
+#include "Samples.h"
+
+namespace corianderdyke {
+
+namespace {
+
+using namespace target_size;
+
+constexpr double SecondsPerDay = 86400;
+constexpr double MicrosPerSecond = 1e6;
+constexpr double Percent = 100;
+constexpr double Kilo = 1e3;
+constexpr double Mega = 1e6;
+
+// Today's mechanisms: every proxy knows and watches every database.
+constexpr double RenewalSeconds = 0.12;
+constexpr double WatchesPerSecond = 20;
+constexpr double TicksPerSecond = 100;
+
+// Planned mechanisms. A database is served by a subset of the proxies, a
+// shard of control leads a quarter of the databases, and a lease of 3 s still
+// leaves 2 s of the 5 s that a change of primary may take.
+constexpr double ProxiesPerDatabase = 8;
+constexpr double Shards = 4;
+constexpr double PlannedRenewalSeconds = 0.6;
+constexpr double PlannedWatchesPerSecond = 4;
+constexpr double DatabasesPerNode = Databases * ProxiesPerDatabase / Nodes;
+
+class Lines {
+public:
+  explicit Lines(const Slopes &Measured) : Measured(Measured) {}
+
+  std::vector<CapacityLine> all() {
+    nodeLines();
+    controlLines();
+    return Out;
+  }
+
+private:
+  double at(const std::string &Name, double Size) const {
+    return Measured.at(Name).at(Size);
+  }
+
+  /// Changes of the state that every proxy hears of, a second.
+  static double changesPerSecond() {
+    return (ManifestChangesPerDay + 2 * PrimaryChangesPerDay +
+            2 * RestartsPerDay + 2 * HostFailuresPerDay) /
+           SecondsPerDay;
+  }
+
+  void nodeLines() {
+    const double Targets = Databases * TargetsPerDatabase;
+    const double PlannedTargets = DatabasesPerNode * TargetsPerDatabase;
+    const double ViewBytes = at("view-bytes-by-database", Databases) +
+                             Measured.at("view-bytes-by-proxy").each() * Nodes;
+    const double DeltaBytes = at("view-bytes-by-database", 1);
+
+    Out.push_back({"node", "memory of the view and the target table",
+                   "view-heap by database and proxy + table-heap", "MB",
+                   MemoryMegabytes,
+                   (at("view-heap-bytes-by-database", Databases) +
+                    Measured.at("view-heap-bytes-by-proxy").each() * Nodes +
+                    at("table-heap-bytes", Databases)) /
+                       Mega,
+                   (at("view-heap-bytes-by-database", DatabasesPerNode) +
+                    at("table-heap-bytes", DatabasesPerNode)) /
+                       Mega,
+                   "subset: a node knows the databases that it serves"});
+    Out.push_back(
+        {"node", "lease traffic", "(lease-request + lease-grant) / interval",
+         "KB/s", KilobytesPerSecond,
+         (at("lease-request-bytes", Targets) + at("lease-grant-bytes", 1)) /
+             RenewalSeconds / Kilo,
+         Shards * (at("lease-request-bytes", 0) + at("lease-grant-bytes", 1)) /
+             PlannedRenewalSeconds / Kilo,
+         "reports of unreachable targets only; 3 s leases; one "
+         "lease a shard"});
+    Out.push_back({"node", "view traffic", "changes a second x view-bytes",
+                   "KB/s", KilobytesPerSecond,
+                   changesPerSecond() * ViewBytes / Kilo,
+                   changesPerSecond() * DeltaBytes / Kilo,
+                   "deltas of the databases that changed, to their subset"});
+    Out.push_back({"node", "processor time of leases and views",
+                   "codec a renewal + view-codec a change", "% core",
+                   CorePercent,
+                   (at("codec-micros", Targets) / RenewalSeconds +
+                    changesPerSecond() * at("view-codec-micros", Databases)) /
+                       MicrosPerSecond * Percent,
+                   (Shards * at("codec-micros", 0) / PlannedRenewalSeconds +
+                    changesPerSecond() * at("view-codec-micros", 1)) /
+                       MicrosPerSecond * Percent,
+                   "as above"});
+    Out.push_back({"node", "processor time of target watches",
+                   "watch-micros x targets x watches a second", "% core",
+                   CorePercent,
+                   at("watch-micros", 45) * Targets * WatchesPerSecond /
+                       MicrosPerSecond * Percent,
+                   at("watch-micros", 45) * PlannedTargets *
+                       PlannedWatchesPerSecond / MicrosPerSecond * Percent,
+                   "subset; 250 ms holds on databases without writes under "
+                   "way"});
+  }
+
+  void controlLines() {
+    const double RenewalMicros =
+        at("codec-micros", 0) + at("renewal-micros", Nodes);
+    Out.push_back({"control leader", "processor time of renewals",
+                   "nodes / interval x (codec + renewal)", "% core", 0,
+                   Nodes / RenewalSeconds *
+                       (at("codec-micros", Databases * TargetsPerDatabase) +
+                        at("renewal-micros", Nodes)) /
+                       MicrosPerSecond * Percent,
+                   Nodes / PlannedRenewalSeconds * RenewalMicros /
+                       MicrosPerSecond * Percent,
+                   "each shard's leader serves all nodes"});
+    Out.push_back(
+        {"control leader", "processor time of the coordinator",
+         "ticks x coordinator by database", "% core", 0,
+         TicksPerSecond * at("coordinator-micros", Databases) /
+             MicrosPerSecond * Percent,
+         TicksPerSecond * at("coordinator-micros", Databases / Shards) /
+             MicrosPerSecond * Percent,
+         "a shard's databases only"});
+    Out.push_back({"control leader", "view pushes",
+                   "changes a second x view-bytes x nodes", "MB/s", 0,
+                   changesPerSecond() *
+                       (at("view-bytes-by-database", Databases) +
+                        Measured.at("view-bytes-by-proxy").each() * Nodes) *
+                       Nodes / Mega,
+                   changesPerSecond() * at("view-bytes-by-database", 1) *
+                       Nodes / Shards / Mega,
+                   "deltas"});
+    Out.push_back({"control leader", "memory of state and registry",
+                   "view-heap + registry-heap", "MB", 0,
+                   (at("view-heap-bytes-by-database", Databases) +
+                    at("view-heap-bytes-by-proxy", Nodes) +
+                    at("registry-heap-bytes", Nodes)) /
+                       Mega,
+                   (at("view-heap-bytes-by-database", Databases / Shards) +
+                    at("view-heap-bytes-by-proxy", Nodes) +
+                    at("registry-heap-bytes", Nodes)) /
+                       Mega,
+                   "a shard's databases only"});
+    Out.push_back({"control host", "journal growth",
+                   "manifest-entry x changes + small entries", "MB/day", 0,
+                   journalBytesPerDay(Databases) / Mega,
+                   journalBytesPerDay(1) / Mega,
+                   "manifest changes as differences by item"});
+  }
+
+  double journalBytesPerDay(double DatabasesAChange) const {
+    return ManifestChangesPerDay *
+               at("manifest-entry-bytes", DatabasesAChange) +
+           2 * PrimaryChangesPerDay * at("fence-entry-bytes", 1) +
+           2 * RestartsPerDay * at("register-entry-bytes", 1);
+  }
+
+  const Slopes &Measured;
+  std::vector<CapacityLine> Out;
+};
+
+} // namespace
+
+std::vector<CapacityLine> capacityLines(const Slopes &Measured) {
+  return Lines(Measured).all();
+}
+
+} // namespace corianderdyke
