--- a/Utilities/Capacity/Measurements.cpp
+++ b/Utilities/Capacity/Measurements.cpp
@@ -64,6 +64,7 @@
          const std::string &Per, const std::vector<std::size_t> &Sizes,
          const Measure &Value) {
   std::vector<Point> Points;
+  Points.reserve(Sizes.size());
   for (const std::size_t Size : Sizes)
     Points.push_back({static_cast<double>(Size), Value(Size)});
   Into.emplace(Name, Slope(Name, Unit, Per, std::move(Points)));
