--- a/Source/Proxy/ConnectionPool.cpp
+++ b/Source/Proxy/ConnectionPool.cpp
@@ -3,6 +3,8 @@
 
 #include "Proxy/ConnectionPool.h"
 
+#include <algorithm>
+
 namespace corianderdyke {
 
 namespace {
@@ -12,58 +14,91 @@
 
 } // namespace
 
-void ConnectionPool::acquire(Handler OnReady) {
-  Waiting.push_back(std::move(OnReady));
+void PooledConnection::close() {
+  if (Connection)
+    Pool->giveBack(std::move(Connection), Reusable);
+}
+
+ConnectionPool::Ticket ConnectionPool::acquire(Handler OnReady) {
+  const Ticket Id = NextId++;
+  Waiting.push_back({Id, std::move(OnReady)});
+  Refused = false;
   serve();
+  return Id;
+}
+
+void ConnectionPool::cancel(Ticket Id) {
+  const auto Found =
+      std::find_if(Waiting.begin(), Waiting.end(),
+                   [Id](const Waiter &Each) { return Each.Id == Id; });
+  if (Found != Waiting.end())
+    Waiting.erase(Found);
 }
 
-void ConnectionPool::release(Lent Used, bool Reusable) {
+void ConnectionPool::giveBack(std::unique_ptr<HttpConnection> Used,
+                              bool Reusable) {
   --Busy;
-  if (Reusable && open() < Limit)
-    Idle.push_back(std::move(Used.Connection));
+  Refused = false;
+  if (Reusable && total() < Limit)
+    Idle.push_back(std::move(Used));
   serve();
 }
 
 void ConnectionPool::setLimit(std::size_t NewLimit) {
   Limit = NewLimit;
-  while (open() > Limit && !Idle.empty())
+  while (total() > Limit && !Idle.empty())
     Idle.pop_back();
   serve();
 }
 
 void ConnectionPool::serve() {
-  while (!Waiting.empty() && (!Idle.empty() || open() < Limit)) {
-    Handler Next = std::move(Waiting.front());
+  const auto Self = shared_from_this();
+  while (!Waiting.empty() && !Idle.empty()) {
+    const Handler Next = std::move(Waiting.front().OnReady);
     Waiting.pop_front();
     ++Busy;
-    if (Idle.empty()) {
-      openOne(std::move(Next));
-      continue;
-    }
-    Lent Out{std::move(Idle.back())};
+    std::unique_ptr<HttpConnection> Free = std::move(Idle.back());
     Idle.pop_back();
-    Next(std::move(Out));
+    Next(PooledConnection(Self, std::move(Free)));
   }
+  while (!Refused && Opening.size() < Waiting.size() && total() < Limit)
+    openOne();
 }
 
-void ConnectionPool::openOne(Handler OnReady) {
-  auto Made = std::make_shared<Lent>(Lent{Connector.connect(To)});
+void ConnectionPool::openOne() {
+  const std::uint64_t Id = NextId++;
+  const auto &Made = Opening[Id] = Connector.connect(To);
   HttpRequest Hello;
   Hello.Method = HttpMethod::Post;
   Hello.Path = "/v1/connect";
-  HttpConnection *Raw = Made->Connection.get();
-  Raw->request(
+  Made->request(
       std::move(Hello), OpenTimeout,
-      [this, Made,
-       OnReady = std::move(OnReady)](const Expected<HttpResponse> &Answer) {
-        if (Answer && Answer->Status == StatusOk) {
-          OnReady(std::move(*Made));
-          return;
-        }
-        --Busy;
-        OnReady(fail(ErrorCode::Unavailable, "the target takes no connection"));
-        serve();
+      [Weak = weak_from_this(), Id](const Expected<HttpResponse> &Answer) {
+        if (const auto Self = Weak.lock())
+          Self->opened(Id, Answer);
       });
 }
 
+void ConnectionPool::opened(std::uint64_t Id,
+                            const Expected<HttpResponse> &Answer) {
+  std::unique_ptr<HttpConnection> Made = std::move(Opening[Id]);
+  Opening.erase(Id);
+  if (Answer && Answer->Status == StatusOk) {
+    Idle.push_back(std::move(Made));
+    serve();
+    return;
+  }
+  Refused = true;
+  if (total() != 0)
+    return;
+  // Nothing is open and nothing will come back: whoever waits would wait for
+  // ever.
+  const Error Why = Answer
+                        ? Error{ErrorCode::Unavailable,
+                                "the target takes no more connections"}
+                        : Error{ErrorCode::System, "the target doesn't answer"};
+  for (const Waiter &Each : std::exchange(Waiting, {}))
+    Each.OnReady(tl::unexpected(Why));
+}
+
 } // namespace corianderdyke
--- a/Source/Proxy/ConnectionPool.h
+++ b/Source/Proxy/ConnectionPool.h
@@ -4,36 +4,37 @@
 #ifndef CORIANDERDYKE_PROXY_CONNECTIONPOOL_H
 #define CORIANDERDYKE_PROXY_CONNECTIONPOOL_H
 
-#include "Common/Clock.h"
 #include "Http/HttpClient.h"
 
 #include <deque>
+#include <map>
 #include <vector>
 
 namespace corianderdyke {
 
-/// Hands out connections, one statement a connection at a time. Opening one
-/// costs the target milliseconds, so they are kept; the number is bounded by
-/// what this proxy may use of the server's limit.
-class ConnectionPool {
+class PooledConnection;
+
+/// Hands out connections, to one user at a time. Opening one costs the target
+/// milliseconds, so they are kept; the number is bounded by what this proxy
+/// may use of the server's limit.
+///
+/// Invariant: Busy + Idle + Opening is at most the limit, but for connections
+/// that were in use when the limit was lowered.
+class ConnectionPool : public std::enable_shared_from_this<ConnectionPool> {
 public:
-  /// A connection in use. It goes back when the lease of it is released; a
-  /// connection whose last answer didn't come whole is closed instead, since
-  /// a late answer on it could be taken for the next statement's.
-  struct Lent {
-    std::unique_ptr<HttpConnection> Connection;
-  };
-  using Handler = std::function<void(Expected<Lent>)>;
+  using Handler = std::function<void(Expected<PooledConnection>)>;
+  using Ticket = std::uint64_t;
 
   ConnectionPool(HttpConnector &Connector, Endpoint To, std::size_t Limit)
       : Connector(Connector), To(std::move(To)), Limit(Limit) {}
 
   /// Asks for a connection. An error means that none could be opened:
-  /// nothing of a statement has gone out.
-  void acquire(Handler OnReady);
+  /// nothing of a statement has gone out. It's Unavailable where the server
+  /// is full and System where it didn't answer. The handler may run at once.
+  Ticket acquire(Handler OnReady);
 
-  /// Gives one back.
-  void release(Lent Used, bool Reusable);
+  /// Takes a request for a connection back; one that was served is ignored.
+  void cancel(Ticket Id);
 
   void setLimit(std::size_t NewLimit);
 
@@ -42,15 +43,57 @@
   std::size_t waiting() const { return Waiting.size(); }
 
 private:
+  friend class PooledConnection;
+
+  struct Waiter {
+    Ticket Id = 0;
+    Handler OnReady;
+  };
+
+  void giveBack(std::unique_ptr<HttpConnection> Used, bool Reusable);
   void serve();
-  void openOne(Handler OnReady);
+  void openOne();
+  void opened(std::uint64_t Id, const Expected<HttpResponse> &Answer);
+  std::size_t total() const { return open() + Opening.size(); }
 
   HttpConnector &Connector;
   Endpoint To;
   std::size_t Limit;
   std::size_t Busy = 0;
   std::vector<std::unique_ptr<HttpConnection>> Idle;
-  std::deque<Handler> Waiting;
+  std::map<std::uint64_t, std::unique_ptr<HttpConnection>> Opening;
+  std::deque<Waiter> Waiting;
+  std::uint64_t NextId = 1;
+  /// The target refused the last opening: the server is full whatever our
+  /// limit says. Waiters then wait for a connection that comes back.
+  bool Refused = false;
+};
+
+/// A connection in use. It's closed when this ends, unless its user marked it
+/// reusable: one whose last answer didn't come whole could deliver that
+/// answer, late, to the next statement's caller, and one with a transaction
+/// open would mix two callers' statements.
+class PooledConnection {
+public:
+  PooledConnection(std::shared_ptr<ConnectionPool> Pool,
+                   std::unique_ptr<HttpConnection> Connection)
+      : Pool(std::move(Pool)), Connection(std::move(Connection)) {}
+  PooledConnection(PooledConnection &&) = default;
+  PooledConnection &operator=(PooledConnection &&) = delete;
+  ~PooledConnection() { close(); }
+
+  HttpConnection *operator->() const { return Connection.get(); }
+
+  /// Says whether the connection is clean at the moment.
+  void setReusable(bool IsReusable) { Reusable = IsReusable; }
+
+  /// Gives the connection back, or closes it. Once is enough.
+  void close();
+
+private:
+  std::shared_ptr<ConnectionPool> Pool;
+  std::unique_ptr<HttpConnection> Connection;
+  bool Reusable = false;
 };
 
 } // namespace corianderdyke
--- a/Source/Proxy/ProxyNode.cpp
+++ b/Source/Proxy/ProxyNode.cpp
@@ -27,7 +27,7 @@
                      std::uint64_t Incarnation)
     : Options(Options), Ports(Ports), Id{Options.Name, Incarnation}, Lease(Id),
       Watcher(Ports.Time, Ports.Timers, Ports.Connector, Table),
-      Statements({Ports.Time, Ports.Timers, Ports.Connector}, View, Lease,
+      Statements({Ports.Time, Ports.Timers, Ports.Connector}, Id, View, Lease,
                  Table, Watcher, Options.SessionKey) {}
 
 void ProxyNode::start() {
@@ -108,14 +108,18 @@
 
 void ProxyNode::handle(const HttpRequest &Request,
                        std::shared_ptr<HttpExchange> Exchange) {
-  if (Request.Path == "/statement")
-    Statements.handle(Request, std::move(Exchange));
+  if (const auto What = verbOf(Request.Path))
+    Statements.handle(*What, Request, std::move(Exchange));
   else if (Request.Path == "/announce")
     announce(Request, *Exchange);
   else
     Exchange->respond({StatusNotFound, {}, "no such path\n"});
 }
 
+void ProxyNode::disconnected(const std::string &Peer) {
+  Statements.disconnected(Peer);
+}
+
 void ProxyNode::announce(const HttpRequest &Request, HttpExchange &Exchange) {
   if (!sameDigest(Request.header("Target-Key"), Options.TargetKey)) {
     Exchange.respond({StatusForbidden, {}, "the target key is wrong\n"});
--- a/Source/Proxy/ProxyNode.h
+++ b/Source/Proxy/ProxyNode.h
@@ -27,6 +27,7 @@
 
   void handle(const HttpRequest &Request,
               std::shared_ptr<HttpExchange> Exchange) override;
+  void disconnected(const std::string &Peer) override;
 
   /// True while the balancer may send callers here.
   bool isReady() const;
--- /dev/null
+++ b/Source/Proxy/StatementReply.cpp
@@ -0,0 +1,43 @@
+/// \file
+/// What a caller is told of its statement.
+
+#include "Proxy/StatementReply.h"
+
+#include "Proxy/StatementRequest.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace corianderdyke {
+
+std::string word(Outcome What) {
+  switch (What) {
+  case Outcome::Done:
+    return "done";
+  case Outcome::NotRun:
+    return "not-run";
+  case Outcome::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
+Millis RetryAdvice::next(Millis Least) {
+  State = XXH64(&State, sizeof(State), 0);
+  const auto Span =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(Least.count(), 1));
+  return Least + Millis(static_cast<std::int64_t>(State % Span));
+}
+
+HttpResponse plainReply(int Status, const std::string &Why) {
+  return {Status, {}, Why + "\n"};
+}
+
+HttpResponse refusalReply(int Status, const std::string &Why,
+                          Millis RetryAfter) {
+  HttpResponse Out = plainReply(Status, Why);
+  Out.Headers[caller_header::RetryAfterMs] = std::to_string(RetryAfter.count());
+  return Out;
+}
+
+} // namespace corianderdyke
--- a/Source/Proxy/StatementRequest.cpp
+++ b/Source/Proxy/StatementRequest.cpp
@@ -14,12 +14,39 @@
   return fail(ErrorCode::BadInput, Name + ": " + Why);
 }
 
+/// Statements inside a transaction take effect with its commit, which carries
+/// the key for all of them.
+bool needsKey(const StatementRequest &Of) {
+  if (Of.What == Verb::Commit)
+    return true;
+  return Of.What == Verb::Run && Of.Transaction.empty() && !Of.Kind.Repeatable;
+}
+
+bool needsTransaction(Verb What) {
+  return What == Verb::Commit || What == Verb::Rollback;
+}
+
 } // namespace
 
-Expected<StatementRequest> parseStatement(const HttpRequest &From,
+std::optional<Verb> verbOf(const std::string &Path) {
+  if (Path == "/statement")
+    return Verb::Run;
+  if (Path == "/transaction/begin")
+    return Verb::Begin;
+  if (Path == "/transaction/commit")
+    return Verb::Commit;
+  if (Path == "/transaction/rollback")
+    return Verb::Rollback;
+  return std::nullopt;
+}
+
+Expected<StatementRequest> parseStatement(Verb What, const HttpRequest &From,
                                           const Manifest &Current,
                                           const std::string &SessionKey) {
   StatementRequest Out;
+  Out.What = What;
+  Out.Peer = From.Peer;
+  Out.Transaction = From.header(caller_header::Transaction);
   Out.Database = From.header(caller_header::Database);
   if (Current.database(Out.Database) == nullptr)
     return badHeader(caller_header::Database,
@@ -36,10 +63,12 @@
                      "the manifest has no kind '" + KindName + "'");
   Out.Kind = *Kind;
   Out.Key = From.header(caller_header::Key);
-  if (!Kind->Repeatable && Out.Key.empty())
+  if (needsKey(Out) && Out.Key.empty())
     return badHeader(caller_header::Key, "kind '" + KindName +
                                              "' must not run twice and needs "
                                              "an idempotency key");
+  if (needsTransaction(What) && Out.Transaction.empty())
+    return badHeader(caller_header::Transaction, "it's missing");
   auto Session = openToken(From.header(caller_header::Session), SessionKey);
   if (!Session)
     return badHeader(caller_header::Session, Session.error().Message);
--- a/Source/Proxy/StatementRequest.h
+++ b/Source/Proxy/StatementRequest.h
@@ -17,28 +17,42 @@
 constexpr const char *Session = "Corianderdyke-Session";
 constexpr const char *Key = "Corianderdyke-Key";
 constexpr const char *DeadlineMs = "Corianderdyke-Deadline-Ms";
+constexpr const char *Transaction = "Corianderdyke-Transaction";
 constexpr const char *Outcome = "Corianderdyke-Outcome";
 constexpr const char *RetryAfterMs = "Corianderdyke-Retry-After-Ms";
 constexpr const char *ServedBy = "Corianderdyke-Served-By";
 constexpr const char *Target = "Corianderdyke-Target";
 } // namespace caller_header
 
+/// What a caller wants done, by the path that it asked.
+enum class Verb : std::uint8_t { Run, Begin, Commit, Rollback };
+
+/// The verb of a path; nothing where the path is no statement's.
+std::optional<Verb> verbOf(const std::string &Path);
+
 /// Everything that the proxy needs of a statement; the body passes through
 /// unread.
 struct StatementRequest {
+  Verb What = Verb::Run;
   std::string Database;
   std::string Organisation;
   KindPolicy Kind;
   std::string Key; ///< Empty where the kind is repeatable and none was sent.
+  std::string Transaction; ///< Empty where it belongs to none.
   SessionToken Session;
   Millis Deadline; ///< A span from the arrival.
   std::string Body;
+  std::string Peer; ///< The caller's connection.
+
+  bool isWrite() const {
+    return What != Verb::Run || Kind.Mode == Access::Write;
+  }
 
   auto operator<=>(const StatementRequest &) const = default;
 };
 
 /// Reads a statement's headers; BadInput names the header at fault.
-Expected<StatementRequest> parseStatement(const HttpRequest &From,
+Expected<StatementRequest> parseStatement(Verb What, const HttpRequest &From,
                                           const Manifest &Current,
                                           const std::string &SessionKey);
 
--- a/Source/Proxy/StatementService.cpp
+++ b/Source/Proxy/StatementService.cpp
@@ -6,42 +6,44 @@
 #include "Proxy/TargetProtocol.h"
 
 #include <algorithm>
+#include <set>
 
 namespace corianderdyke {
 
 namespace {
 
-constexpr int StatusOk = 200;
-constexpr int StatusBadRequest = 400;
-constexpr int StatusConflict = 409;
-constexpr int StatusUnavailable = 503;
-constexpr int StatusUnknown = 504;
-
-/// A statement that found no fit target looks again after this long.
-constexpr Millis LookAgainAfter(5);
-/// What a refused caller is told to wait.
+/// The least that a refused caller is told to wait.
 constexpr Millis RetryAfter(100);
+/// Targets that one statement is tried at before it's given up. A read that
+/// every target loses would otherwise go round until its deadline and load
+/// each of them.
+constexpr unsigned MaxTries = 3;
 
-std::string word(Outcome What) {
+const char *pathOf(Verb What) {
   switch (What) {
-  case Outcome::Done:
-    return "done";
-  case Outcome::NotRun:
-    return "not-run";
-  case Outcome::Unknown:
+  case Verb::Begin:
+    return "/v1/begin";
+  case Verb::Commit:
+    return "/v1/commit";
+  case Verb::Rollback:
+    return "/v1/rollback";
+  case Verb::Run:
     break;
   }
-  return "unknown";
+  return "/v1/statement";
 }
 
-HttpRequest requestFor(const StatementRequest &Statement, const Route &Way) {
+HttpRequest requestFor(const StatementRequest &Statement, const Route &Way,
+                       bool InTransaction) {
   HttpRequest Out;
   Out.Method = HttpMethod::Post;
-  Out.Path = "/v1/statement";
+  Out.Path = pathOf(Statement.What);
   Out.Headers[statement_header::Access] =
       Statement.Kind.Mode == Access::Read ? "read" : "write";
   Out.Headers[statement_header::Term] = std::to_string(Way.Term);
   Out.Headers[statement_header::Floor] = std::to_string(Way.Floor);
+  if (InTransaction)
+    Out.Headers[statement_header::Transaction] = "open";
   if (!Statement.Key.empty())
     Out.Headers[statement_header::Key] = Statement.Key;
   Out.Body = Statement.Body;
@@ -50,235 +52,450 @@
 
 } // namespace
 
-StatementService::StatementService(Ports Outside, const ClusterView &View,
+struct StatementService::Job {
+  /// How far it is; what a refusal may say depends on it.
+  enum class Stage : std::uint8_t { Choosing, Acquiring, Sent, Finished };
+
+  std::uint64_t Id = 0;
+  StatementRequest Statement;
+  std::shared_ptr<HttpExchange> Exchange;
+  Route Way;
+  Millis DeadlineAt;
+  Millis SentAt;
+  Scheduler::TimerId DeadlineTimer = 0;
+  Scheduler::TimerId PatienceTimer = 0;
+  Stage At = Stage::Choosing;
+  unsigned Tries = 0;
+  /// Some try went out and got no answer: it may have run whatever the later
+  /// tries say.
+  bool Lost = false;
+  std::set<std::string> Avoid; ///< Targets that failed this statement.
+  std::weak_ptr<ConnectionPool> Pool;
+  ConnectionPool::Ticket PoolTicket = 0;
+  DurabilityGate::Ticket GateTicket = 0;
+  TransactionPtr Within;
+
+  bool mayHaveRun() const { return Lost || At == Stage::Sent; }
+};
+
+StatementService::StatementService(Ports Outside, const ProcessId &Self,
+                                   const ClusterView &View,
                                    const LeaseHolder &Lease, TargetTable &Table,
                                    TargetWatcher &Watcher,
                                    std::string SessionKey)
     : Outside(Outside), View(View), Lease(Lease), Table(Table),
-      SessionKey(std::move(SessionKey)) {
+      SessionKey(std::move(SessionKey)), Pools(Outside.Connector),
+      Gate(View, Table), Transactions(Outside.Timers, Self),
+      Retry(Self.Incarnation) {
   Watcher.signalChanged().connect(
-      sigc::hide(sigc::mem_fun(*this, &StatementService::checkHeld)));
+      sigc::mem_fun(*this, &StatementService::wake));
+}
+
+StatementService::~StatementService() {
+  for (const auto &[Id, Each] : Jobs)
+    for (const Scheduler::TimerId Timer :
+         {Each->DeadlineTimer, Each->PatienceTimer})
+      if (Timer != 0)
+        Outside.Timers.cancel(Timer);
 }
 
-void StatementService::handle(const HttpRequest &Request,
+void StatementService::handle(Verb What, const HttpRequest &Request,
                               std::shared_ptr<HttpExchange> Exchange) {
   auto Each = std::make_shared<Job>();
+  Each->Id = NextId++;
   Each->Exchange = std::move(Exchange);
-  ++InFlight;
-  const Millis Now = Outside.Time.now();
+  Jobs[Each->Id] = Each;
   // Without a lease this proxy may be cut off from a newer manifest or a
   // newer primary; whatever it served could be forbidden by now.
-  if (!Lease.isHeld(Now) || !View.Current) {
-    refuse(Each, Outcome::NotRun, "this proxy holds no lease at the moment");
-    return;
+  if (!hasLease() || !View.Current)
+    return giveUp(Each, "this proxy holds no lease at the moment");
+  auto Parsed = parseStatement(What, Request, *View.Current, SessionKey);
+  if (!Parsed)
+    return reject(Each, reply_status::BadRequest, Parsed.error().Message);
+  Each->Statement = std::move(*Parsed);
+  Each->DeadlineAt = Outside.Time.now() + Each->Statement.Deadline;
+  Each->DeadlineTimer = Outside.Timers.after(Each->Statement.Deadline,
+                                             [this, Each] { expired(Each); });
+  Each->Exchange->onHangUp([this, Weak = std::weak_ptr<Job>(Each)] {
+    if (const JobPtr Left = Weak.lock())
+      hungUp(Left);
+  });
+  start(Each);
+}
+
+void StatementService::start(const JobPtr &Each) {
+  if (Each->Statement.Transaction.empty())
+    return dispatch(Each);
+  startInTransaction(Each);
+}
+
+void StatementService::startInTransaction(const JobPtr &Each) {
+  const StatementRequest &Statement = Each->Statement;
+  auto Claimed = Transactions.claim(Statement.Transaction, Statement.Peer);
+  // A commit whose transaction isn't open here may be sent again because its
+  // answer was lost. The target knows by the key; a plain refusal would leave
+  // the caller without an answer for ever.
+  if (!Claimed && Statement.What == Verb::Commit &&
+      Claimed.error().Code == ErrorCode::NotFound)
+    return dispatch(Each);
+  if (!Claimed)
+    return reject(Each, reply_status::Conflict, Claimed.error().Message);
+  Each->Within = *Claimed;
+  Each->Way = Each->Within->Way;
+  if (Each->Within->Database != Statement.Database) {
+    Transactions.unclaim(Each->Within, View.Current->Limits.TransactionIdle);
+    return reject(Each, reply_status::Conflict,
+                  "the transaction is one of database '" +
+                      Each->Within->Database + "'");
   }
-  auto Parsed = parseStatement(Request, *View.Current, SessionKey);
-  if (!Parsed) {
-    finish(Each, Outcome::NotRun,
-           {StatusBadRequest, {}, Parsed.error().Message + "\n"});
-    return;
+  const GroupRecord *Group = View.group(Statement.Database);
+  if (Group == nullptr || Group->Term != Each->Way.Term) {
+    Transactions.abandon(Each->Within);
+    return reject(Each, reply_status::Conflict,
+                  "the transaction ended with the change of primary");
   }
-  Each->Statement = std::move(*Parsed);
-  Each->DeadlineAt = Now + Each->Statement.Deadline;
-  Each->Timer = Outside.Timers.after(Each->Statement.Deadline,
-                                     [this, Each] { expired(Each); });
-  dispatch(Each);
+  sendInTransaction(Each);
 }
 
 void StatementService::dispatch(const JobPtr &Each) {
-  if (Each->Finished)
+  if (Each->At == Job::Stage::Finished)
     return;
-  const RouteQuery Query{
-      Each->Statement.Database, Each->Statement.Kind.Mode,
-      Each->Statement.Kind.AcceptedAge,
-      Each->Statement.Session.floor(Each->Statement.Database),
-      Each->Statement.Session.isPartial() &&
-          !Each->Statement.Session.floor(Each->Statement.Database)};
+  Each->At = Job::Stage::Choosing;
+  if (!hasLease())
+    return giveUp(Each, "the lease of this proxy ran out");
+  const StatementRequest &Statement = Each->Statement;
+  const auto Floor = Statement.Session.floor(Statement.Database);
+  const RouteQuery Query{Statement.Database,
+                         Statement.isWrite() ? Access::Write : Access::Read,
+                         Statement.Kind.AcceptedAge,
+                         Floor,
+                         Statement.Session.isPartial() && !Floor,
+                         Each->Avoid};
   const auto Found = route(
       View, Table, Query,
-      [this](const std::string &Target) {
-        const ConnectionPool &Of = pool(Target);
-        return Of.inUse() + Of.waiting();
-      },
+      [this](const std::string &Target) { return Pools.load(Target); },
       Outside.Time.now());
-  if (!Found && Found.error().Code != ErrorCode::Unavailable) {
-    finish(Each, Outcome::NotRun,
-           {StatusConflict, {}, Found.error().Message + "\n"});
-    return;
-  }
-  if (!Found || !Lease.isHeld(Outside.Time.now())) {
-    tryAgain(Each, Found ? "the lease ran out" : Found.error().Message);
-    return;
-  }
+  if (!Found && Found.error().Code != ErrorCode::Unavailable)
+    return reject(Each, reply_status::Conflict, Found.error().Message);
+  if (!Found)
+    return waitForChange(Each, Found.error().Message);
   Each->Way = *Found;
-  pool(Found->Target)
-      .acquire([this, Each](Expected<ConnectionPool::Lent> Connection) {
-        if (!Connection) {
-          tryAgain(Each, Connection.error().Message);
-          return;
-        }
-        send(Each, std::move(*Connection));
+  acquire(Each);
+}
+
+void StatementService::acquire(const JobPtr &Each) {
+  const auto Pool = Pools.find(Each->Way.Target);
+  if (!Pool)
+    return waitForChange(Each, "the target isn't known here yet");
+  Each->Pool = Pool;
+  Each->At = Job::Stage::Acquiring;
+  const ConnectionPool::Ticket Ticket =
+      Pool->acquire([this, Each](Expected<PooledConnection> Connection) {
+        Each->PoolTicket = 0;
+        if (Connection)
+          send(Each, std::move(*Connection));
+        else
+          noConnection(Each, Connection.error());
       });
+  if (Each->At == Job::Stage::Acquiring)
+    Each->PoolTicket = Ticket;
 }
 
-void StatementService::tryAgain(const JobPtr &Each, const std::string &Why) {
-  if (Each->Finished)
-    return;
-  if (Outside.Time.now() + LookAgainAfter >= Each->DeadlineAt) {
-    refuse(Each, Outcome::NotRun, Why);
-    return;
+void StatementService::noConnection(const JobPtr &Each, const Error &Why) {
+  if (!Each->Way.IsPrimary)
+    return tryElsewhere(Each, Why.Message);
+  // A full server doesn't become free by a change of primary; one that
+  // doesn't answer is about to be replaced.
+  if (Why.Code == ErrorCode::Unavailable)
+    return giveUp(Each, Why.Message);
+  waitForChange(Each, Why.Message);
+}
+
+void StatementService::tryElsewhere(const JobPtr &Each,
+                                    const std::string &Why) {
+  Each->Avoid.insert(Each->Way.Target);
+  if (++Each->Tries >= MaxTries)
+    return giveUp(Each, Why);
+  dispatch(Each);
+}
+
+void StatementService::waitForChange(const JobPtr &Each,
+                                     const std::string &Why) {
+  const Millis Now = Outside.Time.now();
+  const Millis Until = Patience.until(View, Each->Statement.Database, Now);
+  if (Until <= Now)
+    return giveUp(Each, Why);
+  Each->At = Job::Stage::Choosing;
+  Waiting[Each->Id] = Each;
+  if (Each->PatienceTimer == 0)
+    Each->PatienceTimer = Outside.Timers.after(Until - Now, [this, Each, Why] {
+      Each->PatienceTimer = 0;
+      if (Waiting.count(Each->Id) != 0)
+        giveUp(Each, Why);
+    });
+}
+
+void StatementService::wake(const std::string &Target) {
+  Gate.check();
+  const TargetAnnouncement *Known = View.target(Target);
+  const auto Woken = Waiting;
+  for (const auto &[Id, Each] : Woken) {
+    if (Known != nullptr && Known->Database != Each->Statement.Database)
+      continue;
+    Waiting.erase(Id);
+    dispatch(Each);
   }
-  Outside.Timers.after(LookAgainAfter, [this, Each] { dispatch(Each); });
 }
 
-void StatementService::send(const JobPtr &Each,
-                            ConnectionPool::Lent Connection) {
-  const std::string Target = Each->Way.Target;
+void StatementService::viewChanged() {
+  Pools.update(View);
+  Patience.update(View, Outside.Time.now());
+  Gate.check();
+  const auto Known = Jobs;
+  for (const auto &[Id, Each] : Known) {
+    // One that waits for a connection to a former primary would wait until
+    // the opening times out, though the new one could serve it.
+    const GroupRecord *Group = View.group(Each->Statement.Database);
+    const auto Pool = Pools.find(Each->Way.Target);
+    const bool Moved = Each->At == Job::Stage::Acquiring &&
+                       (Group == nullptr || Group->Term != Each->Way.Term ||
+                        !Pool || Pool != Each->Pool.lock());
+    if (Waiting.count(Id) == 0 && !Moved)
+      continue;
+    leaveQueues(Each);
+    dispatch(Each);
+  }
+}
+
+void StatementService::send(const JobPtr &Each, PooledConnection Connection) {
   const GroupRecord *Group = View.group(Each->Statement.Database);
-  const bool Moved = Group == nullptr || Group->Term != Each->Way.Term;
-  if (Each->Finished || Moved || !Lease.isHeld(Outside.Time.now())) {
-    pool(Target).release(std::move(Connection), true);
-    tryAgain(Each, "the primary changed while the statement waited");
-    return;
+  if (Group == nullptr || Group->Term != Each->Way.Term || !hasLease()) {
+    Connection.setReusable(true);
+    Connection.close();
+    return dispatch(Each);
   }
-  Each->Sent = true;
-  HttpConnection *Raw = Connection.Connection.get();
-  auto Used = std::make_shared<ConnectionPool::Lent>(std::move(Connection));
-  const Millis SentAt = Outside.Time.now();
-  Raw->request(
-      requestFor(Each->Statement, Each->Way),
-      Each->DeadlineAt - SentAt + Millis(1),
-      [this, Each, Used, Target, SentAt](const Expected<HttpResponse> &Answer) {
-        pool(Target).release(std::move(*Used), Answer.has_value());
-        answered(Each, Answer, SentAt);
+  Each->At = Job::Stage::Sent;
+  Each->SentAt = Outside.Time.now();
+  const std::uint64_t Id = NextId++;
+  const auto Made = Calls.emplace(Id, Call{Each, std::move(Connection)}).first;
+  Made->second.Connection->request(
+      requestFor(Each->Statement, Each->Way, false), timeLeft(Each),
+      [this, Id](const Expected<HttpResponse> &Answer) {
+        answered(Id, Answer);
       });
 }
 
-void StatementService::answered(const JobPtr &Each,
-                                const Expected<HttpResponse> &Answer,
-                                Millis SentAt) {
-  const bool IsWrite = Each->Statement.Kind.Mode == Access::Write;
-  if (Answer) {
-    const TargetSighting Seen = sightingOf(*Answer);
-    Table.observe(Each->Way.Target, Seen, SentAt, Outside.Time.now());
-  }
-  if (Each->Finished)
-    return;
-  if (!Answer) {
-    Each->Sent = IsWrite;
-    if (IsWrite)
-      refuse(Each, Outcome::Unknown,
-             "the connection to the target was lost before its answer");
-    else
-      tryAgain(Each, "the connection to the target was lost");
+void StatementService::sendInTransaction(const JobPtr &Each) {
+  Each->At = Job::Stage::Sent;
+  Each->SentAt = Outside.Time.now();
+  Each->Within->Connection->request(
+      requestFor(Each->Statement, Each->Way, true), timeLeft(Each),
+      [this,
+       Weak = std::weak_ptr<Job>(Each)](const Expected<HttpResponse> &Answer) {
+        if (const JobPtr Asker = Weak.lock())
+          answeredInTransaction(Asker, Answer);
+      });
+}
+
+Millis StatementService::timeLeft(const JobPtr &Each) const {
+  // The deadline's own timer answers the caller first.
+  return std::max(Each->DeadlineAt - Outside.Time.now(), Millis()) + Millis(1);
+}
+
+void StatementService::observe(const JobPtr &Each, const HttpResponse &Answer) {
+  Table.observe(Each->Way.Target, sightingOf(Answer), Each->SentAt,
+                Outside.Time.now());
+}
+
+void StatementService::answered(std::uint64_t CallId,
+                                const Expected<HttpResponse> &Answer) {
+  auto Taken = Calls.extract(CallId);
+  const JobPtr Each = Taken.mapped().Of;
+  PooledConnection Connection = std::move(Taken.mapped().Connection);
+  const Verdict What = judge(Answer);
+  if (What != Verdict::Lost)
+    observe(Each, *Answer);
+  Connection.setReusable(What != Verdict::Lost && What != Verdict::Stale);
+  // A transaction that began for a caller who has left must not stay open.
+  if (Each->At == Job::Stage::Finished) {
+    if (Each->Statement.What == Verb::Begin)
+      Connection.setReusable(false);
     return;
   }
-  if (Answer->Status == StatusConflict || Answer->Status == StatusUnavailable) {
-    // The target says itself that it didn't run the statement.
-    Each->Sent = false;
-    tryAgain(Each,
-             "the target refused: " + Answer->header(target_header::Reason));
-    return;
+  if (What == Verdict::Ran && Each->Statement.What == Verb::Begin)
+    return openTransaction(Each, std::move(Connection));
+  Connection.close();
+  switch (What) {
+  case Verdict::Ran:
+    return afterRun(Each, *Answer);
+  case Verdict::Failed:
+    return done(Each, {Answer->Status, {}, Answer->Body});
+  case Verdict::Lost:
+    return afterLoss(Each);
+  default:
+    return afterRefusal(Each, What, *Answer);
   }
-  if (IsWrite && Answer->Status == StatusOk) {
-    holdWrite(Each, *Answer);
+}
+
+void StatementService::answeredInTransaction(
+    const JobPtr &Each, const Expected<HttpResponse> &Answer) {
+  const Verdict What = judge(Answer);
+  const TransactionPtr Within = Each->Within;
+  const Verb Asked = Each->Statement.What;
+  if (What != Verdict::Lost)
+    observe(Each, *Answer);
+  // Only an answer that says what became of the transaction leaves the
+  // connection fit for use, in this transaction or after it.
+  const bool Whole = What == Verdict::Ran || What == Verdict::Failed;
+  if (!Whole)
+    Transactions.abandon(Within);
+  else if (Asked == Verb::Run)
+    Transactions.unclaim(Within, View.Current->Limits.TransactionIdle);
+  else
+    Transactions.ended(Within);
+  if (Each->At == Job::Stage::Finished)
     return;
+  if (What == Verdict::Lost)
+    return giveUp(Each, "the connection to the target was lost; the "
+                        "transaction has ended");
+  if (!Whole) {
+    Each->At = Job::Stage::Choosing;
+    return reject(Each, reply_status::Conflict,
+                  "the transaction has ended: " +
+                      Answer->header(target_header::Reason));
   }
-  if (!IsWrite)
-    ++(Each->Way.IsPrimary ? Counts.ReadsByPrimary : Counts.ReadsByReplica);
-  // A read is judged like a write: after its lease ended, a newer manifest
-  // may forbid it and a newer primary may have made it stale.
-  if (!Lease.isHeld(Outside.Time.now())) {
-    refuse(Each, IsWrite ? Outcome::Unknown : Outcome::NotRun,
-           "the lease ran out before the answer came");
-    return;
+  if (What == Verdict::Failed)
+    return done(Each, {Answer->Status, {}, Answer->Body});
+  if (Asked == Verb::Commit)
+    return holdWrite(Each, *Answer);
+  done(Each, {Answer->Status, {}, Answer->Body});
+}
+
+void StatementService::openTransaction(const JobPtr &Each,
+                                       PooledConnection Connection) {
+  const TransactionPtr Made = Transactions.open(
+      Each->Statement.Database, Each->Way, Each->Statement.Peer,
+      std::move(Connection), View.Current->Limits.TransactionIdle);
+  HttpResponse Out{reply_status::Ok, {}, ""};
+  Out.Headers[caller_header::Transaction] = Made->Id;
+  done(Each, std::move(Out));
+}
+
+void StatementService::afterRun(const JobPtr &Each,
+                                const HttpResponse &Answer) {
+  if (Each->Statement.isWrite())
+    return holdWrite(Each, Answer);
+  ++(Each->Way.IsPrimary ? Counts.ReadsByPrimary : Counts.ReadsByReplica);
+  done(Each, {Answer.Status, {}, Answer.Body});
+}
+
+void StatementService::afterRefusal(const JobPtr &Each, Verdict What,
+                                    const HttpResponse &Answer) {
+  const std::string &Reason = Answer.header(target_header::Reason);
+  Each->At = Job::Stage::Choosing;
+  switch (What) {
+  case Verdict::OtherTerm:
+    if (Each->Way.IsPrimary)
+      return waitForChange(Each, "the primary refused: " + Reason);
+    [[fallthrough]];
+  case Verdict::Behind:
+    return tryElsewhere(Each, "the target refused: " + Reason);
+  case Verdict::Stale:
+    if (++Each->Tries >= MaxTries)
+      return giveUp(Each, "the target refused: " + Reason);
+    return dispatch(Each);
+  default:
+    return reject(Each, Answer.Status, Reason);
   }
-  finish(Each, Outcome::Done, {Answer->Status, {}, Answer->Body});
+}
+
+void StatementService::afterLoss(const JobPtr &Each) {
+  const std::string Why = "the connection to the target was lost before its "
+                          "answer";
+  Each->Lost = true;
+  if (Each->Statement.isWrite())
+    return giveUp(Each, Why);
+  tryElsewhere(Each, Why);
 }
 
 void StatementService::holdWrite(const JobPtr &Each,
                                  const HttpResponse &Answer) {
-  Each->Held = Answer;
-  Each->HeldTerm = numberOr(Answer.header(target_header::Term), 0);
-  Each->HeldPosition = numberOr(Answer.header(target_header::Position), 0);
-  if (!settleHeld(Each))
-    Held.push_back(Each);
-}
-
-bool StatementService::settleHeld(const JobPtr &Each) {
-  if (Each->Finished)
-    return true;
-  const std::string &Database = Each->Statement.Database;
-  const GroupRecord *Group = View.group(Database);
-  const DatabasePolicy *Policy = View.Current->database(Database);
-  if (Group == nullptr || Policy == nullptr || Group->Term != Each->HeldTerm ||
-      !Group->isWritable()) {
-    refuse(Each, Outcome::Unknown,
-           "the primary was replaced before the write was safe");
-    return true;
-  }
-  if (Table.copies(Database, Each->HeldTerm, Each->HeldPosition) <
-      Policy->Copies)
-    return false;
-  // Two safeguards meet here. The copies make the write survive any
-  // promotion, so the answer stays true even if this process is stopped
-  // between this check and the sending. The lease makes sure that no proxy
-  // goes on acknowledging for a primary that others have replaced.
-  if (!Lease.isHeld(Outside.Time.now())) {
-    refuse(Each, Outcome::Unknown,
-           "the lease ran out before the write was "
-           "known to be safe");
-    return true;
-  }
-  ++Counts.Writes;
-  HttpResponse Out{StatusOk, {}, Each->Held->Body};
+  const PendingWrite Write{
+      Each->Statement.Database, numberOr(Answer.header(target_header::Term), 0),
+      numberOr(Answer.header(target_header::WritePosition), 0)};
+  const DurabilityGate::Ticket Ticket =
+      Gate.hold(Write, [this, Each, Write, Body = Answer.Body](Durability Now) {
+        settleWrite(Each, Write, Now, Body);
+      });
+  if (Each->At != Job::Stage::Finished)
+    Each->GateTicket = Ticket;
+}
+
+void StatementService::settleWrite(const JobPtr &Each,
+                                   const PendingWrite &Write, Durability Now,
+                                   const std::string &Body) {
+  if (Now == Durability::Superseded)
+    return giveUp(Each, "the primary was replaced before the write was safe");
+  HttpResponse Out{reply_status::Ok, {}, Body};
   Out.Headers[caller_header::Session] =
-      sealToken(Each->Statement.Session.withWrite(Database, Each->HeldTerm,
-                                                  Each->HeldPosition),
+      sealToken(Each->Statement.Session.withWrite(Write.Database, Write.Term,
+                                                  Write.Position),
                 SessionKey);
-  finish(Each, Outcome::Done, std::move(Out));
-  return true;
+  if (hasLease())
+    ++Counts.Writes;
+  done(Each, std::move(Out));
 }
 
-void StatementService::checkHeld() {
-  std::vector<JobPtr> Waiting = std::exchange(Held, {});
-  for (const JobPtr &Each : Waiting)
-    if (!settleHeld(Each))
-      Held.push_back(Each);
+void StatementService::done(const JobPtr &Each, HttpResponse Response) {
+  // Two safeguards meet here. The copies make a write survive any promotion,
+  // so its answer stays true even if this process is stopped between this
+  // check and the sending. The lease makes sure that no proxy goes on
+  // acknowledging for a primary that others have replaced; a read is judged
+  // like a write, since a newer manifest may forbid it by now.
+  if (!hasLease())
+    return giveUp(Each, "the lease ran out before the answer came");
+  finish(Each, Outcome::Done, std::move(Response));
 }
 
-void StatementService::viewChanged() {
-  for (auto &[Name, Pool] : Pools)
-    if (const TargetAnnouncement *Target = View.target(Name); Target != nullptr)
-      Pool->setLimit(connectionShare(Target->Database));
-  checkHeld();
+void StatementService::expired(const JobPtr &Each) {
+  Each->DeadlineTimer = 0;
+  if (Each->Within)
+    Transactions.abandon(Each->Within);
+  giveUp(Each, "no answer before the deadline");
 }
 
-void StatementService::expired(const JobPtr &Each) {
-  Each->Timer = 0;
-  const bool MayHaveRun =
-      Each->Sent && Each->Statement.Kind.Mode == Access::Write;
-  refuse(Each, MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
-         "no answer before the deadline");
+void StatementService::hungUp(const JobPtr &Each) {
+  if (Each->At == Job::Stage::Finished)
+    return;
+  ++Counts.HungUp;
+  if (Each->Within)
+    Transactions.abandon(Each->Within);
+  close(Each);
 }
 
-void StatementService::refuse(const JobPtr &Each, Outcome What,
+void StatementService::disconnected(const std::string &Peer) {
+  Transactions.disconnected(Peer);
+}
+
+void StatementService::giveUp(const JobPtr &Each, const std::string &Why) {
+  const bool MayHaveRun = Each->mayHaveRun();
+  finish(Each, MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+         refusalReply(MayHaveRun ? reply_status::Unknown
+                                 : reply_status::Unavailable,
+                      Why, Retry.next(RetryAfter)));
+}
+
+void StatementService::reject(const JobPtr &Each, int Status,
                               const std::string &Why) {
-  HttpResponse Out{What == Outcome::Unknown ? StatusUnknown : StatusUnavailable,
-                   {},
-                   Why + "\n"};
-  Out.Headers[caller_header::RetryAfterMs] = std::to_string(RetryAfter.count());
-  finish(Each, What, std::move(Out));
+  finish(Each, Each->mayHaveRun() ? Outcome::Unknown : Outcome::NotRun,
+         plainReply(Status, Why));
 }
 
 void StatementService::finish(const JobPtr &Each, Outcome What,
                               HttpResponse Response) {
-  if (Each->Finished)
+  if (Each->At == Job::Stage::Finished)
     return;
-  Each->Finished = true;
-  --InFlight;
-  if (Each->Timer != 0)
-    Outside.Timers.cancel(Each->Timer);
+  close(Each);
   if (What == Outcome::NotRun)
     ++Counts.NotRun;
   if (What == Outcome::Unknown)
@@ -292,22 +509,21 @@
   Each->Exchange->respond(std::move(Response));
 }
 
-std::size_t
-StatementService::connectionShare(const std::string &Database) const {
-  const DatabasePolicy *Policy = View.Current->database(Database);
-  if (Policy == nullptr)
-    return 1;
-  const std::size_t Proxies = std::max<std::size_t>(View.Proxies.size(), 1);
-  return std::max<std::size_t>(Policy->ConnectionsPerTarget / Proxies, 1);
+void StatementService::leaveQueues(const JobPtr &Each) {
+  Waiting.erase(Each->Id);
+  const ConnectionPool::Ticket Asked = std::exchange(Each->PoolTicket, 0);
+  if (const auto Pool = Each->Pool.lock())
+    Pool->cancel(Asked);
 }
 
-ConnectionPool &StatementService::pool(const std::string &Target) {
-  const TargetAnnouncement *Known = View.target(Target);
-  std::unique_ptr<ConnectionPool> &Found = Pools[Target];
-  if (!Found && Known != nullptr)
-    Found = std::make_unique<ConnectionPool>(Outside.Connector, Known->Address,
-                                             connectionShare(Known->Database));
-  return *Found;
+void StatementService::close(const JobPtr &Each) {
+  leaveQueues(Each);
+  Gate.cancel(Each->GateTicket);
+  for (Scheduler::TimerId *Timer : {&Each->DeadlineTimer, &Each->PatienceTimer})
+    if (*Timer != 0)
+      Outside.Timers.cancel(std::exchange(*Timer, 0));
+  Each->At = Job::Stage::Finished;
+  Jobs.erase(Each->Id);
 }
 
 } // namespace corianderdyke
--- a/Source/Proxy/StatementService.h
+++ b/Source/Proxy/StatementService.h
@@ -6,20 +6,18 @@
 
 #include "Http/HttpServer.h"
 #include "Lease/LeaseHolder.h"
-#include "Proxy/ConnectionPool.h"
+#include "Proxy/AnswerJudge.h"
+#include "Proxy/DurabilityGate.h"
+#include "Proxy/PrimaryPatience.h"
+#include "Proxy/StatementReply.h"
 #include "Proxy/StatementRequest.h"
+#include "Proxy/TargetPools.h"
 #include "Proxy/TargetWatcher.h"
+#include "Proxy/TransactionTable.h"
 #include "Routing/Router.h"
 
 namespace corianderdyke {
 
-/// What became of a statement, as far as the caller may rely on it.
-enum class Outcome : std::uint8_t {
-  Done,    ///< It ran, and what it wrote survives a failover.
-  NotRun,  ///< It certainly didn't run.
-  Unknown, ///< It may have run; ask again with the same key.
-};
-
 /// Counters for metrics.
 struct StatementCounts {
   std::uint64_t ReadsByReplica = 0;
@@ -27,10 +25,14 @@
   std::uint64_t Writes = 0;
   std::uint64_t NotRun = 0;
   std::uint64_t Unknown = 0;
+  std::uint64_t HungUp = 0; ///< Callers that left before their answer.
 
   auto operator<=>(const StatementCounts &) const = default;
 };
 
+/// Takes each statement through its stages: choose a target, get a
+/// connection, send, judge the answer, hold a write for its copies, answer.
+/// The stages' decisions live in classes of their own.
 class StatementService : public sigc::trackable {
 public:
   struct Ports {
@@ -39,59 +41,86 @@
     HttpConnector &Connector;
   };
 
-  StatementService(Ports Outside, const ClusterView &View,
-                   const LeaseHolder &Lease, TargetTable &Table,
-                   TargetWatcher &Watcher, std::string SessionKey);
+  StatementService(Ports Outside, const ProcessId &Self,
+                   const ClusterView &View, const LeaseHolder &Lease,
+                   TargetTable &Table, TargetWatcher &Watcher,
+                   std::string SessionKey);
+  ~StatementService();
 
-  void handle(const HttpRequest &Request,
+  void handle(Verb What, const HttpRequest &Request,
               std::shared_ptr<HttpExchange> Exchange);
 
-  /// Takes a new view in: limits of the pools, and writes of ended terms.
+  /// A caller's connection is gone.
+  void disconnected(const std::string &Peer);
+
+  /// Takes a new view in: pools, writes of ended terms, and statements that
+  /// wait for a change or at a primary that is none any more.
   void viewChanged();
 
   const StatementCounts &counts() const { return Counts; }
-  std::size_t inFlight() const { return InFlight; }
+  std::size_t inFlight() const { return Jobs.size(); }
+  std::size_t openTransactions() const { return Transactions.size(); }
 
 private:
-  struct Job {
-    StatementRequest Statement;
-    std::shared_ptr<HttpExchange> Exchange;
-    Route Way;
-    Millis DeadlineAt;
-    Scheduler::TimerId Timer = 0;
-    bool Sent = false;
-    bool Finished = false;
-    /// A write's answer that waits for its copies.
-    std::optional<HttpResponse> Held;
-    std::uint64_t HeldPosition = 0;
-    std::uint64_t HeldTerm = 0;
-  };
+  struct Job;
   using JobPtr = std::shared_ptr<Job>;
+  /// A statement under way on a connection of the pool. Its connection must
+  /// outlast a caller who leaves: it's clean again only with the answer.
+  struct Call {
+    JobPtr Of;
+    PooledConnection Connection;
+  };
 
+  void start(const JobPtr &Each);
+  void startInTransaction(const JobPtr &Each);
   void dispatch(const JobPtr &Each);
-  void tryAgain(const JobPtr &Each, const std::string &Why);
-  void send(const JobPtr &Each, ConnectionPool::Lent Connection);
-  void answered(const JobPtr &Each, const Expected<HttpResponse> &Answer,
-                Millis SentAt);
+  void acquire(const JobPtr &Each);
+  void noConnection(const JobPtr &Each, const Error &Why);
+  void waitForChange(const JobPtr &Each, const std::string &Why);
+  void wake(const std::string &Target);
+  void send(const JobPtr &Each, PooledConnection Connection);
+  void sendInTransaction(const JobPtr &Each);
+  Millis timeLeft(const JobPtr &Each) const;
+  void answered(std::uint64_t CallId, const Expected<HttpResponse> &Answer);
+  void answeredInTransaction(const JobPtr &Each,
+                             const Expected<HttpResponse> &Answer);
+  void observe(const JobPtr &Each, const HttpResponse &Answer);
+  void afterRun(const JobPtr &Each, const HttpResponse &Answer);
+  void afterRefusal(const JobPtr &Each, Verdict What,
+                    const HttpResponse &Answer);
+  void afterLoss(const JobPtr &Each);
+  void tryElsewhere(const JobPtr &Each, const std::string &Why);
+  void openTransaction(const JobPtr &Each, PooledConnection Connection);
   void holdWrite(const JobPtr &Each, const HttpResponse &Answer);
-  void checkHeld();
-  /// True once the job needs no more waiting.
-  bool settleHeld(const JobPtr &Each);
+  void settleWrite(const JobPtr &Each, const PendingWrite &Write,
+                   Durability Now, const std::string &Body);
   void expired(const JobPtr &Each);
+  void hungUp(const JobPtr &Each);
+  void done(const JobPtr &Each, HttpResponse Response);
+  void giveUp(const JobPtr &Each, const std::string &Why);
+  void reject(const JobPtr &Each, int Status, const std::string &Why);
   void finish(const JobPtr &Each, Outcome What, HttpResponse Response);
-  void refuse(const JobPtr &Each, Outcome What, const std::string &Why);
-  ConnectionPool &pool(const std::string &Target);
-  std::size_t connectionShare(const std::string &Database) const;
+  /// Takes the job out of wherever it waits.
+  void leaveQueues(const JobPtr &Each);
+  /// Ends its stages; nothing calls back for it any more.
+  void close(const JobPtr &Each);
+  bool hasLease() const { return Lease.isHeld(Outside.Time.now()); }
 
   Ports Outside;
   const ClusterView &View;
   const LeaseHolder &Lease;
   TargetTable &Table;
   std::string SessionKey;
-  std::map<std::string, std::unique_ptr<ConnectionPool>> Pools;
-  std::vector<JobPtr> Held;
+  TargetPools Pools;
+  DurabilityGate Gate;
+  TransactionTable Transactions;
+  PrimaryPatience Patience;
+  RetryAdvice Retry;
+  std::map<std::uint64_t, JobPtr> Jobs;    ///< By arrival.
+  std::map<std::uint64_t, JobPtr> Waiting; ///< Of Jobs, for a change.
+  std::map<std::uint64_t, Call> Calls;
+  std::uint64_t NextId = 1;
   StatementCounts Counts;
-  std::size_t InFlight = 0;
 };
 
 } // namespace corianderdyke
--- /dev/null
+++ b/Source/Proxy/TargetPools.h
@@ -0,0 +1,41 @@
+/// \file
+/// One connection pool for each target in the view.
+
+#ifndef CORIANDERDYKE_PROXY_TARGETPOOLS_H
+#define CORIANDERDYKE_PROXY_TARGETPOOLS_H
+
+#include "Proxy/ConnectionPool.h"
+#include "State/ClusterView.h"
+
+namespace corianderdyke {
+
+class TargetPools {
+public:
+  explicit TargetPools(HttpConnector &Connector) : Connector(Connector) {}
+
+  /// Takes a view in. A target that announced itself anew is another process,
+  /// perhaps on another address: its former connections are dead.
+  void update(const ClusterView &View);
+
+  /// The pool of a target; null where the view has no such target, which may
+  /// happen between a choice and its use.
+  std::shared_ptr<ConnectionPool> find(const std::string &Target) const;
+
+  /// Statements under way at a target or waiting for one of its connections.
+  std::size_t load(const std::string &Target) const;
+
+private:
+  struct Entry {
+    Endpoint Address;
+    std::uint64_t Sequence = 0;
+    /// Shared, since statements under way outlast a target's entry.
+    std::shared_ptr<ConnectionPool> Pool;
+  };
+
+  HttpConnector &Connector;
+  std::map<std::string, Entry> Pools;
+};
+
+} // namespace corianderdyke
+
+#endif
--- a/Source/Routing/Router.cpp
+++ b/Source/Routing/Router.cpp
@@ -10,7 +10,7 @@
 bool isFreshEnough(const TargetTable &Table, const std::string &Target,
                    const GroupRecord &Group, const RouteQuery &Query,
                    Millis Now) {
-  const auto Age = Table.age(Target, Group.Term, Now);
+  const auto Age = Table.age(Target, Group, Now);
   if (!Age || *Age > Query.AcceptedAge)
     return false;
   const auto Seen = Table.sighting(Target);
@@ -36,7 +36,7 @@
   std::size_t BestLoad = 0;
   if (Query.Mode == Access::Read && !Query.PrimaryOnly) {
     for (const TargetAnnouncement &Each : View.targetsOf(Query.Database)) {
-      if (Each.Name == Group->Primary ||
+      if (Each.Name == Group->Primary || Query.Avoid.count(Each.Name) != 0 ||
           !Table.isReachable(Each.Name, View.Current->Failover.SuspectAfter,
                              Now) ||
           !isFreshEnough(Table, Each.Name, *Group, Query, Now))
--- a/Source/Routing/Router.h
+++ b/Source/Routing/Router.h
@@ -8,6 +8,7 @@
 #include "Session/SessionToken.h"
 
 #include <functional>
+#include <set>
 
 namespace corianderdyke {
 
@@ -19,6 +20,8 @@
   std::optional<SessionFloor> Floor;
   /// Some floor of the session gave way: only the primary is safe.
   bool PrimaryOnly = false;
+  /// Replicas that failed this statement before.
+  std::set<std::string> Avoid = {};
 };
 
 struct Route {
--- a/Source/Routing/TargetTable.cpp
+++ b/Source/Routing/TargetTable.cpp
@@ -13,6 +13,18 @@
 /// Samples closer than this are left out. That only makes ages look higher.
 constexpr Millis SampleSpacing(5);
 
+/// Answers on two connections may cross. A life of a target never goes back
+/// in term, and once its log has entries of its term, neither in position.
+/// Before that it may: a former primary that was fenced drops the tail that
+/// the group didn't keep when it begins to follow.
+bool isOlder(const TargetSighting &New, const TargetSighting &Known) {
+  if (New.Term != Known.Term)
+    return New.Term < Known.Term;
+  if (Known.LogTerm < Known.Term)
+    return false;
+  return New.LogTerm < New.Term || New.Position < Known.Position;
+}
+
 } // namespace
 
 void TargetTable::update(const ClusterView &View, Millis Now) {
@@ -39,12 +51,7 @@
   Known &Entry = Found->second;
   Entry.Refused = false;
   Entry.LastAnswer = std::max(Entry.LastAnswer, Now);
-  // Answers on two connections may cross. A life of a target goes back
-  // neither in term nor, within a term, in position.
-  const bool Older =
-      Entry.WasSeen && std::pair(Entry.Seen.Term, Entry.Seen.Position) >
-                           std::pair(Seen.Term, Seen.Position);
-  if (!Older)
+  if (!Entry.WasSeen || !isOlder(Seen, Entry.Seen))
     Entry.Seen = Seen;
   Entry.WasSeen = true;
   if (Seen.IsPrimary)
@@ -96,18 +103,25 @@
 
 std::size_t TargetTable::copies(const std::string &Database, std::uint64_t Term,
                                 std::uint64_t Position) const {
+  // The log's term counts, not the target's: a fenced primary has the new
+  // term at once but keeps a tail of its own, whose positions say nothing of
+  // the new term's writes. Counted as a copy it would have a write confirmed
+  // that the next failover loses.
   std::size_t Count = 0;
   for (const auto &[Name, Each] : Targets)
-    if (Each.Database == Database && Each.Seen.Term == Term &&
+    if (Each.Database == Database && Each.Seen.LogTerm == Term &&
         Each.Seen.Position >= Position)
       ++Count;
   return Count;
 }
 
 std::optional<Millis> TargetTable::age(const std::string &Target,
-                                       std::uint64_t Term, Millis Now) const {
+                                       const GroupRecord &Group,
+                                       Millis Now) const {
+  const std::uint64_t Term = Group.Term;
   const auto Found = Targets.find(Target);
-  if (Found == Targets.end() || Found->second.Seen.Term != Term)
+  if (Found == Targets.end() || Found->second.Seen.Term != Term ||
+      !Group.holds(Found->second.Seen.LogTerm, Found->second.Seen.Position))
     return std::nullopt;
   const auto History = Databases.find(Found->second.Database);
   if (History == Databases.end() || History->second.Term != Term)
--- a/Source/Routing/TargetTable.h
+++ b/Source/Routing/TargetTable.h
@@ -5,6 +5,7 @@
 #define CORIANDERDYKE_ROUTING_TARGETTABLE_H
 
 #include "Lease/Messages.h"
+#include "State/ClusterView.h"
 
 #include <deque>
 
@@ -13,6 +14,8 @@
 /// What a target said of itself in an answer.
 struct TargetSighting {
   std::uint64_t Term = 0;
+  /// Term of the last entry of its log.
+  std::uint64_t LogTerm = 0;
   std::uint64_t Position = 0;
   bool IsPrimary = false;
 
@@ -39,14 +42,14 @@
 
   std::vector<TargetReport> reports(Millis SuspectAfter, Millis Now) const;
 
-  /// How many targets of a database hold \p Position of \p Term.
+  /// How many targets of a database hold the write at \p Position of \p Term.
   std::size_t copies(const std::string &Database, std::uint64_t Term,
                      std::uint64_t Position) const;
 
   /// How old the target's data may be at the most; nothing where that can't
-  /// be told. A target of another term than \p Term has no age: it may
-  /// follow a fork.
-  std::optional<Millis> age(const std::string &Target, std::uint64_t Term,
+  /// be told. A target of another term than the group's has no age, nor one
+  /// whose log isn't part of the group's: it follows a fork.
+  std::optional<Millis> age(const std::string &Target, const GroupRecord &Group,
                             Millis Now) const;
 
   std::optional<TargetSighting> sighting(const std::string &Target) const;
--- a/Tests/StandIn/StandInTarget.cpp
+++ b/Tests/StandIn/StandInTarget.cpp
@@ -20,6 +20,9 @@
 constexpr Millis PullTimeout(1000);
 constexpr Millis PullHold(200);
 
+/// Stands in the log for a key whose transaction will never commit.
+const std::string GivenUp = "(given up)";
+
 std::vector<Fork> parseForks(const std::string &Text) {
   std::vector<Fork> Out;
   std::istringstream In(Text);
@@ -65,7 +68,8 @@
                            std::shared_ptr<HttpExchange> Exchange) {
   if (Request.Path == "/v1/connect")
     openConnection(Request, std::move(Exchange));
-  else if (Request.Path == "/v1/statement")
+  else if (Request.Path == "/v1/statement" || Request.Path == "/v1/begin" ||
+           Request.Path == "/v1/commit" || Request.Path == "/v1/rollback")
     statement(Request, std::move(Exchange));
   else if (Request.Path == "/v1/watch")
     watch(Request, std::move(Exchange));
@@ -80,6 +84,7 @@
 
 void StandInTarget::disconnected(const std::string &Peer) {
   Connected.erase(Peer);
+  Transactions.erase(Peer);
 }
 
 void StandInTarget::openConnection(const HttpRequest &Request,
@@ -121,40 +126,119 @@
 
 void StandInTarget::execute(const HttpRequest &Request,
                             HttpExchange &Exchange) {
+  // The sender may have left while its statement waited for a slot.
+  if (Connected.count(Request.Peer) == 0)
+    return Exchange.respond(refusal("not connected"));
+  if (Request.Path == "/v1/rollback")
+    return rollback(Request, Exchange);
   if (numberOr(Request.header("Statement-Term"), 0) != Term)
     return Exchange.respond(refusal("other term"));
+  if (Request.Path == "/v1/commit")
+    return commit(Request, Exchange);
+  const bool Open = Transactions.count(Request.Peer) != 0;
+  if (Open != (Request.header("Statement-Transaction") == "open"))
+    return Exchange.respond(
+        refusal(Open ? "transaction open" : "no transaction"));
+  if (Request.Path == "/v1/begin")
+    return begin(Request, Exchange);
   if (Request.header("Statement-Access") == "write")
     return executeWrite(Request, Exchange);
+  executeRead(Request, Exchange);
+}
+
+void StandInTarget::executeRead(const HttpRequest &Request,
+                                HttpExchange &Exchange) {
   if (numberOr(Request.header("Statement-Floor"), 0) > Log.size())
     return Exchange.respond(refusal("behind the session"));
   std::istringstream In(Request.Body);
   std::string Verb;
   std::string Name;
   In >> Verb >> Name;
+  if (Verb != "get")
+    return Exchange.respond(answer(StatusUnprocessable, "no such statement\n"));
   const auto Found = Data.find(Name);
   Exchange.respond(answer(200, Found == Data.end() ? "" : Found->second));
 }
 
 void StandInTarget::executeWrite(const HttpRequest &Request,
                                  HttpExchange &Exchange) {
+  if (!Primary)
+    return Exchange.respond(refusal("not primary"));
+  if (const auto Open = Transactions.find(Request.Peer);
+      Open != Transactions.end()) {
+    Open->second += Request.Body + "\n";
+    return Exchange.respond(answer(200, "ok"));
+  }
+  const std::string &Key = Request.header("Statement-Key");
+  if (replay(Key, Request.Body, Exchange))
+    return;
+  append(Key, Request.Body);
+  Exchange.respond(written(Log.size()));
+  wakeWatchers();
+}
+
+void StandInTarget::begin(const HttpRequest &Request, HttpExchange &Exchange) {
+  if (!Primary)
+    return Exchange.respond(refusal("not primary"));
+  Transactions[Request.Peer];
+  Exchange.respond(answer(200, "begun"));
+}
+
+void StandInTarget::commit(const HttpRequest &Request, HttpExchange &Exchange) {
   if (!Primary)
     return Exchange.respond(refusal("not primary"));
   const std::string &Key = Request.header("Statement-Key");
+  const auto Known = Keys.find(Key);
+  if (Known != Keys.end() && Log[Known->second - 1].Body == GivenUp)
+    return Exchange.respond(refusal("the key was given up"));
+  const auto Open = Transactions.find(Request.Peer);
+  const bool IsOpen = Open != Transactions.end();
+  // Whoever asks without the transaction asks what became of it. From here
+  // on the answer is settled: a first try that is still under way finds the
+  // key taken.
+  const std::string Body = IsOpen ? Open->second : GivenUp;
+  if (IsOpen)
+    Transactions.erase(Open);
+  if (IsOpen && replay(Key, Body, Exchange))
+    return;
+  if (Known != Keys.end())
+    return Exchange.respond(written(Known->second));
+  append(Key, Body);
+  Exchange.respond(IsOpen ? written(Log.size())
+                          : refusal("the key was given up"));
+  wakeWatchers();
+}
+
+void StandInTarget::rollback(const HttpRequest &Request,
+                             HttpExchange &Exchange) {
+  Transactions.erase(Request.Peer);
+  Exchange.respond(answer(200, "rolled back"));
+}
+
+bool StandInTarget::replay(const std::string &Key, const std::string &Body,
+                           HttpExchange &Exchange) {
   const auto Known = Key.empty() ? Keys.end() : Keys.find(Key);
-  if (Known != Keys.end()) {
-    const LogEntry &Former = Log[Known->second - 1];
-    if (Former.Body != Request.Body)
-      return Exchange.respond(answer(StatusUnprocessable,
-                                     "the key stands for another statement\n"));
-    HttpResponse Out = answer(200, "ok");
-    Out.Headers["Target-Position"] = std::to_string(Known->second);
-    Out.Headers["Target-Replayed"] = "true";
-    return Exchange.respond(std::move(Out));
+  if (Known == Keys.end())
+    return false;
+  if (Log[Known->second - 1].Body != Body) {
+    HttpResponse Out = refusal("the key stands for another statement");
+    Out.Status = StatusUnprocessable;
+    Exchange.respond(std::move(Out));
+    return true;
   }
-  Log.push_back({Term, Key, Request.Body});
+  Exchange.respond(written(Known->second));
+  return true;
+}
+
+HttpResponse StandInTarget::written(std::uint64_t Position) const {
+  HttpResponse Out = answer(200, "ok");
+  Out.Headers["Target-Write-Position"] = std::to_string(Position);
+  return Out;
+}
+
+void StandInTarget::append(const std::string &Key, const std::string &Body) {
+  Log.push_back({Term, Key, Body});
   applyToData(Log.back(), Log.size());
-  Exchange.respond(answer(200, "ok"));
-  wakeWatchers();
 }
 
 void StandInTarget::applyToData(const LogEntry &Entry, std::uint64_t Position) {
@@ -162,11 +246,12 @@
   std::string Verb;
   std::string Name;
   std::string Value;
-  In >> Verb >> Name >> Value;
-  if (Verb == "add")
-    Data[Name] = std::to_string(numberOr(Data[Name], 0) + numberOr(Value, 0));
-  else
-    Data[Name] = Value;
+  while (Entry.Body != GivenUp && In >> Verb >> Name >> Value) {
+    if (Verb == "add")
+      Data[Name] = std::to_string(numberOr(Data[Name], 0) + numberOr(Value, 0));
+    else
+      Data[Name] = Value;
+  }
   if (!Entry.Key.empty())
     Keys[Entry.Key] = Position;
 }
@@ -244,6 +329,7 @@
     return Exchange.respond(refusal("primary of this term"));
   Term = Ordered;
   Primary = false;
+  Transactions.clear();
   ++Generation;
   FollowLink.reset();
   if (Request.Path != "/v1/fence")
--- a/Tests/StandIn/StandInTarget.h
+++ b/Tests/StandIn/StandInTarget.h
@@ -35,7 +35,7 @@
 struct LogEntry {
   std::uint64_t Term = 0;
   std::string Key;  ///< Idempotency key; may be empty.
-  std::string Body; ///< "put NAME VALUE" or "add NAME NUMBER".
+  std::string Body; ///< Lines of "put NAME VALUE" or "add NAME NUMBER".
 };
 
 class StandInTarget final : public HttpService {
@@ -52,6 +52,9 @@
   std::uint64_t term() const { return Term; }
   std::uint64_t position() const { return Log.size(); }
   bool isPrimary() const { return Primary; }
+  std::size_t openTransactions() const { return Transactions.size(); }
+  std::size_t connections() const { return Connected.size(); }
+  const std::vector<LogEntry> &log() const { return Log; }
 
 private:
   struct Watcher {
@@ -67,7 +70,16 @@
                  std::shared_ptr<HttpExchange> Exchange);
   void startWaiting();
   void execute(const HttpRequest &Request, HttpExchange &Exchange);
+  void executeRead(const HttpRequest &Request, HttpExchange &Exchange);
   void executeWrite(const HttpRequest &Request, HttpExchange &Exchange);
+  void begin(const HttpRequest &Request, HttpExchange &Exchange);
+  void commit(const HttpRequest &Request, HttpExchange &Exchange);
+  void rollback(const HttpRequest &Request, HttpExchange &Exchange);
+  /// Answers for a key that was used before; false where it wasn't.
+  bool replay(const std::string &Key, const std::string &Body,
+              HttpExchange &Exchange);
+  void append(const std::string &Key, const std::string &Body);
+  HttpResponse written(std::uint64_t Position) const;
   void watch(const HttpRequest &Request,
              std::shared_ptr<HttpExchange> Exchange);
   void serveLog(const HttpRequest &Request,
@@ -95,6 +107,8 @@
   /// Position of the write that a key stands for.
   std::map<std::string, std::uint64_t> Keys;
   std::set<std::string> Connected;
+  /// What the open transactions will write, by their connection.
+  std::map<std::string, std::string> Transactions;
   std::size_t Running = 0;
   std::deque<std::function<void()>> Waiting;
   std::vector<std::shared_ptr<Watcher>> Watchers;
