--- a/Utilities/Capacity/Main.cpp
+++ b/Utilities/Capacity/Main.cpp
@@ -94,7 +94,7 @@
   measureMessages(Measured);
   measureDuties(Measured);
   measureState(Measured);
-  measureWatch(Measured);
+  measureLoopback(Measured);
   std::cout << slopeTable(Measured) << "\n" << targetTable(Measured);
   return Page.empty() ? 0 : writePage(Page, Measured);
 }
--- a/Utilities/Capacity/Measurements.cpp
+++ b/Utilities/Capacity/Measurements.cpp
@@ -22,16 +22,6 @@
 
 constexpr const char *SealKey = "a key for measuring messages";
 
-/// Processor time of this process in microseconds.
-double cpuMicros() {
-  timespec Time{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Time);
-  constexpr double Million = 1e6;
-  constexpr double Thousand = 1e3;
-  return static_cast<double>(Time.tv_sec) * Million +
-         static_cast<double>(Time.tv_nsec) / Thousand;
-}
-
 /// Microseconds a call: the median of several runs of at least a few
 /// milliseconds each, so that a single disturbance doesn't show.
 double microsPerCall(const std::function<void()> &Call) {
@@ -53,11 +43,6 @@
   return Results[Runs / 2];
 }
 
-double heapBytes() {
-  const auto Info = mallinfo2();
-  return static_cast<double>(Info.uordblks + Info.hblkhd);
-}
-
 using Measure = std::function<double(std::size_t)>;
 
 void add(Slopes &Into, const std::string &Name, const std::string &Unit,
@@ -93,6 +78,20 @@
 
 } // namespace
 
+double cpuMicros() {
+  timespec Time{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Time);
+  constexpr double Million = 1e6;
+  constexpr double Thousand = 1e3;
+  return static_cast<double>(Time.tv_sec) * Million +
+         static_cast<double>(Time.tv_nsec) / Thousand;
+}
+
+double heapBytes() {
+  const auto Info = mallinfo2();
+  return static_cast<double>(Info.uordblks + Info.hblkhd);
+}
+
 void measureMessages(Slopes &Into) {
   add(Into, "lease-request-bytes", "B", "reported target", SmallSizes,
       [](std::size_t Size) { return wireBytes(sampleRequest(Size)); });
@@ -275,6 +274,18 @@
                       {"pipeline", Millis(0), ApplyManifest{New, ""}});
         });
       });
+  add(Into, "announcement-apply-micros", "us", "database", DatabaseSizes,
+      [](std::size_t Size) {
+        ControlState State;
+        std::uint64_t Revision = 1;
+        State.apply(Revision, {"pipeline", Millis(0),
+                               ApplyManifest{sampleManifest(Size), ""}});
+        TargetAnnouncement Target = sampleView(1, 0).Targets.begin()->second;
+        return microsPerCall([&] {
+          ++Target.Sequence;
+          State.apply(++Revision, {"control", Millis(0), RecordTarget{Target}});
+        });
+      });
   add(Into, "fence-entry-bytes", "B", "-", {1, 2, 3}, [](std::size_t) {
     const Command Entry{"control", Millis(0),
                         FenceGroup{"bale-ledger-1000", 5,
--- a/Utilities/Capacity/Measurements.h
+++ b/Utilities/Capacity/Measurements.h
@@ -19,8 +19,13 @@
 void measureDuties(Slopes &Into);
 /// Memory of the state, and bytes of journal and manifest.
 void measureState(Slopes &Into);
-/// A target watch over real loopback sockets: processor time and bytes.
-void measureWatch(Slopes &Into);
+/// Watches, renewals and callers' connections over real loopback sockets.
+void measureLoopback(Slopes &Into);
+
+/// Processor time of this process in microseconds.
+double cpuMicros();
+/// Bytes that this process has taken from its heap.
+double heapBytes();
 
 } // namespace corianderdyke
 
--- a/Utilities/Capacity/TargetSize.cpp
+++ b/Utilities/Capacity/TargetSize.cpp
@@ -75,6 +75,11 @@
                     at("table-heap-bytes", DatabasesPerNode)) /
                        Mega,
                    "subset: a node knows the databases that it serves"});
+    Out.push_back({"node", "memory of callers' connections",
+                   "connections / nodes x connection-heap", "MB", 0,
+                   at("connection-heap-bytes", Connections / Nodes) / Mega,
+                   at("connection-heap-bytes", Connections / Nodes) / Mega,
+                   "as today; not a cost of control"});
     Out.push_back(
         {"node", "lease traffic", "(lease-request + lease-grant) / interval",
          "KB/s", KilobytesPerSecond,
@@ -93,13 +98,13 @@
                    "manifest changes as differences by item, to the subset"});
     Out.push_back(
         {"node", "processor time of leases and views",
-         "codec a renewal + delta-codec a manifest change", "% core",
+         "renewal-wire a renewal + delta-codec a manifest change", "% core",
          CorePercent,
-         (at("codec-micros", Targets) / RenewalSeconds +
+         (at("renewal-wire-micros", Targets) / RenewalSeconds +
           ManifestChangesPerDay / SecondsPerDay *
               at("delta-codec-micros", Databases)) /
              MicrosPerSecond * Percent,
-         (Shards * at("codec-micros", 0) / PlannedRenewalSeconds +
+         (Shards * at("renewal-wire-micros", 0) / PlannedRenewalSeconds +
           ManifestChangesPerDay / SecondsPerDay * at("delta-codec-micros", 1)) /
              MicrosPerSecond * Percent,
          "as above"});
@@ -116,16 +121,17 @@
 
   void controlLines() {
     const double RenewalMicros =
-        at("codec-micros", 0) + at("renewal-micros", Nodes);
-    Out.push_back({"control leader", "processor time of renewals",
-                   "nodes / interval x (codec + renewal)", "% core", 0,
-                   Nodes / RenewalSeconds *
-                       (at("codec-micros", Databases * TargetsPerDatabase) +
-                        at("renewal-micros", Nodes)) /
-                       MicrosPerSecond * Percent,
-                   Nodes / PlannedRenewalSeconds * RenewalMicros /
-                       MicrosPerSecond * Percent,
-                   "each shard's leader serves all nodes"});
+        at("renewal-wire-micros", 0) + at("renewal-micros", Nodes);
+    Out.push_back(
+        {"control leader", "processor time of renewals",
+         "nodes / interval x (renewal-wire + renewal)", "% core", 0,
+         Nodes / RenewalSeconds *
+             (at("renewal-wire-micros", Databases * TargetsPerDatabase) +
+              at("renewal-micros", Nodes)) /
+             MicrosPerSecond * Percent,
+         Nodes / PlannedRenewalSeconds * RenewalMicros / MicrosPerSecond *
+             Percent,
+         "each shard's leader serves all nodes"});
     Out.push_back(
         {"control leader", "processor time of the coordinator",
          "ticks x coordinator by database", "% core", 0,
