--- a/Tests/Support/FakeCluster.cpp
+++ b/Tests/Support/FakeCluster.cpp
@@ -194,42 +194,60 @@
   return Found != nullptr && Found->isWritable();
 }
 
+FakeHost &FakeCluster::caller() {
+  const auto Known = Hosts.find("caller");
+  return Known == Hosts.end() ? newHost("caller") : *Known->second;
+}
+
+std::shared_ptr<HttpConnection>
+FakeCluster::connectTo(const std::string &Proxy) {
+  const auto Connector = Net.connector(caller());
+  return Connector->connect(endpoint(Proxy, CallersPort));
+}
+
 std::shared_ptr<CallerAnswer> FakeCluster::ask(const std::string &Proxy,
                                                const CallerQuestion &Question) {
-  struct Parts {
-    std::unique_ptr<HttpConnector> Connector;
-    std::unique_ptr<HttpConnection> Connection;
-    std::shared_ptr<CallerAnswer> Answer = std::make_shared<CallerAnswer>();
-  };
-  auto All = std::make_shared<Parts>();
-  const auto Known = Hosts.find("caller");
-  FakeHost &Host = Known == Hosts.end() ? newHost("caller") : *Known->second;
-  All->Connector = Net.connector(Host);
-  All->Connection = All->Connector->connect(endpoint(Proxy, CallersPort));
-  Kept.push_back(All);
+  const auto Connection = connectTo(Proxy);
+  Kept.push_back(Connection);
+  return askOver(*Connection, Question);
+}
+
+std::shared_ptr<CallerAnswer>
+FakeCluster::askOver(HttpConnection &Connection,
+                     const CallerQuestion &Question) {
   HttpRequest Request;
   Request.Method = HttpMethod::Post;
-  Request.Path = "/statement";
+  Request.Path = Question.Path;
   Request.Headers = {{caller_header::Database, Question.Database},
                      {caller_header::Organisation, Question.Organisation},
                      {caller_header::Kind, Question.Kind},
                      {caller_header::Session, Question.Session},
+                     {caller_header::Transaction, Question.Transaction},
                      {caller_header::Key, Question.Key}};
+  if (Question.DeadlineMs != 0)
+    Request.Headers[caller_header::DeadlineMs] =
+        std::to_string(Question.DeadlineMs);
   Request.Body = Question.Body;
   constexpr Millis Patience(60000);
-  All->Connection->request(
+  auto Answer = std::make_shared<CallerAnswer>();
+  Connection.request(
       std::move(Request), Patience,
-      [Answer = All->Answer](const Expected<HttpResponse> &Got) {
+      [this, Answer](const Expected<HttpResponse> &Got) {
         Answer->Arrived = true;
+        Answer->At = Loop.now();
         if (!Got)
           return;
+        Answer->Status = Got->Status;
         Answer->Outcome = Got->header(caller_header::Outcome);
         Answer->Body = Got->Body;
         Answer->Session = Got->header(caller_header::Session);
         Answer->Target = Got->header(caller_header::Target);
         Answer->ServedBy = Got->header(caller_header::ServedBy);
+        Answer->Transaction = Got->header(caller_header::Transaction);
+        Answer->RetryAfter = Millis(static_cast<std::int64_t>(
+            numberOr(Got->header(caller_header::RetryAfterMs), 0)));
       });
-  return All->Answer;
+  return Answer;
 }
 
 CallerAnswer FakeCluster::askNow(const std::string &Proxy,
@@ -239,4 +257,12 @@
   return *Answer;
 }
 
+CallerAnswer FakeCluster::askNowOver(HttpConnection &Connection,
+                                     const CallerQuestion &Question,
+                                     Millis Most) {
+  const auto Answer = askOver(Connection, Question);
+  Loop.runUntilTrue([&] { return Answer->Arrived; }, Most);
+  return *Answer;
+}
+
 } // namespace corianderdyke
--- a/Tests/Support/FakeCluster.h
+++ b/Tests/Support/FakeCluster.h
@@ -20,6 +20,10 @@
   std::string Session;
   std::string Target;
   std::string ServedBy;
+  std::string Transaction;
+  int Status = 0;
+  Millis RetryAfter;
+  Millis At; ///< When it arrived.
   bool Arrived = false;
 
   bool operator==(const CallerAnswer &) const = default;
@@ -33,6 +37,9 @@
   std::string Key = {};
   std::string Body = {};
   std::string Session = {};
+  std::string Transaction = {};
+  std::string Path = "/statement";
+  std::int64_t DeadlineMs = 0; ///< 0 leaves it to the kind.
 };
 
 class FakeCluster {
@@ -68,6 +75,15 @@
   CallerAnswer askNow(const std::string &Proxy, const CallerQuestion &Question,
                       Millis Most = Millis(20000));
 
+  /// A caller's kept connection to a proxy; letting go of it hangs up.
+  std::shared_ptr<HttpConnection> connectTo(const std::string &Proxy);
+  /// The same over a kept connection.
+  std::shared_ptr<CallerAnswer> askOver(HttpConnection &Connection,
+                                        const CallerQuestion &Question);
+  CallerAnswer askNowOver(HttpConnection &Connection,
+                          const CallerQuestion &Question,
+                          Millis Most = Millis(20000));
+
   FakeLoop Loop;
   FakeNetwork Net;
   /// The latest process of each name.
@@ -95,6 +111,7 @@
 )";
 
 private:
+  FakeHost &caller();
   FakeHost &newHost(const std::string &Name);
   Settings settings(const std::string &Name) const;
   Endpoint endpoint(const std::string &Name, std::uint16_t Port) const;
--- a/Tests/Support/FakeLoop.h
+++ b/Tests/Support/FakeLoop.h
@@ -120,6 +120,12 @@
       Loop.cancel(Key);
     Timers.clear();
     Delayed.clear();
+    for (const auto &Each : std::exchange(AtDeath, {}))
+      Each();
+  }
+  /// Runs an action when the process dies, such as closing its sockets.
+  void atDeath(std::function<void()> Action) {
+    AtDeath.push_back(std::move(Action));
   }
   bool isDead() const { return Dead; }
   bool isFrozen() const { return Frozen; }
@@ -135,6 +141,7 @@
   TimerId NextId = 1;
   std::map<TimerId, FakeLoop::Id> Timers;
   std::vector<std::function<void()>> Delayed;
+  std::vector<std::function<void()>> AtDeath;
 };
 
 } // namespace corianderdyke
--- a/Tests/Support/FakeNetwork.cpp
+++ b/Tests/Support/FakeNetwork.cpp
@@ -30,6 +30,8 @@
   HttpConnection::Handler OnAnswer;
   FakeHost *Client = nullptr;
   FakeLoop::Id Timeout;
+  /// What the server wants to know should the client leave.
+  std::function<void()> HangUp;
 
   void finish(Expected<HttpResponse> Answer) {
     if (!OnAnswer)
@@ -46,20 +48,12 @@
       : Net(Net), Client(Client), To(std::move(To)),
         Peer("10.0.0.1:" + std::to_string(Net.NextPeer++)) {}
 
-  ~Connection() override {
-    if (Current)
-      Current->OnAnswer = nullptr;
-    const auto Found = Net.Services.find(To);
-    if (!Used || Found == Net.Services.end())
-      return;
-    const Service Server = Found->second;
-    Net.Loop.at(Net.Loop.now() + Net.latency(), [Server, Gone = Peer] {
-      Server.Host->run([Server, Gone] { Server.Handler->disconnected(Gone); });
-    });
-  }
+  ~Connection() override { *Closed ? void() : close(); }
 
   void request(HttpRequest Request, Millis Timeout, Handler OnAnswer) override {
-    Used = true;
+    // A process's death closes its connections; its kernel sees to that.
+    if (!std::exchange(Used, true))
+      Client.atDeath([this, Gone = Closed] { *Gone ? void() : close(); });
     Request.Peer = Peer;
     Current = std::make_shared<Call>();
     Current->OnAnswer = std::move(OnAnswer);
@@ -76,6 +70,24 @@
   }
 
 private:
+  /// Tells the server, as the end of a TCP connection does.
+  void close() {
+    *Closed = true;
+    if (Current)
+      Current->OnAnswer = nullptr;
+    const auto Found = Net.Services.find(To);
+    if (!Used || Found == Net.Services.end())
+      return;
+    Net.Loop.at(Net.Loop.now() + Net.latency(), [Server = Found->second,
+                                                 Gone = Peer, Each = Current] {
+      Server.Host->run([Server, Gone, Each] {
+        if (const auto HangUp = std::exchange(Each->HangUp, nullptr))
+          HangUp();
+        Server.Handler->disconnected(Gone);
+      });
+    });
+  }
+
   /// The way back; an answer is lost where the way is cut by then.
   struct Exchange final : HttpExchange {
     FakeNetwork *Wire = nullptr;
@@ -85,12 +97,15 @@
     bool Answered = false;
 
     void respond(HttpResponse Response) override {
+      Each->HangUp = nullptr;
       if (std::exchange(Answered, true) || Wire->isCut(Server->name(), Client))
         return;
       Wire->Loop.at(Wire->Loop.now() + Wire->latency(),
                     [Held = Each, Response] { Held->finish(Response); });
     }
-    void onHangUp(std::function<void()>) override {}
+    void onHangUp(std::function<void()> Action) override {
+      Each->HangUp = std::move(Action);
+    }
   };
 
   static void arrive(FakeNetwork &Wire, FakeHost &From,
@@ -141,6 +156,7 @@
   std::string Peer;
   std::shared_ptr<Call> Current;
   bool Used = false;
+  std::shared_ptr<bool> Closed = std::make_shared<bool>(false);
 };
 
 class FakeNetwork::Connector final : public HttpConnector {
