Decide admission by shares, deadlines and return times

Cause: a proxy takes in everything that comes, and a full database answers all of it too late.

Ruled out: fairness by the number of statements, since long ones would buy more than a share; one fixed return time, since a burst comes back whole; one queue for reads and writes, since they wait for different targets.

--- /dev/null
+++ b/Source/Admission/AdmissionController.cpp
@@ -0,0 +1,144 @@
+/// \file
+/// Admission of one database's requests at one proxy.
+
+#include "Admission/AdmissionController.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+namespace {
+
+/// A waiting request is given up only where even this part of its estimated
+/// wait is too long: the estimate moves with each answer, and a request that
+/// was let in shouldn't fall to its noise.
+constexpr double CertainPart = 2.0 / 3.0;
+
+double span(Millis From, Millis To) {
+  return static_cast<double>((To - From).count());
+}
+
+std::uint64_t &counterOf(AdmissionCounts &Counts, RefusalReason Reason) {
+  switch (Reason) {
+  case RefusalReason::DeadlineOutOfReach:
+    return Counts.DeadlineOutOfReach;
+  case RefusalReason::QueueFull:
+    return Counts.QueueFull;
+  case RefusalReason::Displaced:
+    return Counts.Displaced;
+  case RefusalReason::GivenUp:
+    break;
+  }
+  return Counts.GivenUp;
+}
+
+} // namespace
+
+double AdmissionController::wait(double CostAhead) const {
+  return CostAhead / static_cast<double>(Parallel);
+}
+
+Refusal AdmissionController::refuse(QueuedRequest Request, RefusalReason Reason,
+                                    double Wait, Millis Now) {
+  ++counterOf(Counts, Reason);
+  const double Pace = Request.Cost / (static_cast<double>(Parallel) *
+                                      Order->portion(Request.Organisation));
+  const Millis RetryAfter = Returns.book(Request.Organisation, Wait, Pace, Now);
+  return {std::move(Request), Reason, RetryAfter};
+}
+
+std::optional<Refusal>
+AdmissionController::refuseOnArrival(const QueuedRequest &Request, Millis Now) {
+  // With nothing running the estimate may be as old as the last overload.
+  // Whoever comes then is let through, else nobody would ever correct it.
+  if (Running == 0 && Order->size() == 0)
+    return std::nullopt;
+  const double Wait =
+      wait(Order->costAhead(Request.Organisation, Request.Kind));
+  const double Late = Wait + Request.Cost - span(Now, Request.DeadlineAt);
+  if (Late > 0)
+    return refuse(Request, RefusalReason::DeadlineOutOfReach, Late, Now);
+  return std::nullopt;
+}
+
+std::vector<Refusal> AdmissionController::arrive(QueuedRequest Request,
+                                                 Millis Now) {
+  ++Counts.Arrived;
+  Request.ArrivedAt = Now;
+  Request.Cost = Costs.of(Request.Kind);
+  std::vector<Refusal> Out;
+  if (auto Refused = refuseOnArrival(Request, Now)) {
+    Out.push_back(std::move(*Refused));
+    return Out;
+  }
+  if (Order->size() >= std::max<std::size_t>(QueueLimit, 1)) {
+    const double Wait =
+        wait(Order->costAhead(Request.Organisation, Request.Kind));
+    const auto Victim = Order->displacedBy(Request.Organisation);
+    if (!Victim) {
+      Out.push_back(
+          refuse(std::move(Request), RefusalReason::QueueFull, Wait, Now));
+      return Out;
+    }
+    if (auto Removed = Order->remove(*Victim))
+      Out.push_back(
+          refuse(std::move(*Removed), RefusalReason::Displaced, Wait, Now));
+  }
+  Order->push(std::move(Request));
+  return Out;
+}
+
+std::optional<QueuedRequest>
+AdmissionController::next(const QueueDiscipline::Fits &CanRun, Millis Now,
+                          std::vector<Refusal> &GivenUp) {
+  while (auto Found = Order->pop(CanRun)) {
+    const double Left = span(Now, Found->DeadlineAt);
+    const bool TooLate =
+        Left <= 0 || (Running > 0 && Costs.of(Found->Kind) > Left);
+    if (TooLate) {
+      // Sending it would spend a connection on an answer that nobody waits
+      // for any more.
+      Order->finished(*Found, 0);
+      GivenUp.push_back(
+          refuse(std::move(*Found), RefusalReason::GivenUp, 0, Now));
+      continue;
+    }
+    ++Running;
+    Parallel = Running;
+    ++Counts.Sent;
+    const Millis Waited = Now - Found->ArrivedAt;
+    Counts.TotalWait += Waited;
+    Counts.LongestWait = std::max(Counts.LongestWait, Waited);
+    return Found;
+  }
+  return std::nullopt;
+}
+
+void AdmissionController::finished(const QueuedRequest &Request,
+                                   std::optional<double> Spent) {
+  if (Running > 0)
+    --Running;
+  if (Spent)
+    Costs.observe(Request.Kind, *Spent);
+  Order->finished(Request, Spent.value_or(0));
+}
+
+std::vector<Refusal> AdmissionController::giveUp(Millis Now) {
+  std::vector<Refusal> Out;
+  for (const auto &Each : Order->waiting()) {
+    // What waits was estimated on arrival; the pace of now decides.
+    const double Cost = Costs.of(Each.Request.Kind);
+    const double Wait = wait(Each.Cost) * Cost / Each.Request.Cost;
+    const double Late =
+        Wait * CertainPart + Cost - span(Now, Each.Request.DeadlineAt);
+    const bool Overdue = Each.Request.DeadlineAt <= Now;
+    if (!Overdue && (Late <= 0 || Running == 0))
+      continue;
+    if (Order->remove(Each.Request.Id))
+      Out.push_back(refuse(Each.Request, RefusalReason::GivenUp,
+                           std::max(Late, 0.0), Now));
+  }
+  return Out;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Admission/ReturnTimes.cpp
@@ -0,0 +1,29 @@
+/// \file
+/// When refused callers are told to come back.
+
+#include "Admission/ReturnTimes.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+double ReturnTimes::uniform() {
+  constexpr double Range = 18446744073709551616.0;
+  return static_cast<double>(Random()) / Range;
+}
+
+Millis ReturnTimes::book(const std::string &Organisation, double Wait,
+                         double Pace, Millis Now) {
+  const auto Start = static_cast<double>(Now.count());
+  const auto Most = static_cast<double>(Longest.count());
+  double &Next = NextAt[Organisation];
+  Next = std::max(Next, Start + Wait) + Pace;
+  double Span = Next - Start + uniform() * Pace;
+  if (Span > Most) {
+    Next = std::min(Next, Start + Most);
+    Span = Most * (1 + uniform()) / 2;
+  }
+  return Millis(std::max<std::int64_t>(static_cast<std::int64_t>(Span), 1));
+}
+
+} // namespace corianderdyke
