Lend connections in whole ones and move them by demand

Cause: an even split gives each of eight proxies two of sixteen connections, used or not. The control leader's ledger lends rights by max-min fair demand and takes idle ones back only where another proxy needs them. What was lent counts until a report says that it's back or its 10 s lease has ended by any clock within the drift bound. A new leader lends nothing anew until every registered proxy has reported in its term, or all old leases have ended.

Ruled out: counting a report as soon as a new leader gets it.

--- /dev/null
+++ b/Source/Rights/ConnectionRights.cpp
@@ -0,0 +1,51 @@
+/// \file
+/// The connections that this proxy may have open.
+
+#include "Rights/ConnectionRights.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+RightsRequest
+ConnectionRights::request(const std::map<std::string, ConnectionUse> &Use,
+                          Millis Now) {
+  RightsRequest Out{Self, ++Sequence, Now, LeaderTerm, AppliedGrant, {}};
+  std::map<std::string, ConnectionUse> All = Use;
+  for (const auto &[Target, Connections] : Shares)
+    All.try_emplace(Target);
+  std::map<std::string, std::uint32_t> Wanted;
+  for (const auto &[Target, Each] : All) {
+    Wanted[Target] = Each.Wanted;
+    const std::uint32_t Held = std::max(Each.Open, limit(Target, Now));
+    Out.Demands.push_back(
+        {Target, Held, std::max(Each.Wanted, FormerlyWanted[Target])});
+  }
+  FormerlyWanted = std::move(Wanted);
+  return Out;
+}
+
+bool ConnectionRights::apply(const RightsGrant &Grant) {
+  if (Grant.Proxy != Self || Grant.LeaderTerm < LeaderTerm)
+    return false;
+  const bool IsNewLeader = Grant.LeaderTerm > LeaderTerm;
+  LeaderTerm = Grant.LeaderTerm;
+  if (Grant.Duration == Millis())
+    return IsNewLeader;
+  if (Grant.Sequence <= AppliedGrant || Grant.Sequence > Sequence)
+    return false;
+  AppliedGrant = Grant.Sequence;
+  End = Grant.SentAt + Grant.Duration;
+  Shares.clear();
+  for (const RightsShare &Each : Grant.Shares)
+    Shares[Each.Target] = Each.Connections;
+  return false;
+}
+
+std::uint32_t ConnectionRights::limit(const std::string &Target,
+                                      Millis Now) const {
+  const auto Found = Shares.find(Target);
+  return Now >= End || Found == Shares.end() ? 0 : Found->second;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Rights/Messages.h
@@ -0,0 +1,80 @@
+/// \file
+/// What proxies and control tell each other about connection rights.
+
+#ifndef CORIANDERDYKE_RIGHTS_MESSAGES_H
+#define CORIANDERDYKE_RIGHTS_MESSAGES_H
+
+#include "Common/Identity.h"
+#include "Common/Millis.h"
+
+#include <vector>
+
+namespace corianderdyke {
+
+/// How long a right to connections lasts without being renewed. A dead
+/// proxy's connections stay unused for this long; a control group that is
+/// gone for less than this costs no connection. An election takes well under
+/// a second, a restarted control process a few.
+constexpr Millis RightsDuration(10000);
+
+/// One target, as its user sees it.
+struct RightsDemand {
+  std::string Target;
+  /// Connections that the proxy may open or still has open.
+  std::uint32_t Held = 0;
+  /// Connections that it could use: statements sent and waiting.
+  std::uint32_t Wanted = 0;
+
+  auto operator<=>(const RightsDemand &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Target, Held, Wanted);
+  }
+};
+
+/// Renews rights and asks for more. Targets that aren't listed are neither
+/// held nor wanted.
+struct RightsRequest {
+  ProcessId Proxy;
+  std::uint64_t Sequence = 0;
+  Millis SentAt; ///< By the proxy's clock; echoed and not interpreted.
+  /// Term of the leader whose grants the proxy follows.
+  std::uint64_t LeaderTerm = 0;
+  /// The last grant that is contained in Held.
+  std::uint64_t AppliedGrant = 0;
+  std::vector<RightsDemand> Demands;
+
+  auto operator<=>(const RightsRequest &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Proxy, Sequence, SentAt, LeaderTerm, AppliedGrant, Demands);
+  }
+};
+
+struct RightsShare {
+  std::string Target;
+  std::uint32_t Connections = 0;
+
+  auto operator<=>(const RightsShare &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Target, Connections);
+  }
+};
+
+/// Connections that the proxy may have open, counted from SentAt by its own
+/// clock. With no duration it only names the new leader's term.
+struct RightsGrant {
+  ProcessId Proxy;
+  std::uint64_t Sequence = 0; ///< Of the request that it answers.
+  Millis SentAt;
+  Millis Duration;
+  std::uint64_t LeaderTerm = 0;
+  std::vector<RightsShare> Shares;
+
+  auto operator<=>(const RightsGrant &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Proxy, Sequence, SentAt, Duration, LeaderTerm, Shares);
+  }
+};
+
+} // namespace corianderdyke
+
+#endif
