--- a/Source/Routing/TargetTable.cpp
+++ b/Source/Routing/TargetTable.cpp
@@ -4,6 +4,7 @@
 #include "Routing/TargetTable.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace corianderdyke {
 
@@ -13,16 +14,11 @@
 /// Samples closer than this are left out. That only makes ages look higher.
 constexpr Millis SampleSpacing(5);
 
-/// Answers on two connections may cross. A life of a target never goes back
-/// in term, and once its log has entries of its term, neither in position.
-/// Before that it may: a former primary that was fenced drops the tail that
-/// the group didn't keep when it begins to follow.
-bool isOlder(const TargetSighting &New, const TargetSighting &Known) {
-  if (New.Term != Known.Term)
-    return New.Term < Known.Term;
-  if (Known.LogTerm < Known.Term)
-    return false;
-  return New.LogTerm < New.Term || New.Position < Known.Position;
+/// On joining a term a target drops what it held beyond the fork, so that its
+/// position may go down then.
+bool isOlder(const TargetSighting &Left, const TargetSighting &Right) {
+  return std::tuple(Left.Term, !Left.IsFenced, Left.Position) <
+         std::tuple(Right.Term, !Right.IsFenced, Right.Position);
 }
 
 } // namespace
@@ -51,6 +47,8 @@
   Known &Entry = Found->second;
   Entry.Refused = false;
   Entry.LastAnswer = std::max(Entry.LastAnswer, Now);
+  // Answers on two connections may cross. A life of a target goes back
+  // neither in term nor, once it has joined the term, in position.
   if (!Entry.WasSeen || !isOlder(Seen, Entry.Seen))
     Entry.Seen = Seen;
   Entry.WasSeen = true;
@@ -103,14 +101,13 @@
 
 std::size_t TargetTable::copies(const std::string &Database, std::uint64_t Term,
                                 std::uint64_t Position) const {
-  // The log's term counts, not the target's: a fenced primary has the new
-  // term at once but keeps a tail of its own, whose positions say nothing of
-  // the new term's writes. Counted as a copy it would have a write confirmed
-  // that the next failover loses.
+  // A former primary that was fenced and not yet told whom to follow reports
+  // the new term with the end of its own log. Counted as a copy, it would let
+  // a caller be told of a write that the next failover loses.
   std::size_t Count = 0;
   for (const auto &[Name, Each] : Targets)
-    if (Each.Database == Database && Each.Seen.LogTerm == Term &&
-        Each.Seen.Position >= Position)
+    if (Each.Database == Database && Each.Seen.Term == Term &&
+        !Each.Seen.IsFenced && Each.Seen.Position >= Position)
       ++Count;
   return Count;
 }
@@ -121,6 +118,7 @@
   const std::uint64_t Term = Group.Term;
   const auto Found = Targets.find(Target);
   if (Found == Targets.end() || Found->second.Seen.Term != Term ||
+      Found->second.Seen.IsFenced ||
       !Group.holds(Found->second.Seen.LogTerm, Found->second.Seen.Position))
     return std::nullopt;
   const auto History = Databases.find(Found->second.Database);
