Notice callers that hang up while they wait, and test evhttp's habits

Cause: evhttp stops reading while a request waits for its answer, so the hang-up of a waiting caller was never noticed (the new test failed: no hang-up and no disconnect within 10 s). A queued statement would have run for nobody, and a transaction kept its connection until its idle bound.

Reading goes on while a request waits, for the sake of the end alone. evhttp's own read callback can't stay in place meanwhile: with it, a caller that sends its next request ahead ends the whole process (seen: the test program exits at "illegal connection state"). So the callback is taken out, and what may wait unread is bounded.

Tests on real sockets on loopback, each waiting for a condition: a request goes out once whether the kept connection closes before it's read, after it, or in mid-answer; an answer in pieces; a late answer; answers in another order; requests sent ahead; limits of body, headers and silence.

Seen failing with the safeguard taken out: watch for the hang-up (2 checks), evhttp's callback left in (the process ends), silence (1), body limit (1), header limit (1). Not a safeguard after all: evhttp's retry count, which covers only the opening of a connection; with 3 retries all tests pass. It stays 0, since an opening that's retried hides a dead target.

Ruled out: a poll of the sockets, as it costs a timer for each caller.

--- a/Source/Http/EventHttpServer.cpp
+++ b/Source/Http/EventHttpServer.cpp
@@ -10,6 +10,8 @@
 #include <cerrno>
 #include <cstring>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
@@ -18,8 +20,12 @@
 
 namespace {
 
-/// Idle callers are cut after this long without a byte.
-constexpr int ListenerTimeoutSeconds = 120;
+timeval timevalOf(Millis Span) {
+  constexpr std::int64_t MillisPerSecond = 1000;
+  constexpr std::int64_t MicrosPerMilli = 1000;
+  return {Span.count() / MillisPerSecond,
+          (Span.count() % MillisPerSecond) * MicrosPerMilli};
+}
 
 HttpMethod methodOf(evhttp_request *Raw) {
   switch (evhttp_request_get_command(Raw)) {
@@ -53,6 +59,30 @@
   return Out;
 }
 
+/// evhttp stops reading while a request waits for its answer, so it wouldn't
+/// notice that the caller hung up: a statement would be run for nobody and a
+/// transaction would keep its connection until its bound. Reading goes on
+/// here, for the sake of the end alone. Bytes that come meanwhile (the next
+/// request of a caller who doesn't wait) stay in the buffer, which is
+/// bounded; evhttp's own callback isn't made for them and would end the
+/// process.
+void watchForHangUp(evhttp_connection *Connection) {
+  bufferevent *Raw = evhttp_connection_get_bufferevent(Connection);
+  bufferevent_data_cb OnWritten = nullptr;
+  bufferevent_event_cb OnEvent = nullptr;
+  void *Argument = nullptr;
+  bufferevent_getcb(Raw, nullptr, &OnWritten, &OnEvent, &Argument);
+  bufferevent_setcb(Raw, nullptr, OnWritten, OnEvent, Argument);
+  bufferevent_setwatermark(Raw, EV_READ, 0, MaxHttpHeaderBytes);
+  bufferevent_enable(Raw, EV_READ);
+}
+
+/// Undone before the answer: evhttp sets its own callbacks with it.
+void endWatch(evhttp_connection *Connection) {
+  bufferevent_setwatermark(evhttp_connection_get_bufferevent(Connection),
+                           EV_READ, 0, 0);
+}
+
 class EventHttpExchange final : public HttpExchange {
 public:
   explicit EventHttpExchange(evhttp_request *Raw) : Raw(Raw) {}
@@ -70,6 +100,7 @@
     evkeyvalq *Headers = evhttp_request_get_output_headers(Answered);
     for (const auto &[Name, Value] : Response.Headers)
       evhttp_add_header(Headers, Name.c_str(), Value.c_str());
+    endWatch(evhttp_request_get_connection(Answered));
     evbuffer *Body = evbuffer_new();
     evbuffer_add(Body, Response.Body.data(), Response.Body.size());
     evhttp_send_reply(Answered, Response.Status, nullptr, Body);
@@ -80,10 +111,14 @@
     HangUp = std::move(Action);
   }
 
-  /// The connection is gone; libevent frees the request with it.
+  /// The connection is gone. libevent frees the request with it, unless it
+  /// has let go of it because its answer was outstanding.
   void closed() {
-    if (std::exchange(Raw, nullptr) == nullptr)
+    evhttp_request *Left = std::exchange(Raw, nullptr);
+    if (Left == nullptr)
       return;
+    if (evhttp_request_get_connection(Left) == nullptr)
+      evhttp_request_free(Left);
     if (auto Action = std::exchange(HangUp, nullptr))
       Action();
   }
@@ -137,17 +172,19 @@
   Request.Peer = Known->Peer;
   const auto Exchange = std::make_shared<EventHttpExchange>(Raw);
   Known->Current = Exchange;
+  watchForHangUp(Connection);
   Service.handle(Request, Exchange);
 }
 
 Expected<std::unique_ptr<EventHttpServer>>
 EventHttpServer::listen(EventLoop &Loop, const Endpoint &At,
-                        HttpService &Service) {
+                        HttpService &Service, HttpLimits Limits) {
   std::unique_ptr<EventHttpServer> Made(new EventHttpServer(Service));
   Made->Http = evhttp_new(Loop.base());
   evhttp_set_max_body_size(Made->Http, MaxHttpBodyBytes);
   evhttp_set_max_headers_size(Made->Http, MaxHttpHeaderBytes);
-  evhttp_set_timeout(Made->Http, ListenerTimeoutSeconds);
+  const timeval Silence = timevalOf(Limits.Silence);
+  evhttp_set_timeout_tv(Made->Http, &Silence);
   evhttp_set_gencb(
       Made->Http,
       [](evhttp_request *Raw, void *Argument) {
--- a/Source/Http/EventHttpServer.h
+++ b/Source/Http/EventHttpServer.h
@@ -6,6 +6,7 @@
 
 #include "Common/Error.h"
 #include "Common/Identity.h"
+#include "Common/Millis.h"
 #include "Http/HttpServer.h"
 
 #include <map>
@@ -20,12 +21,20 @@
 
 class EventLoop;
 
+/// Bounds of a listener besides those of EventHttpSupport.h.
+struct HttpLimits {
+  /// A caller that sends or takes nothing for this long is cut. It must be
+  /// longer than the longest deadline: a caller that waits is silent too.
+  Millis Silence = Millis(120000);
+};
+
 class EventHttpServer {
 public:
   /// Listens on \p At; System where the port can't be had. Port 0 takes a
   /// free one.
   static Expected<std::unique_ptr<EventHttpServer>>
-  listen(EventLoop &Loop, const Endpoint &At, HttpService &Service);
+  listen(EventLoop &Loop, const Endpoint &At, HttpService &Service,
+         HttpLimits Limits = HttpLimits());
 
   ~EventHttpServer();
   EventHttpServer(const EventHttpServer &) = delete;
