--- a/Utilities/Capacity/Measurements.cpp
+++ b/Utilities/Capacity/Measurements.cpp
@@ -8,6 +8,7 @@
 #include "Proxy/StatementRequest.h"
 #include "Routing/Router.h"
 #include "Samples.h"
+#include "State/ViewDelta.h"
 #include "Transport/Envelope.h"
 
 #include <algorithm>
@@ -21,16 +22,6 @@
 
 constexpr const char *SealKey = "a key for measuring messages";
 
-/// Processor time of this process in microseconds.
-double cpuMicros() {
-  timespec Time{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Time);
-  constexpr double Million = 1e6;
-  constexpr double Thousand = 1e3;
-  return static_cast<double>(Time.tv_sec) * Million +
-         static_cast<double>(Time.tv_nsec) / Thousand;
-}
-
 /// Microseconds a call: the median of several runs of at least a few
 /// milliseconds each, so that a single disturbance doesn't show.
 double microsPerCall(const std::function<void()> &Call) {
@@ -52,17 +43,13 @@
   return Results[Runs / 2];
 }
 
-double heapBytes() {
-  const auto Info = mallinfo2();
-  return static_cast<double>(Info.uordblks + Info.hblkhd);
-}
-
 using Measure = std::function<double(std::size_t)>;
 
 void add(Slopes &Into, const std::string &Name, const std::string &Unit,
          const std::string &Per, const std::vector<std::size_t> &Sizes,
          const Measure &Value) {
   std::vector<Point> Points;
+  Points.reserve(Sizes.size());
   for (const std::size_t Size : Sizes)
     Points.push_back({static_cast<double>(Size), Value(Size)});
   Into.emplace(Name, Slope(Name, Unit, Per, std::move(Points)));
@@ -91,6 +78,20 @@
 
 } // namespace
 
+double cpuMicros() {
+  timespec Time{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Time);
+  constexpr double Million = 1e6;
+  constexpr double Thousand = 1e3;
+  return static_cast<double>(Time.tv_sec) * Million +
+         static_cast<double>(Time.tv_nsec) / Thousand;
+}
+
+double heapBytes() {
+  const auto Info = mallinfo2();
+  return static_cast<double>(Info.uordblks + Info.hblkhd);
+}
+
 void measureMessages(Slopes &Into) {
   add(Into, "lease-request-bytes", "B", "reported target", SmallSizes,
       [](std::size_t Size) { return wireBytes(sampleRequest(Size)); });
@@ -109,6 +110,21 @@
       [](std::size_t Size) {
         return wireBytes(ViewUpdate{sampleView(0, Size)});
       });
+  add(Into, "delta-bytes-by-database", "B", "changed database", SmallSizes,
+      [](std::size_t Size) {
+        ClusterView To = sampleView(Size, 0);
+        const ClusterView From = To;
+        for (auto &[Name, Group] : To.Groups)
+          ++Group.Term;
+        return wireBytes(difference(From, To));
+      });
+  add(Into, "delta-bytes-by-manifest", "B", "database", DatabaseSizes,
+      [](std::size_t Size) {
+        ClusterView To = sampleView(Size, 0);
+        const ClusterView From = To;
+        ++To.Current->Version;
+        return wireBytes(difference(From, To));
+      });
   add(Into, "heartbeat-bytes", "B", "-", {1, 2, 3}, [](std::size_t) {
     return wireBytes(
         ConsensusMessage{{"control-1", "12345678901234567890"},
@@ -127,6 +143,20 @@
       [](std::size_t Size) {
         return codecMicros(ViewUpdate{sampleView(Size, 0)});
       });
+  add(Into, "delta-codec-micros", "us", "database of its manifest",
+      DatabaseSizes, [](std::size_t Size) {
+        ClusterView To = sampleView(Size, 0);
+        const ClusterView From = To;
+        ++To.Current->Version;
+        return codecMicros(difference(From, To));
+      });
+  add(Into, "difference-micros", "us", "database", DatabaseSizes,
+      [](std::size_t Size) {
+        const ClusterView From = sampleView(Size, 0);
+        ClusterView To = From;
+        ++To.Groups.begin()->second.Term;
+        return microsPerCall([&] { difference(From, To); });
+      });
   add(Into, "renewal-micros", "us", "proxy", ProxySizes, [](std::size_t Size) {
     LeaseRegistry Leases;
     std::size_t Number = 0;
@@ -244,6 +274,18 @@
                       {"pipeline", Millis(0), ApplyManifest{New, ""}});
         });
       });
+  add(Into, "announcement-apply-micros", "us", "database", DatabaseSizes,
+      [](std::size_t Size) {
+        ControlState State;
+        std::uint64_t Revision = 1;
+        State.apply(Revision, {"pipeline", Millis(0),
+                               ApplyManifest{sampleManifest(Size), ""}});
+        TargetAnnouncement Target = sampleView(1, 0).Targets.begin()->second;
+        return microsPerCall([&] {
+          ++Target.Sequence;
+          State.apply(++Revision, {"control", Millis(0), RecordTarget{Target}});
+        });
+      });
   add(Into, "fence-entry-bytes", "B", "-", {1, 2, 3}, [](std::size_t) {
     const Command Entry{"control", Millis(0),
                         FenceGroup{"bale-ledger-1000", 5,
