Run control groups under seeded faults and mend what they found

Cause: the agreement had no test of its own.

Ruled out: refusing to start on a damaged last batch (needs an operator for what a group of three can mend by itself; a single host does refuse).

--- a/Source/Consensus/Consensus.cpp
+++ b/Source/Consensus/Consensus.cpp
@@ -27,7 +27,8 @@
 bool Consensus::check(const Expected<void> &Result) {
   if (Result)
     return true;
-  Failure = Result.error();
+  if (!Failure)
+    Failure = Result.error();
   return false;
 }
 
@@ -62,11 +63,19 @@
     found({self()}, Now);
 }
 
+// A disk that failed may not hold what this host was about to promise: a vote
+// given twice, or an entry counted for a commit and gone after the restart.
+// The messages and answers of the call that met the failure are dropped with
+// it; to the others it looks like a lost message.
 ConsensusOutputs Consensus::takeOutputs() {
+  if (Failure)
+    Out = {};
   return std::exchange(Out, ConsensusOutputs{});
 }
 
 bool Consensus::hasOutputs() const {
+  if (Failure)
+    return false;
   return Out.RestoredState || !Out.Committed.empty() || !Out.Reads.empty() ||
          !Out.FailedReads.empty() || !Out.Messages.empty();
 }
@@ -89,21 +98,26 @@
   switch (Role) {
   case ConsensusRole::Founding:
   case ConsensusRole::Joining:
+    // A removal that isn't committed yet may be known to the removed host
+    // alone, and the others' shorter logs get no vote from it: only it can
+    // lead and commit the change. It doesn't count itself.
+    if (!Voters.empty() && changeUnderWay() && Now >= ElectionDeadline)
+      startPreVote(Now);
     if (Now - LastHeartbeat < Options.HeartbeatInterval * 2)
       return;
     // A joining host that its leader feeds has no need to knock again.
-    if (Role == ConsensusRole::Joining &&
+    if (Role != ConsensusRole::Founding &&
         Now - LastLeaderContact < Options.ElectionTimeout)
       return;
     LastHeartbeat = Now;
-    for (const std::string &Host : Options.Hosts)
-      if (Host != Options.Name)
-        send(Host, FoundingHello{Voters, false});
+    sayHello();
     return;
   case ConsensusRole::Leader:
-    if (Now - LastHeartbeat >= Options.HeartbeatInterval)
+    stepDownIfRemoved(Now);
+    if (isLeader() && Now - LastHeartbeat >= Options.HeartbeatInterval)
       startRound(Now);
-    checkLeadership(Now);
+    if (isLeader())
+      checkLeadership(Now);
     return;
   default:
     if (Now >= ElectionDeadline)
@@ -114,6 +128,7 @@
 void Consensus::receive(const ConsensusMessage &Message, Millis Now) {
   if (Failure)
     return;
+  LastHeard[Message.From.Name] = Now;
   std::visit([&](const auto &Body) { on(Message.From, Body, Now); },
              Message.Body);
 }
@@ -121,11 +136,19 @@
 // Founding. The group forms only once every host that the settings name has
 // said that its disk is empty: a host that lost its disk finds a host with a
 // group and joins that one, instead of forming a second group with an empty
-// manifest.
+// manifest. The first host by name alone writes the list of founders and the
+// others take it over. If each wrote its own, a disk lost meanwhile would make
+// lists that differ, under the same index and term.
+
+void Consensus::sayHello() {
+  for (const std::string &Host : Options.Hosts)
+    if (Host != Options.Name)
+      send(Host, FoundingHello{Voters, Log.votersIndex(), false});
+}
 
 void Consensus::on(const Member &From, const FoundingHello &Hello, Millis Now) {
   if (!Hello.Answer)
-    send(From.Name, FoundingHello{Voters, true});
+    send(From.Name, FoundingHello{Voters, Log.votersIndex(), true});
   if (isLeader() && !isVoter(From)) {
     admitLearner(From, Now);
     return;
@@ -133,13 +156,19 @@
   if (Role != ConsensusRole::Founding)
     return;
   if (!Hello.Voters.empty()) {
-    if (std::find(Hello.Voters.begin(), Hello.Voters.end(), self()) !=
-        Hello.Voters.end())
+    // Later lists come from the leader with the entries before them.
+    if (Hello.VotersIndex == 1 &&
+        std::find(Hello.Voters.begin(), Hello.Voters.end(), self()) !=
+            Hello.Voters.end())
       found(Hello.Voters, Now);
     else
       Role = ConsensusRole::Joining;
     return;
   }
+  const auto First =
+      std::min_element(Options.Hosts.begin(), Options.Hosts.end());
+  if (First == Options.Hosts.end() || *First != Options.Name)
+    return;
   Fresh[From.Name] = From;
   Members Founders = {self()};
   for (const std::string &Host : Options.Hosts) {
@@ -156,9 +185,8 @@
   std::sort(Sorted.begin(), Sorted.end());
   // The same first entry on every founder, as if a leader of term 1 had
   // written it.
-  if (!check(Log.append({Entry{1, 1, EntryKind::Membership, encode(Sorted)}})))
-    return;
-  if (!check(Log.setTerm(1, "")))
+  if (!check(Log.setTerm(1, "")) ||
+      !check(Log.append({Entry{1, 1, EntryKind::Membership, encode(Sorted)}})))
     return;
   reloadVoters();
   Role = ConsensusRole::Follower;
@@ -190,31 +218,45 @@
   resetElectionTimer(Now);
   Role = ConsensusRole::PreCandidate;
   Leader.clear();
-  Votes = {Options.Name};
+  countOwnVote();
+  // A host that was removed while it was cut off asks voters that are no more.
+  // The leader feeds it once it's heard, and it learns of its removal.
+  sayHello();
   for (const Member &Each : Voters)
-    if (Each.Name != Options.Name)
+    if (Each.Name != Options.Name && !Each.isVacant())
       send(Each.Name,
            VoteRequest{Log.term() + 1, true, Log.lastIndex(), Log.lastTerm()});
   if (Votes.size() >= majority())
     startElection(Now);
 }
 
+void Consensus::countOwnVote() {
+  Votes.clear();
+  if (isVoter(self()))
+    Votes.insert(Options.Name);
+}
+
 void Consensus::startElection(Millis Now) {
   resetElectionTimer(Now);
   if (!check(Log.setTerm(Log.term() + 1, Options.Name)))
     return;
   Role = ConsensusRole::Candidate;
-  Votes = {Options.Name};
+  countOwnVote();
   for (const Member &Each : Voters)
-    if (Each.Name != Options.Name)
+    if (Each.Name != Options.Name && !Each.isVacant())
       send(Each.Name,
            VoteRequest{Log.term(), false, Log.lastIndex(), Log.lastTerm()});
   if (Votes.size() >= majority())
     becomeLeader(Now);
 }
 
+// A vote is given whether or not this host's own log already names the
+// candidate, or this host itself, as a voter: the entry that does may be the
+// very one that only the candidate holds, and without the vote the group would
+// stand still. The candidate counts votes by disk, so a vote from a disk that
+// isn't one of its voters counts for nothing.
 void Consensus::on(const Member &From, const VoteRequest &Request, Millis Now) {
-  if (!isVoter(From) || Role == ConsensusRole::Founding)
+  if (Role == ConsensusRole::Founding)
     return;
   // While a leader is heard, nobody is voted for: a host that comes back
   // from a partition waits its turn instead of ending a working term.
@@ -233,10 +275,11 @@
     return;
   if (Request.Term > Log.term())
     becomeFollower(Request.Term, "", Now);
+  if (Failure)
+    return;
   const bool Free = Log.votedFor().empty() || Log.votedFor() == From.Name;
-  // A disk that isn't a voter's has lost votes it may have given before.
-  const bool Granted = Request.Term == Log.term() && Free && UpToDate &&
-                       isVoter(self()) && !isLeader();
+  const bool Granted =
+      Request.Term == Log.term() && Free && UpToDate && !isLeader();
   if (Granted) {
     if (!check(Log.setTerm(Log.term(), From.Name)))
       return;
@@ -273,8 +316,8 @@
   Leader = Options.Name;
   Peers.clear();
   for (const Member &Each : Voters)
-    if (Each.Name != Options.Name)
-      Peers[Each.Name] = Peer{Each, Log.lastIndex() + 1, 0, 0, Now, true};
+    if (Each.Name != Options.Name && !Each.isVacant())
+      Peers[Each.Name] = newPeer(Each, true, Now);
   // Entries of earlier terms are committed only through one of this term.
   if (!check(Log.append(
           {Entry{Log.lastIndex() + 1, Log.term(), EntryKind::Empty, ""}})))
@@ -296,14 +339,13 @@
 
 Expected<std::uint64_t> Consensus::propose(std::string Command, Millis Now) {
   if (!isLeader() || Failure)
-    return fail(ErrorCode::Unavailable, "this control host doesn't lead");
+    return fail(ErrorCode::Unavailable, notLeading(Now));
   const std::uint64_t Index = Log.lastIndex() + 1;
   if (!check(Log.append(
           {Entry{Index, Log.term(), EntryKind::Command, std::move(Command)}})))
     return fail(ErrorCode::System, Failure->Message);
   for (auto &[Name, Each] : Peers)
     replicate(Each, false);
-  LastHeartbeat = Now;
   advanceCommit();
   return Index;
 }
@@ -319,12 +361,14 @@
 void Consensus::replicate(Peer &To, bool Heartbeat) {
   const auto PreviousTerm = Log.termAt(To.Next - 1);
   if (!PreviousTerm) {
-    // The entries it needs are gone. The snapshot goes out on heartbeats
-    // only, so that a slow host isn't sent one for each command.
-    if (Heartbeat)
-      send(To.Identity.Name,
-           SnapshotInstall{Log.term(), Log.snapshotIndex(), Log.snapshotTerm(),
-                           Round, Log.snapshotVoters(), Log.snapshotState()});
+    // The entries it needs are gone. The snapshot goes out once in a while,
+    // so that a slow host isn't sent one for each command or read.
+    if (!Heartbeat || LastHeartbeat - To.SnapshotSent < Options.ElectionTimeout)
+      return;
+    To.SnapshotSent = LastHeartbeat;
+    send(To.Identity.Name,
+         SnapshotInstall{Log.term(), Log.snapshotIndex(), Log.snapshotTerm(),
+                         Round, Log.snapshotVoters(), Log.snapshotState()});
     return;
   }
   AppendRequest Request{Log.term(),    To.Next - 1,
@@ -344,6 +388,8 @@
   if (Role == ConsensusRole::Founding)
     Role = ConsensusRole::Joining;
   becomeFollower(Request.Term, From.Name, Now);
+  if (Failure)
+    return;
   LastLeaderContact = Now;
   const auto Known = Log.termAt(Request.PreviousIndex);
   const bool Covered = Request.PreviousIndex < Log.snapshotIndex();
@@ -364,8 +410,7 @@
       continue;
     if (New.empty() && Log.termAt(Each.Index) == Each.Term)
       continue;
-    if (New.empty() && Each.Index <= Log.lastIndex() &&
-        !check(Log.truncateFrom(Each.Index)))
+    if (New.empty() && Each.Index <= Log.lastIndex() && !cutFrom(Each.Index))
       return;
     New.push_back(Each);
   }
@@ -378,16 +423,32 @@
   send(From.Name, AppendReply{Log.term(), true, Match, Request.Round});
 }
 
+bool Consensus::cutFrom(std::uint64_t Index) {
+  // No leader can lack a committed entry. If one seems to, two groups have
+  // met or a disk has lied, and the operator must hear of it.
+  if (Index <= CommitIndex)
+    return check(fail(ErrorCode::Corrupt,
+                      "a leader's log differs from this one at entry " +
+                          std::to_string(Index) + ", which was committed"));
+  return check(Log.truncateFrom(Index));
+}
+
 void Consensus::on(const Member &From, const AppendReply &Reply, Millis Now) {
   if (Reply.Term > Log.term()) {
-    // Only a voter may end a term; a joining host may be ahead by nothing.
-    if (isVoter(From))
+    // Also from a host that doesn't vote: one that was removed while it asked
+    // for votes has a higher term, and could be fed by no leader before.
+    if (isVoter(From) || Peers.count(From.Name) != 0)
       becomeFollower(Reply.Term, "", Now);
     return;
   }
   const auto Known = Peers.find(From.Name);
-  if (!isLeader() || Known == Peers.end() || Reply.Term != Log.term() ||
-      Known->second.Identity != From)
+  if (!isLeader() || Known == Peers.end() || Reply.Term != Log.term())
+    return;
+  // The host came back with another disk, and what is sent to its former self
+  // keeps it from asking to join.
+  if (!isVoter(From))
+    admitLearner(From, Now);
+  if (Known->second.Identity != From)
     return;
   Peer &Each = Known->second;
   Each.LastReply = Now;
@@ -415,6 +476,8 @@
   if (Role == ConsensusRole::Founding)
     Role = ConsensusRole::Joining;
   becomeFollower(Request.Term, From.Name, Now);
+  if (Failure)
+    return;
   LastLeaderContact = Now;
   if (Request.LastIndex > CommitIndex) {
     if (!check(Log.install(Request)))
@@ -474,7 +537,7 @@
 
 Expected<std::uint64_t> Consensus::beginRead(Millis Now) {
   if (!isSettledLeader() || Failure)
-    return fail(ErrorCode::Unavailable, "this control host doesn't lead");
+    return fail(ErrorCode::Unavailable, notLeading(Now));
   const std::uint64_t Ticket = NextTicket++;
   // The round must begin after the read did: an echo of an earlier round
   // says nothing about who leads now.
@@ -502,9 +565,13 @@
   }
 }
 
-// Membership. A host with an empty disk is fed first and counted only once a
-// committed change has put it in the place of its former self. One change at
-// a time, so that any majority before it meets any majority after it.
+// Membership. One change at a time, so that any majority before it meets any
+// majority after it.
+
+Consensus::Peer Consensus::newPeer(const Member &Host, bool Voter,
+                                   Millis Now) const {
+  return Peer{Host, Log.lastIndex() + 1, 0, 0, Now, NeverSent, Voter};
+}
 
 void Consensus::admitLearner(const Member &Host, Millis Now) {
   const auto Known = Peers.find(Host.Name);
@@ -516,37 +583,142 @@
     return;
   // Its former self won't answer any more; it stays in Voters, and so in the
   // size of the majority, until the change is committed.
-  Peers[Host.Name] = Peer{Host, Log.lastIndex() + 1, 0, 0, Now, false};
+  Peers[Host.Name] = newPeer(Host, false, Now);
   replicate(Peers[Host.Name], true);
 }
 
+bool Consensus::changeUnderWay() const {
+  return Log.votersIndex() > CommitIndex;
+}
+
+Expected<std::uint64_t> Consensus::appendVoters(Members Next, Millis Now) {
+  std::sort(Next.begin(), Next.end());
+  const std::uint64_t Index = Log.lastIndex() + 1;
+  if (!check(Log.append(
+          {Entry{Index, Log.term(), EntryKind::Membership, encode(Next)}})))
+    return tl::unexpected(*Failure);
+  reloadVoters();
+  for (auto &[Name, Each] : Peers)
+    Each.Voter = isVoter(Each.Identity);
+  startRound(Now);
+  advanceCommit();
+  return Index;
+}
+
+// A host that comes back with an empty disk is fed first and counted only once
+// committed changes have put it in the place of its former self: the seat of
+// the lost disk becomes vacant, then the new disk takes it. A swap in one step
+// would let {old, B} and {A, new} both decide if the lost disk came back.
 void Consensus::replaceCaughtUpLearners(Millis Now) {
-  if (!isSettledLeader() || Log.votersIndex() > CommitIndex)
+  if (!isSettledLeader() || changeUnderWay())
     return;
-  for (auto &[Name, Each] : Peers) {
+  for (const auto &[Name, Each] : Peers) {
     if (Each.Voter || Each.Match < CommitIndex)
       continue;
-    // Two steps, each of one host: the lost disk leaves, then the new one
-    // enters. A swap in one step would let {old, B} and {A, new} both decide
-    // if the lost disk came back.
-    const bool FormerIn = findByName(Voters, Name) != nullptr;
-    Members Next;
-    for (const Member &Voter : Voters)
-      if (Voter.Name != Name)
-        Next.push_back(Voter);
-    if (!FormerIn)
-      Next.push_back(Each.Identity);
-    std::sort(Next.begin(), Next.end());
-    const std::uint64_t Index = Log.lastIndex() + 1;
-    if (!check(Log.append(
-            {Entry{Index, Log.term(), EntryKind::Membership, encode(Next)}})))
-      return;
-    reloadVoters();
-    Each.Voter = !FormerIn;
-    startRound(Now);
-    advanceCommit();
+    const Member *Seat = findByName(Voters, Name);
+    // Without a seat it waits for the operator's command.
+    if (Seat == nullptr)
+      continue;
+    const Member Taken =
+        Seat->isVacant() ? Each.Identity : Member{Name, VacantDisk};
+    Members Next = Voters;
+    std::replace(Next.begin(), Next.end(), *Seat, Taken);
+    static_cast<void>(appendVoters(std::move(Next), Now));
+    return;
+  }
+}
+
+Expected<std::uint64_t> Consensus::addVoter(const std::string &Name,
+                                            Millis Now) {
+  if (auto Ready = checkChange(Now); !Ready)
+    return tl::unexpected(Ready.error());
+  if (findByName(Voters, Name) != nullptr)
+    return fail(ErrorCode::Conflict, Name + " is in the control group");
+  const auto Known = Peers.find(Name);
+  if (Known == Peers.end())
+    return fail(ErrorCode::NotFound,
+                Name + " hasn't been heard: start it with the control hosts "
+                       "in its settings and name it in theirs, then add it");
+  if (Known->second.Match < CommitIndex)
+    return fail(ErrorCode::Unavailable,
+                Name + " is still catching up: it has entry " +
+                    std::to_string(Known->second.Match) + " of " +
+                    std::to_string(CommitIndex));
+  Members Next = Voters;
+  Next.push_back(Known->second.Identity);
+  return changeVoters(std::move(Next), Now);
+}
+
+Expected<std::uint64_t> Consensus::removeVoter(const std::string &Name,
+                                               Millis Now) {
+  if (auto Ready = checkChange(Now); !Ready)
+    return tl::unexpected(Ready.error());
+  Members Next;
+  for (const Member &Each : Voters)
+    if (Each.Name != Name)
+      Next.push_back(Each);
+  if (Next.size() == Voters.size())
+    return fail(ErrorCode::NotFound, Name + " isn't in the control group");
+  return changeVoters(std::move(Next), Now);
+}
+
+Expected<void> Consensus::checkChange(Millis Now) const {
+  if (!isSettledLeader() || Failure)
+    return fail(ErrorCode::Unavailable, notLeading(Now));
+  if (changeUnderWay())
+    return fail(ErrorCode::Conflict,
+                "another change of the control group is under way: entry " +
+                    std::to_string(Log.votersIndex()) + " isn't committed yet");
+  return {};
+}
+
+Expected<std::uint64_t> Consensus::changeVoters(Members Next, Millis Now) {
+  // A group that can't commit the change that made it could never undo it.
+  std::size_t Heard = 0;
+  for (const Member &Each : Next) {
+    const auto Known = Peers.find(Each.Name);
+    if (Each == self() ||
+        (Known != Peers.end() && Known->second.Identity == Each &&
+         Now - Known->second.LastReply < Options.ElectionTimeout))
+      ++Heard;
+  }
+  if (Heard < Next.size() / 2 + 1)
+    return fail(ErrorCode::Conflict,
+                "the group would stand still: of " +
+                    std::to_string(Next.size()) + " control hosts only " +
+                    std::to_string(Heard) + " would answer");
+  return appendVoters(std::move(Next), Now);
+}
+
+void Consensus::stepDownIfRemoved(Millis Now) {
+  if (isVoter(self()) || changeUnderWay())
     return;
+  // The others learn that the change is committed, then one of them leads.
+  startRound(Now);
+  becomeFollower(Log.term(), "", Now);
+}
+
+std::string Consensus::notLeading(Millis Now) const {
+  std::string Why = "this control host doesn't lead";
+  if (Failure)
+    return Why + ": " + Failure->Message;
+  if (!Leader.empty() && Leader != Options.Name)
+    return Why + ", " + Leader + " does";
+  if (Role == ConsensusRole::Founding)
+    return Why + ": the control group forms once all hosts of the settings "
+                 "have been heard with an empty disk";
+  std::string Silent;
+  for (const Member &Each : Voters) {
+    const auto Known = LastHeard.find(Each.Name);
+    if (Each.Name != Options.Name &&
+        (Known == LastHeard.end() ||
+         Now - Known->second > Options.ElectionTimeout * 2))
+      Silent += (Silent.empty() ? "" : ", ") + Each.Name;
   }
+  return Why + " and knows of no leader: " + std::to_string(majority()) +
+         " of " + std::to_string(Voters.size()) +
+         " voting control hosts must agree; not heard here: " +
+         (Silent.empty() ? "none" : Silent);
 }
 
 } // namespace corianderdyke
--- a/Source/Consensus/Consensus.h
+++ b/Source/Consensus/Consensus.h
@@ -88,6 +88,13 @@
   /// manifest or a lease.
   Expected<std::uint64_t> beginRead(Millis Now);
 
+  /// Makes a host that has caught up a voter, or a voter none. Both give the
+  /// index of the change, which counts once it's committed. Conflict while
+  /// another change is under way or where the new group would stand still,
+  /// Unavailable where this host doesn't lead or the other is behind.
+  Expected<std::uint64_t> addVoter(const std::string &Name, Millis Now);
+  Expected<std::uint64_t> removeVoter(const std::string &Name, Millis Now);
+
   /// Lets \p State stand for the log up to the applied \p Index.
   void compact(std::uint64_t Index, std::string State);
 
@@ -104,16 +111,23 @@
   std::uint64_t commitIndex() const { return CommitIndex; }
   const std::optional<Error> &failure() const { return Failure; }
   const ReplicatedLog &log() const { return Log; }
+  /// Why this host doesn't lead, for an operator.
+  std::string notLeading(Millis Now) const;
+  const Members &voters() const { return Voters; }
   /// Hosts that the leader feeds but doesn't count, by name.
   std::vector<Member> learners() const;
 
 private:
+  /// Long before any reading of the clock.
+  static constexpr Millis NeverSent = Millis(-1000000);
+
   struct Peer {
     Member Identity;
     std::uint64_t Next = 1;
     std::uint64_t Match = 0;
     std::uint64_t Round = 0; ///< Last round that it echoed.
     Millis LastReply;
+    Millis SnapshotSent = NeverSent;
     bool Voter = false;
   };
 
@@ -133,7 +147,9 @@
 
   void becomeFollower(std::uint64_t Term, const std::string &NewLeader,
                       Millis Now);
+  void sayHello();
   void startPreVote(Millis Now);
+  void countOwnVote();
   void startElection(Millis Now);
   void becomeLeader(Millis Now);
   void failReads();
@@ -145,6 +161,13 @@
   void emitCommitted();
   void admitLearner(const Member &Host, Millis Now);
   void replaceCaughtUpLearners(Millis Now);
+  Peer newPeer(const Member &Host, bool Voter, Millis Now) const;
+  bool changeUnderWay() const;
+  Expected<void> checkChange(Millis Now) const;
+  Expected<std::uint64_t> changeVoters(Members Next, Millis Now);
+  Expected<std::uint64_t> appendVoters(Members Next, Millis Now);
+  void stepDownIfRemoved(Millis Now);
+  bool cutFrom(std::uint64_t Index);
   void checkLeadership(Millis Now);
 
   void on(const Member &From, const VoteRequest &Request, Millis Now);
@@ -165,10 +188,12 @@
   /// Entries up to here went out in Committed. Never above CommitIndex.
   std::uint64_t EmittedIndex = 0;
   Millis ElectionDeadline;
-  Millis LastLeaderContact = Millis(-1000000);
+  Millis LastLeaderContact = NeverSent;
   Millis LastHeartbeat;
   std::set<std::string> Votes;
   std::map<std::string, Peer> Peers;
+  /// When a message of a host last came in, by its name.
+  std::map<std::string, Millis> LastHeard;
   std::uint64_t Round = 0;
   std::uint64_t NextTicket = 1;
   std::vector<PendingRead> Reads;
--- a/Source/Consensus/Messages.h
+++ b/Source/Consensus/Messages.h
@@ -17,7 +17,11 @@
 /// so it mustn't be counted for them.
 struct Member {
   std::string Name;
-  std::string DiskId;
+  std::string DiskId; ///< Empty for a vacant seat.
+
+  /// A vacant seat counts in the size of the majority and never answers: a
+  /// lost disk is out of the group and its host's next disk has yet to enter.
+  bool isVacant() const { return DiskId.empty(); }
 
   auto operator<=>(const Member &) const = default;
   template <class Archive> void serialize(Archive &Ar) { Ar(Name, DiskId); }
@@ -25,6 +29,9 @@
 
 using Members = std::vector<Member>;
 
+/// The DiskId of a vacant seat.
+inline constexpr const char *VacantDisk = "";
+
 enum class EntryKind : std::uint8_t {
   Empty,      ///< A new leader's first entry.
   Command,    ///< Bytes for the state machine.
@@ -121,10 +128,14 @@
 struct FoundingHello {
   /// Empty where the sender has no group either.
   Members Voters;
+  /// Index of the entry that Voters stand in; 1 for the founders.
+  std::uint64_t VotersIndex = 0;
   bool Answer = false;
 
   bool operator==(const FoundingHello &) const = default;
-  template <class Archive> void serialize(Archive &Ar) { Ar(Voters, Answer); }
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Voters, VotersIndex, Answer);
+  }
 };
 
 using ConsensusBody = std::variant<VoteRequest, VoteReply, AppendRequest,
--- a/Source/Consensus/ReplicatedLog.cpp
+++ b/Source/Consensus/ReplicatedLog.cpp
@@ -50,47 +50,102 @@
   const auto Content = Records.load();
   if (!Content)
     return tl::unexpected(Content.error());
-  if (!Content->Snapshot.empty()) {
-    const auto Snapshot = decode<SnapshotRecord>(Content->Snapshot);
-    if (!Snapshot)
-      return tl::unexpected(Snapshot.error());
-    SnapshotIndex = Snapshot->Index;
-    SnapshotTerm = Snapshot->Term;
-    SnapshotVoters = Snapshot->Voters;
-    SnapshotState = Snapshot->State;
-  }
-  for (const std::string &Bytes : Content->Records) {
-    const auto Record = decode<LogRecord>(Bytes);
-    if (!Record)
-      return tl::unexpected(Record.error());
-    if (const auto *Identity = std::get_if<IdentityRecord>(&*Record))
-      DiskId = Identity->DiskId;
-    if (const auto *State = std::get_if<TermRecord>(&*Record)) {
-      Term = State->Term;
-      VotedFor = State->VotedFor;
-    }
-    if (const auto *Cut = std::get_if<TruncationRecord>(&*Record)) {
-      while (!Entries.empty() && Entries.back().Index >= Cut->FromIndex)
-        Entries.pop_back();
-    }
-    if (const auto *Next = std::get_if<Entry>(&*Record)) {
-      // A crash between the two files of an installed snapshot leaves the
-      // old journal: its entries are covered, or of a term that lost.
-      if (Next->Index <= SnapshotIndex || Next->Term < SnapshotTerm)
-        continue;
-      if (Next->Index != lastIndex() + 1)
-        return fail(ErrorCode::Corrupt,
-                    "journal skips from entry " + std::to_string(lastIndex()) +
-                        " to " + std::to_string(Next->Index));
-      Entries.push_back(*Next);
-    }
-  }
+  if (auto Done = loadSnapshot(Content->Snapshot); !Done)
+    return Done;
+  for (const std::string &Bytes : Content->Records)
+    if (auto Done = loadRecord(Bytes); !Done)
+      return Done;
+  const auto InStep = joinEntriesToSnapshot();
+  if (!InStep)
+    return tl::unexpected(InStep.error());
+  if (Content->TailDamaged)
+    if (auto Done = renew(FreshDiskId); !Done)
+      return Done;
+  if (Content->TailDamaged || !*InStep)
+    return rewrite();
   if (!DiskId.empty())
     return {};
   DiskId = FreshDiskId;
   return Records.append({recordOf(IdentityRecord{DiskId})});
 }
 
+Expected<void> ReplicatedLog::loadSnapshot(const std::string &Bytes) {
+  if (Bytes.empty())
+    return {};
+  const auto Snapshot = decode<SnapshotRecord>(Bytes);
+  if (!Snapshot)
+    return tl::unexpected(Snapshot.error());
+  SnapshotIndex = Snapshot->Index;
+  SnapshotTerm = Snapshot->Term;
+  SnapshotVoters = Snapshot->Voters;
+  SnapshotState = Snapshot->State;
+  return {};
+}
+
+Expected<void> ReplicatedLog::loadRecord(const std::string &Bytes) {
+  const auto Record = decode<LogRecord>(Bytes);
+  if (!Record)
+    return tl::unexpected(Record.error());
+  if (const auto *Identity = std::get_if<IdentityRecord>(&*Record))
+    DiskId = Identity->DiskId;
+  if (const auto *State = std::get_if<TermRecord>(&*Record)) {
+    Term = State->Term;
+    VotedFor = State->VotedFor;
+  }
+  if (const auto *Cut = std::get_if<TruncationRecord>(&*Record))
+    dropFrom(Cut->FromIndex);
+  const auto *Next = std::get_if<Entry>(&*Record);
+  if (Next == nullptr)
+    return {};
+  if (!Entries.empty() && Next->Index != Entries.back().Index + 1)
+    return fail(ErrorCode::Corrupt, "journal skips from entry " +
+                                        std::to_string(Entries.back().Index) +
+                                        " to " + std::to_string(Next->Index));
+  Entries.push_back(*Next);
+  return {};
+}
+
+// A crash between the two files of a replacement leaves the new snapshot and
+// the old journal. Its entries behind the snapshot belong to the same log only
+// where its entry at the snapshot's index does. What was begun is completed,
+// so that the next start finds the two in step.
+Expected<bool> ReplicatedLog::joinEntriesToSnapshot() {
+  if (Entries.empty() || Entries.front().Index == SnapshotIndex + 1)
+    return true;
+  if (Entries.front().Index > SnapshotIndex + 1)
+    return fail(ErrorCode::Corrupt,
+                "the snapshot ends at entry " + std::to_string(SnapshotIndex) +
+                    " and the journal begins at entry " +
+                    std::to_string(Entries.front().Index) +
+                    "; this host can't go on from this disk: see "
+                    "Help/task/lost-disk.md");
+  keepBehindSnapshot();
+  return false;
+}
+
+void ReplicatedLog::keepBehindSnapshot() {
+  const auto AtSnapshot =
+      std::find_if(Entries.begin(), Entries.end(), [this](const Entry &Each) {
+        return Each.Index == SnapshotIndex && Each.Term == SnapshotTerm;
+      });
+  if (AtSnapshot == Entries.end())
+    Entries.clear();
+  else
+    Entries.erase(Entries.begin(), AtSnapshot + 1);
+}
+
+Expected<void> ReplicatedLog::renew(const std::string &FreshDiskId) {
+  const Members Last = voters();
+  if (Last == Members{{Last.empty() ? "" : Last.front().Name, DiskId}})
+    return fail(ErrorCode::Corrupt,
+                "the last batch of the journal fails its checksum and no "
+                "other control host holds it; changes after entry " +
+                    std::to_string(lastIndex()) +
+                    " may be lost: see Help/task/lost-disk.md");
+  DiskId = FreshDiskId;
+  return {};
+}
+
 Expected<void> ReplicatedLog::setTerm(std::uint64_t NewTerm,
                                       const std::string &Vote) {
   if (NewTerm == Term && Vote == VotedFor)
@@ -148,9 +203,13 @@
 }
 
 Expected<void> ReplicatedLog::truncateFrom(std::uint64_t Index) {
+  dropFrom(Index);
+  return Records.append({recordOf(TruncationRecord{Index})});
+}
+
+void ReplicatedLog::dropFrom(std::uint64_t Index) {
   while (!Entries.empty() && Entries.back().Index >= Index)
     Entries.pop_back();
-  return Records.append({recordOf(TruncationRecord{Index})});
 }
 
 Expected<void> ReplicatedLog::compact(std::uint64_t Index, Members Voters,
@@ -158,23 +217,22 @@
   const auto KeptTerm = termAt(Index);
   if (!KeptTerm || Index <= SnapshotIndex)
     return {};
-  const auto FirstKept =
-      std::find_if(Entries.begin(), Entries.end(),
-                   [Index](const Entry &Each) { return Each.Index > Index; });
-  Entries.erase(Entries.begin(), FirstKept);
   SnapshotIndex = Index;
   SnapshotTerm = *KeptTerm;
   SnapshotVoters = std::move(Voters);
   SnapshotState = std::move(State);
+  keepBehindSnapshot();
   return rewrite();
 }
 
 Expected<void> ReplicatedLog::install(const SnapshotInstall &Snapshot) {
-  Entries.clear();
   SnapshotIndex = Snapshot.LastIndex;
   SnapshotTerm = Snapshot.LastTerm;
   SnapshotVoters = Snapshot.Voters;
   SnapshotState = Snapshot.State;
+  // A late snapshot mustn't drop entries behind it that this host has
+  // acknowledged: the leader may have committed them by that answer.
+  keepBehindSnapshot();
   return rewrite();
 }
 
--- a/Source/Consensus/ReplicatedLog.h
+++ b/Source/Consensus/ReplicatedLog.h
@@ -17,7 +17,9 @@
 public:
   explicit ReplicatedLog(Journal &Journal) : Records(Journal) {}
 
-  /// Reads what the disk holds; makes and keeps a DiskId where it's empty.
+  /// Reads what the disk holds; makes and keeps a DiskId where it's empty. A
+  /// disk whose last batch is damaged gets a new one too: the batch may have
+  /// held a vote or entries that others count on, so its host must join anew.
   Expected<void> load(const std::string &FreshDiskId);
 
   const std::string &diskId() const { return DiskId; }
@@ -46,7 +48,8 @@
   /// Lets \p State stand for all up to \p Index; later entries stay.
   Expected<void> compact(std::uint64_t Index, Members Voters,
                          std::string State);
-  /// Takes another host's snapshot in place of the whole log.
+  /// Takes another host's snapshot. Entries behind it stay where this log
+  /// holds its last entry too; otherwise the whole log goes.
   Expected<void> install(const SnapshotInstall &Snapshot);
 
   /// The voters in force: those of the last membership entry, committed or
@@ -59,6 +62,13 @@
   std::size_t journalBytes() const { return Records.size(); }
 
 private:
+  Expected<void> loadSnapshot(const std::string &Bytes);
+  Expected<void> loadRecord(const std::string &Bytes);
+  /// False where a replacement was interrupted and has to be completed.
+  Expected<bool> joinEntriesToSnapshot();
+  Expected<void> renew(const std::string &FreshDiskId);
+  void keepBehindSnapshot();
+  void dropFrom(std::uint64_t Index);
   Expected<void> rewrite();
 
   Journal &Records;
--- a/Source/Storage/Journal.cpp
+++ b/Source/Storage/Journal.cpp
@@ -15,6 +15,8 @@
 constexpr const char *SnapshotName = "snapshot";
 constexpr std::uint32_t Magic = 0x4b59'4443; // "CDYK"
 constexpr std::size_t HeaderBytes = 24;
+/// A run of zeros this long is taken for a block that wasn't written.
+constexpr std::size_t ZeroBytes = 64;
 
 void putNumber(std::string &Out, std::uint64_t Value, int Bytes) {
   for (int Index = 0; Index < Bytes; ++Index)
@@ -75,6 +77,21 @@
   return false;
 }
 
+/// True where the bytes from \p Fault on hold a whole record that is wrong in
+/// its content. A write that a crash cut short ends before its record does, or
+/// has a block of zeros where the data didn't reach the disk.
+bool looksDamaged(const std::string &Bytes, std::size_t Fault) {
+  if (Bytes.size() - Fault < HeaderBytes)
+    return false;
+  const std::uint64_t Length = number(Bytes, Fault + 4, 4);
+  if (number(Bytes, Fault, 4) == Magic &&
+      (Length > Journal::MaxRecordBytes ||
+       Bytes.size() - Fault - HeaderBytes < Length))
+    return false;
+  const std::string Zeros(ZeroBytes, '\0');
+  return Bytes.find(Zeros, Fault + HeaderBytes) == std::string::npos;
+}
+
 } // namespace
 
 Expected<Journal::Content> Journal::load() {
@@ -100,7 +117,8 @@
     if (!Next)
       break;
     At += HeaderBytes + Next->Payload.size();
-    Out.Records.push_back(std::move(Next->Payload));
+    if (!Next->Payload.empty())
+      Out.Records.push_back(std::move(Next->Payload));
   }
   if (At < Bytes->size()) {
     // Cutting a damaged middle would forget entries that this host has
@@ -110,21 +128,34 @@
                   "journal damaged at byte " + std::to_string(At) +
                       " with good records behind it; this host can't go on "
                       "from this disk: see Help/task/lost-disk.md");
+    Out.CutBytes = Bytes->size() - At;
+    Out.TailDamaged = looksDamaged(*Bytes, At);
+    // A damaged tail stays until replace(), so that a crash before it can't
+    // make the journal look whole.
+    if (Out.TailDamaged)
+      return Out;
     if (auto Done = Files.truncate(JournalName, At); !Done)
       return tl::unexpected(Done.error());
-    Out.CutBytes = Bytes->size() - At;
   }
   Size = At;
   return Out;
 }
 
+Expected<void> Journal::keep(Expected<void> Result) {
+  if (!Result)
+    Broken = Result.error();
+  return Result;
+}
+
 Expected<void> Journal::append(const std::vector<std::string> &Records) {
+  if (Broken)
+    return tl::unexpected(*Broken);
   std::string Bytes;
   for (const std::string &Each : Records)
     Bytes += record(Each, Size);
-  if (auto Done = Files.append(JournalName, Bytes); !Done)
+  if (auto Done = keep(Files.append(JournalName, Bytes)); !Done)
     return Done;
-  if (auto Done = Files.sync(JournalName); !Done)
+  if (auto Done = keep(Files.sync(JournalName)); !Done)
     return Done;
   Size += Bytes.size();
   return {};
@@ -132,13 +163,19 @@
 
 Expected<void> Journal::replace(const std::string &Snapshot,
                                 const std::vector<std::string> &Records) {
-  if (auto Done = Files.writeAtomically(SnapshotName, record(Snapshot, 0));
+  if (Broken)
+    return tl::unexpected(*Broken);
+  if (auto Done =
+          keep(Files.writeAtomically(SnapshotName, record(Snapshot, 0)));
       !Done)
     return Done;
+  // The file appears only when all of it is synced, so each record may vouch
+  // for those before it, and an empty one at the end for the last.
   std::string Bytes;
   for (const std::string &Each : Records)
-    Bytes += record(Each, 0);
-  if (auto Done = Files.writeAtomically(JournalName, Bytes); !Done)
+    Bytes += record(Each, Bytes.size());
+  Bytes += record("", Bytes.size());
+  if (auto Done = keep(Files.writeAtomically(JournalName, Bytes)); !Done)
     return Done;
   Size = Bytes.size();
   return {};
--- a/Source/Storage/Journal.h
+++ b/Source/Storage/Journal.h
@@ -15,6 +15,7 @@
 #include "Storage/Disk.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace corianderdyke {
@@ -30,13 +31,19 @@
     std::string Snapshot; ///< Empty where there is none.
     std::vector<std::string> Records;
     std::size_t CutBytes = 0; ///< Size of the torn tail that was cut.
+    /// The tail that was cut is all there and yet wrong. A crash leaves a
+    /// short record or blocks of zeros; this looks like a flipped bit in a
+    /// batch that had been synced.
+    bool TailDamaged = false;
   };
 
   /// Reads both files and cuts a torn tail. Corrupt where a record that had
-  /// been synced is damaged, or the snapshot is.
+  /// been synced is damaged, or the snapshot is. Where TailDamaged is set,
+  /// only replace() may follow.
   Expected<Content> load();
 
-  /// Adds records and syncs once; they last when this returns.
+  /// Adds records, none of them empty, and syncs once; they last when this
+  /// returns.
   Expected<void> append(const std::vector<std::string> &Records);
 
   /// Replaces the snapshot first and the journal after it, each atomically.
@@ -52,7 +59,12 @@
   static constexpr std::uint32_t MaxRecordBytes = 64U << 20U;
 
 private:
+  Expected<void> keep(Expected<void> Result);
+
   Disk &Files;
+  /// Set by the first failed write or sync. What the file holds from there on
+  /// isn't known, and a later sync may succeed without it.
+  std::optional<Error> Broken;
   /// Size of the journal file; all of it is synced between two calls.
   std::size_t Size = 0;
 };
--- /dev/null
+++ b/Tests/Support/FakeControlGroup.cpp
@@ -0,0 +1,238 @@
+/// \file
+/// Consensus objects on fake disks, and what must hold among them.
+
+#include "FakeControlGroup.h"
+
+#include "Common/KeyedDigest.h"
+
+#include <stdexcept>
+
+namespace corianderdyke {
+
+namespace {
+
+constexpr Millis Step(5);
+
+void require(bool Holds, const std::string &What) {
+  if (!Holds)
+    throw std::runtime_error(What);
+}
+
+} // namespace
+
+FakeControlGroup::FakeControlGroup(std::uint64_t Seed, std::size_t Hosts)
+    : Random(Seed) {
+  for (std::size_t Index = 1; Index <= Hosts; ++Index)
+    Names.push_back("control-" + std::to_string(Index));
+  for (const std::string &Name : Names)
+    start(Name);
+}
+
+void FakeControlGroup::start(const std::string &Name) {
+  auto Made = std::make_unique<Host>();
+  auto &Disk = Disks[Name];
+  if (!Disk)
+    Disk = std::make_shared<FakeDisk>();
+  Made->Disk = Disk;
+  Made->Records = std::make_unique<Journal>(*Disk);
+  Made->Log = std::make_unique<ReplicatedLog>(*Made->Records);
+  const auto Loaded = Made->Log->load("disk-" + std::to_string(NextDisk++));
+  // Power may go again while a start completes what the last one began.
+  if (Disk->hasLostPower())
+    return;
+  require(Loaded.has_value(),
+          Name + " doesn't start: " + (Loaded ? "" : Loaded.error().Message));
+  Made->Node = std::make_unique<Consensus>(ConsensusOptions{Name, Names},
+                                           *Made->Log, Random());
+  Hosts[Name] = std::move(Made);
+  Hosts[Name]->Node->start(Now);
+  collect(Name);
+}
+
+void FakeControlGroup::crash(const std::string &Name, std::size_t Torn) {
+  Hosts.erase(Name);
+  Frozen.erase(Name);
+  if (const auto Disk = Disks.find(Name); Disk != Disks.end())
+    Disk->second->crash(Torn);
+}
+
+Consensus *FakeControlGroup::host(const std::string &Name) {
+  const auto Found = Hosts.find(Name);
+  return Found == Hosts.end() ? nullptr : Found->second->Node.get();
+}
+
+Consensus *FakeControlGroup::leader() {
+  Consensus *Best = nullptr;
+  for (const auto &[Name, Each] : Hosts)
+    if (Frozen.count(Name) == 0 && Each->Node->isSettledLeader() &&
+        (Best == nullptr || Each->Node->term() > Best->term()))
+      Best = Each->Node.get();
+  return Best;
+}
+
+bool FakeControlGroup::isSettled() {
+  const Consensus *Leader = leader();
+  if (Leader == nullptr || Leader->commitIndex() != Leader->log().lastIndex())
+    return false;
+  for (const Member &Seat : Leader->voters())
+    if (host(Seat.Name) == nullptr ||
+        host(Seat.Name)->log().diskId() != Seat.DiskId)
+      return false;
+  for (const auto &[Name, Each] : Hosts)
+    if (Each->Applied != Leader->commitIndex())
+      return false;
+  return true;
+}
+
+std::string FakeControlGroup::describe() {
+  std::string Text;
+  for (const auto &[Name, Each] : Hosts) {
+    const Consensus &Node = *Each->Node;
+    Text += Name + " " + Each->Log->diskId() + " role " +
+            std::to_string(static_cast<int>(Node.role())) + " term " +
+            std::to_string(Node.term()) + " commit " +
+            std::to_string(Node.commitIndex()) + " of " +
+            std::to_string(Each->Log->lastIndex()) + "; voters";
+    for (const Member &Seat : Node.voters())
+      Text += " " + Seat.Name + "/" + Seat.DiskId;
+    Text += "\n";
+  }
+  return Text;
+}
+
+void FakeControlGroup::compact(const std::string &Name) {
+  Host &At = *Hosts.at(Name);
+  if (At.Applied > 0)
+    At.Node->compact(At.Applied, At.State);
+}
+
+void FakeControlGroup::read(const std::string &Name) {
+  Host &At = *Hosts.at(Name);
+  const std::uint64_t Latest =
+      Committed.empty() ? 0 : Committed.rbegin()->first;
+  if (const auto Ticket = At.Node->beginRead(Now))
+    At.Reads[*Ticket] = Latest;
+  collect(Name);
+}
+
+void FakeControlGroup::run(Millis Span) {
+  for (const Millis Until = Now + Span; Now < Until;)
+    step();
+}
+
+bool FakeControlGroup::runUntil(const std::function<bool()> &Condition,
+                                Millis Most) {
+  for (const Millis Until = Now + Most; Now < Until;) {
+    if (Condition())
+      return true;
+    step();
+  }
+  return Condition();
+}
+
+void FakeControlGroup::step() {
+  Now = Now + Step;
+  deliver();
+  std::vector<std::string> Dead;
+  for (auto &[Name, Each] : Hosts) {
+    if (Frozen.count(Name) != 0)
+      continue;
+    for (const ConsensusMessage &Late : std::exchange(Each->WhileFrozen, {}))
+      Each->Node->receive(Late, Now);
+    Each->Node->tick(Now);
+    collect(Name);
+    if (Each->Node->failure()) {
+      require(Each->Disk->hasLostPower(),
+              Name + " failed: " + Each->Node->failure()->Message);
+      Dead.push_back(Name);
+    }
+  }
+  for (const std::string &Name : Dead)
+    crash(Name, Random() % 40);
+}
+
+void FakeControlGroup::deliver() {
+  while (!Network.empty() && Network.begin()->first <= Now) {
+    const auto Next = Network.extract(Network.begin());
+    const auto To = Hosts.find(Next.mapped().To);
+    const ConsensusMessage &Message = Next.mapped().Message;
+    if (To == Hosts.end() || Cuts.count({Message.From.Name, To->first}) != 0)
+      continue;
+    if (Frozen.count(To->first) != 0) {
+      To->second->WhileFrozen.push_back(Message);
+      continue;
+    }
+    To->second->Node->receive(Message, Now);
+    collect(To->first);
+  }
+}
+
+void FakeControlGroup::post(const std::string &From,
+                            const OutgoingConsensus &Each) {
+  if (Cuts.count({From, Each.To}) != 0 || chance() < Quality.Lost)
+    return;
+  const int Copies = chance() < Quality.Doubled ? 2 : 1;
+  for (int Copy = 0; Copy < Copies; ++Copy) {
+    const auto Delay =
+        1 + Random() % static_cast<std::uint64_t>(Quality.MostDelay.count());
+    Network.emplace(Now + Millis(static_cast<std::int64_t>(Delay)),
+                    InFlight{Each.To, Each.Message});
+  }
+}
+
+void FakeControlGroup::collect(const std::string &Name) {
+  Host &At = *Hosts.at(Name);
+  const ConsensusOutputs Out = At.Node->takeOutputs();
+  if (Out.RestoredState) {
+    At.Applied = At.Log->snapshotIndex();
+    At.State = *Out.RestoredState;
+    require(States.count(At.Applied) != 0 && States[At.Applied] == At.State,
+            Name + " restored another state than was agreed on");
+  }
+  for (const Entry &Each : Out.Committed)
+    apply(Name, At, Each);
+  for (const ConfirmedRead &Each : Out.Reads) {
+    ++ConfirmedReads;
+    require(Each.Index >= At.Reads[Each.Ticket] &&
+                At.Applied >= At.Reads[Each.Ticket],
+            Name + " confirmed a read at " + std::to_string(Each.Index) +
+                " that began after " + std::to_string(At.Reads[Each.Ticket]) +
+                " was committed");
+  }
+  for (const OutgoingConsensus &Each : Out.Messages)
+    post(Name, Each);
+  if (!At.Node->isLeader() || At.Node->failure())
+    return;
+  const Member Self{Name, At.Log->diskId()};
+  const auto Known = Leaders.try_emplace(At.Node->term(), Self).first;
+  require(Known->second == Self, "term " + std::to_string(At.Node->term()) +
+                                     " has two leaders: " + Name + " and " +
+                                     Known->second.Name);
+}
+
+void FakeControlGroup::apply(const std::string &Name, Host &At,
+                             const Entry &Each) {
+  require(Each.Index == At.Applied + 1, Name + " skips an entry");
+  const auto Known = Committed.try_emplace(Each.Index, Each).first;
+  require(Known->second == Each, "entry " + std::to_string(Each.Index) +
+                                     " differs on " + Name +
+                                     " from what was committed");
+  At.Applied = Each.Index;
+  At.State = contentDigest(At.State + std::to_string(Each.Index) + Each.Bytes);
+  States[Each.Index] = At.State;
+}
+
+void FakeControlGroup::checkLogs() const {
+  std::map<std::pair<std::uint64_t, std::uint64_t>, Entry> Seen;
+  for (const auto &[Name, Each] : Hosts)
+    for (std::uint64_t Index = Each->Log->snapshotIndex() + 1;
+         Index <= Each->Log->lastIndex(); ++Index) {
+      const Entry &Here = *Each->Log->at(Index);
+      const auto Known = Seen.try_emplace({Here.Index, Here.Term}, Here).first;
+      require(Known->second == Here,
+              "entry " + std::to_string(Index) + " of term " +
+                  std::to_string(Here.Term) + " differs on " + Name);
+    }
+}
+
+} // namespace corianderdyke
--- a/Tests/Support/FakeDisk.h
+++ b/Tests/Support/FakeDisk.h
@@ -21,27 +21,38 @@
 
   Expected<void> append(const std::string &Name,
                         const std::string &Bytes) override {
-    Files[Name].Content += Bytes;
-    return {};
+    const bool Lost = losesPower();
+    if (!Lost || Operations == PowerLostAt)
+      Files[Name].Content += Bytes;
+    return outcome(Lost);
   }
 
   Expected<void> sync(const std::string &Name) override {
     if (FailSyncs)
       return fail(ErrorCode::System, "sync failed");
-    Files[Name].Synced = Files[Name].Content.size();
-    return {};
+    const bool Lost = losesPower();
+    if (!Lost)
+      Files[Name].Synced = Files[Name].Content.size();
+    return outcome(Lost);
   }
 
   Expected<void> truncate(const std::string &Name, std::size_t Size) override {
-    Files[Name].Content.resize(Size);
-    Files[Name].Synced = Size;
-    return {};
+    const bool Lost = losesPower();
+    if (!Lost) {
+      Files[Name].Content.resize(Size);
+      Files[Name].Synced = Size;
+    }
+    return outcome(Lost);
   }
 
+  /// Two operations: power may go before the rename or right after it.
   Expected<void> writeAtomically(const std::string &Name,
                                  const std::string &Bytes) override {
+    if (losesPower())
+      return outcome(true);
+    const bool Lost = losesPower();
     Files[Name] = {Bytes, Bytes.size()};
-    return {};
+    return outcome(Lost);
   }
 
   /// Loses power: unsynced bytes are gone but for the first \p Torn.
@@ -49,18 +60,44 @@
     for (auto &[Name, Each] : Files)
       if (Each.Content.size() > Each.Synced + Torn)
         Each.Content.resize(Each.Synced + Torn);
+    PowerLostAt = Never;
   }
 
+  /// Power goes at the \p Count-th operation from now; it and all later ones
+  /// fail until crash().
+  void losePowerAfter(std::size_t Count) {
+    if (!hasLostPower())
+      PowerLostAt = Operations + Count;
+  }
+  /// Takes back a loss that hasn't come yet.
+  void keepPower() {
+    if (!hasLostPower())
+      PowerLostAt = Never;
+  }
+  bool hasLostPower() const { return Operations >= PowerLostAt; }
+  std::size_t operations() const { return Operations; }
+
   std::string &content(const std::string &Name) { return Files[Name].Content; }
 
   bool FailSyncs = false;
 
 private:
+  static constexpr std::size_t Never = ~std::size_t(0);
+
+  bool losesPower() { return ++Operations >= PowerLostAt; }
+  static Expected<void> outcome(bool Lost) {
+    if (Lost)
+      return fail(ErrorCode::System, "power lost");
+    return {};
+  }
+
   struct File {
     std::string Content;
     std::size_t Synced = 0;
   };
   std::map<std::string, File> Files;
+  std::size_t Operations = 0;
+  std::size_t PowerLostAt = Never;
 };
 
 } // namespace corianderdyke
