--- a/Source/Proxy/ProxyNode.cpp
+++ b/Source/Proxy/ProxyNode.cpp
@@ -27,7 +27,7 @@
                      std::uint64_t Incarnation)
     : Options(Options), Ports(Ports), Id{Options.Name, Incarnation}, Lease(Id),
       Watcher(Ports.Time, Ports.Timers, Ports.Connector, Table),
-      Statements({Ports.Time, Ports.Timers, Ports.Connector}, View, Lease,
+      Statements({Ports.Time, Ports.Timers, Ports.Connector}, Id, View, Lease,
                  Table, Watcher, Options.SessionKey) {}
 
 void ProxyNode::start() {
@@ -92,15 +92,24 @@
 }
 
 void ProxyNode::on(const Envelope &From, const ViewUpdate &Body) {
+  adopt(Body.View, From.ReplyTo);
+}
+
+void ProxyNode::on(const Envelope &From, const ViewDelta &Body) {
+  if (const auto New = withDelta(View, Body))
+    adopt(*New, From.ReplyTo);
+}
+
+void ProxyNode::adopt(const ClusterView &New, const Endpoint &Sender) {
   LastAnswer = Ports.Time.now();
-  if (Lease.apply(Body.View.Revision)) {
-    View = Body.View;
+  if (Lease.apply(New.Revision)) {
+    View = New;
     Watcher.update(View);
     Statements.viewChanged();
   }
   // Also for one that was known: the control host may have missed the
   // confirmation.
-  Ports.Peers.send(From.ReplyTo, Delivery::Datagram,
+  Ports.Peers.send(Sender, Delivery::Datagram,
                    ViewApplied{Id, Lease.appliedRevision()});
 }
 
@@ -108,14 +117,18 @@
 
 void ProxyNode::handle(const HttpRequest &Request,
                        std::shared_ptr<HttpExchange> Exchange) {
-  if (Request.Path == "/statement")
-    Statements.handle(Request, std::move(Exchange));
+  if (const auto What = verbOf(Request.Path))
+    Statements.handle(*What, Request, std::move(Exchange));
   else if (Request.Path == "/announce")
     announce(Request, *Exchange);
   else
     Exchange->respond({StatusNotFound, {}, "no such path\n"});
 }
 
+void ProxyNode::disconnected(const std::string &Peer) {
+  Statements.disconnected(Peer);
+}
+
 void ProxyNode::announce(const HttpRequest &Request, HttpExchange &Exchange) {
   if (!sameDigest(Request.header("Target-Key"), Options.TargetKey)) {
     Exchange.respond({StatusForbidden, {}, "the target key is wrong\n"});
