--- /dev/null
+++ b/Source/App/CommandLine.h
@@ -0,0 +1,14 @@
+/// \file
+/// The commands of the program and their options.
+
+#ifndef CORIANDERDYKE_APP_COMMANDLINE_H
+#define CORIANDERDYKE_APP_COMMANDLINE_H
+
+namespace corianderdyke {
+
+/// Runs the command that the words name; the exit code.
+int runCommandLine(int Count, char **Words);
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/App/FileCommands.cpp
@@ -0,0 +1,99 @@
+/// \file
+/// The commands that need no running system.
+
+#include "App/FileCommands.h"
+
+#include "App/ExitCode.h"
+#include "App/Process.h"
+#include "App/ReadFile.h"
+#include "Logs/LogEvents.h"
+#include "Manifest/ManifestFile.h"
+#include "Operators/StatusReport.h"
+
+#include <iostream>
+
+namespace corianderdyke {
+
+namespace {
+
+int report(const Findings &Found, bool Json) {
+  if (Json)
+    std::cout << nlohmann::json{{"findings", findingsReport(Found)}}.dump(2)
+              << "\n";
+  else
+    std::cerr << text(Found);
+  return BadFile;
+}
+
+int report(const Error &Problem) {
+  std::cerr << Problem.Message << "\n";
+  return BadFile;
+}
+
+} // namespace
+
+int runProcess(const std::string &SettingsFile) {
+  const auto Text = readFile(SettingsFile);
+  if (!Text)
+    return report(Text.error());
+  const auto Options = parseSettings(SettingsFile, *Text);
+  if (!Options)
+    return report(Options.error(), false);
+  setUpLogs(Options->JsonLogs, static_cast<Severity>(Options->Level));
+  auto Made = Process::make(*Options, SettingsFile, *Text);
+  if (!Made) {
+    logEvent(EventId::StartRefused, {{"error", Made.error().Message}});
+    return Failure;
+  }
+  return (*Made)->run();
+}
+
+int checkSettings(const std::string &File, bool Json) {
+  const auto Text = readFile(File);
+  if (!Text)
+    return report(Text.error());
+  const auto Parsed = parseSettings(File, *Text);
+  if (!Parsed)
+    return report(Parsed.error(), Json);
+  if (Json)
+    std::cout << nlohmann::json{{"findings", nlohmann::json::array()},
+                                {"name", Parsed->Name}}
+                     .dump(2)
+              << "\n";
+  else
+    std::cout << File << ": good settings of " << Parsed->Name << "\n";
+  return Success;
+}
+
+int checkManifest(const std::string &File, bool Json) {
+  const auto Text = readFile(File);
+  if (!Text)
+    return report(Text.error());
+  const auto Parsed = parseManifest(File, *Text);
+  if (!Parsed)
+    return report(Parsed.error(), Json);
+  if (Json)
+    std::cout << nlohmann::json{{"findings", nlohmann::json::array()},
+                                {"version", Parsed->Version},
+                                {"digest", Parsed->digest()}}
+                     .dump(2)
+              << "\n";
+  else
+    std::cout << File << ": good manifest, version " << Parsed->Version
+              << ", digest " << Parsed->digest() << "\n";
+  return Success;
+}
+
+int showCatalogue(const std::string &Name) {
+  if (Name == "settings")
+    std::cout << settingKeys().markdown();
+  else if (Name == "manifest")
+    std::cout << manifestKeys().markdown();
+  else if (Name == "events")
+    std::cout << eventMarkdown();
+  else
+    std::cout << metricMarkdown();
+  return Success;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/App/FileCommands.h
@@ -0,0 +1,23 @@
+/// \file
+/// The commands that need no running system.
+
+#ifndef CORIANDERDYKE_APP_FILECOMMANDS_H
+#define CORIANDERDYKE_APP_FILECOMMANDS_H
+
+#include <string>
+
+namespace corianderdyke {
+
+// Each returns an exit code.
+
+int runProcess(const std::string &SettingsFile);
+int checkSettings(const std::string &File, bool Json);
+int checkManifest(const std::string &File, bool Json);
+
+/// Prints the Markdown table of "settings", "manifest", "events" or
+/// "metrics".
+int showCatalogue(const std::string &Name);
+
+} // namespace corianderdyke
+
+#endif
--- a/Source/App/OperatorClient.cpp
+++ b/Source/App/OperatorClient.cpp
@@ -5,7 +5,6 @@
 
 #include "Common/SystemClock.h"
 #include "Http/EventHttpConnector.h"
-#include "Loop/EventLoop.h"
 
 namespace corianderdyke {
 
@@ -15,8 +14,10 @@
 constexpr Millis Pause(50);
 constexpr int StatusMisdirected = 421;
 
-Expected<HttpResponse> ask(EventLoop &Loop, const Endpoint &Host,
-                           const HttpRequest &Request) {
+} // namespace
+
+Expected<HttpResponse> OperatorClient::askOne(const Endpoint &Host,
+                                              const HttpRequest &Request) {
   EventHttpConnector Connector(Loop);
   const auto Connection = Connector.connect(Host);
   Expected<HttpResponse> Out = fail(ErrorCode::Unavailable, "no answer");
@@ -29,25 +30,29 @@
   return Out;
 }
 
-} // namespace
-
-Expected<HttpResponse> askLeader(const std::vector<Endpoint> &Hosts,
-                                 const HttpRequest &Request, Millis Patience) {
+Expected<HttpResponse> OperatorClient::ask(const HttpRequest &Request) {
   const SystemClock Time;
   const Millis Until = Time.now() + Patience;
-  EventLoop Loop;
+  std::string Last;
   while (true) {
     for (const Endpoint &Host : Hosts) {
-      auto Answer = ask(Loop, Host, Request);
+      auto Answer = askOne(Host, Request);
       if (Answer && Answer->Status != StatusMisdirected)
         return Answer;
+      Last = Host.text() + ": " +
+             (Answer ? "doesn't lead" : Answer.error().Message);
     }
     if (Time.now() >= Until)
       return fail(ErrorCode::Unavailable,
-                  "no control host that leads could be reached");
-    Loop.after(Pause, [&Loop] { Loop.stop(); });
-    Loop.run();
+                  "no process answered that can; the last one asked was " +
+                      Last);
+    pause(Pause);
   }
 }
 
+void OperatorClient::pause(Millis Span) {
+  Loop.after(Span, [this] { Loop.stop(); });
+  Loop.run();
+}
+
 } // namespace corianderdyke
--- a/Source/App/OperatorClient.h
+++ b/Source/App/OperatorClient.h
@@ -5,15 +5,32 @@
 #define CORIANDERDYKE_APP_OPERATORCLIENT_H
 
 #include "Http/HttpClient.h"
+#include "Loop/EventLoop.h"
 
 #include <vector>
 
 namespace corianderdyke {
 
-/// Asks the control hosts one after another until one that leads answers;
-/// Unavailable where none does within \p Patience.
-Expected<HttpResponse> askLeader(const std::vector<Endpoint> &Hosts,
-                                 const HttpRequest &Request, Millis Patience);
+class OperatorClient {
+public:
+  OperatorClient(std::vector<Endpoint> Hosts, Millis Patience)
+      : Hosts(std::move(Hosts)), Patience(Patience) {}
+
+  /// Asks one process after another until one answers that can: a control
+  /// host that doesn't lead passes the question on. Unavailable where none
+  /// does in time.
+  Expected<HttpResponse> ask(const HttpRequest &Request);
+
+  void pause(Millis Span);
+
+private:
+  Expected<HttpResponse> askOne(const Endpoint &Host,
+                                const HttpRequest &Request);
+
+  std::vector<Endpoint> Hosts;
+  Millis Patience;
+  EventLoop Loop;
+};
 
 } // namespace corianderdyke
 
--- /dev/null
+++ b/Source/App/OperatorCommands.h
@@ -0,0 +1,56 @@
+/// \file
+/// The commands that ask a running system.
+
+#ifndef CORIANDERDYKE_APP_OPERATORCOMMANDS_H
+#define CORIANDERDYKE_APP_OPERATORCOMMANDS_H
+
+#include "Common/Millis.h"
+#include "Http/HttpMessage.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace corianderdyke {
+
+/// What the command line says of whom to ask and how to show the answer.
+struct OperatorOptions {
+  std::vector<std::string> Hosts;
+  std::string Operator = "operator";
+  std::string Key;
+  std::string KeyFile;
+  bool Json = false;
+  std::int64_t PatienceMs = 10000;
+};
+
+/// Each returns an exit code.
+class OperatorCommands {
+public:
+  using Rendering = std::string (*)(const nlohmann::json &);
+
+  explicit OperatorCommands(const OperatorOptions &Options)
+      : Options(Options) {}
+
+  int status() const;
+  int audit(const std::string &Subject, std::uint64_t Since) const;
+  int showManifest() const;
+  int manifestHistory() const;
+  int compareManifest(const std::string &File) const;
+  /// With \p Wait, returns once the manifest is in force or the time is over.
+  int applyManifest(const std::string &File, bool Wait, Millis Bound) const;
+  int drainTarget(const std::string &Name) const;
+  /// Returns once the process has stopped or the time is over.
+  int drainProxy(Millis Bound) const;
+
+private:
+  int run(HttpRequest Request, Rendering Render) const;
+  int sendManifest(const std::string &Path, const std::string &File,
+                   Rendering Render) const;
+  int waitUntilInForce(const std::string &File, Millis Bound) const;
+
+  const OperatorOptions &Options;
+};
+
+} // namespace corianderdyke
+
+#endif
--- a/Source/App/Process.cpp
+++ b/Source/App/Process.cpp
@@ -3,6 +3,7 @@
 
 #include "App/Process.h"
 
+#include "App/ReadFile.h"
 #include "Logs/LogEvents.h"
 
 #include <csignal>
@@ -12,6 +13,8 @@
 
 namespace {
 
+constexpr Millis StopCheckInterval(10);
+
 std::uint64_t randomNumber() {
   std::random_device Device;
   return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
@@ -21,8 +24,10 @@
 
 } // namespace
 
-Expected<std::unique_ptr<Process>> Process::make(const Settings &Options) {
-  std::unique_ptr<Process> Made(new Process(Options));
+Expected<std::unique_ptr<Process>>
+Process::make(const Settings &Options, std::string File, std::string Text) {
+  std::unique_ptr<Process> Made(
+      new Process(Options, std::move(File), std::move(Text)));
   if (auto Done = Made->open(); !Done)
     return tl::unexpected(Done.error());
   return Made;
@@ -40,7 +45,9 @@
   if (Options.IsProxy)
     Proxy = std::make_unique<ProxyNode>(
         Options, ProxyPorts{Time, Loop, *Peers, Connector}, randomNumber());
-  Operators = std::make_unique<OperatorService>(Control.get(), Proxy.get());
+  Operators = std::make_unique<OperatorService>(
+      OperatorSources{Time, *Peers, Control.get(), Proxy.get()},
+      Options.OperatorKey);
   return openListeners();
 }
 
@@ -98,11 +105,80 @@
     });
 }
 
+void Process::beginStop(const std::string &Reason) {
+  if (Stopping)
+    return;
+  Stopping = true;
+  logEvent(EventId::Stopping, {{"reason", Reason}});
+  Operators->beginStopping();
+  const Millis Until = Time.now() + Options.StopNotice + Options.StopBound;
+  if (!CallerPort) {
+    stopWhenIdle(Until);
+    return;
+  }
+  // Callers that keep their connection are asked to leave with their next
+  // answer. New ones are still served, since the balancer sends them until it
+  // has seen that this process isn't ready.
+  CallerPort->closeAfterAnswers();
+  Loop.after(Options.StopNotice, [this, Until] {
+    closeCallers();
+    stopWhenIdle(Until);
+  });
+}
+
+void Process::closeCallers() { CallerPort->stopListening(); }
+
+std::size_t Process::unfinished() const {
+  return OperatorPort->unanswered() +
+         (CallerPort ? CallerPort->unanswered() : 0);
+}
+
+void Process::stopWhenIdle(Millis Until) {
+  const std::size_t Left = unfinished();
+  if (Left > 0 && Time.now() < Until) {
+    Loop.after(StopCheckInterval, [this, Until] { stopWhenIdle(Until); });
+    return;
+  }
+  if (Left > 0)
+    logEvent(EventId::StopBoundReached, {{"unanswered", std::to_string(Left)}});
+  Loop.stop();
+}
+
+void Process::reload() {
+  const auto New = readFile(File);
+  if (!New) {
+    logEvent(EventId::SettingsRefused, {{"error", New.error().Message}});
+    return;
+  }
+  const auto Parsed = parseSettings(File, *New);
+  if (!Parsed) {
+    for (const Finding &Each : Parsed.error())
+      logEvent(EventId::SettingsRefused, {{"error", Each.text()}});
+    return;
+  }
+  setUpLogs(Parsed->JsonLogs, static_cast<Severity>(Parsed->Level));
+  // Text stays what the process started with but for the keys that reload,
+  // so that each change that waits for a restart is told again each time.
+  for (const ItemDifference &Each : differences(settingKeys(), Text, *New)) {
+    const std::size_t Dot = Each.Item.find('.');
+    const KeyDescription *Key = settingKeys().find(
+        "[" + Each.Item.substr(0, Dot) + "]", Each.Item.substr(Dot + 1));
+    const bool Reloads = Key != nullptr && Key->Reloads;
+    const bool Secret = Each.Item.rfind("keys.", 0) == 0;
+    logEvent(Reloads ? EventId::SettingsReloaded : EventId::RestartNeeded,
+             {{"key", Each.Item},
+              {"from", Secret ? "" : Each.From},
+              {"to", Secret ? "" : Each.To}});
+  }
+}
+
 int Process::run() {
   connectLogs();
   std::signal(SIGPIPE, SIG_IGN);
   for (const int Signal : {SIGTERM, SIGINT})
-    Loop.onSignal(Signal, [this] { Loop.stop(); });
+    Loop.onSignal(Signal, [this] { beginStop("signal"); });
+  Loop.onSignal(SIGHUP, [this] { reload(); });
+  Operators->signalDrainAsked().connect([this] { beginStop("operator"); });
   logEvent(EventId::Started, {{"name", Options.Name}});
   if (Control)
     Control->start();
--- a/Source/App/Process.h
+++ b/Source/App/Process.h
@@ -20,20 +20,30 @@
 class Process {
 public:
   /// Opens the data folder and the ports; the first that fails is the error.
-  static Expected<std::unique_ptr<Process>> make(const Settings &Options);
+  /// \p File is read again on SIGHUP; \p Text is what it holds now.
+  static Expected<std::unique_ptr<Process>>
+  make(const Settings &Options, std::string File, std::string Text);
 
   /// Runs until a signal ends it; the exit code.
   int run();
 
 private:
-  explicit Process(const Settings &Options) : Options(Options) {}
+  Process(const Settings &Options, std::string File, std::string Text)
+      : Options(Options), File(std::move(File)), Text(std::move(Text)) {}
 
   Expected<void> open();
   Expected<void> openControl();
   Expected<void> openListeners();
   void connectLogs();
+  void beginStop(const std::string &Reason);
+  void closeCallers();
+  void stopWhenIdle(Millis Until);
+  std::size_t unfinished() const;
+  void reload();
 
   Settings Options;
+  std::string File;
+  std::string Text;
   SystemClock Time;
   EventLoop Loop;
   EventHttpConnector Connector{Loop};
@@ -46,6 +56,7 @@
   std::unique_ptr<OperatorService> Operators;
   std::unique_ptr<EventHttpServer> OperatorPort;
   std::unique_ptr<EventHttpServer> CallerPort;
+  bool Stopping = false;
   int ExitCode = 0;
 };
 
--- a/Source/Common/Finding.cpp
+++ b/Source/Common/Finding.cpp
@@ -3,6 +3,9 @@
 
 #include "Common/Finding.h"
 
+#include <algorithm>
+#include <tuple>
+
 namespace corianderdyke {
 
 std::string Finding::text() const {
@@ -15,6 +18,15 @@
   return Out;
 }
 
+Findings inOrder(Findings All) {
+  std::stable_sort(All.begin(), All.end(),
+                   [](const Finding &Left, const Finding &Right) {
+                     return std::tie(Left.Line, Left.Column) <
+                            std::tie(Right.Line, Right.Column);
+                   });
+  return All;
+}
+
 std::string text(const Findings &All) {
   std::string Out;
   for (const Finding &Each : All)
--- a/Source/Common/Finding.h
+++ b/Source/Common/Finding.h
@@ -26,6 +26,9 @@
 
 using Findings = std::vector<Finding>;
 
+/// The findings by their place in the file.
+Findings inOrder(Findings All);
+
 /// One finding a line.
 std::string text(const Findings &All);
 
--- a/Source/Http/EventHttpServer.cpp
+++ b/Source/Http/EventHttpServer.cpp
@@ -6,6 +6,7 @@
 #include "Http/EventHttpSupport.h"
 #include "Loop/EventLoop.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
@@ -55,7 +56,8 @@
 
 class EventHttpExchange final : public HttpExchange {
 public:
-  explicit EventHttpExchange(evhttp_request *Raw) : Raw(Raw) {}
+  EventHttpExchange(evhttp_request *Raw, const bool &Closing)
+      : Raw(Raw), Closing(Closing) {}
 
   ~EventHttpExchange() override {
     // A request that nobody will answer would hold its caller for ever.
@@ -70,6 +72,8 @@
     evkeyvalq *Headers = evhttp_request_get_output_headers(Answered);
     for (const auto &[Name, Value] : Response.Headers)
       evhttp_add_header(Headers, Name.c_str(), Value.c_str());
+    if (Closing)
+      evhttp_add_header(Headers, "Connection", "close");
     evbuffer *Body = evbuffer_new();
     evbuffer_add(Body, Response.Body.data(), Response.Body.size());
     evhttp_send_reply(Answered, Response.Status, nullptr, Body);
@@ -90,6 +94,7 @@
 
 private:
   evhttp_request *Raw;
+  const bool &Closing; ///< The server's; it outlives its requests.
   std::function<void()> HangUp;
 };
 
@@ -107,6 +112,7 @@
   evhttp_connection *Connection = nullptr;
   std::string Peer;
   std::weak_ptr<EventHttpExchange> Current;
+  bool Busy = false;
 };
 
 EventHttpServer::EventHttpServer(HttpService &Service) : Service(Service) {}
@@ -135,7 +141,14 @@
   }
   HttpRequest Request = requestOf(Raw);
   Request.Peer = Known->Peer;
-  const auto Exchange = std::make_shared<EventHttpExchange>(Raw);
+  const auto Exchange = std::make_shared<EventHttpExchange>(Raw, Closing);
+  Known->Busy = true;
+  evhttp_request_set_on_complete_cb(
+      Raw,
+      [](evhttp_request *, void *Argument) {
+        static_cast<Session *>(Argument)->Busy = false;
+      },
+      Known.get());
   Known->Current = Exchange;
   Service.handle(Request, Exchange);
 }
@@ -169,6 +182,12 @@
 
 EventHttpServer::~EventHttpServer() { evhttp_free(Http); }
 
+std::size_t EventHttpServer::unanswered() const {
+  return static_cast<std::size_t>(
+      std::count_if(Sessions.begin(), Sessions.end(),
+                    [](const auto &Each) { return Each.second->Busy; }));
+}
+
 void EventHttpServer::stopListening() {
   if (Socket == nullptr)
     return;
--- a/Source/Http/EventHttpServer.h
+++ b/Source/Http/EventHttpServer.h
@@ -37,6 +37,12 @@
   /// Takes no new connections; those that stand go on.
   void stopListening();
 
+  /// From now on each answer asks its caller to close the connection.
+  void closeAfterAnswers() { Closing = true; }
+
+  /// Requests whose answer hasn't wholly left this process yet.
+  std::size_t unanswered() const;
+
 private:
   struct Session;
 
@@ -47,6 +53,7 @@
   Endpoint At;
   evhttp *Http = nullptr;
   evhttp_bound_socket *Socket = nullptr;
+  bool Closing = false;
   /// Connections over which at least one request came.
   std::map<evhttp_connection *, std::unique_ptr<Session>> Sessions;
 };
--- a/Source/Logs/LogEvents.cpp
+++ b/Source/Logs/LogEvents.cpp
@@ -4,7 +4,8 @@
 #include "Logs/LogEvents.h"
 
 #include <nlohmann/json.hpp>
-#include <spdlog/sinks/stdout_color_sinks.h>
+#include <spdlog/fmt/chrono.h>
+#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 namespace corianderdyke {
@@ -32,6 +33,29 @@
   return spdlog::level::info;
 }
 
+const char *word(Severity Of) {
+  switch (Of) {
+  case Severity::Warning:
+    return "warning";
+  case Severity::Error:
+    return "error";
+  case Severity::Info:
+    break;
+  }
+  return "info";
+}
+
+/// By the wall clock, for people and for joining logs of several hosts.
+std::string timeNow() {
+  const auto Now = std::chrono::system_clock::now();
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
+                     fmt::gmtime(std::chrono::system_clock::to_time_t(Now)),
+                     std::chrono::duration_cast<std::chrono::milliseconds>(
+                         Now.time_since_epoch())
+                             .count() %
+                         1000);
+}
+
 std::string humanLine(const EventDescription &Event, const LogFields &Fields) {
   std::string Out =
       "CD" + std::to_string(static_cast<int>(Event.Id)) + " " + Event.Name;
@@ -42,7 +66,9 @@
 }
 
 std::string jsonLine(const EventDescription &Event, const LogFields &Fields) {
-  nlohmann::json Out = {{"event", static_cast<int>(Event.Id)},
+  nlohmann::json Out = {{"time", timeNow()},
+                        {"level", word(Event.Level)},
+                        {"event", static_cast<int>(Event.Id)},
                         {"name", Event.Name}};
   for (const auto &[Name, Value] : Fields)
     if (!Value.empty())
@@ -60,6 +86,17 @@
        "The process ends after a signal."},
       {EventId::StartRefused, Severity::Error, "start-refused",
        "The settings are good, but a port or the data folder isn't usable."},
+      {EventId::Stopping, Severity::Info, "stopping",
+       "A graceful stop begins: the process isn't ready and finishes what is "
+       "in flight."},
+      {EventId::StopBoundReached, Severity::Warning, "stop-bound-reached",
+       "The graceful stop reached its bound; requests were cut."},
+      {EventId::SettingsReloaded, Severity::Info, "settings-reloaded",
+       "A setting that may change while the process runs took effect."},
+      {EventId::SettingsRefused, Severity::Error, "settings-refused",
+       "The settings file has a finding; the process goes on as before."},
+      {EventId::RestartNeeded, Severity::Warning, "restart-needed",
+       "A setting changed in the file that takes effect at the next start."},
       {EventId::StateChanged, Severity::Info, "state-changed",
        "A change was committed; the fields are those of the audit trail."},
       {EventId::LeadershipGained, Severity::Info, "leadership-gained",
@@ -76,11 +113,22 @@
   return All;
 }
 
-void setUpLogs(bool Json) {
+std::string eventMarkdown() {
+  std::string Out = "| number | name | level | meaning |\n"
+                    "| --- | --- | --- | --- |\n";
+  for (const EventDescription &Each : eventCatalogue())
+    Out += "| " + std::to_string(static_cast<int>(Each.Id)) + " | " +
+           Each.Name + " | " + word(Each.Level) + " | " + Each.Meaning + " |\n";
+  return Out;
+}
+
+void setUpLogs(bool Json, Severity Least) {
   JsonLines = Json;
-  auto Logger = spdlog::stderr_color_st("corianderdyke");
+  auto Logger = std::make_shared<spdlog::logger>(
+      "corianderdyke", std::make_shared<spdlog::sinks::stderr_sink_st>());
   Logger->set_pattern(Json ? "%v" : "%Y-%m-%dT%H:%M:%S.%eZ %l %v",
                       spdlog::pattern_time_type::utc);
+  Logger->set_level(levelOf(Least));
   spdlog::set_default_logger(std::move(Logger));
 }
 
--- a/Source/Logs/LogEvents.h
+++ b/Source/Logs/LogEvents.h
@@ -16,6 +16,11 @@
   Started = 100,
   Stopped = 101,
   StartRefused = 102,
+  Stopping = 103,
+  StopBoundReached = 104,
+  SettingsReloaded = 105,
+  SettingsRefused = 106,
+  RestartNeeded = 107,
   StateChanged = 200,
   LeadershipGained = 201,
   LeadershipLost = 202,
@@ -36,9 +41,12 @@
 /// All events in the order of their numbers.
 const std::vector<EventDescription> &eventCatalogue();
 
-/// Sends later events to standard error as lines for people, or as one JSON
-/// object a line.
-void setUpLogs(bool Json);
+/// The catalogue as rows of a Markdown table, as the manual has them.
+std::string eventMarkdown();
+
+/// Sends later events of \p Least severity or more to standard error, as
+/// lines for people or as one JSON object a line.
+void setUpLogs(bool Json, Severity Least);
 
 using LogFields = std::vector<std::pair<std::string, std::string>>;
 
--- a/Source/Manifest/ManifestFile.cpp
+++ b/Source/Manifest/ManifestFile.cpp
@@ -12,29 +12,172 @@
 
 namespace {
 
-constexpr Millis Minute(60000);
-constexpr Millis Week(7LL * 24 * 3600 * 1000);
+constexpr std::int64_t Minute = 60000;
+constexpr std::int64_t Week = 7LL * 24 * 60 * Minute;
+
+std::vector<KeyDescription> describeKeys() {
+  using Type = KeyType;
+  return {
+      {.Key = "version",
+       .Type = Type::Number,
+       .Least = 1,
+       .Most = std::numeric_limits<std::int64_t>::max(),
+       .Meaning = "Rises with every change; one version has one content."},
+      {.Table = "[[organisation]]",
+       .Key = "name",
+       .Meaning = "Name, as callers give it."},
+      {.Table = "[[organisation]]",
+       .Key = "share",
+       .Type = Type::Number,
+       .Least = 1,
+       .Most = 10000,
+       .Default = "1",
+       .Meaning = "Weight against the other organisations when full."},
+      {.Table = "[[database]]",
+       .Key = "name",
+       .Meaning = "Name of a database group, as callers and targets give it."},
+      {.Table = "[[database]]",
+       .Key = "targets",
+       .Type = Type::Number,
+       .Least = 1,
+       .Most = 9,
+       .Default = "3",
+       .Meaning = "Targets that the group has."},
+      {.Table = "[[database]]",
+       .Key = "copies",
+       .Type = Type::Number,
+       .Least = 1,
+       .Most = 9,
+       .Default = "targets / 2 + 1",
+       .Meaning = "Targets that hold a write before it's acknowledged."},
+      {.Table = "[[database]]",
+       .Key = "connections_per_target",
+       .Type = Type::Number,
+       .Unit = "connections",
+       .Least = 1,
+       .Most = 10000,
+       .Default = "16",
+       .Meaning = "The server's own limit."},
+      {.Table = "[[database]]",
+       .Key = "slots_per_target",
+       .Type = Type::Number,
+       .Unit = "statements",
+       .Least = 1,
+       .Most = 10000,
+       .Default = "2",
+       .Meaning = "Statements that a server runs at a time."},
+      {.Table = "[[database]]",
+       .Key = "too_few_targets",
+       .Type = Type::Word,
+       .Words = {"wait", "promote-with-loss"},
+       .Default = "wait",
+       .Meaning = "What happens when too few targets are left to prove that "
+                  "nothing acknowledged is lost."},
+      {.Table = "[[kind]]",
+       .Key = "name",
+       .Meaning = "Name of a kind of request, as callers give it."},
+      {.Table = "[[kind]]",
+       .Key = "access",
+       .Type = Type::Word,
+       .Words = {"read", "write"},
+       .Default = "read",
+       .Meaning = "Whether it changes anything."},
+      {.Table = "[[kind]]",
+       .Key = "repeatable",
+       .Type = Type::Flag,
+       .Default = "true",
+       .Meaning = "False: runs at most once and needs an idempotency key."},
+      {.Table = "[[kind]]",
+       .Key = "accepted_age_ms",
+       .Type = Type::Number,
+       .Unit = "ms",
+       .Least = 0,
+       .Most = Week,
+       .Default = "0",
+       .Meaning = "Reads: how old the data may be."},
+      {.Table = "[[kind]]",
+       .Key = "deadline_ms",
+       .Type = Type::Number,
+       .Unit = "ms",
+       .Least = 1,
+       .Most = Minute,
+       .Default = "5000",
+       .Meaning = "Longest time to an answer; a caller may ask for less."},
+      {.Table = "[[kind]]",
+       .Key = "weight",
+       .Type = Type::Number,
+       .Least = 1,
+       .Most = 10000,
+       .Default = "1",
+       .Meaning = "Against the organisation's other kinds when full."},
+      {.Table = "[limits]",
+       .Key = "queue_per_database",
+       .Type = Type::Number,
+       .Unit = "requests",
+       .Least = 0,
+       .Most = 100000,
+       .Default = "200",
+       .Meaning = "Requests that wait at one proxy before more are refused."},
+      {.Table = "[limits]",
+       .Key = "transaction_idle_ms",
+       .Type = Type::Number,
+       .Unit = "ms",
+       .Least = 10,
+       .Most = 10 * Minute,
+       .Default = "5000",
+       .Meaning = "How long a transaction may hold a connection idle."},
+      {.Table = "[limits]",
+       .Key = "key_retention_ms",
+       .Type = Type::Number,
+       .Unit = "ms",
+       .Least = Minute,
+       .Most = Week,
+       .Default = "86400000",
+       .Meaning = "How long targets remember idempotency keys."},
+      {.Table = "[failover]",
+       .Key = "suspect_after_ms",
+       .Type = Type::Number,
+       .Unit = "ms",
+       .Least = 50,
+       .Most = Minute,
+       .Default = "400",
+       .Meaning = "A target that is silent for this long counts as failed."},
+      {.Table = "[failover]",
+       .Key = "lease_duration_ms",
+       .Type = Type::Number,
+       .Unit = "ms",
+       .Least = 100,
+       .Most = Minute,
+       .Default = "600",
+       .Meaning = "How long a proxy may serve after its last request to "
+                  "control."},
+      {.Table = "[failover]",
+       .Key = "clock_drift_ppm",
+       .Type = Type::Number,
+       .Unit = "parts a million",
+       .Least = 0,
+       .Most = 100000,
+       .Default = "1000",
+       .Meaning = "The most that a host's clock runs fast or slow."},
+  };
+}
 
 OrganisationPolicy readOrganisation(TomlReader &In) {
   OrganisationPolicy Out;
-  Out.Name = In.requiredText("name");
-  Out.Share = static_cast<std::uint32_t>(In.number("share", 1, 1, 10000));
+  Out.Name = In.text("name");
+  Out.Share = In.count("share");
   return Out;
 }
 
 DatabasePolicy readDatabase(TomlReader &In) {
   DatabasePolicy Out;
-  Out.Name = In.requiredText("name");
-  Out.Targets = static_cast<std::uint32_t>(In.number("targets", 3, 1, 9));
-  Out.Copies = static_cast<std::uint32_t>(
-      In.number("copies", Out.Targets / 2 + 1, 1, 9));
-  Out.ConnectionsPerTarget = static_cast<std::uint32_t>(
-      In.number("connections_per_target", 16, 1, 10000));
-  Out.SlotsPerTarget =
-      static_cast<std::uint32_t>(In.number("slots_per_target", 2, 1, 10000));
-  Out.TooFew = In.word("too_few_targets", {"wait", "promote-with-loss"}, 0) == 0
-                   ? TooFewPolicy::Wait
-                   : TooFewPolicy::PromoteWithLoss;
+  Out.Name = In.text("name");
+  Out.Targets = In.count("targets");
+  Out.Copies =
+      static_cast<std::uint32_t>(In.number("copies", Out.Targets / 2 + 1));
+  Out.ConnectionsPerTarget = In.count("connections_per_target");
+  Out.SlotsPerTarget = In.count("slots_per_target");
+  Out.TooFew = static_cast<TooFewPolicy>(In.word("too_few_targets"));
   if (Out.Copies > Out.Targets)
     In.report("copies", "more copies than targets",
               "at most " + std::to_string(Out.Targets));
@@ -43,13 +186,12 @@
 
 KindPolicy readKind(TomlReader &In) {
   KindPolicy Out;
-  Out.Name = In.requiredText("name");
-  Out.Mode = In.word("access", {"read", "write"}, 0) == 0 ? Access::Read
-                                                          : Access::Write;
-  Out.Repeatable = In.flag("repeatable", true);
-  Out.AcceptedAge = In.millis("accepted_age_ms", Millis(0), Millis(0), Week);
-  Out.Deadline = In.millis("deadline_ms", Millis(5000), Millis(1), Minute);
-  Out.Weight = static_cast<std::uint32_t>(In.number("weight", 1, 1, 10000));
+  Out.Name = In.text("name");
+  Out.Mode = static_cast<Access>(In.word("access"));
+  Out.Repeatable = In.flag("repeatable");
+  Out.AcceptedAge = In.millis("accepted_age_ms");
+  Out.Deadline = In.millis("deadline_ms");
+  Out.Weight = In.count("weight");
   if (Out.Mode == Access::Write && Out.AcceptedAge > Millis(0))
     In.report("accepted_age_ms", "a write has no accepted age",
               "remove the line or set access = \"read\"");
@@ -61,67 +203,71 @@
 
 LimitPolicy readLimits(TomlReader In) {
   LimitPolicy Out;
-  Out.QueuePerDatabase = static_cast<std::uint32_t>(
-      In.number("queue_per_database", 200, 0, 100000));
-  Out.TransactionIdle =
-      In.millis("transaction_idle_ms", Millis(5000), Millis(10), Minute * 10);
-  Out.KeyRetention =
-      In.millis("key_retention_ms", Millis(86400000), Minute, Week);
+  Out.QueuePerDatabase = In.count("queue_per_database");
+  Out.TransactionIdle = In.millis("transaction_idle_ms");
+  Out.KeyRetention = In.millis("key_retention_ms");
   In.finish();
   return Out;
 }
 
 FailoverPolicy readFailover(TomlReader In) {
   FailoverPolicy Out;
-  Out.SuspectAfter =
-      In.millis("suspect_after_ms", Millis(400), Millis(50), Minute);
-  Out.LeaseDuration =
-      In.millis("lease_duration_ms", Millis(600), Millis(100), Minute);
-  Out.ClockDriftPpm =
-      static_cast<std::uint32_t>(In.number("clock_drift_ppm", 1000, 0, 100000));
+  Out.SuspectAfter = In.millis("suspect_after_ms");
+  Out.LeaseDuration = In.millis("lease_duration_ms");
+  Out.ClockDriftPpm = In.count("clock_drift_ppm");
   In.finish();
   return Out;
 }
 
+/// Reads the tables "[[Key]]", sorted by name, each name once.
 template <class T>
-void sortByName(std::vector<T> &All, const std::string &What, TomlReader &Root,
-                const std::string &Key) {
-  std::sort(All.begin(), All.end());
-  for (std::size_t Index = 1; Index < All.size(); ++Index)
-    if (All[Index].Name == All[Index - 1].Name)
-      Root.report(Key, "two " + What + " are named '" + All[Index].Name + "'");
+std::vector<T> readNamed(TomlReader &Root, const std::string &Key,
+                         T (*ReadOne)(TomlReader &)) {
+  std::vector<T> Out;
+  Root.tables(Key, [&](TomlReader &Each) {
+    T New = ReadOne(Each);
+    const bool Known =
+        std::any_of(Out.begin(), Out.end(),
+                    [&New](const T &Other) { return Other.Name == New.Name; });
+    if (Known && !New.Name.empty())
+      Each.report("name",
+                  "a second [[" + Key + "]] is named '" + New.Name + "'",
+                  "names are given once");
+    Out.push_back(std::move(New));
+  });
+  std::sort(Out.begin(), Out.end());
+  return Out;
 }
 
 } // namespace
 
+const KeyTable &manifestKeys() {
+  static const KeyTable All(describeKeys());
+  return All;
+}
+
+std::vector<ItemDifference> manifestDifferences(const std::string &Before,
+                                                const std::string &After) {
+  return differences(manifestKeys(), Before, After);
+}
+
 tl::expected<Manifest, Findings> parseManifest(const std::string &File,
                                                const std::string &Text) {
   Findings Found;
   const toml::table Root = parseToml(File, Text, Found);
   if (!Found.empty())
     return tl::unexpected(Found);
-  TomlReader In(File, "the manifest", &Root, Found);
+  TomlReader In(File, manifestKeys(), Root, Found);
   Manifest Out;
-  if (Root.get("version") == nullptr)
-    In.report("version", "'version' is missing in the manifest");
-  Out.Version = static_cast<std::uint64_t>(
-      In.number("version", 1, 1, std::numeric_limits<std::int64_t>::max()));
-  In.tables("organisation", [&Out](TomlReader &Each) {
-    Out.Organisations.push_back(readOrganisation(Each));
-  });
-  In.tables("database", [&Out](TomlReader &Each) {
-    Out.Databases.push_back(readDatabase(Each));
-  });
-  In.tables("kind",
-            [&Out](TomlReader &Each) { Out.Kinds.push_back(readKind(Each)); });
+  Out.Version = static_cast<std::uint64_t>(In.number("version"));
+  Out.Organisations = readNamed(In, "organisation", &readOrganisation);
+  Out.Databases = readNamed(In, "database", &readDatabase);
+  Out.Kinds = readNamed(In, "kind", &readKind);
   Out.Limits = readLimits(In.table("limits"));
   Out.Failover = readFailover(In.table("failover"));
-  sortByName(Out.Organisations, "organisations", In, "organisation");
-  sortByName(Out.Databases, "databases", In, "database");
-  sortByName(Out.Kinds, "kinds", In, "kind");
   In.finish();
   if (!Found.empty())
-    return tl::unexpected(Found);
+    return tl::unexpected(inOrder(std::move(Found)));
   return Out;
 }
 
--- /dev/null
+++ b/Source/Operators/HumanReport.cpp
@@ -0,0 +1,156 @@
+/// \file
+/// The operators' JSON reports as text for people.
+
+#include "Operators/HumanReport.h"
+
+#include "Operators/TextTable.h"
+
+#include <ctime>
+
+namespace corianderdyke {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t ShownDigest = 12;
+constexpr std::int64_t MillisASecond = 1000;
+
+/// A field as text; empty where it's missing or null.
+std::string cell(const json &Of, const char *Name) {
+  const auto Found = Of.find(Name);
+  if (Found == Of.end() || Found->is_null())
+    return "";
+  if (Found->is_string())
+    return Found->get<std::string>();
+  if (Found->is_boolean())
+    return Found->get<bool>() ? "yes" : "no";
+  return Found->dump();
+}
+
+const json &list(const json &Of, const char *Name) {
+  static const json Empty = json::array();
+  const auto Found = Of.find(Name);
+  return Found == Of.end() || !Found->is_array() ? Empty : *Found;
+}
+
+std::string withUnit(const std::string &Value, const char *Unit) {
+  return Value.empty() ? "unknown" : Value + Unit;
+}
+
+std::string wallTime(const json &Of) {
+  const auto Found = Of.find("wall_time_ms");
+  if (Found == Of.end() || !Found->is_number())
+    return "";
+  const auto Seconds =
+      static_cast<std::time_t>(Found->get<std::int64_t>() / MillisASecond);
+  std::tm Parts{};
+  gmtime_r(&Seconds, &Parts);
+  std::string Out(sizeof("2026-01-01T00:00:00Z"), '\0');
+  Out.resize(
+      std::strftime(Out.data(), Out.size(), "%Y-%m-%dT%H:%M:%SZ", &Parts));
+  return Out;
+}
+
+std::string lines(const json &Rows, const std::vector<const char *> &Columns) {
+  TextTable Out(std::vector<std::string>(Columns.begin(), Columns.end()));
+  for (const json &Row : Rows) {
+    std::vector<std::string> Cells;
+    Cells.reserve(Columns.size());
+    for (const char *Column : Columns)
+      Cells.push_back(cell(Row, Column));
+    Out.add(std::move(Cells));
+  }
+  return Out.text();
+}
+
+std::string targetLines(const json &Groups) {
+  TextTable Out({"target", "database", "role", "address", "failure domain",
+                 "reachable from", "silent for"});
+  for (const json &Group : Groups)
+    for (const json &Each : list(Group, "targets"))
+      Out.add({cell(Each, "name"), cell(Group, "database"), cell(Each, "role"),
+               cell(Each, "address"), cell(Each, "failure_domain"),
+               cell(Each, "reachable_from") + " of " + cell(Each, "watched_by"),
+               withUnit(cell(Each, "silent_for_ms"), " ms")});
+  return Out.text();
+}
+
+std::string proxyLines(const json &Proxies) {
+  TextTable Out({"proxy", "failure domain", "lease left", "manifest",
+                 "revision", "heard"});
+  for (const json &Each : Proxies)
+    Out.add({cell(Each, "name"), cell(Each, "failure_domain"),
+             cell(Each, "lease_left_ms").empty()
+                 ? "none"
+                 : cell(Each, "lease_left_ms") + " ms",
+             cell(Each, "manifest_version"), cell(Each, "applied_revision"),
+             withUnit(cell(Each, "heard_ms_ago"), " ms ago")});
+  return Out.text();
+}
+
+} // namespace
+
+std::string statusText(const json &Report) {
+  return "control: leader " + cell(Report, "leader") + ", term " +
+         cell(Report, "control_term") + ", revision " +
+         cell(Report, "revision") + "\nmanifest: version " +
+         cell(Report, "manifest_version") +
+         ", in force: " + cell(Report, "manifest_in_force") + "\n\n" +
+         lines(list(Report, "groups"),
+               {"database", "phase", "term", "primary"}) +
+         "\n" + targetLines(list(Report, "groups")) + "\n" +
+         proxyLines(list(Report, "proxies"));
+}
+
+std::string auditText(const json &Report) {
+  TextTable Out({"revision", "time", "actor", "action", "subject", "from", "to",
+                 "reason"});
+  for (const json &Each : Report)
+    Out.add({cell(Each, "revision"), wallTime(Each), cell(Each, "actor"),
+             cell(Each, "action"), cell(Each, "subject"), cell(Each, "from"),
+             cell(Each, "to"), cell(Each, "reason")});
+  return Out.text();
+}
+
+std::string manifestText(const json &Report) {
+  if (cell(Report, "version") == "0")
+    return "no manifest was applied yet\n";
+  return "# version " + cell(Report, "version") + ", digest " +
+         cell(Report, "digest") + "\n# applied by " + cell(Report, "actor") +
+         " at revision " + cell(Report, "revision") +
+         ", in force: " + cell(Report, "in_force") + "\n" +
+         cell(Report, "text");
+}
+
+std::string historyText(const json &Report) {
+  TextTable Out({"version", "digest", "revision", "time", "actor"});
+  for (const json &Each : Report)
+    Out.add({cell(Each, "version"), cell(Each, "digest").substr(0, ShownDigest),
+             cell(Each, "revision"), wallTime(Each), cell(Each, "actor")});
+  return Out.text();
+}
+
+std::string differenceText(const json &Report) {
+  std::string Out = "would be " + cell(Report, "would_be") + "\n";
+  if (!cell(Report, "refusal").empty())
+    Out += cell(Report, "refusal") + "\n";
+  if (list(Report, "differences").empty())
+    return Out + "no differences\n";
+  return Out + lines(list(Report, "differences"), {"item", "from", "to"});
+}
+
+std::string acceptedText(const json &Report) {
+  return "accepted: version " + cell(Report, "version") + ", digest " +
+         cell(Report, "digest").substr(0, ShownDigest) + ", revision " +
+         cell(Report, "revision") + "\n";
+}
+
+std::string errorText(const json &Report) {
+  std::string Out = cell(Report, "error") + "\n";
+  for (const json &Each : list(Report, "findings"))
+    Out += cell(Each, "text") + "\n";
+  return Out;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Operators/MetricSet.cpp
@@ -0,0 +1,138 @@
+/// \file
+/// The metrics of a process and their catalogue.
+
+#include "Operators/MetricSet.h"
+
+#include <limits>
+#include <prometheus/text_serializer.h>
+#include <stdexcept>
+
+namespace corianderdyke {
+
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+constexpr double MillisASecond = 1000.0;
+
+const char *word(MetricType Of) {
+  switch (Of) {
+  case MetricType::Counter:
+    return "counter";
+  case MetricType::Histogram:
+    return "histogram";
+  default:
+    return "gauge";
+  }
+}
+
+double seconds(Millis Span) {
+  return static_cast<double>(Span.count()) / MillisASecond;
+}
+
+} // namespace
+
+const std::vector<MetricDescription> &metricCatalogue() {
+  static const std::vector<MetricDescription> All = {
+      {"corianderdyke_build_info", MetricType::Gauge, "version", "all",
+       "Always 1; the label tells the version."},
+      {"corianderdyke_reads_total", MetricType::Counter, "served_by", "proxy",
+       "Reads answered, by the role of the target that served them."},
+      {"corianderdyke_statements_total", MetricType::Counter, "outcome",
+       "proxy", "Statements by what the caller was told."},
+      {"corianderdyke_statements_in_flight", MetricType::Gauge, "", "proxy",
+       "Statements that wait for their answer."},
+      {"corianderdyke_lease_held", MetricType::Gauge, "", "proxy",
+       "1 while the proxy may serve."},
+      {"corianderdyke_ready", MetricType::Gauge, "", "proxy",
+       "1 while the balancer may send callers."},
+      {"corianderdyke_applied_revision", MetricType::Gauge, "", "proxy",
+       "Revision of the decisions by which the proxy works."},
+      {"corianderdyke_manifest_version", MetricType::Gauge, "", "all",
+       "Version of the manifest that the process knows."},
+      {"corianderdyke_database_write_gap_seconds", MetricType::Histogram, "",
+       "proxy",
+       "Time in which a database wasn't writable through this proxy, from "
+       "the failed primary's last answer on."},
+      {"corianderdyke_failover_seconds", MetricType::Histogram, "", "control",
+       "Time from the fencing of a primary to the promotion of the next, on "
+       "the leading control host."},
+      {"corianderdyke_control_leader", MetricType::Gauge, "", "control",
+       "1 on the leading control host."},
+      {"corianderdyke_control_term", MetricType::Gauge, "", "control",
+       "Term of the control group's leadership."},
+      {"corianderdyke_control_revision", MetricType::Gauge, "", "control",
+       "Revision that this control host has applied."},
+      {"corianderdyke_group_promoted", MetricType::Gauge, "database", "control",
+       "1 while the database has a primary."},
+      {"corianderdyke_group_term", MetricType::Gauge, "database", "control",
+       "Term of the database's primary; it rises with every change."},
+      {"corianderdyke_proxies", MetricType::Gauge, "", "control",
+       "Proxies that may hold a lease."},
+      {"corianderdyke_peer_sent_bytes_total", MetricType::Counter, "", "all",
+       "Bytes sent to the system's other processes."},
+      {"corianderdyke_peer_received_bytes_total", MetricType::Counter, "",
+       "all", "Bytes received from the system's other processes."},
+      {"corianderdyke_peer_rejected_total", MetricType::Counter, "", "all",
+       "Messages on the peers' port that were refused: too long, or not "
+       "sealed with the peers' key."},
+  };
+  return All;
+}
+
+std::string metricMarkdown() {
+  std::string Out = "| name | type | labels | role | meaning |\n"
+                    "| --- | --- | --- | --- | --- |\n";
+  for (const MetricDescription &Each : metricCatalogue())
+    Out += std::string("| `") + Each.Name + "` | " + word(Each.Type) + " | " +
+           Each.Labels + " | " + Each.Role + " | " + Each.Help + " |\n";
+  return Out;
+}
+
+MetricFamily &MetricSet::family(const std::string &Name) {
+  for (MetricFamily &Each : Families)
+    if (Each.name == Name)
+      return Each;
+  for (const MetricDescription &Each : metricCatalogue())
+    if (Each.Name == Name)
+      return Families.emplace_back(
+          MetricFamily{Each.Name, Each.Help, Each.Type, {}});
+  throw std::logic_error("metric '" + Name + "' isn't in the catalogue");
+}
+
+void MetricSet::add(const std::string &Name, double Value, Labels Of) {
+  MetricFamily &To = family(Name);
+  ClientMetric New;
+  New.label = std::move(Of);
+  if (To.type == MetricType::Counter)
+    New.counter.value = Value;
+  else
+    New.gauge.value = Value;
+  To.metric.push_back(std::move(New));
+}
+
+void MetricSet::add(const std::string &Name, const DurationHistogram &Spans,
+                    Labels Of) {
+  ClientMetric New;
+  New.label = std::move(Of);
+  New.histogram.sample_count = Spans.total();
+  New.histogram.sample_sum = seconds(Spans.sum());
+  std::uint64_t Cumulative = 0;
+  for (std::size_t Index = 0; Index <= DurationHistogram::Bounds.size();
+       ++Index) {
+    Cumulative += Spans.count(Index);
+    const bool Last = Index == DurationHistogram::Bounds.size();
+    New.histogram.bucket.push_back(
+        {Cumulative, Last ? std::numeric_limits<double>::infinity()
+                          : seconds(DurationHistogram::Bounds[Index])});
+  }
+  family(Name).metric.push_back(std::move(New));
+}
+
+std::string MetricSet::text() const {
+  return prometheus::TextSerializer().Serialize(Families);
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Operators/MetricSet.h
@@ -0,0 +1,48 @@
+/// \file
+/// The metrics of a process and their catalogue.
+
+#ifndef CORIANDERDYKE_OPERATORS_METRICSET_H
+#define CORIANDERDYKE_OPERATORS_METRICSET_H
+
+#include "Common/DurationHistogram.h"
+
+#include <prometheus/metric_family.h>
+#include <string>
+#include <vector>
+
+namespace corianderdyke {
+
+/// A metric as the manual lists it. Help/metrics.md has the same rows.
+struct MetricDescription {
+  const char *Name;
+  prometheus::MetricType Type;
+  const char *Labels;
+  const char *Role; ///< Which processes have it.
+  const char *Help;
+};
+
+const std::vector<MetricDescription> &metricCatalogue();
+
+std::string metricMarkdown();
+
+/// One reading of the metrics. Only metrics of the catalogue can be added.
+class MetricSet {
+public:
+  using Labels = std::vector<prometheus::ClientMetric::Label>;
+
+  void add(const std::string &Name, double Value, Labels Of = {});
+  void add(const std::string &Name, const DurationHistogram &Spans,
+           Labels Of = {});
+
+  /// The Prometheus text format.
+  std::string text() const;
+
+private:
+  prometheus::MetricFamily &family(const std::string &Name);
+
+  std::vector<prometheus::MetricFamily> Families;
+};
+
+} // namespace corianderdyke
+
+#endif
--- a/Source/Operators/OperatorService.cpp
+++ b/Source/Operators/OperatorService.cpp
@@ -3,32 +3,42 @@
 
 #include "Operators/OperatorService.h"
 
+#include "Common/KeyedDigest.h"
+#include "Common/Version.h"
 #include "Manifest/ManifestFile.h"
 #include "Operators/StatusReport.h"
 
-#include <prometheus/counter.h>
-#include <prometheus/gauge.h>
-#include <prometheus/registry.h>
-#include <prometheus/text_serializer.h>
-
 namespace corianderdyke {
 
 namespace {
 
+constexpr int StatusAccepted = 202;
 constexpr int StatusBadRequest = 400;
+constexpr int StatusForbidden = 403;
 constexpr int StatusNotFound = 404;
 constexpr int StatusConflict = 409;
 constexpr int StatusMisdirected = 421;
 constexpr int StatusUnavailable = 503;
 
 HttpResponse jsonResponse(const nlohmann::json &Body, int Status = 200) {
-  return {Status, {{"Content-Type", "application/json"}}, Body.dump(2) + "\n"};
+  // Names come from callers and files: bytes that aren't UTF-8 are replaced,
+  // for an exception here would end the process.
+  return {Status,
+          {{"Content-Type", "application/json"}},
+          Body.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) +
+              "\n"};
 }
 
 HttpResponse errorResponse(int Status, const std::string &Why) {
   return jsonResponse({{"error", Why}}, Status);
 }
 
+HttpResponse findingsResponse(const Findings &All) {
+  return jsonResponse({{"error", "the manifest has findings"},
+                       {"findings", findingsReport(All)}},
+                      StatusBadRequest);
+}
+
 int statusOf(const Error &Of) {
   switch (Of.Code) {
   case ErrorCode::BadInput:
@@ -42,131 +52,255 @@
   }
 }
 
+std::string fileOf(const HttpRequest &Request) {
+  const std::string &Given = Request.header(operator_header::ManifestFile);
+  return Given.empty() ? "manifest" : Given;
+}
+
+std::string actorOf(const HttpRequest &Request) {
+  const std::string &Given = Request.header(operator_header::Name);
+  return Given.empty() ? "unnamed" : Given;
+}
+
+/// Answers a change: \p Accepted tells what was made of it.
+ControlNode::ChangeHandler
+answerChange(const std::shared_ptr<HttpExchange> &Exchange,
+             nlohmann::json Accepted) {
+  return [Exchange,
+          Accepted = std::move(Accepted)](const Expected<ApplyResult> &Result) {
+    if (!Result)
+      return Exchange->respond(
+          errorResponse(StatusUnavailable, Result.error().Message));
+    if (Result->Refusal)
+      return Exchange->respond(
+          errorResponse(statusOf(*Result->Refusal), Result->Refusal->Message));
+    nlohmann::json Body = Accepted;
+    Body["revision"] = Result->Revision;
+    Exchange->respond(jsonResponse(Body));
+  };
+}
+
 } // namespace
 
+OperatorService::OperatorService(OperatorSources From, std::string OperatorKey)
+    : From(From), OperatorKey(std::move(OperatorKey)) {
+  if (From.Control != nullptr)
+    From.Control->signalAudited().connect(
+        sigc::mem_fun(*this, &OperatorService::observeFailover));
+}
+
 void OperatorService::handle(const HttpRequest &Request,
                              std::shared_ptr<HttpExchange> Exchange) {
+  if (Request.Method == HttpMethod::Post)
+    change(Request, Exchange);
+  else
+    read(Request, Exchange);
+}
+
+void OperatorService::read(const HttpRequest &Request,
+                           const ExchangePtr &Exchange) {
   if (Request.Path == "/healthz")
-    return health(*Exchange);
+    return Exchange->respond({200, {}, "alive\n"});
   if (Request.Path == "/readyz")
-    return readiness(*Exchange);
+    return Exchange->respond(
+        isReady() ? HttpResponse{200, {}, "ready\n"}
+                  : HttpResponse{StatusUnavailable,
+                                 {},
+                                 Stopping ? "stopping\n" : "no lease\n"});
   if (Request.Path == "/metrics")
     return Exchange->respond(
         {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics()});
-  if (Control == nullptr)
-    return Exchange->respond(
-        errorResponse(StatusMisdirected, "this process isn't a control host"));
-  if (Request.Path == "/v1/manifest" && Request.Method == HttpMethod::Post)
-    return applyManifest(Request, Exchange);
-  nlohmann::json (*Report)(const ControlNode &, const ControlState &) = nullptr;
+  const Millis Now = From.Time.now();
   if (Request.Path == "/v1/status")
-    Report = &statusReport;
-  else if (Request.Path == "/v1/manifest")
-    Report = &manifestReport;
-  else if (Request.Path == "/v1/audit")
-    Report = [](const ControlNode &, const ControlState &State) {
-      return auditReport(State);
-    };
-  if (Report == nullptr)
+    return answerLatest(Exchange, [this, Now](const ControlState &State) {
+      return statusReport(*From.Control, State, Now);
+    });
+  if (Request.Path == "/v1/manifest")
+    return answerLatest(Exchange, [this](const ControlState &State) {
+      return manifestReport(*From.Control, State);
+    });
+  if (Request.Path == "/v1/manifest/history")
+    return answerLatest(Exchange, &historyReport);
+  if (Request.Path == "/v1/audit")
+    return answerLatest(
+        Exchange,
+        [Since = numberOr(Request.parameter("since"), 0),
+         Subject = Request.parameter("subject")](const ControlState &State) {
+          return auditReport(State, Since, Subject);
+        });
+  Exchange->respond(errorResponse(StatusNotFound, "no such path"));
+}
+
+void OperatorService::change(const HttpRequest &Request,
+                             const ExchangePtr &Exchange) {
+  // A dry run changes nothing and needs no key.
+  if (Request.Path == "/v1/manifest/diff")
+    return compareManifest(Request, Exchange);
+  if (!sameDigest(Request.header(operator_header::Key), OperatorKey))
+    return Exchange->respond(errorResponse(StatusForbidden,
+                                           "the operators' key is missing or "
+                                           "wrong"));
+  if (Request.Path == "/v1/drain")
+    return drainProcess(Exchange);
+  if (Request.Path != "/v1/manifest" && Request.Path != "/v1/targets/drain")
     return Exchange->respond(errorResponse(StatusNotFound, "no such path"));
-  Control->readLatest(
-      [this, Exchange, Report](Expected<const ControlState *> State) {
+  if (From.Control == nullptr)
+    return Exchange->respond(
+        errorResponse(StatusMisdirected, "this process isn't a control host"));
+  if (!From.Control->consensus().isLeader())
+    return Exchange->respond(
+        errorResponse(StatusMisdirected, "this control host doesn't lead"));
+  if (Request.Path == "/v1/manifest")
+    applyManifest(Request, Exchange);
+  else
+    drainTarget(Request, Exchange);
+}
+
+void OperatorService::answerLatest(const ExchangePtr &Exchange, Report Of) {
+  if (From.Control == nullptr)
+    return Exchange->respond(
+        errorResponse(StatusMisdirected, "this process isn't a control host"));
+  From.Control->readLatest(
+      [Exchange, Of = std::move(Of)](Expected<const ControlState *> State) {
         if (!State)
           Exchange->respond(
               errorResponse(StatusMisdirected, State.error().Message));
         else
-          Exchange->respond(jsonResponse(Report(*Control, **State)));
+          Exchange->respond(jsonResponse(Of(**State)));
       });
 }
 
-void OperatorService::applyManifest(
-    const HttpRequest &Request, const std::shared_ptr<HttpExchange> &Exchange) {
-  const std::string &Given = Request.header("Manifest-File");
-  auto Parsed = parseManifest(Given.empty() ? "manifest" : Given, Request.Body);
-  if (!Parsed) {
-    Exchange->respond(errorResponse(StatusBadRequest, text(Parsed.error())));
-    return;
-  }
-  const std::string &Actor = Request.header("Operator");
-  const std::uint64_t Version = Parsed->Version;
-  const std::string Digest = Parsed->digest();
-  if (!Control->consensus().isLeader()) {
-    Exchange->respond(
-        errorResponse(StatusMisdirected, "this control host doesn't lead"));
-    return;
-  }
-  Control->propose(
-      Actor.empty() ? "unnamed" : Actor,
-      ApplyManifest{std::move(*Parsed), Request.Body},
-      [Exchange, Version, Digest](Expected<ApplyResult> Result) {
-        if (!Result)
-          return Exchange->respond(
-              errorResponse(StatusUnavailable, Result.error().Message));
-        if (Result->Refusal)
-          return Exchange->respond(errorResponse(statusOf(*Result->Refusal),
-                                                 Result->Refusal->Message));
-        Exchange->respond(jsonResponse({{"accepted", true},
-                                        {"version", Version},
-                                        {"digest", Digest},
-                                        {"revision", Result->Revision}}));
-      });
+void OperatorService::applyManifest(const HttpRequest &Request,
+                                    const ExchangePtr &Exchange) {
+  auto Parsed = parseManifest(fileOf(Request), Request.Body);
+  if (!Parsed)
+    return Exchange->respond(findingsResponse(Parsed.error()));
+  const nlohmann::json Accepted = {{"accepted", true},
+                                   {"version", Parsed->Version},
+                                   {"digest", Parsed->digest()}};
+  From.Control->propose(actorOf(Request),
+                        ApplyManifest{std::move(*Parsed), Request.Body},
+                        answerChange(Exchange, Accepted));
 }
 
-void OperatorService::health(HttpExchange &Exchange) const {
-  Exchange.respond({200, {}, "alive\n"});
+void OperatorService::compareManifest(const HttpRequest &Request,
+                                      const ExchangePtr &Exchange) {
+  const auto Parsed = parseManifest(fileOf(Request), Request.Body);
+  if (!Parsed)
+    return Exchange->respond(findingsResponse(Parsed.error()));
+  answerLatest(Exchange,
+               [New = *Parsed, Text = Request.Body](const ControlState &State) {
+                 return differenceReport(State, New, Text);
+               });
 }
 
-void OperatorService::readiness(HttpExchange &Exchange) const {
-  if (Proxy == nullptr || Proxy->isReady())
-    Exchange.respond({200, {}, "ready\n"});
-  else
-    Exchange.respond({StatusUnavailable, {}, "no lease\n"});
+void OperatorService::drainTarget(const HttpRequest &Request,
+                                  const ExchangePtr &Exchange) {
+  const std::string &Name = Request.parameter("name");
+  const TargetAnnouncement *Known = From.Control->applied().view().target(Name);
+  if (Known == nullptr)
+    return Exchange->respond(
+        errorResponse(StatusNotFound, "no target '" + Name + "'"));
+  // The next sequence: the target's own repeated announcement doesn't bring
+  // it back, but that of its next life does.
+  TargetAnnouncement Leaving = *Known;
+  Leaving.Leaving = true;
+  ++Leaving.Sequence;
+  From.Control->propose(actorOf(Request), RecordTarget{std::move(Leaving)},
+                        answerChange(Exchange, {{"draining", Name}}));
+}
+
+void OperatorService::drainProcess(const ExchangePtr &Exchange) {
+  Exchange->respond(jsonResponse(
+      {{"draining", true},
+       {"in_flight",
+        From.Proxy == nullptr ? 0 : From.Proxy->statements().inFlight()}},
+      StatusAccepted));
+  DrainAsked.emit();
+}
+
+bool OperatorService::isReady() const {
+  return !Stopping && (From.Proxy == nullptr || From.Proxy->isReady());
+}
+
+void OperatorService::observeFailover(const AuditRecord &Line) {
+  const Millis Now = From.Time.now();
+  if (Line.Action == "primary-fenced")
+    FencedAt[Line.Subject] = Now;
+  const auto Began = FencedAt.find(Line.Subject);
+  if (Line.Action != "target-promoted" || Began == FencedAt.end())
+    return;
+  // A follower, or a host that replays its journal, sees old lines too.
+  if (From.Control->consensus().isSettledLeader())
+    Failovers.observe(Now - Began->second);
+  FencedAt.erase(Began);
 }
 
 std::string OperatorService::metrics() const {
-  prometheus::Registry Registry;
-  if (Proxy != nullptr) {
-    const StatementCounts &Counts = Proxy->statements().counts();
-    auto &Reads = prometheus::BuildCounter()
-                      .Name("corianderdyke_reads_total")
-                      .Help("Reads answered, by the role that served them.")
-                      .Register(Registry);
-    Reads.Add({{"served_by", "replica"}})
-        .Increment(static_cast<double>(Counts.ReadsByReplica));
-    Reads.Add({{"served_by", "primary"}})
-        .Increment(static_cast<double>(Counts.ReadsByPrimary));
-    auto &Outcomes = prometheus::BuildCounter()
-                         .Name("corianderdyke_statements_total")
-                         .Help("Statements by what the caller was told.")
-                         .Register(Registry);
-    Outcomes.Add({{"outcome", "not-run"}})
-        .Increment(static_cast<double>(Counts.NotRun));
-    Outcomes.Add({{"outcome", "unknown"}})
-        .Increment(static_cast<double>(Counts.Unknown));
-    Outcomes.Add({{"outcome", "write-done"}})
-        .Increment(static_cast<double>(Counts.Writes));
-    prometheus::BuildGauge()
-        .Name("corianderdyke_lease_held")
-        .Help("1 while the proxy may serve.")
-        .Register(Registry)
-        .Add({})
-        .Set(Proxy->isReady() ? 1 : 0);
+  MetricSet Out;
+  Out.add("corianderdyke_build_info", 1, {{"version", ProgramVersion}});
+  const ClusterView *View = nullptr;
+  if (From.Proxy != nullptr) {
+    addProxyMetrics(Out);
+    View = &From.Proxy->view();
+  }
+  if (From.Control != nullptr) {
+    addControlMetrics(Out);
+    View = &From.Control->applied().view();
   }
-  if (Control != nullptr) {
-    prometheus::BuildGauge()
-        .Name("corianderdyke_control_leader")
-        .Help("1 on the leading control host.")
-        .Register(Registry)
-        .Add({})
-        .Set(Control->consensus().isSettledLeader() ? 1 : 0);
-    prometheus::BuildGauge()
-        .Name("corianderdyke_control_revision")
-        .Help("Revision that this control host has applied.")
-        .Register(Registry)
-        .Add({})
-        .Set(static_cast<double>(Control->applied().view().Revision));
+  if (View != nullptr && View->Current)
+    Out.add("corianderdyke_manifest_version",
+            static_cast<double>(View->Current->Version));
+  const PeerTraffic Peers = From.Peers.traffic();
+  Out.add("corianderdyke_peer_sent_bytes_total",
+          static_cast<double>(Peers.SentBytes));
+  Out.add("corianderdyke_peer_received_bytes_total",
+          static_cast<double>(Peers.ReceivedBytes));
+  Out.add("corianderdyke_peer_rejected_total",
+          static_cast<double>(Peers.Rejected));
+  return Out.text();
+}
+
+void OperatorService::addProxyMetrics(MetricSet &To) const {
+  const StatementCounts &Counts = From.Proxy->statements().counts();
+  const auto Count = [&To](const char *Name, const char *Label,
+                           const char *Value, std::uint64_t Of) {
+    To.add(Name, static_cast<double>(Of), {{Label, Value}});
+  };
+  Count("corianderdyke_reads_total", "served_by", "replica",
+        Counts.ReadsByReplica);
+  Count("corianderdyke_reads_total", "served_by", "primary",
+        Counts.ReadsByPrimary);
+  Count("corianderdyke_statements_total", "outcome", "not-run", Counts.NotRun);
+  Count("corianderdyke_statements_total", "outcome", "unknown", Counts.Unknown);
+  Count("corianderdyke_statements_total", "outcome", "read-done",
+        Counts.ReadsByReplica + Counts.ReadsByPrimary);
+  Count("corianderdyke_statements_total", "outcome", "write-done",
+        Counts.Writes);
+  To.add("corianderdyke_statements_in_flight",
+         static_cast<double>(From.Proxy->statements().inFlight()));
+  To.add("corianderdyke_lease_held", From.Proxy->isReady() ? 1 : 0);
+  To.add("corianderdyke_ready", isReady() ? 1 : 0);
+  To.add("corianderdyke_applied_revision",
+         static_cast<double>(From.Proxy->lease().appliedRevision()));
+  To.add("corianderdyke_database_write_gap_seconds",
+         From.Proxy->writeGaps().gaps());
+}
+
+void OperatorService::addControlMetrics(MetricSet &To) const {
+  const Consensus &Agreement = From.Control->consensus();
+  const ClusterView &View = From.Control->applied().view();
+  To.add("corianderdyke_failover_seconds", Failovers);
+  To.add("corianderdyke_control_leader", Agreement.isSettledLeader() ? 1 : 0);
+  To.add("corianderdyke_control_term", static_cast<double>(Agreement.term()));
+  To.add("corianderdyke_control_revision", static_cast<double>(View.Revision));
+  To.add("corianderdyke_proxies", static_cast<double>(View.Proxies.size()));
+  for (const auto &[Name, Group] : View.Groups) {
+    To.add("corianderdyke_group_promoted", Group.isWritable() ? 1 : 0,
+           {{"database", Name}});
+    To.add("corianderdyke_group_term", static_cast<double>(Group.Term),
+           {{"database", Name}});
   }
-  return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
 
 } // namespace corianderdyke
--- a/Source/Operators/OperatorService.h
+++ b/Source/Operators/OperatorService.h
@@ -6,28 +6,64 @@
 
 #include "Control/ControlNode.h"
 #include "Http/HttpServer.h"
+#include "Operators/MetricSet.h"
 #include "Proxy/ProxyNode.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace corianderdyke {
 
-/// Answers about the roles that the process has; either may be null.
-class OperatorService final : public HttpService {
+namespace operator_header {
+constexpr const char *Key = "Operator-Key";
+constexpr const char *Name = "Operator";
+constexpr const char *ManifestFile = "Manifest-File";
+} // namespace operator_header
+
+/// What an operators' port answers about; either role may be null.
+struct OperatorSources {
+  Clock &Time;
+  const Transport &Peers;
+  ControlNode *Control = nullptr;
+  ProxyNode *Proxy = nullptr;
+};
+
+/// Reading needs no key; whatever changes something needs the operators' key.
+class OperatorService final : public HttpService, public sigc::trackable {
 public:
-  OperatorService(ControlNode *Control, ProxyNode *Proxy)
-      : Control(Control), Proxy(Proxy) {}
+  OperatorService(OperatorSources From, std::string OperatorKey);
 
   void handle(const HttpRequest &Request,
               std::shared_ptr<HttpExchange> Exchange) override;
 
+  /// From now on the process isn't ready: the balancer turns away from it.
+  void beginStopping() { Stopping = true; }
+
+  /// Emitted when an operator asks the process to stop gracefully.
+  sigc::signal<void()> &signalDrainAsked() { return DrainAsked; }
+
 private:
-  void applyManifest(const HttpRequest &Request,
-                     const std::shared_ptr<HttpExchange> &Exchange);
-  void health(HttpExchange &Exchange) const;
-  void readiness(HttpExchange &Exchange) const;
+  using ExchangePtr = std::shared_ptr<HttpExchange>;
+  using Report = std::function<nlohmann::json(const ControlState &)>;
+
+  void read(const HttpRequest &Request, const ExchangePtr &Exchange);
+  void change(const HttpRequest &Request, const ExchangePtr &Exchange);
+  void answerLatest(const ExchangePtr &Exchange, Report Of);
+  void applyManifest(const HttpRequest &Request, const ExchangePtr &Exchange);
+  void compareManifest(const HttpRequest &Request, const ExchangePtr &Exchange);
+  void drainTarget(const HttpRequest &Request, const ExchangePtr &Exchange);
+  void drainProcess(const ExchangePtr &Exchange);
+  bool isReady() const;
   std::string metrics() const;
+  void addProxyMetrics(MetricSet &To) const;
+  void addControlMetrics(MetricSet &To) const;
+  void observeFailover(const AuditRecord &Line);
 
-  ControlNode *Control;
-  ProxyNode *Proxy;
+  OperatorSources From;
+  std::string OperatorKey;
+  bool Stopping = false;
+  std::map<std::string, Millis> FencedAt; ///< By database.
+  DurationHistogram Failovers;
+  sigc::signal<void()> DrainAsked;
 };
 
 } // namespace corianderdyke
--- a/Source/Operators/StatusReport.cpp
+++ b/Source/Operators/StatusReport.cpp
@@ -3,6 +3,10 @@
 
 #include "Operators/StatusReport.h"
 
+#include "Manifest/ManifestFile.h"
+
+#include <algorithm>
+
 namespace corianderdyke {
 
 namespace {
@@ -19,12 +23,50 @@
   return "promoted";
 }
 
-nlohmann::json groupReport(const ClusterView &View, const GroupRecord &Group) {
+/// What the proxies report of a target.
+struct Sightings {
+  std::size_t WatchedBy = 0;
+  std::size_t ReachableFrom = 0;
+  std::optional<Millis> SilentFor; ///< The shortest.
+};
+
+Sightings sightings(const LeaseRegistry &Leases, const std::string &Target) {
+  Sightings Out;
+  for (const auto &[Id, Holder] : Leases.holders())
+    for (const TargetReport &Each : Holder.Reports) {
+      if (Each.Target != Target)
+        continue;
+      ++Out.WatchedBy;
+      Out.ReachableFrom += Each.Reachable ? 1 : 0;
+      Out.SilentFor =
+          std::min(Out.SilentFor.value_or(Each.SilentFor), Each.SilentFor);
+    }
+  return Out;
+}
+
+nlohmann::json targetReport(const LeaseRegistry &Leases,
+                            const GroupRecord &Group,
+                            const TargetAnnouncement &Each) {
+  const Sightings Seen = sightings(Leases, Each.Name);
+  nlohmann::json Out = {{"name", Each.Name},
+                        {"address", Each.Address.text()},
+                        {"failure_domain", Each.Where.FailureDomain},
+                        {"role", Each.Leaving                 ? "leaving"
+                                 : Each.Name == Group.Primary ? "primary"
+                                                              : "replica"},
+                        {"watched_by", Seen.WatchedBy},
+                        {"reachable_from", Seen.ReachableFrom}};
+  if (Seen.SilentFor)
+    Out["silent_for_ms"] = Seen.SilentFor->count();
+  return Out;
+}
+
+nlohmann::json groupReport(const ClusterView &View, const LeaseRegistry &Leases,
+                           const GroupRecord &Group) {
   nlohmann::json Targets = nlohmann::json::array();
-  for (const TargetAnnouncement &Each : View.targetsOf(Group.Database))
-    Targets.push_back({{"name", Each.Name},
-                       {"address", Each.Address.text()},
-                       {"failure_domain", Each.Where.FailureDomain}});
+  for (const auto &[Name, Each] : View.Targets)
+    if (Each.Database == Group.Database)
+      Targets.push_back(targetReport(Leases, Group, Each));
   return {{"database", Group.Database},
           {"phase", word(Group.Phase)},
           {"term", Group.Term},
@@ -32,36 +74,62 @@
           {"targets", std::move(Targets)}};
 }
 
+/// The version of the manifest that was the latest at \p Revision.
+std::uint64_t versionAt(const ControlState &State, std::uint64_t Revision) {
+  std::uint64_t Out = 0;
+  for (const ManifestRecord &Each : State.manifests())
+    if (Each.Revision <= Revision)
+      Out = Each.Version;
+  return Out;
+}
+
+nlohmann::json proxyReport(const LeaseRegistry &Leases,
+                           const ControlState &State, const ProcessId &Id,
+                           const Place &Where, Millis Now) {
+  nlohmann::json Out = {{"name", Id.Name},
+                        {"incarnation", Id.Incarnation},
+                        {"failure_domain", Where.FailureDomain}};
+  const auto Known = Leases.holders().find(Id);
+  if (Known == Leases.holders().end())
+    return Out;
+  const std::uint64_t Applied = Known->second.Applied;
+  Out["applied_revision"] = Applied;
+  Out["manifest_version"] = versionAt(State, Applied);
+  Out["heard_ms_ago"] = (Now - Known->second.LastHeard).count();
+  const auto End = Leases.expiry(Id);
+  if (End && *End > Now)
+    Out["lease_left_ms"] = (*End - Now).count();
+  return Out;
+}
+
 } // namespace
 
 nlohmann::json statusReport(const ControlNode &Control,
-                            const ControlState &State) {
+                            const ControlState &State, Millis Now) {
   const ClusterView &View = State.view();
   nlohmann::json Groups = nlohmann::json::array();
   for (const auto &[Name, Group] : View.Groups)
-    Groups.push_back(groupReport(View, Group));
+    Groups.push_back(groupReport(View, Control.leases(), Group));
   nlohmann::json Proxies = nlohmann::json::array();
-  for (const auto &[Id, Where] : View.Proxies) {
-    const auto Known = Control.leases().holders().find(Id);
-    Proxies.push_back(
-        {{"name", Id.Name},
-         {"incarnation", Id.Incarnation},
-         {"failure_domain", Where.FailureDomain},
-         {"applied_revision", Known == Control.leases().holders().end()
-                                  ? 0
-                                  : Known->second.Applied}});
-  }
+  for (const auto &[Id, Where] : View.Proxies)
+    Proxies.push_back(proxyReport(Control.leases(), State, Id, Where, Now));
   return {{"leader", Control.consensus().leader()},
           {"control_term", Control.consensus().term()},
           {"revision", View.Revision},
           {"manifest_version", View.Current ? View.Current->Version : 0},
+          {"manifest_in_force",
+           State.manifests().empty() ||
+               Control.isInForce(State.manifests().back().Revision)},
           {"groups", std::move(Groups)},
           {"proxies", std::move(Proxies)}};
 }
 
-nlohmann::json auditReport(const ControlState &State) {
+nlohmann::json auditReport(const ControlState &State, std::uint64_t Since,
+                           const std::string &Subject) {
   nlohmann::json Out = nlohmann::json::array();
-  for (const AuditRecord &Each : State.audit())
+  for (const AuditRecord &Each : State.audit()) {
+    if (Each.Revision <= Since || (!Subject.empty() && Each.Subject != Subject))
+      continue;
     Out.push_back({{"revision", Each.Revision},
                    {"wall_time_ms", Each.WallTime.count()},
                    {"actor", Each.Actor},
@@ -70,6 +138,7 @@
                    {"from", Each.From},
                    {"to", Each.To},
                    {"reason", Each.Reason}});
+  }
   return Out;
 }
 
@@ -86,4 +155,46 @@
           {"in_force", Control.isInForce(Last.Revision)}};
 }
 
+nlohmann::json historyReport(const ControlState &State) {
+  nlohmann::json Out = nlohmann::json::array();
+  for (const ManifestRecord &Each : State.manifests())
+    Out.push_back({{"version", Each.Version},
+                   {"digest", Each.Digest},
+                   {"actor", Each.Actor},
+                   {"wall_time_ms", Each.WallTime.count()},
+                   {"revision", Each.Revision}});
+  return Out;
+}
+
+nlohmann::json differenceReport(const ControlState &State, const Manifest &New,
+                                const std::string &Text) {
+  nlohmann::json Differences = nlohmann::json::array();
+  const std::string Before =
+      State.manifests().empty() ? "" : State.manifests().back().Text;
+  for (const ItemDifference &Each : manifestDifferences(Before, Text))
+    Differences.push_back(
+        {{"item", Each.Item}, {"from", Each.From}, {"to", Each.To}});
+  const auto Checked = State.check(New);
+  const bool Same = State.view().Current == New;
+  return {{"version", New.Version},
+          {"digest", New.digest()},
+          {"would_be", !Checked ? "refused"
+                       : Same   ? "accepted without a change"
+                                : "accepted"},
+          {"refusal", Checked ? "" : Checked.error().Message},
+          {"differences", std::move(Differences)}};
+}
+
+nlohmann::json findingsReport(const Findings &All) {
+  nlohmann::json Out = nlohmann::json::array();
+  for (const Finding &Each : All)
+    Out.push_back({{"file", Each.File},
+                   {"line", Each.Line},
+                   {"column", Each.Column},
+                   {"message", Each.Message},
+                   {"suggestion", Each.Suggestion},
+                   {"text", Each.text()}});
+  return Out;
+}
+
 } // namespace corianderdyke
--- a/Source/Operators/StatusReport.h
+++ b/Source/Operators/StatusReport.h
@@ -4,6 +4,7 @@
 #ifndef CORIANDERDYKE_OPERATORS_STATUSREPORT_H
 #define CORIANDERDYKE_OPERATORS_STATUSREPORT_H
 
+#include "Common/Finding.h"
 #include "Control/ControlNode.h"
 
 #include <nlohmann/json.hpp>
@@ -12,13 +13,25 @@
 
 /// Groups, targets, proxies and the manifest, as a leader sees them.
 nlohmann::json statusReport(const ControlNode &Control,
-                            const ControlState &State);
+                            const ControlState &State, Millis Now);
 
-nlohmann::json auditReport(const ControlState &State);
+/// The lines of the audit trail after revision \p Since, of one subject or,
+/// where \p Subject is empty, of all.
+nlohmann::json auditReport(const ControlState &State, std::uint64_t Since,
+                           const std::string &Subject);
 
 nlohmann::json manifestReport(const ControlNode &Control,
                               const ControlState &State);
 
+/// The manifests that were accepted, the latest last, without their texts.
+nlohmann::json historyReport(const ControlState &State);
+
+/// What would become of a manifest that was sent now.
+nlohmann::json differenceReport(const ControlState &State, const Manifest &New,
+                                const std::string &Text);
+
+nlohmann::json findingsReport(const Findings &All);
+
 } // namespace corianderdyke
 
 #endif
--- /dev/null
+++ b/Source/Operators/TextTable.h
@@ -0,0 +1,28 @@
+/// \file
+/// Columns of text for people.
+
+#ifndef CORIANDERDYKE_OPERATORS_TEXTTABLE_H
+#define CORIANDERDYKE_OPERATORS_TEXTTABLE_H
+
+#include <string>
+#include <vector>
+
+namespace corianderdyke {
+
+/// Rows under a heading, each column as wide as its widest cell.
+class TextTable {
+public:
+  explicit TextTable(std::vector<std::string> Heading);
+
+  void add(std::vector<std::string> Row);
+
+  /// All lines; no line ends in a blank.
+  std::string text() const;
+
+private:
+  std::vector<std::vector<std::string>> Rows;
+};
+
+} // namespace corianderdyke
+
+#endif
--- a/Source/Proxy/ProxyNode.cpp
+++ b/Source/Proxy/ProxyNode.cpp
@@ -53,6 +53,7 @@
     HeldLease = !HeldLease;
     LeaseChanged.emit(HeldLease);
   }
+  WriteGaps.update(View, Table, HeldLease, Now);
   Ports.Timers.after(TickInterval, [this] { tick(); });
 }
 
--- a/Source/Proxy/ProxyNode.h
+++ b/Source/Proxy/ProxyNode.h
@@ -5,6 +5,7 @@
 #define CORIANDERDYKE_PROXY_PROXYNODE_H
 
 #include "Proxy/StatementService.h"
+#include "Proxy/WriteGapMeter.h"
 #include "Settings/Settings.h"
 #include "Transport/Transport.h"
 
@@ -34,6 +35,7 @@
   const ClusterView &view() const { return View; }
   const LeaseHolder &lease() const { return Lease; }
   const StatementService &statements() const { return Statements; }
+  const WriteGapMeter &writeGaps() const { return WriteGaps; }
   const ProcessId &id() const { return Id; }
 
   /// Emitted when the lease is gained or lost.
@@ -58,6 +60,7 @@
   TargetTable Table;
   TargetWatcher Watcher;
   StatementService Statements;
+  WriteGapMeter WriteGaps;
   /// Index in Options.Controls of the host that is asked for leases.
   std::size_t Leader = 0;
   Millis LastRequest = Millis(-1000000);
--- /dev/null
+++ b/Source/Settings/KeyTable.cpp
@@ -0,0 +1,150 @@
+/// \file
+/// The keys that a kind of file knows, as data.
+
+#include "Settings/KeyTable.h"
+
+#include <algorithm>
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace corianderdyke {
+
+namespace {
+
+std::string joined(const std::vector<std::string> &Words) {
+  std::string Out;
+  for (const std::string &Each : Words)
+    Out += (Out.empty() ? "" : ", ") + Each;
+  return Out;
+}
+
+std::string typeWord(KeyType Of) {
+  switch (Of) {
+  case KeyType::Text:
+    return "string";
+  case KeyType::Texts:
+    return "array of strings";
+  case KeyType::Number:
+    return "number";
+  case KeyType::Flag:
+    return "true or false";
+  case KeyType::Word:
+    return "word";
+  case KeyType::Address:
+    break;
+  }
+  return "address:port";
+}
+
+std::string range(const KeyDescription &Of) {
+  if (Of.Type == KeyType::Word || Of.Type == KeyType::Texts)
+    return joined(Of.Words);
+  if (Of.Type != KeyType::Number)
+    return "";
+  return std::to_string(Of.Least) + " to " + std::to_string(Of.Most);
+}
+
+std::string print(const toml::node &Of) {
+  std::ostringstream Out;
+  Of.visit([&Out](const auto &Value) { Out << Value; });
+  std::string Text = Out.str();
+  if (Text.size() >= 2 && Text.front() == Text.back() &&
+      (Text.front() == '\'' || Text.front() == '"'))
+    Text = Text.substr(1, Text.size() - 2);
+  return Text;
+}
+
+std::string prefix(const std::string &Table, const toml::table &Instance) {
+  if (Table.empty())
+    return "";
+  std::string Out = bareTable(Table);
+  if (Table.rfind("[[", 0) == 0)
+    if (const toml::node *Name = Instance.get("name"))
+      Out += " " + print(*Name);
+  return Out + ".";
+}
+
+void flattenKey(const KeyDescription &Key, const toml::table &Instance,
+                std::map<std::string, std::string> &Out) {
+  const toml::node *Value = Instance.get(Key.Key);
+  Out[prefix(Key.Table, Instance) + Key.Key] =
+      Value == nullptr ? Key.Default : print(*Value);
+}
+
+} // namespace
+
+std::string bareTable(const std::string &Table) {
+  const std::size_t Begin = Table.find_first_not_of('[');
+  return Begin == std::string::npos
+             ? ""
+             : Table.substr(Begin, Table.find(']') - Begin);
+}
+
+const KeyDescription *KeyTable::find(const std::string &Table,
+                                     const std::string &Key) const {
+  for (const KeyDescription &Each : Keys)
+    if (Each.Table == Table && Each.Key == Key)
+      return &Each;
+  return nullptr;
+}
+
+std::string KeyTable::markdown() const {
+  const bool AnyReloads =
+      std::any_of(Keys.begin(), Keys.end(),
+                  [](const KeyDescription &Each) { return Each.Reloads; });
+  std::string Out = std::string("| table | key | type | unit | range | "
+                                "default | ") +
+                    (AnyReloads ? "reload | " : "") + "meaning |\n" +
+                    "| --- | --- | --- | --- | --- | --- | " +
+                    (AnyReloads ? "--- | " : "") + "--- |\n";
+  for (const KeyDescription &Each : Keys)
+    Out += "| " + (Each.Table.empty() ? "top level" : "`" + Each.Table + "`") +
+           " | `" + Each.Key + "` | " + typeWord(Each.Type) + " | " +
+           Each.Unit + " | " + range(Each) + " | " +
+           (Each.Default.empty() ? "required" : "`" + Each.Default + "`") +
+           " | " + (AnyReloads ? (Each.Reloads ? "yes | " : "no | ") : "") +
+           Each.Meaning + " |\n";
+  return Out;
+}
+
+std::map<std::string, std::string>
+KeyTable::flatten(const std::string &Text) const {
+  std::map<std::string, std::string> Out;
+  if (Text.empty())
+    return Out;
+  static const toml::table Empty;
+  const toml::table Root = toml::parse(Text);
+  for (const KeyDescription &Each : Keys) {
+    const toml::node *At = Root.get(bareTable(Each.Table));
+    if (Each.Table.empty())
+      flattenKey(Each, Root, Out);
+    else if (const toml::array *All = At == nullptr ? nullptr : At->as_array())
+      for (const toml::node &Item : *All)
+        flattenKey(Each, *Item.as_table(), Out);
+    else if (Each.Table.rfind("[[", 0) != 0)
+      flattenKey(Each, At == nullptr ? Empty : *At->as_table(), Out);
+  }
+  return Out;
+}
+
+std::vector<ItemDifference> differences(const KeyTable &Keys,
+                                        const std::string &Before,
+                                        const std::string &After) {
+  const auto Old = Keys.flatten(Before);
+  const auto New = Keys.flatten(After);
+  std::map<std::string, ItemDifference> All;
+  for (const auto &[Item, Value] : Old)
+    All[Item] = {Item, Value, ""};
+  for (const auto &[Item, Value] : New) {
+    ItemDifference &Each = All[Item];
+    Each.Item = Item;
+    Each.To = Value;
+  }
+  std::vector<ItemDifference> Out;
+  for (const auto &[Item, Each] : All)
+    if (Each.From != Each.To)
+      Out.push_back(Each);
+  return Out;
+}
+
+} // namespace corianderdyke
--- a/Source/Settings/Settings.cpp
+++ b/Source/Settings/Settings.cpp
@@ -5,18 +5,110 @@
 
 #include "Settings/TomlReader.h"
 
+#include <algorithm>
+
 namespace corianderdyke {
 
 namespace {
 
 constexpr std::size_t MinKeyLength = 16;
 
-void readProcess(TomlReader In, Settings &Out) {
-  Out.Name = In.requiredText("name");
-  Out.Where.Region = In.text("region", "default");
-  Out.Where.FailureDomain = In.requiredText("failure_domain");
-  Out.Where.Host = In.text("host", Out.Name);
-  for (const std::string &Role : In.texts("roles")) {
+std::vector<KeyDescription> describeKeys() {
+  using Type = KeyType;
+  return {
+      {.Table = "[process]",
+       .Key = "name",
+       .Meaning = "Name of the process, unique in the system."},
+      {.Table = "[process]",
+       .Key = "region",
+       .Default = "default",
+       .Meaning = "Region of the host."},
+      {.Table = "[process]",
+       .Key = "failure_domain",
+       .Meaning = "Failure domain of the host."},
+      {.Table = "[process]",
+       .Key = "host",
+       .Default = "the process's name",
+       .Meaning = "Name of the host."},
+      {.Table = "[process]",
+       .Key = "roles",
+       .Type = Type::Texts,
+       .Words = {"proxy", "control"},
+       .Meaning = "What the process does; one or both."},
+      {.Table = "[process]",
+       .Key = "data_folder",
+       .Default = "none",
+       .Meaning = "Folder of the control state; control hosts need it."},
+      {.Table = "[process]",
+       .Key = "log_format",
+       .Type = Type::Word,
+       .Words = {"human", "json"},
+       .Default = "human",
+       .Meaning = "Lines for people, or one JSON object a line.",
+       .Reloads = true},
+      {.Table = "[process]",
+       .Key = "log_level",
+       .Type = Type::Word,
+       .Words = {"info", "warning", "error"},
+       .Default = "info",
+       .Meaning = "The least severe log events that are written.",
+       .Reloads = true},
+      {.Table = "[process]",
+       .Key = "stop_notice_ms",
+       .Type = Type::Number,
+       .Unit = "ms",
+       .Least = 0,
+       .Most = 600000,
+       .Default = "2000",
+       .Meaning = "How long a stopping proxy still takes callers, so that "
+                  "the balancer can see that it isn't ready."},
+      {.Table = "[process]",
+       .Key = "stop_bound_ms",
+       .Type = Type::Number,
+       .Unit = "ms",
+       .Least = 0,
+       .Most = 600000,
+       .Default = "30000",
+       .Meaning = "How long a graceful stop may wait for what is in flight."},
+      {.Table = "[listen]",
+       .Key = "callers",
+       .Type = Type::Address,
+       .Default = "none",
+       .Meaning = "HTTP for callers and targets; proxies need it."},
+      {.Table = "[listen]",
+       .Key = "operators",
+       .Type = Type::Address,
+       .Meaning = "HTTP for operators, metrics, health and readiness."},
+      {.Table = "[listen]",
+       .Key = "peers",
+       .Type = Type::Address,
+       .Meaning = "UDP and TCP among the system's own processes."},
+      {.Table = "[keys]",
+       .Key = "peers",
+       .Meaning = "Seals messages among the processes; the same everywhere."},
+      {.Table = "[keys]",
+       .Key = "sessions",
+       .Meaning = "Seals session tokens; the same everywhere."},
+      {.Table = "[keys]",
+       .Key = "targets",
+       .Meaning = "Shown by targets that announce themselves."},
+      {.Table = "[keys]",
+       .Key = "operators",
+       .Meaning = "Shown by operators who change something."},
+      {.Table = "[[control]]",
+       .Key = "name",
+       .Meaning = "Name of a control host; one table for each."},
+      {.Table = "[[control]]",
+       .Key = "peers",
+       .Type = Type::Address,
+       .Meaning = "Its peers' address."},
+  };
+}
+
+void readRoles(TomlReader &In, Settings &Out) {
+  const std::size_t Before = In.faults();
+  const std::vector<std::string> Given = In.texts("roles");
+  for (const std::string &Role : Given) {
     if (Role == "proxy")
       Out.IsProxy = true;
     else if (Role == "control")
@@ -25,61 +117,122 @@
       In.report("roles", "unknown role '" + Role + "'",
                 "a role is \"proxy\" or \"control\"");
   }
-  if (!Out.IsProxy && !Out.IsControl)
+  if (Given.empty() && Before == In.faults())
     In.report("roles", "the process has no role",
               "write roles = [\"proxy\"], [\"control\"] or both");
-  Out.DataFolder = In.text("data_folder", "");
+}
+
+void readProcess(TomlReader In, Settings &Out) {
+  Out.Name = In.text("name");
+  Out.Where.Region = In.text("region", "default");
+  Out.Where.FailureDomain = In.text("failure_domain");
+  Out.Where.Host = In.text("host", Out.Name);
+  readRoles(In, Out);
+  Out.DataFolder = In.text("data_folder");
   if (Out.IsControl && Out.DataFolder.empty())
-    In.report("data_folder", "a control host needs 'data_folder'");
-  Out.JsonLogs = In.word("log_format", {"human", "json"}, 0) == 1;
+    In.report("data_folder", "a control host needs 'data_folder'",
+              "name a folder on a disk that lasts");
+  Out.JsonLogs = In.word("log_format") == 1;
+  Out.Level = static_cast<LogLevel>(In.word("log_level"));
+  Out.StopNotice = In.millis("stop_notice_ms");
+  Out.StopBound = In.millis("stop_bound_ms");
+  In.finish();
+}
+
+void readListen(TomlReader In, Settings &Out) {
+  Out.Callers = In.endpoint("callers");
+  Out.Operators = In.endpoint("operators");
+  Out.Peers = In.endpoint("peers");
+  if (Out.IsProxy && Out.Callers.Port == 0)
+    In.report("callers", "a proxy needs 'callers'",
+              "write callers = \"address:port\"");
+  const bool Shared = Out.Operators.Port != 0 &&
+                      (Out.Operators == Out.Peers ||
+                       (Out.IsProxy && Out.Operators == Out.Callers));
+  if (Shared)
+    In.report("operators", "two listeners share " + Out.Operators.text(),
+              "give each its own port");
+  if (Out.IsProxy && Out.Peers.Port != 0 && Out.Callers == Out.Peers)
+    In.report("callers", "two listeners share " + Out.Callers.text(),
+              "give each its own port");
   In.finish();
 }
 
 std::string readKey(TomlReader &In, const std::string &Key) {
-  std::string Value = In.requiredText(Key);
+  std::string Value = In.text(Key);
   if (!Value.empty() && Value.size() < MinKeyLength)
     In.report(Key, "'" + Key + "' is too short to be a key",
               "use 16 characters or more");
   return Value;
 }
 
+void readKeys(TomlReader In, Settings &Out) {
+  Out.PeerKey = readKey(In, "peers");
+  Out.SessionKey = readKey(In, "sessions");
+  Out.TargetKey = readKey(In, "targets");
+  Out.OperatorKey = readKey(In, "operators");
+  // Each key is known to others: targets know one, operators another. With
+  // the peers' key anyone can speak as a control host.
+  for (const std::string *Other : {&Out.TargetKey, &Out.OperatorKey})
+    if (!Other->empty() &&
+        (*Other == Out.PeerKey || *Other == Out.SessionKey)) {
+      In.report("peers",
+                "a key that outsiders know is also one of the "
+                "system's own",
+                "use another key for each line");
+      break;
+    }
+  In.finish();
+}
+
+void readControls(TomlReader &In, Settings &Out) {
+  In.tables("control", [&Out](TomlReader &Each) {
+    Out.Controls.push_back({Each.text("name"), Each.endpoint("peers")});
+    for (std::size_t Index = 0; Index + 1 < Out.Controls.size(); ++Index)
+      if (Out.Controls[Index].Name == Out.Controls.back().Name)
+        Each.report("name", "two control hosts are named '" +
+                                Out.Controls.back().Name + "'");
+  });
+  if (Out.Controls.empty())
+    In.report("control", "no control host is named",
+              "add a [[control]] table for each");
+  const auto Self = std::find_if(
+      Out.Controls.begin(), Out.Controls.end(),
+      [&Out](const ControlHost &Each) { return Each.Name == Out.Name; });
+  if (!Out.IsControl)
+    return;
+  if (Self == Out.Controls.end())
+    In.report("control", "this control host isn't in the [[control]] list",
+              "add a table with name = \"" + Out.Name + "\"");
+  else if (Self->Peers.Port != Out.Peers.Port)
+    In.report("control",
+              "the [[control]] list has " + Self->Peers.text() +
+                  " for this host, which listens on " + Out.Peers.text(),
+              "use the same port in both");
+}
+
 } // namespace
 
+const KeyTable &settingKeys() {
+  static const KeyTable All(describeKeys());
+  return All;
+}
+
 tl::expected<Settings, Findings> parseSettings(const std::string &File,
                                                const std::string &Text) {
   Findings Found;
   const toml::table Root = parseToml(File, Text, Found);
   if (!Found.empty())
     return tl::unexpected(Found);
-  TomlReader In(File, "the settings", &Root, Found);
+  TomlReader In(File, settingKeys(), Root, Found);
   Settings Out;
   readProcess(In.table("process"), Out);
-  TomlReader Listen = In.table("listen");
-  Out.Callers = Listen.endpoint("callers", Out.IsProxy);
-  Out.Operators = Listen.endpoint("operators", true);
-  Out.Peers = Listen.endpoint("peers", true);
-  Listen.finish();
-  TomlReader Keys = In.table("keys");
-  Out.PeerKey = readKey(Keys, "peers");
-  Out.SessionKey = readKey(Keys, "sessions");
-  Out.TargetKey = readKey(Keys, "targets");
-  Keys.finish();
-  In.tables("control", [&Out](TomlReader &Each) {
-    Out.Controls.push_back(
-        {Each.requiredText("name"), Each.endpoint("peers", true)});
-  });
-  if (Out.Controls.empty())
-    In.report("control", "no control host is named",
-              "add a [[control]] table for each");
-  bool Named = false;
-  for (const ControlHost &Each : Out.Controls)
-    Named = Named || Each.Name == Out.Name;
-  if (Out.IsControl && !Named)
-    In.report("control", "this control host isn't in the [[control]] list",
-              "add a table with name = \"" + Out.Name + "\"");
+  readListen(In.table("listen"), Out);
+  readKeys(In.table("keys"), Out);
+  readControls(In, Out);
   In.finish();
   if (!Found.empty())
-    return tl::unexpected(Found);
+    return tl::unexpected(inOrder(std::move(Found)));
   return Out;
 }
 
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -7,6 +7,7 @@
 #include "Common/Finding.h"
 #include "Common/Identity.h"
 #include "Common/Millis.h"
+#include "Settings/KeyTable.h"
 
 #include <tl/expected.hpp>
 
@@ -20,6 +21,9 @@
   auto operator<=>(const ControlHost &) const = default;
 };
 
+/// The least severe log events that are written.
+enum class LogLevel : std::uint8_t { Info, Warning, Error };
+
 struct Settings {
   std::string Name;
   Place Where;
@@ -30,14 +34,24 @@
   Endpoint Operators;     ///< Status, metrics and the manifest.
   Endpoint Peers;         ///< UDP and TCP among the system's own processes.
   std::vector<ControlHost> Controls;
-  std::string PeerKey;    ///< Seals messages between the processes.
-  std::string SessionKey; ///< Seals session tokens.
-  std::string TargetKey;  ///< Given by targets that announce themselves.
+  std::string PeerKey;     ///< Seals messages between the processes.
+  std::string SessionKey;  ///< Seals session tokens.
+  std::string TargetKey;   ///< Given by targets that announce themselves.
+  std::string OperatorKey; ///< Given by operators who change something.
   bool JsonLogs = false;
+  LogLevel Level = LogLevel::Info;
+  /// How long a stopping proxy still takes new callers, so that the balancer
+  /// can see that it isn't ready.
+  Millis StopNotice = Millis(2000);
+  /// How long a graceful stop may wait for what is in flight.
+  Millis StopBound = Millis(30000);
 
   bool operator==(const Settings &) const = default;
 };
 
+/// The keys of a settings file; Help/settings.md lists the same.
+const KeyTable &settingKeys();
+
 /// The settings in \p Text, or all their faults.
 tl::expected<Settings, Findings> parseSettings(const std::string &File,
                                                const std::string &Text);
--- a/Source/Settings/TomlReader.cpp
+++ b/Source/Settings/TomlReader.cpp
@@ -4,7 +4,9 @@
 #include "Settings/TomlReader.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <numeric>
+#include <stdexcept>
 
 namespace corianderdyke {
 
@@ -28,8 +30,8 @@
   return Row.back();
 }
 
-template <class Words>
-std::string nearest(const std::string &Word, const Words &Known) {
+std::string nearest(const std::string &Word,
+                    const std::vector<std::string> &Known) {
   std::string Best;
   std::size_t BestDistance = Word.size() / 2 + 1;
   for (const std::string &Each : Known) {
@@ -51,14 +53,28 @@
 
 } // namespace
 
-TomlReader::TomlReader(std::string File, std::string Name,
-                       const toml::table *Table, Findings &Found)
-    : File(std::move(File)), Name(std::move(Name)), Table(Table), Found(Found) {
+TomlReader::TomlReader(std::string File, const KeyTable &Keys,
+                       const toml::table &Root, Findings &Found)
+    : File(std::move(File)), Keys(Keys), Table(&Root), Found(Found) {}
+
+TomlReader::TomlReader(const TomlReader &Outer, std::string Name,
+                       const toml::table *Table)
+    : File(Outer.File), Keys(Outer.Keys), Name(std::move(Name)), Table(Table),
+      Found(Outer.Found) {}
+
+const KeyDescription &TomlReader::describe(const std::string &Key) const {
+  const KeyDescription *Known = Keys.find(Name, Key);
+  if (Known == nullptr)
+    throw std::logic_error("no description of key '" + Key + "'");
+  return *Known;
 }
 
 const toml::node *TomlReader::node(const std::string &Key) {
-  Known.insert(Key);
-  return Table == nullptr ? nullptr : Table->get(Key);
+  const toml::node *At = Table == nullptr ? nullptr : Table->get(Key);
+  if (At == nullptr && describe(Key).Default.empty())
+    report(Key,
+           "'" + Key + "' is missing" + (Name.empty() ? "" : " in " + Name));
+  return At;
 }
 
 void TomlReader::report(const std::string &Key, std::string Message,
@@ -75,76 +91,68 @@
 }
 
 void TomlReader::reportType(const std::string &Key, const std::string &Wanted) {
-  report(Key, "'" + Key + "' in " + Name + " must be " + Wanted);
+  report(Key, "'" + Key + "'" + (Name.empty() ? "" : " in " + Name) +
+                  " must be " + Wanted);
 }
 
 std::string TomlReader::text(const std::string &Key,
-                             const std::string &Default) {
+                             const std::string &Otherwise) {
   const toml::node *At = node(Key);
   if (At == nullptr)
-    return Default;
-  if (const auto Value = At->value_exact<std::string>())
-    return *Value;
-  reportType(Key, "a string");
-  return Default;
+    return Otherwise;
+  const auto Value = At->value_exact<std::string>();
+  if (!Value)
+    reportType(Key, "a string");
+  else if (Value->empty())
+    report(Key, "'" + Key + "' is empty");
+  return Value.value_or(Otherwise);
 }
 
-std::string TomlReader::requiredText(const std::string &Key) {
-  if (node(Key) == nullptr) {
-    report(Key, "'" + Key + "' is missing in " + Name);
-    return "";
-  }
-  const std::size_t Before = Found.size();
-  std::string Value = text(Key, "");
-  if (Value.empty() && Found.size() == Before)
-    report(Key, "'" + Key + "' in " + Name + " is empty");
-  return Value;
+std::int64_t TomlReader::number(const std::string &Key) {
+  return number(Key, std::atoll(describe(Key).Default.c_str()));
 }
 
-std::int64_t TomlReader::number(const std::string &Key, std::int64_t Default,
-                                std::int64_t Least, std::int64_t Most) {
+std::int64_t TomlReader::number(const std::string &Key,
+                                std::int64_t Otherwise) {
+  const KeyDescription &Known = describe(Key);
   const toml::node *At = node(Key);
   if (At == nullptr)
-    return Default;
+    return Otherwise;
   const auto Value = At->value_exact<std::int64_t>();
   if (!Value) {
     reportType(Key, "a whole number");
-    return Default;
+    return Otherwise;
   }
-  if (*Value < Least || *Value > Most) {
-    report(Key, "'" + Key + "' in " + Name + " is " + std::to_string(*Value),
-           "it may be " + std::to_string(Least) + " to " +
-               std::to_string(Most));
-    return Default;
+  if (*Value < Known.Least || *Value > Known.Most) {
+    report(Key,
+           "'" + Key + "'" + (Name.empty() ? "" : " in " + Name) + " is " +
+               std::to_string(*Value),
+           "it may be " + std::to_string(Known.Least) + " to " +
+               std::to_string(Known.Most));
+    return Otherwise;
   }
   return *Value;
 }
 
-Millis TomlReader::millis(const std::string &Key, Millis Default, Millis Least,
-                          Millis Most) {
-  return Millis(number(Key, Default.count(), Least.count(), Most.count()));
-}
-
-bool TomlReader::flag(const std::string &Key, bool Default) {
+bool TomlReader::flag(const std::string &Key) {
+  const bool Otherwise = describe(Key).Default == "true";
   const toml::node *At = node(Key);
   if (At == nullptr)
-    return Default;
-  if (const auto Value = At->value_exact<bool>())
-    return *Value;
-  reportType(Key, "true or false");
-  return Default;
+    return Otherwise;
+  const auto Value = At->value_exact<bool>();
+  if (!Value)
+    reportType(Key, "true or false");
+  return Value.value_or(Otherwise);
 }
 
 std::vector<std::string> TomlReader::texts(const std::string &Key) {
   std::vector<std::string> Out;
   const toml::node *At = node(Key);
-  if (At == nullptr)
-    return Out;
-  const toml::array *Array = At->as_array();
-  if (Array == nullptr) {
+  const toml::array *Array = At == nullptr ? nullptr : At->as_array();
+  if (At != nullptr && Array == nullptr)
     reportType(Key, "an array of strings");
+  if (Array == nullptr)
     return Out;
-  }
   for (const toml::node &Each : *Array) {
     if (const auto Value = Each.value_exact<std::string>())
       Out.push_back(*Value);
@@ -154,10 +162,8 @@
   return Out;
 }
 
-Endpoint TomlReader::endpoint(const std::string &Key, bool Required) {
-  if (!Required && node(Key) == nullptr)
-    return {};
-  const std::string Text = requiredText(Key);
+Endpoint TomlReader::endpoint(const std::string &Key) {
+  const std::string Text = text(Key);
   if (Text.empty())
     return {};
   auto Parsed = Endpoint::parse(Text);
@@ -168,32 +174,38 @@
   return {};
 }
 
-std::size_t TomlReader::word(const std::string &Key,
-                             const std::vector<std::string> &Words,
-                             std::size_t Default) {
+std::size_t TomlReader::word(const std::string &Key) {
+  const KeyDescription &Known = describe(Key);
+  const auto IndexOf = [&Known](const std::string &Word) {
+    return static_cast<std::size_t>(
+        std::find(Known.Words.begin(), Known.Words.end(), Word) -
+        Known.Words.begin());
+  };
   const toml::node *At = node(Key);
   if (At == nullptr)
-    return Default;
+    return IndexOf(Known.Default);
   const auto Value = At->value_exact<std::string>();
-  const auto Found =
-      Value ? std::find(Words.begin(), Words.end(), *Value) : Words.end();
-  if (Found != Words.end())
-    return static_cast<std::size_t>(Found - Words.begin());
-  reportType(Key, "one of " + joined(Words));
-  return Default;
+  const std::size_t Index = Value ? IndexOf(*Value) : Known.Words.size();
+  if (Index < Known.Words.size())
+    return Index;
+  const std::string Near = Value ? nearest(*Value, Known.Words) : "";
+  report(Key,
+         "'" + Key + "'" + (Name.empty() ? "" : " in " + Name) +
+             " must be one of " + joined(Known.Words),
+         Near.empty() ? "" : "did you mean '" + Near + "'?");
+  return IndexOf(Known.Default);
 }
 
 TomlReader TomlReader::table(const std::string &Key) {
-  const toml::node *At = node(Key);
+  const toml::node *At = Table == nullptr ? nullptr : Table->get(Key);
   if (At != nullptr && At->as_table() == nullptr)
     reportType(Key, "a table");
-  return {File, "[" + Key + "]", At == nullptr ? nullptr : At->as_table(),
-          Found};
+  return {*this, "[" + Key + "]", At == nullptr ? nullptr : At->as_table()};
 }
 
 void TomlReader::tables(const std::string &Key,
                         const std::function<void(TomlReader &)> &Each) {
-  const toml::node *At = node(Key);
+  const toml::node *At = Table == nullptr ? nullptr : Table->get(Key);
   if (At == nullptr)
     return;
   const toml::array *Array = At->as_array();
@@ -206,23 +218,36 @@
       reportType(Key, "an array of tables");
       continue;
     }
-    TomlReader Reader(File, "[[" + Key + "]]", Item.as_table(), Found);
+    TomlReader Reader(*this, "[[" + Key + "]]", Item.as_table());
     Each(Reader);
     Reader.finish();
   }
 }
 
+std::vector<std::string> TomlReader::knownWords() const {
+  std::vector<std::string> Out;
+  for (const KeyDescription &Each : Keys.keys()) {
+    if (Each.Table == Name)
+      Out.push_back(Each.Key);
+    else if (Name.empty())
+      Out.push_back(bareTable(Each.Table));
+  }
+  return Out;
+}
+
 void TomlReader::finish() {
   if (Table == nullptr)
     return;
+  const std::vector<std::string> Known = knownWords();
   for (const auto &[Key, Value] : *Table) {
     const std::string Word(Key.str());
-    if (Known.count(Word) != 0)
+    if (std::find(Known.begin(), Known.end(), Word) != Known.end())
       continue;
     const std::string Near = nearest(Word, Known);
-    Found.push_back({File, Key.source().begin.line, Key.source().begin.column,
-                     "unknown key '" + Word + "' in " + Name,
-                     Near.empty() ? "" : "did you mean '" + Near + "'?"});
+    Found.push_back(
+        {File, Key.source().begin.line, Key.source().begin.column,
+         "unknown key '" + Word + "'" + (Name.empty() ? "" : " in " + Name),
+         Near.empty() ? "" : "did you mean '" + Near + "'?"});
   }
 }
 
--- a/Source/Settings/TomlReader.h
+++ b/Source/Settings/TomlReader.h
@@ -7,41 +7,43 @@
 #include "Common/Finding.h"
 #include "Common/Identity.h"
 #include "Common/Millis.h"
+#include "Settings/KeyTable.h"
 
 #include <functional>
-#include <set>
 #include <string>
 #include <toml++/toml.h>
 #include <vector>
 
 namespace corianderdyke {
 
-/// One table of a file. Each key that is read is marked as known; finish()
-/// reports the rest, with the nearest known key as a suggestion.
+/// One table of a file, read by the descriptions of its keys. finish()
+/// reports keys that have none, with the nearest known key as a suggestion.
 class TomlReader {
 public:
-  /// \p Table may be null: a table that the file doesn't have, in which
-  /// every required key is missing.
-  TomlReader(std::string File, std::string Name, const toml::table *Table,
+  /// Reads the top level.
+  TomlReader(std::string File, const KeyTable &Keys, const toml::table &Root,
              Findings &Found);
 
-  bool isPresent() const { return Table != nullptr; }
-
-  std::string text(const std::string &Key, const std::string &Default);
-  std::string requiredText(const std::string &Key);
-  std::int64_t number(const std::string &Key, std::int64_t Default,
-                      std::int64_t Least, std::int64_t Most);
-  Millis millis(const std::string &Key, Millis Default, Millis Least,
-                Millis Most);
-  bool flag(const std::string &Key, bool Default);
+  /// A string; \p Otherwise where it's missing and may be.
+  std::string text(const std::string &Key, const std::string &Otherwise = "");
+  std::int64_t number(const std::string &Key);
+  /// A number whose default depends on other keys.
+  std::int64_t number(const std::string &Key, std::int64_t Otherwise);
+  std::uint32_t count(const std::string &Key) {
+    return static_cast<std::uint32_t>(number(Key));
+  }
+  Millis millis(const std::string &Key) { return Millis(number(Key)); }
+  bool flag(const std::string &Key);
   std::vector<std::string> texts(const std::string &Key);
-  Endpoint endpoint(const std::string &Key, bool Required);
-  /// The index of the key's word in \p Words.
-  std::size_t word(const std::string &Key,
-                   const std::vector<std::string> &Words, std::size_t Default);
+  /// An address; no address where it's missing and may be.
+  Endpoint endpoint(const std::string &Key);
+  /// The index of the key's word among those of its description.
+  std::size_t word(const std::string &Key);
 
+  /// The table "[Key]"; where the file doesn't have it, its required keys
+  /// are missing.
   TomlReader table(const std::string &Key);
-  /// Calls \p Each for every table of an array of tables.
+  /// Calls \p Each for every table "[[Key]]".
   void tables(const std::string &Key,
               const std::function<void(TomlReader &)> &Each);
 
@@ -49,18 +51,27 @@
   void report(const std::string &Key, std::string Message,
               std::string Suggestion = "");
 
-  /// Reports keys that nobody asked for.
+  /// Findings so far, in the whole file.
+  std::size_t faults() const { return Found.size(); }
+
+  /// Reports keys that the file may not have.
   void finish();
 
 private:
+  TomlReader(const TomlReader &Outer, std::string Name,
+             const toml::table *Table);
+
+  const KeyDescription &describe(const std::string &Key) const;
+  /// The key's value; null, with a finding where it's required, if missing.
   const toml::node *node(const std::string &Key);
   void reportType(const std::string &Key, const std::string &Wanted);
+  std::vector<std::string> knownWords() const;
 
   std::string File;
-  std::string Name;
+  const KeyTable &Keys;
+  std::string Name; ///< As in KeyDescription::Table.
   const toml::table *Table;
   Findings &Found;
-  std::set<std::string> Known;
 };
 
 /// Parses a whole file; a fault of syntax becomes one finding.
--- a/Source/Transport/SocketTransport.h
+++ b/Source/Transport/SocketTransport.h
@@ -32,6 +32,10 @@
 
   void send(const Endpoint &To, Delivery How, Message Body) override;
 
+  PeerTraffic traffic() const override {
+    return {Sent, ReceivedBytes, Rejected};
+  }
+
   /// Bytes sent and received, for metrics.
   std::uint64_t bytesSent() const { return Sent; }
   std::uint64_t bytesReceived() const { return ReceivedBytes; }
--- a/Source/Transport/Transport.h
+++ b/Source/Transport/Transport.h
@@ -15,6 +15,15 @@
   Stream,   ///< In order while the connection stands. TCP.
 };
 
+/// Counters for metrics.
+struct PeerTraffic {
+  std::uint64_t SentBytes = 0;
+  std::uint64_t ReceivedBytes = 0;
+  std::uint64_t Rejected = 0; ///< Too long, or a bad seal or content.
+
+  auto operator<=>(const PeerTraffic &) const = default;
+};
+
 /// Sends and receives messages. No delivery is certain: everything that
 /// matters is asked again until it's answered.
 class Transport {
@@ -23,6 +32,8 @@
 
   virtual void send(const Endpoint &To, Delivery How, Message Body) = 0;
 
+  virtual PeerTraffic traffic() const { return {}; }
+
   /// Emitted for each message that arrives with a good seal.
   sigc::signal<void(const Envelope &)> &signalReceived() { return Received; }
 
--- /dev/null
+++ b/Utilities/check-docs.sh
@@ -0,0 +1,67 @@
+#!/usr/bin/env bash
+# Checks what the pages say against the program: relative links lead
+# somewhere, tables are those of the program, commands exist with the options
+# that are shown, and example files parse. Prints every fault; exits 1 if
+# there is one.
+#
+# Usage: Utilities/check-docs.sh BUILD_FOLDER
+set -euo pipefail
+
+program=$(realpath "${1:?the build folder is missing}")/Source/corianderdyke
+cd "$(dirname "$0")/.."
+pages=$(find README.md Help docs -name '*.md')
+faults=$(mktemp)
+trap 'rm -f "$faults"' EXIT
+
+check_links() { # page
+  { grep -oE '\]\([^)#]+' "$1" || true; } | sed 's/^](//' | while read -r link; do
+    case $link in http:* | https:*) continue ;; esac
+    [ -e "$(dirname "$1")/$link" ] || echo "$1: no such file: $link"
+  done
+}
+
+# Every line of the program's table stands on the page, and no other row.
+check_table() { # page, name of the catalogue
+  diff <("$program" catalogue "$2") <(grep '^|' "$1") >/dev/null ||
+    echo "$1: its table isn't that of 'corianderdyke catalogue $2'"
+}
+
+# A command is "corianderdyke" with one or two lower-case words and options.
+check_commands() { # page
+  { grep -oE '(^|[`" ])corianderdyke [a-z]+( [a-z]+)?[^`"]*' "$1" || true; } |
+    sed -E 's/^[`" ]//' | sort -u | while read -r _ first second rest; do
+    help=$("$program" "$first" --help 2>/dev/null) || {
+      echo "$1: no such command: corianderdyke $first"
+      continue
+    }
+    case $first in manifest | drain)
+      help=$("$program" "$first" "$second" --help 2>/dev/null) || {
+        echo "$1: no such command: corianderdyke $first $second"
+        continue
+      } ;;
+    esac
+    for option in $(grep -oE -- '--[a-z-]+' <<<"$second $rest" || true); do
+      grep -q -- "$option" <<<"$help" ||
+        echo "$1: 'corianderdyke $first' has no option $option"
+    done
+  done
+}
+
+{
+  for page in $pages; do
+    check_links "$page"
+    check_commands "$page"
+  done
+  check_table Help/settings.md settings
+  check_table Help/manifest.md manifest
+  check_table Help/log-events.md events
+  check_table Help/metrics.md metrics
+  for file in Examples/*/*.toml; do
+    option=()
+    [ "$(basename "$file")" = manifest.toml ] && option=(--manifest)
+    "$program" check "${option[@]}" "$file" 2>&1 >/dev/null || true
+  done
+} >"$faults"
+
+cat "$faults"
+[ ! -s "$faults" ]
--- a/Utilities/main-job.sh
+++ b/Utilities/main-job.sh
@@ -52,6 +52,7 @@
 peers = "a key for peers of the main job"
 sessions = "a key for sessions of the main job"
 targets = "a key for targets of the main job"
+operators = "a key for operators of the main job"
 
 [[control]]
 name = "control-1"
@@ -83,6 +84,8 @@
 proxy_1=127.0.0.1:${port[6]}
 proxy_2=127.0.0.1:${port[9]}
 
+export CORIANDERDYKE_OPERATOR_KEY="a key for operators of the main job"
+
 step "Starting three control hosts and two proxies"
 for name in control-1 control-2 control-3 entry-1 entry-2; do start $name; done
 
@@ -160,6 +163,6 @@
 cat "$folder/read"
 
 step "What the system did by itself, from the audit trail"
-"$program" audit "${operators[@]}" | grep -E '"(action|to|reason)"'
+"$program" audit "${operators[@]}"
 
 step "Done: $(head -n 1 <(sed -n 's/^gap-ms /failover gap in ms: /p' "$folder/gap"))"
