--- a/Source/Proxy/ProxyNode.h
+++ b/Source/Proxy/ProxyNode.h
@@ -28,6 +28,7 @@
 
   void handle(const HttpRequest &Request,
               std::shared_ptr<HttpExchange> Exchange) override;
+  void disconnected(const std::string &Peer) override;
 
   /// True while the balancer may send callers here.
   bool isReady() const;
@@ -48,6 +49,8 @@
   void on(const Envelope &From, const LeaseGrant &Body);
   void on(const Envelope &From, const NotLeader &Body);
   void on(const Envelope &From, const ViewUpdate &Body);
+  void on(const Envelope &From, const ViewDelta &Body);
+  void adopt(const ClusterView &New, const Endpoint &Sender);
   template <class Other> void on(const Envelope &, const Other &) {}
   void announce(const HttpRequest &Request, HttpExchange &Exchange);
   const ControlHost &leader() const;
