Let the check of the pages see unknown commands

It now wants the usage line of the command, and looks at commands in code only. Seen on a scratch copy: a dead link, an unknown command, an unknown option, a changed row and a bad example are reported; the tree itself passes.

--- a/Utilities/check-docs.sh
+++ b/Utilities/check-docs.sh
@@ -26,16 +26,19 @@
     echo "$1: its table isn't that of 'corianderdyke catalogue $2'"
 }
 
-# A command is "corianderdyke" with one or two lower-case words and options.
+# A command stands in code: between backticks or on an indented line.
 check_commands() { # page
-  { grep -oE '(^|[`" ])corianderdyke [a-z]+( [a-z]+)?[^`"]*' "$1" || true; } |
-    sed -E 's/^[`" ]//' | sort -u | while read -r _ first second rest; do
-    help=$("$program" "$first" --help 2>/dev/null) || {
+  { grep -oE '(`|^    (\$ )?)corianderdyke [a-z]+( [a-z]+)?[^`]*' "$1" ||
+      true; } | sed -E 's/^[` $]+//' | sort -u | while read -r _ first second rest; do
+    help=$("$program" "$first" --help 2>/dev/null)
+    # For a word that it doesn't know, the program shows its own help.
+    grep -q "^Usage: corianderdyke $first" <<<"$help" || {
       echo "$1: no such command: corianderdyke $first"
       continue
     }
     case $first in manifest | drain)
-      help=$("$program" "$first" "$second" --help 2>/dev/null) || {
+      help=$("$program" "$first" "$second" --help 2>/dev/null)
+      grep -q "^Usage: corianderdyke $first $second" <<<"$help" || {
         echo "$1: no such command: corianderdyke $first $second"
         continue
       } ;;
