Count leases out by the whole drift bound

Cause: the leader let a lease run for its duration and twice the drift. A slow proxy's lease lasts duration / (1 - drift), in which a fast leader counts (1 + drift) times that, which is more: 733.3 ms against 722 ms for 600 ms at the highest bound that a manifest may state (100000 ppm). The leader could promote while the former primary was still served.

Ruled out: a lower bound in the manifest only; the sum would still be wrong, just too little to matter beside the rounding.

--- a/Source/Lease/LeaseRegistry.cpp
+++ b/Source/Lease/LeaseRegistry.cpp
@@ -16,9 +16,13 @@
 } // namespace
 
 Millis longestLease(Millis Duration, std::uint32_t DriftPpm) {
-  const std::int64_t Extra =
-      (Duration.count() * 2 * DriftPpm + Million - 1) / Million;
-  return Duration + Millis(Extra) + Rounding;
+  // The proxy's clock shows Duration after Duration / (1 - drift), in which
+  // the leader's may show (1 + drift) times that. Adding twice the drift
+  // would fall short of it: by 13 ms for 600 ms at a tenth.
+  const std::int64_t Slowest = Million - DriftPpm;
+  const std::int64_t Fastest = Million + DriftPpm;
+  return Millis((Duration.count() * Fastest + Slowest - 1) / Slowest) +
+         Rounding;
 }
 
 void LeaseRegistry::begin(const ClusterView &View, Millis Now) {
