Replace a primary that can't copy, and no primary without end

Proxies now report a primary as stalled when too few replicas took anything for 8 times the suspicion time while enough of them answer.

The former primary often has the highest position by writes that nobody was told of. It is left out where enough others answer, else it would be chosen and replaced in turn.

Ruled out: taking a lagging replica for a stalled one (a lag of 1.5 s with pauses as long changes no primary); choosing the former primary's position whenever it is highest.

The tests cause kill, freeze, cut in either direction or both, cut replication, slow and halting primaries, one blind proxy of three, one flapping target and a flapping group.

--- a/Source/Failover/FailoverCoordinator.cpp
+++ b/Source/Failover/FailoverCoordinator.cpp
@@ -17,6 +17,9 @@
 /// How many times SuspectAfter a group with too few targets waits before its
 /// manifest's promote-with-loss policy applies.
 constexpr std::int64_t TooFewPatience = 10;
+/// The former primary is chosen again only where the others don't answer
+/// within this time.
+constexpr Millis OthersFirst(150);
 
 std::size_t readingsNeeded(const DatabasePolicy &Policy) {
   return Policy.Targets - Policy.Copies + 1;
@@ -42,7 +45,7 @@
       if (Each.Target != Target)
         continue;
       ++Live;
-      if (!Each.Reachable)
+      if (!Each.Reachable || Each.Stalled)
         ++Against;
     }
   }
@@ -80,7 +83,7 @@
       stepPromoted(In, Of);
       break;
     case GroupPhase::Fencing:
-      stepFencing(In, At);
+      stepFencing(In, Of);
       break;
     }
   }
@@ -115,7 +118,9 @@
   if (In.Now - *Of.At.MissedSince <
       Of.Pace.patience(Limits.SuspectAfter, In.Now))
     return "";
-  return Name + (Restarted ? " has restarted" : " can't be reached");
+  return Name + (Restarted
+                     ? " has restarted"
+                     : " can't be reached, or can't copy to its replicas");
 }
 
 void FailoverCoordinator::stepPromoted(const Step &In, Watched &Of) {
@@ -124,6 +129,7 @@
     if (In.Now < Of.At.ProposedUntil)
       return;
     Of.At.ProposedUntil = In.Now + ProposeAgainAfter;
+    Of.Replaced = In.Group.Primary;
     In.Out.Proposals.push_back(
         FenceGroup{In.Group.Database, In.Group.Term + 1, Reason});
     return;
@@ -194,36 +200,31 @@
          Found->second.Sequence == Target.Sequence;
 }
 
-const TargetAnnouncement *
-FailoverCoordinator::best(const Step &In,
-                          const std::vector<TargetAnnouncement> &Targets,
-                          const Progress &At, bool SettledOnly) {
-  const TargetAnnouncement *Best = nullptr;
-  for (const TargetAnnouncement &Each : Targets) {
-    if (!isRead(Each, At) || (SettledOnly && !In.Group.isSettled(Each)))
-      continue;
-    if (Best == nullptr) {
-      Best = &Each;
-      continue;
-    }
-    const TargetPosition &Left = At.Readings.at(Best->Name).At;
-    const TargetPosition &Right = At.Readings.at(Each.Name).At;
-    const FailoverPolicy &Limits = In.View.Current->Failover;
-    // Between equals, one that the proxies reach.
-    const bool Equal = !isBehind(Left, Right) && !isBehind(Right, Left);
-    if (isBehind(Left, Right) ||
-        (Equal && isSuspected(Best->Name, In.Leases, Limits, In.Now) &&
-         !isSuspected(Each.Name, In.Leases, Limits, In.Now)))
-      Best = &Each;
-  }
-  return Best;
+std::vector<TargetAnnouncement>
+FailoverCoordinator::readTargets(const Step &In, const Progress &At,
+                                 bool SettledOnly) {
+  std::vector<TargetAnnouncement> Out;
+  for (const TargetAnnouncement &Each : In.View.targetsOf(In.Group.Database))
+    if (isRead(Each, At) && (!SettledOnly || In.Group.isSettled(Each)))
+      Out.push_back(Each);
+  return Out;
 }
 
-void FailoverCoordinator::stepFencing(const Step &In, Progress &At) {
+TargetAnnouncement
+FailoverCoordinator::best(const std::vector<TargetAnnouncement> &Of,
+                          const Progress &At) {
+  return *std::max_element(
+      Of.begin(), Of.end(),
+      [&At](const TargetAnnouncement &Left, const TargetAnnouncement &Right) {
+        return isBehind(At.Readings.at(Left.Name).At,
+                        At.Readings.at(Right.Name).At);
+      });
+}
+
+void FailoverCoordinator::stepFencing(const Step &In, Watched &Of) {
   const GroupRecord &Group = In.Group;
-  const std::vector<TargetAnnouncement> Targets =
-      In.View.targetsOf(Group.Database);
-  for (const TargetAnnouncement &Each : Targets)
+  Progress &At = Of.At;
+  for (const TargetAnnouncement &Each : In.View.targetsOf(Group.Database))
     if (!isRead(Each, At) && mayCall(Each.Name, At, In.Now))
       In.Out.Calls.push_back(
           {TargetOrder::Fence, Each, Group.Term, Endpoint{}, Group.Forks});
@@ -233,33 +234,51 @@
       In.Now < At.ProposedUntil)
     return;
   // A target that came back without its log proves nothing by its position.
-  const auto Readings = static_cast<std::size_t>(std::count_if(
-      Targets.begin(), Targets.end(), [&](const TargetAnnouncement &Each) {
-        return isRead(Each, At) && Group.isSettled(Each);
-      }));
+  std::vector<TargetAnnouncement> Read = readTargets(In, At, true);
+  const std::size_t Readings = Read.size();
   const std::size_t Needed = readingsNeeded(In.Policy);
-  const bool Lossy = Readings < Needed;
   std::string Reason =
       std::to_string(Readings) + " of " + std::to_string(In.Policy.Targets) +
       " targets told their position, " + std::to_string(Needed) + " are needed";
-  const TargetAnnouncement *Best = best(In, Targets, At, !Lossy);
-  if (Lossy) {
+  if (Readings < Needed) {
     const Millis Patience =
         In.View.Current->Failover.SuspectAfter * TooFewPatience;
     if (In.Now - At.Since < Patience)
       return;
-    if (Best == nullptr || In.Policy.TooFew == TooFewPolicy::Wait) {
+    Read = readTargets(In, At, false);
+    if (Read.empty() || In.Policy.TooFew == TooFewPolicy::Wait) {
       if (!std::exchange(At.Noted, true))
         In.Out.Proposals.push_back(
             NoteTrouble{"failover-waiting", Group.Database, Reason});
       return;
     }
     Reason += "; acknowledged writes may be lost";
+  } else if (!preferOthers(In, Of, Read)) {
+    return;
   }
   At.ProposedUntil = In.Now + ProposeAgainAfter;
+  const TargetAnnouncement Best = best(Read, At);
   In.Out.Proposals.push_back(PromoteTarget{
-      Group.Database, Group.Term, Best->Name,
-      At.Readings[Best->Name].At.Position, Best->Sequence, Lossy, Reason});
+      Group.Database, Group.Term, Best.Name, At.Readings[Best.Name].At.Position,
+      Best.Sequence, Readings < Needed, Reason});
+}
+
+bool FailoverCoordinator::preferOthers(const Step &In, const Watched &Of,
+                                       std::vector<TargetAnnouncement> &Read) {
+  // The former primary often has the highest position, by writes that nobody
+  // was told of. Chosen for them it would be replaced again at once, and
+  // callers would never write. Enough others prove that they hold all that
+  // was acknowledged.
+  std::vector<TargetAnnouncement> Others;
+  for (const TargetAnnouncement &Each : Read)
+    if (Each.Name != Of.Replaced)
+      Others.push_back(Each);
+  if (Others.size() == Read.size())
+    return true;
+  if (Others.size() < readingsNeeded(In.Policy))
+    return In.Now - Of.At.Since >= OthersFirst;
+  Read = std::move(Others);
+  return true;
 }
 
 void FailoverCoordinator::answered(const TargetCall &Call,
--- a/Source/Failover/FailoverCoordinator.h
+++ b/Source/Failover/FailoverCoordinator.h
@@ -105,6 +105,8 @@
   struct Watched {
     Progress At;
     ReplacementPace Pace;
+    /// The primary that was replaced last, unless it left.
+    std::string Replaced;
   };
 
   /// All that a step of one group looks at.
@@ -119,22 +121,27 @@
 
   static void stepForming(const Step &In, Progress &At);
   static void stepPromoted(const Step &In, Watched &Of);
-  static void stepFencing(const Step &In, Progress &At);
+  static void stepFencing(const Step &In, Watched &Of);
   /// Why the primary should be replaced now; empty where it shouldn't.
   static std::string reasonToReplace(const Step &In, Watched &Of);
   static void assignRoles(const Step &In, Progress &At);
   static void settleJoining(const Step &In, Progress &At);
   static bool mayCall(const std::string &Target, Progress &At, Millis Now);
   static bool isRead(const TargetAnnouncement &Target, const Progress &At);
-  static const TargetAnnouncement *
-  best(const Step &In, const std::vector<TargetAnnouncement> &Targets,
-       const Progress &At, bool SettledOnly);
+  static std::vector<TargetAnnouncement>
+  readTargets(const Step &In, const Progress &At, bool SettledOnly);
+  /// Leaves the former primary out where the others suffice; false where
+  /// they are worth waiting for.
+  static bool preferOthers(const Step &In, const Watched &Of,
+                           std::vector<TargetAnnouncement> &Read);
+  static TargetAnnouncement best(const std::vector<TargetAnnouncement> &Of,
+                                 const Progress &At);
 
   std::map<std::string, Watched> Databases;
 };
 
 /// True where most of the proxies that have been heard of late report that
-/// they can't reach the target.
+/// they can't reach the target, or that it copies nothing.
 bool isSuspected(const std::string &Target, const LeaseRegistry &Leases,
                  const FailoverPolicy &Policy, Millis Now);
 
--- a/Source/Lease/Messages.h
+++ b/Source/Lease/Messages.h
@@ -13,10 +13,12 @@
   std::string Target;
   bool Reachable = true;
   Millis SilentFor; ///< Since the last answer.
+  /// A primary that takes writes and copies them to too few replicas.
+  bool Stalled = false;
 
   auto operator<=>(const TargetReport &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Target, Reachable, SilentFor);
+    Ar(Target, Reachable, SilentFor, Stalled);
   }
 };
 
--- a/Source/Proxy/ProxyNode.cpp
+++ b/Source/Proxy/ProxyNode.cpp
@@ -63,12 +63,10 @@
 void ProxyNode::requestLease() {
   const Millis Now = Ports.Time.now();
   LastRequest = Now;
-  const Millis SuspectAfter =
-      View.Current ? View.Current->Failover.SuspectAfter : Millis();
   Ports.Peers.send(leader().Peers, Delivery::Datagram,
                    LeaseRequest{Id, Options.Where, Lease.nextSequence(), Now,
                                 Lease.appliedRevision(),
-                                Table.reports(SuspectAfter, Now)});
+                                Table.reports(View, Now)});
 }
 
 void ProxyNode::receive(const Envelope &Arrived) {
--- a/Source/Routing/TargetTable.cpp
+++ b/Source/Routing/TargetTable.cpp
@@ -49,20 +49,52 @@
   Entry.LastAnswer = std::max(Entry.LastAnswer, Now);
   // Answers on two connections may cross. A life of a target goes back
   // neither in term nor, once it has joined the term, in position.
-  if (!Entry.WasSeen || !isOlder(Seen, Entry.Seen))
+  const bool Moved = !Entry.WasSeen || isOlder(Entry.Seen, Seen);
+  if (Moved)
     Entry.Seen = Seen;
   Entry.WasSeen = true;
+  noteProgress(Entry, Moved, Now);
   if (Seen.IsPrimary)
     sample(Databases[Entry.Database], Seen.Term, {AskedAt, Seen.Position});
 }
 
+void TargetTable::noteProgress(Known &Of, bool Moved, Millis Now) {
+  const History &Primary = Databases[Of.Database];
+  const bool Behind = Of.Seen.Term != Primary.Term || Of.Seen.IsFenced ||
+                      Of.Seen.Position < Primary.Position;
+  if (!Behind)
+    Of.StuckSince.reset();
+  else if (Moved || !Of.StuckSince)
+    Of.StuckSince = Now;
+}
+
+bool TargetTable::isStalled(const std::string &Primary,
+                            const DatabasePolicy &Policy, Millis SuspectAfter,
+                            Millis Now) const {
+  std::size_t Answering = 1;
+  std::size_t Copying = 1;
+  for (const auto &[Name, Each] : Targets) {
+    if (Each.Database != Policy.Name || Name == Primary ||
+        !isReachable(Name, SuspectAfter, Now))
+      continue;
+    ++Answering;
+    if (!Each.StuckSince ||
+        Now - *Each.StuckSince < SuspectAfter * StallPatience)
+      ++Copying;
+  }
+  // Where too few answer, another primary couldn't acknowledge either.
+  return Copying < Policy.Copies && Answering >= Policy.Copies;
+}
+
 void TargetTable::sample(History &Of, std::uint64_t Term, const Sample &New) {
   if (Term < Of.Term)
     return;
   if (Term > Of.Term) {
     Of.Term = Term;
+    Of.Position = 0;
     Of.Samples.clear();
   }
+  Of.Position = std::max(Of.Position, New.Position);
   if (Of.Samples.empty()) {
     Of.Samples.push_back(New);
     return;
@@ -90,12 +122,21 @@
          Now - Found->second.LastAnswer < SuspectAfter;
 }
 
-std::vector<TargetReport> TargetTable::reports(Millis SuspectAfter,
+std::vector<TargetReport> TargetTable::reports(const ClusterView &View,
                                                Millis Now) const {
   std::vector<TargetReport> Out;
-  for (const auto &[Name, Each] : Targets)
-    Out.push_back(
-        {Name, isReachable(Name, SuspectAfter, Now), Now - Each.LastAnswer});
+  if (!View.Current)
+    return Out;
+  const Millis SuspectAfter = View.Current->Failover.SuspectAfter;
+  for (const auto &[Name, Each] : Targets) {
+    const GroupRecord *Group = View.group(Each.Database);
+    const DatabasePolicy *Policy = View.Current->database(Each.Database);
+    const bool Stalled = Group != nullptr && Policy != nullptr &&
+                         Group->Primary == Name &&
+                         isStalled(Name, *Policy, SuspectAfter, Now);
+    Out.push_back({Name, isReachable(Name, SuspectAfter, Now),
+                   Now - Each.LastAnswer, Stalled});
+  }
   return Out;
 }
 
--- a/Source/Routing/TargetTable.h
+++ b/Source/Routing/TargetTable.h
@@ -40,7 +40,19 @@
   bool isReachable(const std::string &Target, Millis SuspectAfter,
                    Millis Now) const;
 
-  std::vector<TargetReport> reports(Millis SuspectAfter, Millis Now) const;
+  /// What control is told of the targets; nothing before the first manifest.
+  std::vector<TargetReport> reports(const ClusterView &View, Millis Now) const;
+
+  /// True where a primary is ahead of replicas that answer but took nothing
+  /// for long, so that no write can be acknowledged. A replica that lags far
+  /// and still takes something counts as copying.
+  bool isStalled(const std::string &Primary, const DatabasePolicy &Policy,
+                 Millis SuspectAfter, Millis Now) const;
+
+  /// Replicas that take nothing are borne this many times SuspectAfter: 3.2 s
+  /// with the default, less than a write's usual deadline and well above the
+  /// pauses of a replica that applies what it got in large pieces.
+  static constexpr std::int64_t StallPatience = 8;
 
   /// How many targets of a database hold \p Position of \p Term.
   std::size_t copies(const std::string &Database, std::uint64_t Term,
@@ -62,6 +74,8 @@
     bool WasSeen = false;
     bool Refused = false;
     Millis LastAnswer;
+    /// Since when it has been behind the primary without taking anything.
+    std::optional<Millis> StuckSince;
   };
 
   /// The primary's position was at most Position when it was asked.
@@ -72,9 +86,11 @@
 
   struct History {
     std::uint64_t Term = 0;
+    std::uint64_t Position = 0; ///< The highest that the primary told.
     std::deque<Sample> Samples; ///< Rising in both members.
   };
 
+  void noteProgress(Known &Of, bool Moved, Millis Now);
   void sample(History &Of, std::uint64_t Term, const Sample &New);
 
   std::map<std::string, Known> Targets;
--- /dev/null
+++ b/Tests/Unit/FailoverDetectionTest.cpp
@@ -0,0 +1,129 @@
+/// \file
+/// Nobody orders the failover, and nobody suffers a false one, judged by what
+/// callers got and what operators find in the audit trail.
+
+#include "FailoverSupport.h"
+
+#include <catch2/catch.hpp>
+
+using namespace corianderdyke;
+
+namespace {
+
+const std::vector<std::string> Entries = {"entry-1", "entry-2", "entry-3"};
+
+std::size_t fencesIn(FakeCluster &Cluster) {
+  std::size_t Out = 0;
+  for (const AuditRecord &Each : Cluster.leader()->applied().audit())
+    Out += Each.Action == "primary-fenced" ? 1U : 0U;
+  return Out;
+}
+
+void freezeFor(FakeCluster &Cluster, const std::string &Name, Millis Span) {
+  Cluster.Hosts[Name]->freeze();
+  Cluster.Loop.runFor(Span);
+  Cluster.Hosts[Name]->thaw();
+}
+
+} // namespace
+
+TEST_CASE("A failed primary is replaced by nobody's order", "[failover]") {
+  // The primary is killed, frozen, or cut off from the proxies in one
+  // direction or both, or can't reach its replicas any more. Each time
+  // callers can write again within seconds, at another target, and what was
+  // confirmed before is there.
+  const std::string Fault =
+      GENERATE("kill", "freeze", "cut", "cut-in", "cut-out", "cut-replicas");
+  const auto Seed = GENERATE(range(1, 6));
+  CAPTURE(Fault, Seed);
+  FakeCluster Cluster(static_cast<std::uint64_t>(Seed), 3, 3);
+  Cluster.bringUp(FakeCluster::Manifest1);
+  const CallerAnswer Written =
+      Cluster.askNow("entry-1", {.Key = "k1", .Body = "put bale haulier"});
+  REQUIRE(Written.Outcome == "done");
+  const std::string Primary = Written.Target;
+  Cluster.Loop.runFor(Millis(13) * Seed);
+  if (Fault == "kill")
+    Cluster.kill(Primary);
+  if (Fault == "freeze")
+    Cluster.Hosts[Primary]->freeze();
+  for (const std::string &Each : Entries) {
+    if (Fault == "cut" || Fault == "cut-in")
+      Cluster.Net.cut(Each, Primary);
+    if (Fault == "cut" || Fault == "cut-out")
+      Cluster.Net.cut(Primary, Each);
+  }
+  const auto Stuck =
+      Cluster.ask("entry-2", {.Key = "k2", .Body = "put stuck yes"});
+  if (Fault == "cut-replicas")
+    for (const std::string &Each : othersThan(Cluster, Primary))
+      Cluster.Net.cutBoth(Primary, Each);
+  REQUIRE(awaitOther(Cluster, Primary, Millis(8000)));
+  for (const std::string &Each : Entries) {
+    const CallerAnswer Next =
+        Cluster.askNow(Each, {.Key = Each, .Body = "put next one"});
+    CHECK(Next.Outcome == "done");
+    CHECK(Next.Target != Primary);
+    const CallerAnswer Read = Cluster.askNow(
+        Each,
+        {.Kind = "lookup", .Body = "get bale", .Session = Written.Session});
+    CHECK(Read.Body == "haulier");
+  }
+  CHECK(fencesIn(Cluster) == 2);
+}
+
+TEST_CASE("A primary that is slow but alive stays", "[failover]") {
+  // For half a minute the primary answers in fits and starts, or only one of
+  // three proxies can't reach it, or its replicas lag by seconds. Callers at
+  // the other proxies get their writes done, and nothing is replaced.
+  const std::string Trouble = GENERATE("halting", "one-proxy", "lagging");
+  CAPTURE(Trouble);
+  FakeCluster Cluster(1, 3, 3);
+  if (Trouble == "lagging")
+    Cluster.TargetOptions.Lag = Millis(1500);
+  Cluster.bringUp(FakeCluster::Manifest1);
+  const std::string Primary = primaryOf(Cluster);
+  if (Trouble == "one-proxy")
+    Cluster.Net.cutBoth(Primary, "entry-3");
+  for (int Round = 0; Round < 60; ++Round) {
+    const auto Answer = Cluster.ask(
+        "entry-1", {.Key = std::to_string(Round), .Body = "put bale a"});
+    if (Trouble == "halting")
+      freezeFor(Cluster, Primary, Millis(300));
+    Cluster.Loop.runFor(Millis(200));
+    if (Trouble != "lagging")
+      CHECK(Answer->Outcome == "done");
+  }
+  CHECK(fencesIn(Cluster) == 1);
+}
+
+TEST_CASE("Flapping targets are not replaced without end", "[failover]") {
+  // All targets of a group come and go every second, so that each primary in
+  // turn looks dead. Each change of primary costs callers a gap and helps
+  // nobody, so the changes have to become rare.
+  FakeCluster Cluster(1, 3, 3);
+  Cluster.bringUp(FakeCluster::Manifest1);
+  for (int Round = 0; Round < 60; ++Round) {
+    const std::string Primary = primaryOf(Cluster);
+    if (!Primary.empty())
+      freezeFor(Cluster, Primary, Millis(700));
+    Cluster.Loop.runFor(Millis(300));
+  }
+  CHECK(fencesIn(Cluster) <= 6);
+  CHECK(Cluster.askNow("entry-1", {.Key = "k", .Body = "put bale a"}).Outcome ==
+        "done");
+}
+
+TEST_CASE("One flapping target loses its role once", "[failover]") {
+  // Only the primary comes and goes. Another takes over, and the flapping one
+  // isn't chosen again and again.
+  FakeCluster Cluster(2, 3, 3);
+  Cluster.bringUp(FakeCluster::Manifest1);
+  const std::string Primary = primaryOf(Cluster);
+  for (int Round = 0; Round < 30; ++Round) {
+    freezeFor(Cluster, Primary, Millis(700));
+    Cluster.Loop.runFor(Millis(700));
+  }
+  CHECK(fencesIn(Cluster) <= 3);
+  CHECK(primaryOf(Cluster) != Primary);
+}
