--- a/Tests/Support/FailoverSupport.h
+++ b/Tests/Support/FailoverSupport.h
@@ -33,6 +33,19 @@
       Most);
 }
 
+/// Asks again, as callers are told to, while the answer is "not run".
+inline CallerAnswer askAgain(FakeCluster &Cluster, const std::string &Proxy,
+                             const CallerQuestion &Question,
+                             Millis Most = Millis(10000)) {
+  const Millis End = Cluster.Loop.now() + Most;
+  CallerAnswer Out = Cluster.askNow(Proxy, Question);
+  while (Out.Outcome == "not-run" && Cluster.Loop.now() < End) {
+    Cluster.Loop.runFor(Millis(100));
+    Out = Cluster.askNow(Proxy, Question);
+  }
+  return Out;
+}
+
 /// Why the last action of a kind was taken; empty where there was none.
 inline std::string auditOf(FakeCluster &Cluster, const std::string &Action) {
   std::string Out;
