--- a/Source/Membership/TargetAnnouncement.h
+++ b/Source/Membership/TargetAnnouncement.h
@@ -21,7 +21,7 @@
   bool Leaving = false;
   /// Names the log that the target holds; one that comes back without its log
   /// has another. Empty where the database doesn't tell.
-  std::string LogId;
+  std::string LogId = {};
 
   auto operator<=>(const TargetAnnouncement &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
--- a/Source/Proxy/WriteGapMeter.cpp
+++ b/Source/Proxy/WriteGapMeter.cpp
@@ -10,8 +10,7 @@
   if (!View.Current)
     return;
   std::map<std::string, TargetReport> Reports;
-  for (TargetReport &Each :
-       Table.reports(View.Current->Failover.SuspectAfter, Now))
+  for (TargetReport &Each : Table.reports(View, Now))
     Reports[Each.Target] = std::move(Each);
   for (const auto &[Name, Group] : View.Groups) {
     Database &Known = Databases[Name];
--- a/Source/State/ClusterView.h
+++ b/Source/State/ClusterView.h
@@ -45,7 +45,7 @@
   std::uint64_t PrimarySequence = 0;
   /// The logs, by target, that are known to hold all that was acknowledged
   /// with a copy at that target. Only these prove anything in a failover.
-  std::map<std::string, std::string> Settled;
+  std::map<std::string, std::string> Settled = {};
 
   auto operator<=>(const GroupRecord &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
--- a/Tests/StandIn/StandInTarget.cpp
+++ b/Tests/StandIn/StandInTarget.cpp
@@ -344,8 +344,8 @@
     return Exchange.respond(answer(200, ""));
   Term = Ordered;
   Primary = false;
-  Transactions.clear();
   Fenced = IsFence;
+  Transactions.clear();
   ++Generation;
   FollowLink.reset();
   if (!IsFence)
