--- a/Source/Storage/Journal.h
+++ b/Source/Storage/Journal.h
@@ -2,12 +2,13 @@
 /// The durable log of a control host: a snapshot file and a journal file.
 ///
 /// A record is a fixed header and a payload:
-///   magic (4) | length (4) | synced-to (8) | xxh64 (8) | payload
-/// in little-endian order. "synced-to" is the size of the file that was known
-/// to be on disk when the record was written. It tells a torn tail, which a
-/// crash leaves and which is cut, from a damaged middle, which is refused: a
-/// readable record behind the fault that was written after the faulty bytes
-/// were synced proves that they were whole once.
+///   magic xor length (4) | length (4) | synced-to (8) | xxh64 (8) | payload
+/// in little-endian order. The first field tells a length that a flipped bit
+/// changed from one that a crash left without its payload. "synced-to" is the
+/// size of the file that was known to be on disk when the record was written.
+/// It tells a torn tail, which a crash leaves and which is cut, from a damaged
+/// middle, which is refused: a readable record behind the fault that was
+/// written after the faulty bytes were synced proves that they were whole once.
 
 #ifndef CORIANDERDYKE_STORAGE_JOURNAL_H
 #define CORIANDERDYKE_STORAGE_JOURNAL_H
@@ -15,6 +16,7 @@
 #include "Storage/Disk.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace corianderdyke {
@@ -30,13 +32,19 @@
     std::string Snapshot; ///< Empty where there is none.
     std::vector<std::string> Records;
     std::size_t CutBytes = 0; ///< Size of the torn tail that was cut.
+    /// The tail that was cut is all there and yet wrong. A crash leaves a
+    /// short record or blocks of zeros; this looks like a flipped bit in a
+    /// batch that had been synced.
+    bool TailDamaged = false;
   };
 
   /// Reads both files and cuts a torn tail. Corrupt where a record that had
-  /// been synced is damaged, or the snapshot is.
+  /// been synced is damaged, or the snapshot is. Where TailDamaged is set,
+  /// only replace() may follow.
   Expected<Content> load();
 
-  /// Adds records and syncs once; they last when this returns.
+  /// Adds records, none of them empty, and syncs once; they last when this
+  /// returns.
   Expected<void> append(const std::vector<std::string> &Records);
 
   /// Replaces the snapshot first and the journal after it, each atomically.
@@ -52,7 +60,12 @@
   static constexpr std::uint32_t MaxRecordBytes = 64U << 20U;
 
 private:
+  Expected<void> keep(Expected<void> Result);
+
   Disk &Files;
+  /// Set by the first failed write or sync. What the file holds from there on
+  /// isn't known, and a later sync may succeed without it.
+  std::optional<Error> Broken;
   /// Size of the journal file; all of it is synced between two calls.
   std::size_t Size = 0;
 };
--- a/Tests/Unit/WriteGapMeterTest.cpp
+++ b/Tests/Unit/WriteGapMeterTest.cpp
@@ -12,8 +12,12 @@
 ClusterView viewWith(const std::string &Primary, std::uint64_t Term) {
   ClusterView Out;
   Out.Current = Manifest{};
-  for (const char *Name : {"one", "two"})
-    Out.Targets[Name] = {Name, "ledger", {}, {"10.0.0.1", 1}, 1, false};
+  for (const char *Name : {"one", "two"}) {
+    TargetAnnouncement &Each = Out.Targets[Name];
+    Each.Name = Name;
+    Each.Database = "ledger";
+    Each.Sequence = 1;
+  }
   GroupRecord &Group = Out.Groups["ledger"];
   Group.Database = "ledger";
   Group.Phase = GroupPhase::Promoted;
--- a/Utilities/Capacity/Samples.cpp
+++ b/Utilities/Capacity/Samples.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::uint64_t SampleSequence = 1700000000000;
+
 std::string numbered(const std::string &Word, std::size_t Number) {
   return Word + "-" + std::to_string(Number);
 }
@@ -55,17 +57,23 @@
   Out.LongestLease = Out.Current->Failover.LeaseDuration;
   for (const DatabasePolicy &Policy : Out.Current->Databases) {
     GroupRecord &Group = Out.Groups[Policy.Name];
-    Group = {Policy.Name,        GroupPhase::Promoted, 2,
-             Policy.Name + "-0", {{1, 0}, {2, 1000}},  {}};
+    Group.Database = Policy.Name;
+    Group.Phase = GroupPhase::Promoted;
+    Group.Term = 2;
+    Group.Primary = Policy.Name + "-0";
+    Group.PrimarySequence = SampleSequence;
+    Group.Forks = {{1, 0}, {2, 1000}};
     for (std::size_t Number = 0; Number < TargetsPerDatabase; ++Number) {
       TargetAnnouncement Target;
       Target.Name = numbered(Policy.Name, Number);
       Target.Database = Policy.Name;
       Target.Where = samplePlace(Number);
       Target.Address = {"10.100.200.30", 5432};
-      Target.Sequence = 1700000000000;
+      Target.Sequence = SampleSequence;
+      Target.LogId = numbered("1234567890123456789", Number);
       Out.Targets[Target.Name] = Target;
       Group.Targets.insert(Target.Name);
+      Group.Settled[Target.Name] = Target.LogId;
     }
   }
   for (std::size_t Number = 0; Number < Proxies; ++Number)
