--- a/Source/Http/EventHttpServer.cpp
+++ b/Source/Http/EventHttpServer.cpp
@@ -102,9 +102,9 @@
     evkeyvalq *Headers = evhttp_request_get_output_headers(Answered);
     for (const auto &[Name, Value] : Response.Headers)
       evhttp_add_header(Headers, Name.c_str(), Value.c_str());
-    endWatch(evhttp_request_get_connection(Answered));
     if (Closing)
       evhttp_add_header(Headers, "Connection", "close");
+    endWatch(evhttp_request_get_connection(Answered));
     evbuffer *Body = evbuffer_new();
     evbuffer_add(Body, Response.Body.data(), Response.Body.size());
     evhttp_send_reply(Answered, Response.Status, nullptr, Body);
