Let a group's first targets prove something from their joining

Cause: a group starts with two of three targets. A name that joins while fewer names than the group's targets have ever joined has no former log and takes nobody's place, so it's settled at once.

Ruled out: counting every unsettled target, which is the fault that settling mends; waiting with the first primary until all targets have joined, since the last one may never come.

Two tests; without the change the first fails (no write until the end), and with every rejoining name counted as new the second (writable without a confirmed handover).

--- a/Source/State/ClusterView.h
+++ b/Source/State/ClusterView.h
@@ -46,11 +46,13 @@
   /// The logs, by target, that are known to hold all that was acknowledged
   /// with a copy at that target. Only these prove anything in a failover.
   std::map<std::string, std::string> Settled = {};
+  /// How many times a name that wasn't in the group has joined it.
+  std::uint32_t Joins = 0;
 
   auto operator<=>(const GroupRecord &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Database, Phase, Term, Primary, Forks, Targets, PrimarySequence,
-       Settled);
+    Ar(Database, Phase, Term, Primary, Forks, Targets, PrimarySequence, Settled,
+       Joins);
   }
 
   bool isSettled(const TargetAnnouncement &Target) const;
--- a/Source/State/ControlState.cpp
+++ b/Source/State/ControlState.cpp
@@ -114,10 +114,10 @@
   if (Known != View.Targets.end() && Known->second.Sequence >= New.Sequence)
     return Error{ErrorCode::Conflict, "a later announcement is known"};
   const bool Joins = Known == View.Targets.end();
-  if (!Joins)
+  if (!Joins && Known->second.Database != New.Database)
     View.Groups[Known->second.Database].Targets.erase(New.Name);
-  View.Groups[New.Database].Targets.insert(New.Name);
   View.Targets[New.Name] = New;
+  addToGroup(View.Groups[New.Database], New);
   note(Entry, {.Action = New.Leaving ? "target-leaving"
                          : Joins     ? "target-joined"
                                      : "target-changed",
@@ -126,6 +126,22 @@
   return std::nullopt;
 }
 
+void ControlState::addToGroup(GroupRecord &Group,
+                              const TargetAnnouncement &Target) const {
+  if (!Group.Targets.insert(Target.Name).second)
+    return;
+  ++Group.Joins;
+  // One of the first targets of a group, which starts with the first few of
+  // them. Nothing was ever acknowledged on the strength of a log that it has
+  // lost, nor on that of a target that it takes the place of. Without this a
+  // group whose primary fails before the last target has caught up would
+  // stand still for no reason.
+  const DatabasePolicy *Policy =
+      View.Current ? View.Current->database(Group.Database) : nullptr;
+  if (Policy != nullptr && Group.Joins <= Policy->Targets)
+    Group.Settled[Target.Name] = Target.LogId;
+}
+
 void ControlState::settleAfterPromotion(GroupRecord &Group,
                                         const TargetAnnouncement &Primary,
                                         bool Lossy) const {
--- /dev/null
+++ b/Tests/Unit/GroupSettlingTest.cpp
@@ -0,0 +1,70 @@
+/// \file
+/// Which targets of a group prove something in a failover from the start.
+
+#include "FailoverSupport.h"
+#include "Manifest/ManifestFile.h"
+
+#include <catch2/catch.hpp>
+
+using namespace corianderdyke;
+
+namespace {
+
+constexpr const char *Database = "bale-ledger-1";
+
+/// A group that has started with two of its three targets.
+void startWithTwo(FakeCluster &Cluster) {
+  Cluster.apply(FakeCluster::Manifest1);
+  Cluster.startTarget("ledger-1", Database);
+  Cluster.startTarget("ledger-2", Database);
+  REQUIRE(Cluster.Loop.runUntilTrue(
+      [&] { return Cluster.isWritable(Database); }, Millis(5000)));
+}
+
+} // namespace
+
+TEST_CASE("The last first target of a group proves something at once",
+          "[failover]") {
+  // A group has started with two of three targets. The third joins, and the
+  // primary dies before it has caught up. Callers mustn't wait for a target
+  // that may never come back: the two that are left have all between them.
+  FakeCluster Cluster(1);
+  startWithTwo(Cluster);
+  const CallerAnswer Written =
+      askAgain(Cluster, "entry-1", {.Key = "k1", .Body = "put bale haulier"});
+  REQUIRE(Written.Outcome == "done");
+  Cluster.Net.cutBoth(Written.Target, "ledger-3");
+  Cluster.startTarget("ledger-3", Database);
+  REQUIRE(Cluster.Loop.runUntilTrue(
+      [&] { return Cluster.group(Database)->Targets.size() == 3; },
+      Millis(2000)));
+  Cluster.kill(Written.Target);
+  const CallerAnswer Read = askAgain(
+      Cluster, "entry-2",
+      {.Kind = "lookup", .Body = "get bale", .Session = Written.Session});
+  CHECK(Read.Body == "haulier");
+  CHECK(
+      askAgain(Cluster, "entry-2", {.Key = "k2", .Body = "put a b"}).Outcome ==
+      "done");
+}
+
+TEST_CASE("A first target that came back empty proves nothing", "[failover]") {
+  // The same group of two so far. Its replica, on which a handover was
+  // confirmed, comes back empty and the primary dies; then the third joins.
+  // The two that answer have nothing: writes must wait for the primary.
+  FakeCluster Cluster(1);
+  startWithTwo(Cluster);
+  const CallerAnswer Written =
+      askAgain(Cluster, "entry-1", {.Key = "k1", .Body = "put bale haulier"});
+  REQUIRE(Written.Outcome == "done");
+  const std::string Replica = othersThan(Cluster, Written.Target)[0];
+  Cluster.Net.cutBoth(Written.Target, Replica);
+  Cluster.Net.cutBoth(Written.Target, "ledger-3");
+  Cluster.kill(Replica);
+  Cluster.startTarget(Replica, Database);
+  Cluster.Loop.runFor(Millis(400));
+  Cluster.Hosts[Written.Target]->freeze();
+  Cluster.startTarget("ledger-3", Database);
+  Cluster.Loop.runFor(Millis(8000));
+  CHECK_FALSE(Cluster.isWritable(Database));
+}
