Give a resent manifest its first answer and answer every operator

Cause: a manifest sent again after its answer was lost was answered with the new entry's revision and made a new revision of the view, so that the same change had two answers and every proxy got an update with nothing in it. It now gets the revision of its first acceptance and changes nothing. A resend of a version that has been replaced stays a conflict, since a second acceptance would look as if it were in force, but says that and where it had been accepted.

Control hosts can be added and removed through ControlNode; each change of the voters is a line of the audit trail. The membership entry carries neither operator nor time, so the line has those of the system.

--- /dev/null
+++ b/Source/Consensus/Messages.cpp
@@ -0,0 +1,16 @@
+/// \file
+/// Members as text.
+
+#include "Consensus/Messages.h"
+
+namespace corianderdyke {
+
+std::string describe(const Members &All) {
+  std::string Text;
+  for (const Member &Each : All)
+    Text += (Text.empty() ? "" : ", ") + Each.Name +
+            (Each.isVacant() ? " (vacant)" : "");
+  return Text;
+}
+
+} // namespace corianderdyke
--- a/Source/Consensus/Messages.h
+++ b/Source/Consensus/Messages.h
@@ -29,6 +29,9 @@
 
 using Members = std::vector<Member>;
 
+/// The names of the members, for people.
+std::string describe(const Members &All);
+
 /// The DiskId of a vacant seat.
 inline constexpr const char *VacantDisk = "";
 
--- a/Source/Control/ControlNode.cpp
+++ b/Source/Control/ControlNode.cpp
@@ -95,7 +95,21 @@
 void ControlNode::propose(std::string Actor, CommandBody Body,
                           ChangeHandler OnDone) {
   const Command Entry{std::move(Actor), Ports.Time.wallTime(), std::move(Body)};
-  const auto Index = Agreement.propose(encode(Entry), Ports.Time.now());
+  await(Agreement.propose(encode(Entry), Ports.Time.now()), std::move(OnDone));
+}
+
+void ControlNode::addControlHost(const std::string &Name,
+                                 ChangeHandler OnDone) {
+  await(Agreement.addVoter(Name, Ports.Time.now()), std::move(OnDone));
+}
+
+void ControlNode::removeControlHost(const std::string &Name,
+                                    ChangeHandler OnDone) {
+  await(Agreement.removeVoter(Name, Ports.Time.now()), std::move(OnDone));
+}
+
+void ControlNode::await(const Expected<std::uint64_t> &Index,
+                        ChangeHandler OnDone) {
   if (!Index) {
     OnDone(tl::unexpected(Index.error()));
     return;
@@ -139,8 +153,10 @@
 
 void ControlNode::carryOut(ConsensusOutputs Outputs) {
   if (Outputs.RestoredState) {
-    State =
-        decode<ControlState>(*Outputs.RestoredState).value_or(ControlState());
+    auto Restored = decode<ControlState>(*Outputs.RestoredState);
+    if (!Restored)
+      return Failed.emit(Restored.error());
+    State = std::move(*Restored);
     AppliedIndex = Agreement.log().snapshotIndex();
   }
   for (const Entry &Each : Outputs.Committed)
@@ -157,13 +173,21 @@
   std::optional<ApplyResult> Result;
   if (Committed.Kind == EntryKind::Command) {
     const auto Entry = decode<Command>(Committed.Bytes);
-    if (Entry) {
-      const std::size_t Lines = State.audit().size();
-      Result = State.apply(Committed.Index, *Entry);
-      if (State.audit().size() > Lines)
-        Audited.emit(State.audit().back());
-    }
+    // To pass over a change that the others make would give this host another
+    // state than theirs under the same revision.
+    if (!Entry)
+      return Failed.emit(Entry.error());
+    Result = State.apply(Committed.Index, *Entry);
+  } else if (Committed.Kind == EntryKind::Membership) {
+    const auto Voters = decode<Members>(Committed.Bytes);
+    if (!Voters)
+      return Failed.emit(Voters.error());
+    Result = State.noteControlHosts(Committed.Index, describe(*Voters));
   }
+  // The trail is cut at its other end, so its length says nothing.
+  if (!State.audit().empty() &&
+      State.audit().back().Revision == Committed.Index)
+    Audited.emit(State.audit().back());
   const auto Waiting = Changes.find(Committed.Index);
   if (Waiting == Changes.end())
     return;
@@ -217,6 +241,10 @@
 }
 
 void ControlNode::noticeLeadership() {
+  // Also one that never settled may have taken changes in: without an answer
+  // their operators would wait for good.
+  if (!Agreement.isLeader())
+    failWaiting();
   if (Agreement.isSettledLeader() == Leading)
     return;
   Leading = Agreement.isSettledLeader();
@@ -225,8 +253,6 @@
     Failover.begin();
     Published = State.view();
     SentAt.clear();
-  } else {
-    failWaiting();
   }
   Leadership.emit(Leading);
 }
--- a/Source/Control/ControlNode.h
+++ b/Source/Control/ControlNode.h
@@ -38,6 +38,12 @@
   /// with Unavailable where that can't be known here any more.
   void propose(std::string Actor, CommandBody Body, ChangeHandler OnDone);
 
+  /// Makes a control host that has caught up a voter, or takes one out of the
+  /// group for good. One change at a time: Conflict while another is under
+  /// way. The steps for an operator are in Help/task/replace-control-host.md.
+  void addControlHost(const std::string &Name, ChangeHandler OnDone);
+  void removeControlHost(const std::string &Name, ChangeHandler OnDone);
+
   /// Reads through the quorum.
   void readLatest(ReadHandler OnRead);
 
@@ -78,6 +84,7 @@
   /// Carries out what the agreement wants done, and what follows from it.
   void settle();
   void carryOut(ConsensusOutputs Outputs);
+  void await(const Expected<std::uint64_t> &Index, ChangeHandler OnDone);
   void apply(const Entry &Committed);
   void answerReads(const ConsensusOutputs &Outputs);
   void grant(const WaitingLease &To);
--- a/Source/State/ControlState.cpp
+++ b/Source/State/ControlState.cpp
@@ -29,6 +29,11 @@
 } // namespace
 
 ApplyResult ControlState::apply(std::uint64_t Revision, const Command &Entry) {
+  // The same change sent again after its answer was lost: it gets the answer
+  // that was lost, and proxies get nothing new.
+  if (const auto *Body = std::get_if<ApplyManifest>(&Entry.Body);
+      Body != nullptr && isInForce(Body->New))
+    return {Manifests.back().Revision, std::nullopt};
   const std::uint64_t Before = View.Revision;
   View.Revision = Revision;
   auto Refusal =
@@ -59,18 +64,48 @@
     return fail(ErrorCode::Conflict, "version " + std::to_string(Now.Version) +
                                          " is in force; version " +
                                          std::to_string(New.Version) +
-                                         " is behind it");
+                                         " is behind it" + acceptedBefore(New));
   return {};
 }
 
+// An operator whose answer was lost may learn only now that the change had
+// been made, when another has already taken its place. To accept it again
+// would look as if it were in force.
+std::string ControlState::acceptedBefore(const Manifest &Old) const {
+  for (const ManifestRecord &Each : Manifests)
+    if (Each.Version == Old.Version)
+      return Each.Digest == Old.digest()
+                 ? "; it was accepted with this content at revision " +
+                       std::to_string(Each.Revision)
+                 : "; it was accepted with other content, digest " +
+                       Each.Digest + ", the one sent has " + Old.digest();
+  return "";
+}
+
+bool ControlState::isInForce(const Manifest &New) const {
+  return View.Current && View.Current->Version == New.Version &&
+         View.Current->digest() == New.digest();
+}
+
+ApplyResult ControlState::noteControlHosts(std::uint64_t Revision,
+                                           const std::string &Voters) {
+  // The entry carries no time of day. All hosts agree on that of the last
+  // line.
+  AuditRecord Line{.Revision = Revision,
+                   .WallTime = Audit.empty() ? Millis() : Audit.back().WallTime,
+                   .Actor = "control",
+                   .Action = "control-hosts-changed",
+                   .Subject = "control-group",
+                   .To = Voters};
+  Audit.push_back(std::move(Line));
+  keepLast(Audit, MaxAuditRecords);
+  return {Revision, std::nullopt};
+}
+
 std::optional<Error> ControlState::on(const Command &Entry,
                                       const ApplyManifest &Body) {
   if (auto Checked = check(Body.New); !Checked)
     return Checked.error();
-  // The same change sent again after its answer was lost: accepted before,
-  // so nothing changes and the answer is the same.
-  if (View.Current && View.Current->Version == Body.New.Version)
-    return std::nullopt;
   note(Entry, {.Action = "manifest-applied",
                .Subject = "manifest",
                .From = View.Current ? describe(*View.Current) : "none",
--- a/Source/State/ControlState.h
+++ b/Source/State/ControlState.h
@@ -42,6 +42,8 @@
 
 /// What the application of one command came to.
 struct ApplyResult {
+  /// The revision that made the change. A manifest sent again after its answer
+  /// was lost gets the one of its first acceptance.
   std::uint64_t Revision = 0;
   /// Set where the command was refused; the state is then unchanged.
   std::optional<Error> Refusal;
@@ -55,6 +57,10 @@
   /// Applies the entry at \p Revision, which is above any before.
   ApplyResult apply(std::uint64_t Revision, const Command &Entry);
 
+  /// Adds the control hosts that vote from \p Revision on to the audit trail.
+  ApplyResult noteControlHosts(std::uint64_t Revision,
+                               const std::string &Voters);
+
   /// Whether a manifest would be accepted now; Conflict where the version
   /// stands for other content or is behind.
   Expected<void> check(const Manifest &New) const;
@@ -81,6 +87,8 @@
   std::optional<Error> on(const Command &Entry, const RecordTarget &Body);
   std::optional<Error> on(const Command &Entry, const FenceGroup &Body);
   std::optional<Error> on(const Command &Entry, const PromoteTarget &Body);
+  std::string acceptedBefore(const Manifest &Old) const;
+  bool isInForce(const Manifest &New) const;
   void note(const Command &Entry, AuditRecord Record);
 
   ClusterView View;
