--- a/Source/Http/EventHttpServer.h
+++ b/Source/Http/EventHttpServer.h
@@ -6,6 +6,7 @@
 
 #include "Common/Error.h"
 #include "Common/Identity.h"
+#include "Common/Millis.h"
 #include "Http/HttpServer.h"
 
 #include <map>
@@ -20,12 +21,20 @@
 
 class EventLoop;
 
+/// Bounds of a listener besides those of EventHttpSupport.h.
+struct HttpLimits {
+  /// A caller that sends or takes nothing for this long is cut. It must be
+  /// longer than the longest deadline: a caller that waits is silent too.
+  Millis Silence = Millis(120000);
+};
+
 class EventHttpServer {
 public:
   /// Listens on \p At; System where the port can't be had. Port 0 takes a
   /// free one.
   static Expected<std::unique_ptr<EventHttpServer>>
-  listen(EventLoop &Loop, const Endpoint &At, HttpService &Service);
+  listen(EventLoop &Loop, const Endpoint &At, HttpService &Service,
+         HttpLimits Limits = HttpLimits());
 
   ~EventHttpServer();
   EventHttpServer(const EventHttpServer &) = delete;
@@ -37,6 +46,12 @@
   /// Takes no new connections; those that stand go on.
   void stopListening();
 
+  /// From now on each answer asks its caller to close the connection.
+  void closeAfterAnswers() { Closing = true; }
+
+  /// Requests whose answer hasn't wholly left this process yet.
+  std::size_t unanswered() const;
+
 private:
   struct Session;
 
@@ -47,6 +62,7 @@
   Endpoint At;
   evhttp *Http = nullptr;
   evhttp_bound_socket *Socket = nullptr;
+  bool Closing = false;
   /// Connections over which at least one request came.
   std::map<evhttp_connection *, std::unique_ptr<Session>> Sessions;
 };
--- a/Source/Proxy/ProxyNode.cpp
+++ b/Source/Proxy/ProxyNode.cpp
@@ -53,6 +53,7 @@
     HeldLease = !HeldLease;
     LeaseChanged.emit(HeldLease);
   }
+  WriteGaps.update(View, Table, HeldLease, Now);
   Ports.Timers.after(TickInterval, [this] { tick(); });
 }
 
@@ -142,7 +143,8 @@
                            Request.header("Target-Host")},
                           Address.value_or(Endpoint()),
                           numberOr(Request.header("Target-Sequence"), 0),
-                          Request.header("Target-Leaving") == "true"};
+                          Request.header("Target-Leaving") == "true",
+                          Request.header("Target-Log")};
   if (!Address || Said.Name.empty() || Said.Database.empty() ||
       Said.Sequence == 0) {
     Exchange.respond({StatusBadRequest,
--- a/Source/Proxy/TargetProtocol.h
+++ b/Source/Proxy/TargetProtocol.h
@@ -48,7 +48,8 @@
   return {numberOr(Answer.header(target_header::Term), 0),
           numberOr(Answer.header(target_header::LogTerm), 0),
           numberOr(Answer.header(target_header::Position), 0),
-          Answer.header(target_header::Role) == "primary"};
+          Answer.header(target_header::Role) == "primary",
+          Answer.header(target_header::Role) == "fenced"};
 }
 
 } // namespace corianderdyke
--- a/Source/State/ControlState.h
+++ b/Source/State/ControlState.h
@@ -89,6 +89,12 @@
   std::optional<Error> on(const Command &Entry, const PromoteTarget &Body);
   std::string acceptedBefore(const Manifest &Old) const;
   bool isInForce(const Manifest &New) const;
+  std::optional<Error> on(const Command &Entry, const SettleTarget &Body);
+  std::optional<Error> on(const Command &Entry, const RemoveTarget &Body);
+  std::optional<Error> on(const Command &Entry, const NoteTrouble &Body);
+  void settleAfterPromotion(GroupRecord &Group,
+                            const TargetAnnouncement &Primary,
+                            bool Lossy) const;
   void note(const Command &Entry, AuditRecord Record);
 
   ClusterView View;
--- a/Tests/Unit/ManifestTruthTest.cpp
+++ b/Tests/Unit/ManifestTruthTest.cpp
@@ -54,8 +54,13 @@
     Request.Method = Method;
     Request.Path = "/v1/manifest";
     Request.Body = Body;
-    OperatorService(Cluster.Controls.at(Host), nullptr)
-        .handle(Request, Exchange);
+    Request.Headers = {{operator_header::Key, AnyKey}};
+    FakeHost &At = *Cluster.Hosts.at(Host);
+    const auto Port = static_cast<std::uint16_t>(Peers.size() + 1);
+    Peers.push_back(Cluster.Net.attach(At, {"10.9.0.1", Port}));
+    Services.push_back(std::make_unique<OperatorService>(
+        OperatorSources{At, *Peers.back(), Cluster.Controls.at(Host)}, AnyKey));
+    Services.back()->handle(Request, Exchange);
     return Exchange;
   }
 
@@ -94,6 +99,12 @@
   }
 
   FakeCluster Cluster;
+
+private:
+  static constexpr const char *AnyKey = "a key for operators";
+
+  std::vector<std::unique_ptr<Transport>> Peers;
+  std::vector<std::unique_ptr<OperatorService>> Services;
 };
 
 } // namespace
