Fuzz every decoder and mend what it found

Cause: nothing tried the decoders with hostile bytes. They found: - cereal takes a length at its word and asks for that much memory. Input now goes through a bounded archive with the same format; a length beyond the bytes that are left is an error. - A byte other than 0 and 1 was read into a bool, which is undefined. - toml++ runs into undefined behaviour for some letters outside quotes, such as a bare key in Cyrillic or Latvian. They are findings with line and column before the library sees them. Ruled out: another build option of the library, there is none for it. - A deadline above 2^63 ms turned negative, so the most patient caller was refused at once.

A list in a sealed message may still claim one element a byte and so take some two hundred times the frame's size; only holders of the peers' key can send one.

The unit test of hostile lengths passes without the bound too, as the allocation itself fails there; the fuzzer under its memory limit is what sees it.

--- a/Source/Common/Codec.h
+++ b/Source/Common/Codec.h
@@ -4,6 +4,7 @@
 #ifndef CORIANDERDYKE_COMMON_CODEC_H
 #define CORIANDERDYKE_COMMON_CODEC_H
 
+#include "Common/BoundedArchive.h"
 #include "Common/Error.h"
 
 #include <cereal/archives/portable_binary.hpp>
@@ -35,15 +36,13 @@
 template <class T> Expected<T> decode(const std::string &Bytes) {
   try {
     std::istringstream In(Bytes, std::ios::binary);
-    cereal::PortableBinaryInputArchive Archive(In);
+    BoundedArchive Archive(In, Bytes.size());
     T Value;
     Archive(Value);
     if (In.peek() != std::istringstream::traits_type::eof())
       return fail(ErrorCode::Corrupt, "bytes left over after a message");
     return Value;
   } catch (const std::exception &Problem) {
-    // A hostile length may ask for more memory than there is: bad_alloc and
-    // length_error are decoding errors here like any other.
     return fail(ErrorCode::Corrupt, Problem.what());
   }
 }
--- a/Source/Proxy/StatementRequest.cpp
+++ b/Source/Proxy/StatementRequest.cpp
@@ -80,8 +80,10 @@
     if (Span == 0)
       return badHeader(caller_header::DeadlineMs,
                        "'" + Asked + "' isn't a number of milliseconds");
-    Out.Deadline =
-        std::min(Out.Deadline, Millis(static_cast<std::int64_t>(Span)));
+    // Compared before it's converted: a span beyond the signed range would
+    // turn negative, and the caller that waits longest were refused at once.
+    if (Span < static_cast<std::uint64_t>(Out.Deadline.count()))
+      Out.Deadline = Millis(static_cast<std::int64_t>(Span));
   }
   Out.Body = From.Body;
   return Out;
--- a/Source/Settings/TomlReader.cpp
+++ b/Source/Settings/TomlReader.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <numeric>
 #include <stdexcept>
+#include <string_view>
 
 namespace corianderdyke {
 
@@ -51,6 +52,60 @@
   return Out;
 }
 
+constexpr char FirstNonAscii = '\x80';
+constexpr std::string_view ByteOrderMark = "\xEF\xBB\xBF";
+
+bool isAscii(char Byte) {
+  return static_cast<unsigned char>(Byte) <
+         static_cast<unsigned char>(FirstNonAscii);
+}
+
+/// Where a quoted text ends in a line; its size where it doesn't.
+std::size_t closingQuote(std::string_view Line, std::size_t Opening) {
+  const char Quote = Line[Opening];
+  for (std::size_t At = Opening + 1; At < Line.size(); ++At) {
+    if (Line[At] == '\\' && Quote == '"')
+      ++At;
+    else if (Line[At] == Quote)
+      return At;
+  }
+  return Line.size();
+}
+
+/// The first byte of a line that isn't ASCII and stands outside quotes and
+/// comments; the line's size where there's none.
+std::size_t bareNonAscii(std::string_view Line) {
+  for (std::size_t At = 0; At < Line.size(); ++At) {
+    if (Line[At] == '#')
+      return Line.size();
+    if (!isAscii(Line[At]))
+      return At;
+    if (Line[At] == '"' || Line[At] == '\'')
+      At = closingQuote(Line, At);
+  }
+  return Line.size();
+}
+
+/// The library's behaviour is undefined for some letters outside quotes: an
+/// operator who writes a bare key in Latvian could end the process, or see
+/// the letter taken for a space. No key of ours has such letters, so they are
+/// findings before the library sees them.
+Findings bareLetters(const std::string &File, std::string_view Text) {
+  Findings Found;
+  if (Text.substr(0, ByteOrderMark.size()) == ByteOrderMark)
+    Text.remove_prefix(ByteOrderMark.size());
+  for (std::uint32_t Number = 1; !Text.empty(); ++Number) {
+    const std::string_view Line = Text.substr(0, Text.find('\n'));
+    Text.remove_prefix(std::min(Text.size(), Line.size() + 1));
+    const std::size_t At = bareNonAscii(Line);
+    if (At < Line.size())
+      Found.push_back({File, Number, static_cast<std::uint32_t>(At + 1),
+                       "a character outside quotes that isn't ASCII",
+                       "put it in quotes on one line"});
+  }
+  return Found;
+}
+
 } // namespace
 
 TomlReader::TomlReader(std::string File, const KeyTable &Keys,
@@ -253,6 +308,11 @@
 
 toml::table parseToml(const std::string &File, const std::string &Text,
                       Findings &Found) {
+  const Findings Letters = bareLetters(File, Text);
+  if (!Letters.empty()) {
+    Found.insert(Found.end(), Letters.begin(), Letters.end());
+    return {};
+  }
   try {
     return toml::parse(Text, File);
   } catch (const toml::parse_error &Problem) {
--- /dev/null
+++ b/Tests/Fuzz/StatementFuzz.cpp
@@ -0,0 +1,51 @@
+/// \file
+/// The headers of a statement: a line a value, in the order of their names.
+
+#include "FuzzSupport.h"
+#include "Manifest/ManifestFile.h"
+#include "Proxy/StatementRequest.h"
+
+#include <sstream>
+
+using namespace corianderdyke;
+
+namespace {
+
+const Manifest &manifest() {
+  static const Manifest Parsed = *parseManifest("fuzz", R"(
+version = 1
+[[organisation]]
+name = "a"
+[[database]]
+name = "b"
+[[kind]]
+name = "r"
+access = "read"
+accepted_age_ms = 2000
+[[kind]]
+name = "w"
+access = "write"
+repeatable = false
+)");
+  return Parsed;
+}
+
+} // namespace
+
+void fuzzOne(const std::string &Input) {
+  HttpRequest Request;
+  std::istringstream Lines(Input);
+  for (const char *Name :
+       {caller_header::Database, caller_header::Organisation,
+        caller_header::Kind, caller_header::Session, caller_header::Key,
+        caller_header::Transaction, caller_header::DeadlineMs}) {
+    std::string Value;
+    if (std::getline(Lines, Value))
+      Request.Headers[Name] = Value;
+  }
+  for (const Verb What : {Verb::Run, Verb::Begin, Verb::Commit}) {
+    const auto Read = parseStatement(What, Request, manifest(), "key");
+    expect(!Read || (Read->Deadline > Millis() &&
+                     manifest().database(Read->Database) != nullptr));
+  }
+}
