--- a/Source/Proxy/DurabilityGate.cpp
+++ b/Source/Proxy/DurabilityGate.cpp
@@ -38,8 +38,7 @@
   if (Group == nullptr || Policy == nullptr || Group->Term != Write.Term ||
       !Group->isWritable())
     return Durability::Superseded;
-  return Table.copies(Write.Database, Write.Term, Write.Position) <
-                 Policy->Copies
+  return Table.copies(*Group, Write.Position) < Policy->Copies
              ? Durability::Pending
              : Durability::Durable;
 }
--- a/Source/Proxy/DurabilityGate.h
+++ b/Source/Proxy/DurabilityGate.h
@@ -10,10 +10,10 @@
 
 namespace corianderdyke {
 
-/// A write that ran on a primary.
+/// A write that ran on a primary, now or, by its key, in an earlier term.
 struct PendingWrite {
   std::string Database;
-  std::uint64_t Term = 0;
+  std::uint64_t Term = 0; ///< In which the primary answered.
   std::uint64_t Position = 0;
 
   auto operator<=>(const PendingWrite &) const = default;
--- a/Source/Proxy/StatementRequest.cpp
+++ b/Source/Proxy/StatementRequest.cpp
@@ -62,11 +62,17 @@
     return badHeader(caller_header::Kind,
                      "the manifest has no kind '" + KindName + "'");
   Out.Kind = *Kind;
-  Out.Key = From.header(caller_header::Key);
-  if (needsKey(Out) && Out.Key.empty())
+  const std::string &KeyText = From.header(caller_header::Key);
+  if (needsKey(Out) && KeyText.empty())
     return badHeader(caller_header::Key, "kind '" + KindName +
                                              "' must not run twice and needs "
                                              "an idempotency key");
+  if (!KeyText.empty()) {
+    const auto Key = IdempotencyKey::parse(KeyText);
+    if (!Key)
+      return badHeader(caller_header::Key, Key.error().Message);
+    Out.Key = *Key;
+  }
   if (needsTransaction(What) && Out.Transaction.empty())
     return badHeader(caller_header::Transaction, "it's missing");
   auto Session = openToken(From.header(caller_header::Session), SessionKey);
--- a/Source/Proxy/StatementRequest.h
+++ b/Source/Proxy/StatementRequest.h
@@ -6,6 +6,7 @@
 
 #include "Http/HttpMessage.h"
 #include "Manifest/Manifest.h"
+#include "Proxy/IdempotencyKey.h"
 #include "Session/SessionToken.h"
 
 namespace corianderdyke {
@@ -37,7 +38,8 @@
   std::string Database;
   std::string Organisation;
   KindPolicy Kind;
-  std::string Key; ///< Empty where the kind is repeatable and none was sent.
+  /// Nothing where the kind is repeatable and none was sent.
+  std::optional<IdempotencyKey> Key;
   std::string Transaction; ///< Empty where it belongs to none.
   SessionToken Session;
   Millis Deadline; ///< A span from the arrival.
--- a/Source/Proxy/StatementService.cpp
+++ b/Source/Proxy/StatementService.cpp
@@ -44,8 +44,9 @@
   Out.Headers[statement_header::Floor] = std::to_string(Way.Floor);
   if (InTransaction)
     Out.Headers[statement_header::Transaction] = "open";
-  if (!Statement.Key.empty())
-    Out.Headers[statement_header::Key] = Statement.Key;
+  if (Statement.Key)
+    Out.Headers[statement_header::Key] =
+        Statement.Key->textFor(Statement.Organisation);
   Out.Body = Statement.Body;
   return Out;
 }
@@ -113,6 +114,11 @@
   if (!Parsed)
     return reject(Each, reply_status::BadRequest, Parsed.error().Message);
   Each->Statement = std::move(*Parsed);
+  if (Each->Statement.Key)
+    if (const auto Good = Each->Statement.Key->check(
+            Outside.Time.wallTime(), View.Current->Limits.KeyRetention);
+        !Good)
+      return reject(Each, reply_status::Gone, Good.error().Message);
   Each->DeadlineAt = Outside.Time.now() + Each->Statement.Deadline;
   Each->DeadlineTimer = Outside.Timers.after(Each->Statement.Deadline,
                                              [this, Each] { expired(Each); });
--- a/Source/Routing/TargetTable.cpp
+++ b/Source/Routing/TargetTable.cpp
@@ -101,16 +101,17 @@
   return Out;
 }
 
-std::size_t TargetTable::copies(const std::string &Database, std::uint64_t Term,
+std::size_t TargetTable::copies(const GroupRecord &Group,
                                 std::uint64_t Position) const {
-  // The log's term counts, not the target's: a fenced primary has the new
-  // term at once but keeps a tail of its own, whose positions say nothing of
-  // the new term's writes. Counted as a copy it would have a write confirmed
-  // that the next failover loses.
+  // A fenced primary has the new term at once but keeps a tail of its own,
+  // whose positions say nothing of the group's writes. Counted as a copy it
+  // would have a write confirmed that the next failover loses. The write
+  // itself may be of an earlier term, when its key was sent again.
   std::size_t Count = 0;
   for (const auto &[Name, Each] : Targets)
-    if (Each.Database == Database && Each.Seen.LogTerm == Term &&
-        Each.Seen.Position >= Position)
+    if (Each.Database == Group.Database && Each.Seen.Term == Group.Term &&
+        Each.Seen.Position >= Position &&
+        Group.holds(Each.Seen.LogTerm, Each.Seen.Position))
       ++Count;
   return Count;
 }
--- a/Source/Routing/TargetTable.h
+++ b/Source/Routing/TargetTable.h
@@ -42,9 +42,8 @@
 
   std::vector<TargetReport> reports(Millis SuspectAfter, Millis Now) const;
 
-  /// How many targets of a database hold the write at \p Position of \p Term.
-  std::size_t copies(const std::string &Database, std::uint64_t Term,
-                     std::uint64_t Position) const;
+  /// How many targets of a group hold the write at \p Position of its log.
+  std::size_t copies(const GroupRecord &Group, std::uint64_t Position) const;
 
   /// How old the target's data may be at the most; nothing where that can't
   /// be told. A target of another term than the group's has no age, nor one
--- a/Tests/StandIn/CallerMain.cpp
+++ b/Tests/StandIn/CallerMain.cpp
@@ -31,6 +31,13 @@
   std::int64_t PauseMs = 2;
 };
 
+/// A key issued now; one that was issued before stays as it is.
+std::string issuedKey(const std::string &Name) {
+  if (Name.empty() || IdempotencyKey::parse(Name))
+    return Name;
+  return std::to_string(SystemClock().wallTime().count()) + "-" + Name;
+}
+
 /// Sends one statement to one proxy and waits for its answer.
 Expected<HttpResponse> call(EventLoop &Loop, const std::string &Proxy,
                             const CallerOptions &Options,
@@ -79,12 +86,12 @@
   const SystemClock Time;
   EventLoop Loop;
   const Millis Until = Time.now() + Millis(Options.PatienceMs);
+  const std::string Key = issuedKey(Options.Key);
   std::size_t Turn = 0;
   std::string Last = "nothing answered";
   while (Time.now() < Until) {
-    const auto Answer =
-        call(Loop, Options.Proxies[Turn++ % Options.Proxies.size()], Options,
-             Options.Key);
+    const auto Answer = call(
+        Loop, Options.Proxies[Turn++ % Options.Proxies.size()], Options, Key);
     if (Answer && Answer->header(caller_header::Outcome) == "done") {
       print(*Answer);
       return 0;
@@ -106,7 +113,7 @@
   Millis LastDone;
   std::string LastTarget;
   while (Time.now() < Until) {
-    const std::string Key = Options.Key + std::to_string(++Count);
+    const std::string Key = issuedKey(Options.Key + std::to_string(++Count));
     const auto Answer = call(
         Loop, Options.Proxies[Count % Options.Proxies.size()], Options, Key);
     const Millis Now = Time.now();
--- a/Tests/StandIn/StandInTarget.cpp
+++ b/Tests/StandIn/StandInTarget.cpp
@@ -23,6 +23,11 @@
 /// Stands in the log for a key whose transaction will never commit.
 const std::string GivenUp = "(given up)";
 
+/// Keys begin with the milliseconds of their issue and sort by it.
+std::uint64_t issueTime(const std::string &Key) {
+  return numberOr(Key.substr(0, Key.find('-')), 0);
+}
+
 std::vector<Fork> parseForks(const std::string &Text) {
   std::vector<Fork> Out;
   std::istringstream In(Text);
@@ -164,12 +169,15 @@
                                  HttpExchange &Exchange) {
   if (!Primary)
     return Exchange.respond(refusal("not primary"));
+  if (Request.Body.rfind("put ", 0) != 0 && Request.Body.rfind("add ", 0) != 0)
+    return Exchange.respond(answer(StatusUnprocessable, "no such statement\n"));
   if (const auto Open = Transactions.find(Request.Peer);
       Open != Transactions.end()) {
     Open->second += Request.Body + "\n";
     return Exchange.respond(answer(200, "ok"));
   }
   const std::string &Key = Request.header("Statement-Key");
+  forgetOldKeys();
   if (replay(Key, Request.Body, Exchange))
     return;
   append(Key, Request.Body);
@@ -188,6 +196,7 @@
   if (!Primary)
     return Exchange.respond(refusal("not primary"));
   const std::string &Key = Request.header("Statement-Key");
+  forgetOldKeys();
   const auto Known = Keys.find(Key);
   if (Known != Keys.end() && Log[Known->second - 1].Body == GivenUp)
     return Exchange.respond(refusal("the key was given up"));
@@ -203,6 +212,8 @@
     return;
   if (Known != Keys.end())
     return Exchange.respond(written(Known->second));
+  if (issueTime(Key) < KeyHorizon)
+    return Exchange.respond(refusal("the key is too old"));
   append(Key, Body);
   Exchange.respond(IsOpen ? written(Log.size())
                           : refusal("the key was given up"));
@@ -218,8 +229,12 @@
 bool StandInTarget::replay(const std::string &Key, const std::string &Body,
                            HttpExchange &Exchange) {
   const auto Known = Key.empty() ? Keys.end() : Keys.find(Key);
-  if (Known == Keys.end())
-    return false;
+  if (Known == Keys.end()) {
+    if (Key.empty() || issueTime(Key) >= KeyHorizon)
+      return false;
+    Exchange.respond(refusal("the key is too old"));
+    return true;
+  }
   if (Log[Known->second - 1].Body != Body) {
     HttpResponse Out = refusal("the key stands for another statement");
     Out.Status = StatusUnprocessable;
@@ -236,6 +251,15 @@
   return Out;
 }
 
+void StandInTarget::forgetOldKeys() {
+  const std::int64_t Horizon = (Time.wallTime() - Options.KeepKeys).count();
+  KeyHorizon =
+      std::max(KeyHorizon,
+               static_cast<std::uint64_t>(std::max<std::int64_t>(Horizon, 0)));
+  while (!Keys.empty() && issueTime(Keys.begin()->first) < KeyHorizon)
+    Keys.erase(Keys.begin());
+}
+
 void StandInTarget::append(const std::string &Key, const std::string &Body) {
   Log.push_back({Term, Key, Body});
   applyToData(Log.back(), Log.size());
--- a/Tests/StandIn/StandInTarget.h
+++ b/Tests/StandIn/StandInTarget.h
@@ -29,6 +29,9 @@
   Millis ConnectCost = Millis(12);
   Millis ServiceTime = Millis(1);
   Millis Lag = Millis(5);
+  /// How long keys are kept: the longest retention of any manifest and twice
+  /// the tolerance for clocks.
+  Millis KeepKeys = Millis(86400000 + 120000);
 };
 
 /// One statement that changed something.
@@ -78,6 +81,7 @@
   /// Answers for a key that was used before; false where it wasn't.
   bool replay(const std::string &Key, const std::string &Body,
               HttpExchange &Exchange);
+  void forgetOldKeys();
   void append(const std::string &Key, const std::string &Body);
   HttpResponse written(std::uint64_t Position) const;
   void watch(const HttpRequest &Request,
@@ -106,6 +110,8 @@
   std::map<std::string, std::string> Data;
   /// Position of the write that a key stands for.
   std::map<std::string, std::uint64_t> Keys;
+  /// Keys issued before this are forgotten and never accepted again.
+  std::uint64_t KeyHorizon = 0;
   std::set<std::string> Connected;
   /// What the open transactions will write, by their connection.
   std::map<std::string, std::string> Transactions;
--- a/Tests/Support/FakeCluster.cpp
+++ b/Tests/Support/FakeCluster.cpp
@@ -31,6 +31,13 @@
     startProxy(Name);
 }
 
+FakeCluster::~FakeCluster() {
+  Loop.clear();
+  while (!Kept.empty())
+    Kept.pop_back();
+  Loop.clear();
+}
+
 Endpoint FakeCluster::endpoint(const std::string &Name,
                                std::uint16_t Port) const {
   constexpr std::size_t PerBlock = 250;
@@ -212,6 +219,15 @@
   return askOver(*Connection, Question);
 }
 
+std::string FakeCluster::issuedKey(const std::string &Name) {
+  if (Name.empty() || IdempotencyKey::parse(Name))
+    return Name;
+  return IssuedKeys
+      .try_emplace(Name,
+                   std::to_string(caller().wallTime().count()) + "-" + Name)
+      .first->second;
+}
+
 std::shared_ptr<CallerAnswer>
 FakeCluster::askOver(HttpConnection &Connection,
                      const CallerQuestion &Question) {
@@ -223,7 +239,7 @@
                      {caller_header::Kind, Question.Kind},
                      {caller_header::Session, Question.Session},
                      {caller_header::Transaction, Question.Transaction},
-                     {caller_header::Key, Question.Key}};
+                     {caller_header::Key, issuedKey(Question.Key)}};
   if (Question.DeadlineMs != 0)
     Request.Headers[caller_header::DeadlineMs] =
         std::to_string(Question.DeadlineMs);
--- a/Tests/Support/FakeCluster.h
+++ b/Tests/Support/FakeCluster.h
@@ -34,7 +34,7 @@
   std::string Database = "bale-ledger-1";
   std::string Organisation = "port-clerks";
   std::string Kind = "handover";
-  std::string Key = {};
+  std::string Key = {}; ///< A name for one; see issuedKey().
   std::string Body = {};
   std::string Session = {};
   std::string Transaction = {};
@@ -46,6 +46,10 @@
 public:
   explicit FakeCluster(std::uint64_t Seed, std::size_t Controls = 3,
                        std::size_t Proxies = 2);
+  /// Destroys in the reverse order of making.
+  ~FakeCluster();
+  FakeCluster(const FakeCluster &) = delete;
+  FakeCluster &operator=(const FakeCluster &) = delete;
 
   /// Starts (again) a process with the disk that its name had before.
   void startControl(const std::string &Name);
@@ -77,6 +81,9 @@
 
   /// A caller's kept connection to a proxy; letting go of it hangs up.
   std::shared_ptr<HttpConnection> connectTo(const std::string &Proxy);
+  /// The key that a caller issues when it first uses a name for one; the same
+  /// for the same name from then on.
+  std::string issuedKey(const std::string &Name);
   /// The same over a kept connection.
   std::shared_ptr<CallerAnswer> askOver(HttpConnection &Connection,
                                         const CallerQuestion &Question);
@@ -123,6 +130,7 @@
   std::vector<std::shared_ptr<void>> Kept;
   /// Addresses that were given out, by name.
   mutable std::map<std::string, std::size_t> Addresses;
+  std::map<std::string, std::string> IssuedKeys;
   std::uint64_t NextNumber = 1;
 };
 
--- a/Tests/Support/FakeLoop.h
+++ b/Tests/Support/FakeLoop.h
@@ -31,6 +31,12 @@
 
   void cancel(const Id &Key) { Actions.erase(Key); }
 
+  /// Drops what is still to run, while what it refers to is there.
+  void clear() {
+    const auto Dropped = std::exchange(Actions, {});
+    (void)Dropped;
+  }
+
   /// Runs everything up to and at \p Until.
   void runUntil(Millis Until) {
     while (!Actions.empty() && Actions.begin()->first.first <= Until)
