--- a/Source/Failover/FailoverCoordinator.cpp
+++ b/Source/Failover/FailoverCoordinator.cpp
@@ -4,6 +4,7 @@
 #include "Failover/FailoverCoordinator.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace corianderdyke {
 
@@ -16,6 +17,9 @@
 /// How many times SuspectAfter a group with too few targets waits before its
 /// manifest's promote-with-loss policy applies.
 constexpr std::int64_t TooFewPatience = 10;
+/// The former primary is chosen again only where the others don't answer
+/// within this time.
+constexpr Millis OthersFirst(150);
 
 std::size_t readingsNeeded(const DatabasePolicy &Policy) {
   return Policy.Targets - Policy.Copies + 1;
@@ -41,7 +45,7 @@
       if (Each.Target != Target)
         continue;
       ++Live;
-      if (!Each.Reachable)
+      if (!Each.Reachable || Each.Stalled)
         ++Against;
     }
   }
@@ -58,126 +62,244 @@
     const GroupRecord *Group = View.group(Policy.Name);
     if (Group == nullptr)
       continue;
-    Progress &At = Databases[Policy.Name];
-    if (At.Term != Group->Term || At.Phase != Group->Phase || At.Revision == 0)
-      At = Progress{Group->Term, Group->Phase, Now, View.Revision,
-                    Millis(),    {},           {},  {}};
+    Watched &Of = Databases[Policy.Name];
+    Progress &At = Of.At;
+    if (At.Term != Group->Term || At.Phase != Group->Phase ||
+        At.Revision == 0) {
+      if (At.Phase == GroupPhase::Promoted)
+        Of.Pace.noteReplaced(Now);
+      At = Progress();
+      At.Term = Group->Term;
+      At.Phase = Group->Phase;
+      At.Since = Now;
+      At.Revision = View.Revision;
+    }
+    const Step In{View, *Group, Policy, Leases, Now, Out};
     switch (Group->Phase) {
     case GroupPhase::Forming:
-      stepForming(View, *Group, Policy, At, Now, Out);
+      stepForming(In, At);
       break;
     case GroupPhase::Promoted:
-      stepPromoted(View, *Group, Leases, At, Now, Out);
+      stepPromoted(In, Of);
       break;
     case GroupPhase::Fencing:
-      stepFencing(View, *Group, Policy, Leases, At, Now, Out);
+      stepFencing(In, Of);
       break;
     }
   }
   return Out;
 }
 
-void FailoverCoordinator::stepForming(const ClusterView &View,
-                                      const GroupRecord &Group,
-                                      const DatabasePolicy &Policy,
-                                      Progress &At, Millis Now,
-                                      FailoverActions &Out) {
-  if (View.targetsOf(Group.Database).size() < readingsNeeded(Policy) ||
-      Now < At.ProposedUntil)
+void FailoverCoordinator::stepForming(const Step &In, Progress &At) {
+  if (In.View.targetsOf(In.Group.Database).size() < readingsNeeded(In.Policy) ||
+      In.Now < At.ProposedUntil)
     return;
-  At.ProposedUntil = Now + ProposeAgainAfter;
-  Out.Proposals.push_back(
-      FenceGroup{Group.Database, Group.Term + 1, "first primary"});
-}
-
-void FailoverCoordinator::stepPromoted(const ClusterView &View,
-                                       const GroupRecord &Group,
-                                       const LeaseRegistry &Leases,
-                                       Progress &At, Millis Now,
-                                       FailoverActions &Out) {
-  const TargetAnnouncement *Primary = View.target(Group.Primary);
-  const bool Leaving = Primary == nullptr || Primary->Leaving;
-  const bool Silent =
-      isSuspected(Group.Primary, Leases, View.Current->Failover, Now);
-  if (Leaving || Silent) {
-    if (Now < At.ProposedUntil)
+  At.ProposedUntil = In.Now + ProposeAgainAfter;
+  In.Out.Proposals.push_back(
+      FenceGroup{In.Group.Database, In.Group.Term + 1, "first primary"});
+}
+
+std::string FailoverCoordinator::reasonToReplace(const Step &In, Watched &Of) {
+  const std::string &Name = In.Group.Primary;
+  const TargetAnnouncement *Primary = In.View.target(Name);
+  if (Primary == nullptr || Primary->Leaving)
+    return Name + " is leaving";
+  // A primary that restarted may have lost its log or the end of it. Given
+  // the same term again it would use positions twice, and copies of what its
+  // former life wrote would pass for copies of what it writes now.
+  const bool Restarted = Primary->Sequence != In.Group.PrimarySequence;
+  const FailoverPolicy &Limits = In.View.Current->Failover;
+  if (!Restarted && !isSuspected(Name, In.Leases, Limits, In.Now)) {
+    Of.At.MissedSince.reset();
+    return "";
+  }
+  if (!Of.At.MissedSince)
+    Of.At.MissedSince = In.Now;
+  if (In.Now - *Of.At.MissedSince <
+      Of.Pace.patience(Limits.SuspectAfter, In.Now))
+    return "";
+  return Name + (Restarted
+                     ? " has restarted"
+                     : " can't be reached, or can't copy to its replicas");
+}
+
+void FailoverCoordinator::stepPromoted(const Step &In, Watched &Of) {
+  const std::string Reason = reasonToReplace(In, Of);
+  if (!Reason.empty()) {
+    if (In.Now < Of.At.ProposedUntil)
       return;
-    At.ProposedUntil = Now + ProposeAgainAfter;
-    Out.Proposals.push_back(FenceGroup{
-        Group.Database, Group.Term + 1,
-        Group.Primary + (Leaving ? " is leaving" : " can't be reached")});
+    Of.At.ProposedUntil = In.Now + ProposeAgainAfter;
+    Of.Replaced = In.Group.Primary;
+    In.Out.Proposals.push_back(
+        FenceGroup{In.Group.Database, In.Group.Term + 1, Reason});
     return;
   }
-  for (const TargetAnnouncement &Each : View.targetsOf(Group.Database)) {
-    if (At.Confirmed.count(Each.Name) != 0 &&
-        At.Confirmed[Each.Name] >= Each.Sequence)
-      continue;
-    const auto Called = At.CalledAt.find(Each.Name);
-    if (Called != At.CalledAt.end() && Now - Called->second < CallAgainAfter)
+  assignRoles(In, Of.At);
+  settleJoining(In, Of.At);
+}
+
+bool FailoverCoordinator::mayCall(const std::string &Target, Progress &At,
+                                  Millis Now) {
+  const auto Called = At.CalledAt.find(Target);
+  if (Called != At.CalledAt.end() && Now - Called->second < CallAgainAfter)
+    return false;
+  At.CalledAt[Target] = Now;
+  return true;
+}
+
+void FailoverCoordinator::assignRoles(const Step &In, Progress &At) {
+  const GroupRecord &Group = In.Group;
+  const TargetAnnouncement &Primary = *In.View.target(Group.Primary);
+  if (Primary.Sequence != Group.PrimarySequence)
+    return;
+  for (const TargetAnnouncement &Each : In.View.targetsOf(Group.Database)) {
+    const auto Done = At.Confirmed.find(Each.Name);
+    if ((Done != At.Confirmed.end() && Done->second >= Each.Sequence) ||
+        !mayCall(Each.Name, At, In.Now))
       continue;
-    At.CalledAt[Each.Name] = Now;
-    Out.Calls.push_back({Each.Name == Group.Primary ? TargetOrder::Promote
-                                                    : TargetOrder::Follow,
-                         Each, Group.Term, Primary->Address, Group.Forks});
+    In.Out.Calls.push_back({Each.Name == Group.Primary ? TargetOrder::Promote
+                                                       : TargetOrder::Follow,
+                            Each, Group.Term, Primary.Address, Group.Forks});
   }
 }
 
-void FailoverCoordinator::stepFencing(const ClusterView &View,
-                                      const GroupRecord &Group,
-                                      const DatabasePolicy &Policy,
-                                      const LeaseRegistry &Leases, Progress &At,
-                                      Millis Now, FailoverActions &Out) {
-  const std::vector<TargetAnnouncement> Targets =
-      View.targetsOf(Group.Database);
-  for (const TargetAnnouncement &Each : Targets) {
-    const auto Called = At.CalledAt.find(Each.Name);
-    if (At.Positions.count(Each.Name) != 0 ||
-        (Called != At.CalledAt.end() && Now - Called->second < CallAgainAfter))
+void FailoverCoordinator::settleJoining(const Step &In, Progress &At) {
+  const GroupRecord &Group = In.Group;
+  const TargetAnnouncement &Primary = *In.View.target(Group.Primary);
+  for (const TargetAnnouncement &Each : In.View.targetsOf(Group.Database)) {
+    if (Group.isSettled(Each) || Each.Name == Group.Primary)
       continue;
-    At.CalledAt[Each.Name] = Now;
-    Out.Calls.push_back(
-        {TargetOrder::Fence, Each, Group.Term, Endpoint{}, Group.Forks});
+    CatchUp &Of = At.Joining[Each.Name];
+    if (Of.Revision == 0 || Of.LogId != Each.LogId)
+      Of = {Each.LogId, In.View.Revision, false, std::nullopt, false};
+    if (!In.Leases.isInForce(In.View, Of.Revision, In.Now))
+      continue;
+    if (Of.Reached && In.Now >= At.ProposedUntil) {
+      At.ProposedUntil = In.Now + ProposeAgainAfter;
+      In.Out.Proposals.push_back(
+          SettleTarget{Group.Database, Group.Term, Each.Name, Each.LogId});
+    }
+    if (Of.Reached)
+      continue;
+    // Asked again, each answers with its position and changes nothing.
+    const bool ToPrimary = !Of.PrimaryPosition;
+    const TargetAnnouncement &Called = ToPrimary ? Primary : Each;
+    if (!mayCall(Called.Name, At, In.Now))
+      continue;
+    Of.Asked = Of.Asked || ToPrimary;
+    In.Out.Calls.push_back(
+        {ToPrimary ? TargetOrder::Promote : TargetOrder::Follow, Called,
+         Group.Term, Primary.Address, Group.Forks});
   }
+}
+
+bool FailoverCoordinator::isRead(const TargetAnnouncement &Target,
+                                 const Progress &At) {
+  const auto Found = At.Readings.find(Target.Name);
+  return Found != At.Readings.end() &&
+         Found->second.Sequence == Target.Sequence;
+}
+
+std::vector<TargetAnnouncement>
+FailoverCoordinator::readTargets(const Step &In, const Progress &At,
+                                 bool SettledOnly) {
+  std::vector<TargetAnnouncement> Out;
+  for (const TargetAnnouncement &Each : In.View.targetsOf(In.Group.Database))
+    if (isRead(Each, At) && (!SettledOnly || In.Group.isSettled(Each)))
+      Out.push_back(Each);
+  return Out;
+}
+
+TargetAnnouncement
+FailoverCoordinator::best(const std::vector<TargetAnnouncement> &Of,
+                          const Progress &At) {
+  return *std::max_element(
+      Of.begin(), Of.end(),
+      [&At](const TargetAnnouncement &Left, const TargetAnnouncement &Right) {
+        return isBehind(At.Readings.at(Left.Name).At,
+                        At.Readings.at(Right.Name).At);
+      });
+}
+
+void FailoverCoordinator::stepFencing(const Step &In, Watched &Of) {
+  const GroupRecord &Group = In.Group;
+  Progress &At = Of.At;
+  for (const TargetAnnouncement &Each : In.View.targetsOf(Group.Database))
+    if (!isRead(Each, At) && mayCall(Each.Name, At, In.Now))
+      In.Out.Calls.push_back(
+          {TargetOrder::Fence, Each, Group.Term, Endpoint{}, Group.Forks});
   // The former primary must be unable to be acknowledged anywhere before
   // another takes its place.
-  if (!Leases.isInForce(View, At.Revision, Now) || Now < At.ProposedUntil)
+  if (!In.Leases.isInForce(In.View, At.Revision, In.Now) ||
+      In.Now < At.ProposedUntil)
     return;
-  const TargetAnnouncement *Best = nullptr;
-  std::size_t Readings = 0;
-  for (const TargetAnnouncement &Each : Targets) {
-    if (At.Positions.count(Each.Name) == 0)
-      continue;
-    ++Readings;
-    if (Best == nullptr ||
-        isBehind(At.Positions[Best->Name], At.Positions[Each.Name]))
-      Best = &Each;
-  }
-  std::string Reason = std::to_string(Readings) + " of " +
-                       std::to_string(Policy.Targets) + " targets read";
-  if (Readings < readingsNeeded(Policy)) {
+  // A target that came back without its log proves nothing by its position.
+  std::vector<TargetAnnouncement> Read = readTargets(In, At, true);
+  const std::size_t Readings = Read.size();
+  const std::size_t Needed = readingsNeeded(In.Policy);
+  std::string Reason =
+      std::to_string(Readings) + " of " + std::to_string(In.Policy.Targets) +
+      " targets told their position, " + std::to_string(Needed) + " are needed";
+  if (Readings < Needed) {
     const Millis Patience =
-        View.Current->Failover.SuspectAfter * TooFewPatience;
-    if (Best == nullptr || Policy.TooFew == TooFewPolicy::Wait ||
-        Now - At.Since < Patience)
+        In.View.Current->Failover.SuspectAfter * TooFewPatience;
+    if (In.Now - At.Since < Patience)
       return;
+    Read = readTargets(In, At, false);
+    if (Read.empty() || In.Policy.TooFew == TooFewPolicy::Wait) {
+      if (!std::exchange(At.Noted, true))
+        In.Out.Proposals.push_back(
+            NoteTrouble{"failover-waiting", Group.Database, Reason});
+      return;
+    }
     Reason += "; acknowledged writes may be lost";
+  } else if (!preferOthers(In, Of, Read)) {
+    return;
   }
-  At.ProposedUntil = Now + ProposeAgainAfter;
-  Out.Proposals.push_back(PromoteTarget{Group.Database, Group.Term, Best->Name,
-                                        At.Positions[Best->Name].Position,
-                                        Reason});
+  At.ProposedUntil = In.Now + ProposeAgainAfter;
+  const TargetAnnouncement Best = best(Read, At);
+  In.Out.Proposals.push_back(PromoteTarget{
+      Group.Database, Group.Term, Best.Name, At.Readings[Best.Name].At.Position,
+      Best.Sequence, Readings < Needed, Reason});
+}
+
+bool FailoverCoordinator::preferOthers(const Step &In, const Watched &Of,
+                                       std::vector<TargetAnnouncement> &Read) {
+  // The former primary often has the highest position, by writes that nobody
+  // was told of. Chosen for them it would be replaced again at once, and
+  // callers would never write. Enough others prove that they hold all that
+  // was acknowledged.
+  std::vector<TargetAnnouncement> Others;
+  for (const TargetAnnouncement &Each : Read)
+    if (Each.Name != Of.Replaced)
+      Others.push_back(Each);
+  if (Others.size() == Read.size())
+    return true;
+  if (Others.size() < readingsNeeded(In.Policy))
+    return In.Now - Of.At.Since >= OthersFirst;
+  Read = std::move(Others);
+  return true;
 }
 
 void FailoverCoordinator::answered(const TargetCall &Call,
                                    const TargetPosition &Answer) {
   const auto Known = Databases.find(Call.Target.Database);
-  if (Known == Databases.end() || Known->second.Term != Call.Term ||
+  if (Known == Databases.end() || Known->second.At.Term != Call.Term ||
       Answer.Term != Call.Term)
     return;
-  if (Call.Order == TargetOrder::Fence)
-    Known->second.Positions[Call.Target.Name] = Answer;
-  else
-    Known->second.Confirmed[Call.Target.Name] = Call.Target.Sequence;
+  Progress &At = Known->second.At;
+  const std::string &Name = Call.Target.Name;
+  if (Call.Order == TargetOrder::Fence) {
+    At.Readings[Name] = {Call.Target.Sequence, Answer};
+    return;
+  }
+  At.Confirmed[Name] = Call.Target.Sequence;
+  for (auto &[Joining, Of] : At.Joining) {
+    if (Call.Order == TargetOrder::Promote && Of.Asked && !Of.PrimaryPosition)
+      Of.PrimaryPosition = Answer.Position;
+    if (Joining == Name && Of.LogId == Call.Target.LogId && Of.PrimaryPosition)
+      Of.Reached = Answer.Position >= *Of.PrimaryPosition;
+  }
 }
 
 } // namespace corianderdyke
--- a/Source/Proxy/ProxyNode.cpp
+++ b/Source/Proxy/ProxyNode.cpp
@@ -53,6 +53,7 @@
     HeldLease = !HeldLease;
     LeaseChanged.emit(HeldLease);
   }
+  WriteGaps.update(View, Table, HeldLease, Now);
   Ports.Timers.after(TickInterval, [this] { tick(); });
 }
 
@@ -63,12 +64,10 @@
 void ProxyNode::requestLease() {
   const Millis Now = Ports.Time.now();
   LastRequest = Now;
-  const Millis SuspectAfter =
-      View.Current ? View.Current->Failover.SuspectAfter : Millis();
   Ports.Peers.send(leader().Peers, Delivery::Datagram,
                    LeaseRequest{Id, Options.Where, Lease.nextSequence(), Now,
                                 Lease.appliedRevision(),
-                                Table.reports(SuspectAfter, Now)});
+                                Table.reports(View, Now)});
 }
 
 void ProxyNode::receive(const Envelope &Arrived) {
@@ -142,7 +141,8 @@
                            Request.header("Target-Host")},
                           Address.value_or(Endpoint()),
                           numberOr(Request.header("Target-Sequence"), 0),
-                          Request.header("Target-Leaving") == "true"};
+                          Request.header("Target-Leaving") == "true",
+                          Request.header("Target-Log")};
   if (!Address || Said.Name.empty() || Said.Database.empty() ||
       Said.Sequence == 0) {
     Exchange.respond({StatusBadRequest,
--- a/Source/Routing/TargetTable.cpp
+++ b/Source/Routing/TargetTable.cpp
@@ -4,6 +4,7 @@
 #include "Routing/TargetTable.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace corianderdyke {
 
@@ -13,16 +14,11 @@
 /// Samples closer than this are left out. That only makes ages look higher.
 constexpr Millis SampleSpacing(5);
 
-/// Answers on two connections may cross. A life of a target never goes back
-/// in term, and once its log has entries of its term, neither in position.
-/// Before that it may: a former primary that was fenced drops the tail that
-/// the group didn't keep when it begins to follow.
-bool isOlder(const TargetSighting &New, const TargetSighting &Known) {
-  if (New.Term != Known.Term)
-    return New.Term < Known.Term;
-  if (Known.LogTerm < Known.Term)
-    return false;
-  return New.LogTerm < New.Term || New.Position < Known.Position;
+/// On joining a term a target drops what it held beyond the fork, so that its
+/// position may go down then.
+bool isOlder(const TargetSighting &Left, const TargetSighting &Right) {
+  return std::tuple(Left.Term, !Left.IsFenced, Left.Position) <
+         std::tuple(Right.Term, !Right.IsFenced, Right.Position);
 }
 
 } // namespace
@@ -51,20 +47,54 @@
   Known &Entry = Found->second;
   Entry.Refused = false;
   Entry.LastAnswer = std::max(Entry.LastAnswer, Now);
+  const bool Moved = !Entry.WasSeen || isOlder(Entry.Seen, Seen);
+  // Answers on two connections may cross. A life of a target goes back
+  // neither in term nor, once it has joined the term, in position.
   if (!Entry.WasSeen || !isOlder(Seen, Entry.Seen))
     Entry.Seen = Seen;
   Entry.WasSeen = true;
+  noteProgress(Entry, Moved, Now);
   if (Seen.IsPrimary)
     sample(Databases[Entry.Database], Seen.Term, {AskedAt, Seen.Position});
 }
 
+void TargetTable::noteProgress(Known &Of, bool Moved, Millis Now) {
+  const History &Primary = Databases[Of.Database];
+  const bool Behind =
+      Of.Seen.Term != Primary.Term || Of.Seen.Position < Primary.Position;
+  if (!Behind)
+    Of.StuckSince.reset();
+  else if (Moved || !Of.StuckSince)
+    Of.StuckSince = Now;
+}
+
+bool TargetTable::isStalled(const std::string &Primary,
+                            const DatabasePolicy &Policy, Millis SuspectAfter,
+                            Millis Now) const {
+  std::size_t Answering = 1;
+  std::size_t Copying = 1;
+  for (const auto &[Name, Each] : Targets) {
+    if (Each.Database != Policy.Name || Name == Primary ||
+        !isReachable(Name, SuspectAfter, Now))
+      continue;
+    ++Answering;
+    if (!Each.StuckSince ||
+        Now - *Each.StuckSince < SuspectAfter * StallPatience)
+      ++Copying;
+  }
+  // Where too few answer, another primary couldn't acknowledge either.
+  return Copying < Policy.Copies && Answering >= Policy.Copies;
+}
+
 void TargetTable::sample(History &Of, std::uint64_t Term, const Sample &New) {
   if (Term < Of.Term)
     return;
   if (Term > Of.Term) {
     Of.Term = Term;
+    Of.Position = 0;
     Of.Samples.clear();
   }
+  Of.Position = std::max(Of.Position, New.Position);
   if (Of.Samples.empty()) {
     Of.Samples.push_back(New);
     return;
@@ -92,25 +122,34 @@
          Now - Found->second.LastAnswer < SuspectAfter;
 }
 
-std::vector<TargetReport> TargetTable::reports(Millis SuspectAfter,
+std::vector<TargetReport> TargetTable::reports(const ClusterView &View,
                                                Millis Now) const {
   std::vector<TargetReport> Out;
-  for (const auto &[Name, Each] : Targets)
-    Out.push_back(
-        {Name, isReachable(Name, SuspectAfter, Now), Now - Each.LastAnswer});
+  if (!View.Current)
+    return Out;
+  const Millis SuspectAfter = View.Current->Failover.SuspectAfter;
+  for (const auto &[Name, Each] : Targets) {
+    const GroupRecord *Group = View.group(Each.Database);
+    const DatabasePolicy *Policy = View.Current->database(Each.Database);
+    const bool Stalled = Group != nullptr && Policy != nullptr &&
+                         Group->Primary == Name &&
+                         isStalled(Name, *Policy, SuspectAfter, Now);
+    Out.push_back({Name, isReachable(Name, SuspectAfter, Now),
+                   Now - Each.LastAnswer, Stalled});
+  }
   return Out;
 }
 
 std::size_t TargetTable::copies(const GroupRecord &Group,
                                 std::uint64_t Position) const {
-  // A fenced primary has the new term at once but keeps a tail of its own,
-  // whose positions say nothing of the group's writes. Counted as a copy it
-  // would have a write confirmed that the next failover loses. The write
-  // itself may be of an earlier term, when its key was sent again.
+  // A former primary that was fenced and not yet told whom to follow reports
+  // the new term with the end of its own log. Counted as a copy, it would let
+  // a caller be told of a write that the next failover loses. The write itself
+  // may be of an earlier term, when its key was sent again.
   std::size_t Count = 0;
   for (const auto &[Name, Each] : Targets)
     if (Each.Database == Group.Database && Each.Seen.Term == Group.Term &&
-        Each.Seen.Position >= Position &&
+        !Each.Seen.IsFenced && Each.Seen.Position >= Position &&
         Group.holds(Each.Seen.LogTerm, Each.Seen.Position))
       ++Count;
   return Count;
@@ -122,6 +161,7 @@
   const std::uint64_t Term = Group.Term;
   const auto Found = Targets.find(Target);
   if (Found == Targets.end() || Found->second.Seen.Term != Term ||
+      Found->second.Seen.IsFenced ||
       !Group.holds(Found->second.Seen.LogTerm, Found->second.Seen.Position))
     return std::nullopt;
   const auto History = Databases.find(Found->second.Database);
