Hand a leaving primary over and believe only fitting announcements

Cause: a primary that announced its leaving was fenced at once, so that the writes under way there ended as unknown, and any announcement with the key and a higher sequence displaced a live target or joined as one too many.

A leaving primary is drained first: proxies begin nothing new, what runs is acknowledged in the old term, and the term ends once every live proxy has reported, after applying that decision, that nothing runs. Bounded by 10 s. It isn't begun where too few others could take over; the audit trail says so.

Ruled out: fencing at once and retrying for the caller (an unknown outcome can't be retried); counting the leaving primary's position (with a replacement settled, two readings and two copies may miss each other).

--- a/Source/Control/ControlNode.cpp
+++ b/Source/Control/ControlNode.cpp
@@ -44,8 +44,10 @@
 
 void ControlNode::tick() {
   Agreement.tick(Ports.Time.now());
-  if (Leading)
+  if (Leading) {
     removeExpiredProxies();
+    removeExpiredTargets();
+  }
   settle();
   Ports.Timers.after(TickInterval, [this] { tick(); });
 }
@@ -85,11 +87,13 @@
 }
 
 void ControlNode::on(const Envelope &, const ForwardedAnnouncement &Body) {
-  const TargetAnnouncement *Known = State.view().target(Body.Target.Name);
-  if (!Leading || (Known != nullptr && Known->Sequence >= Body.Target.Sequence))
+  if (!Leading)
     return;
-  propose(SystemActor, RecordTarget{Body.Target},
-          [](const Expected<ApplyResult> &) {});
+  auto Proposal =
+      Announcements.judge(State.view(), Body.Target, Ports.Time.now());
+  if (Proposal)
+    propose(SystemActor, std::move(*Proposal),
+            [](const Expected<ApplyResult> &) {});
 }
 
 void ControlNode::propose(std::string Actor, CommandBody Body,
@@ -223,6 +227,7 @@
   if (Leading) {
     Leases.begin(State.view(), Ports.Time.now());
     Failover.begin();
+    Announcements.begin(State.view(), Ports.Time.now());
     Published = State.view();
     SentAt.clear();
   } else {
@@ -299,6 +304,12 @@
   }
 }
 
+void ControlNode::removeExpiredTargets() {
+  for (RemoveTarget &Each :
+       Announcements.expired(State.view(), Leases, Ports.Time.now()))
+    propose(SystemActor, std::move(Each), [](const Expected<ApplyResult> &) {});
+}
+
 void ControlNode::compactIfLong() {
   if (Agreement.log().journalBytes() > CompactAtBytes)
     Agreement.compact(AppliedIndex, encode(State));
--- a/Source/Control/ControlNode.h
+++ b/Source/Control/ControlNode.h
@@ -8,6 +8,7 @@
 #include "Consensus/Consensus.h"
 #include "Control/TargetOrders.h"
 #include "Loop/Scheduler.h"
+#include "Membership/AnnouncementGate.h"
 #include "Settings/Settings.h"
 #include "State/ControlState.h"
 #include "Transport/Transport.h"
@@ -88,6 +89,7 @@
   void sendView(const ProcessId &Proxy, const Endpoint &To);
   void coordinate();
   void removeExpiredProxies();
+  void removeExpiredTargets();
   void compactIfLong();
   void failWaiting();
 
@@ -97,6 +99,7 @@
   ControlState State;
   LeaseRegistry Leases;
   FailoverCoordinator Failover;
+  AnnouncementGate Announcements;
   TargetOrders Orders;
   bool Leading = false;
   bool Settling = false;
--- a/Source/Failover/FailoverCoordinator.cpp
+++ b/Source/Failover/FailoverCoordinator.cpp
@@ -17,6 +17,8 @@
 /// How many times SuspectAfter a group with too few targets waits before its
 /// manifest's promote-with-loss policy applies.
 constexpr std::int64_t TooFewPatience = 10;
+/// A hand-over waits for what runs at the leaving primary, but not longer.
+constexpr Millis DrainAtMost(10000);
 /// The former primary is chosen again only where the others don't answer
 /// within this time.
 constexpr Millis OthersFirst(150);
@@ -82,6 +84,9 @@
     case GroupPhase::Promoted:
       stepPromoted(In, Of);
       break;
+    case GroupPhase::Draining:
+      stepDraining(In, Of);
+      break;
     case GroupPhase::Fencing:
       stepFencing(In, Of);
       break;
@@ -102,12 +107,13 @@
 std::string FailoverCoordinator::reasonToReplace(const Step &In, Watched &Of) {
   const std::string &Name = In.Group.Primary;
   const TargetAnnouncement *Primary = In.View.target(Name);
-  if (Primary == nullptr || Primary->Leaving)
-    return Name + " is leaving";
+  if (Primary == nullptr)
+    return Name + " is gone";
   // A primary that restarted may have lost its log or the end of it. Given
   // the same term again it would use positions twice, and copies of what its
   // former life wrote would pass for copies of what it writes now.
-  const bool Restarted = Primary->Sequence != In.Group.PrimarySequence;
+  const bool Restarted =
+      !Primary->Leaving && Primary->Sequence != In.Group.PrimarySequence;
   const FailoverPolicy &Limits = In.View.Current->Failover;
   if (!Restarted && !isSuspected(Name, In.Leases, Limits, In.Now)) {
     Of.At.MissedSince.reset();
@@ -134,10 +140,53 @@
         FenceGroup{In.Group.Database, In.Group.Term + 1, Reason});
     return;
   }
+  if (In.View.target(In.Group.Primary)->Leaving)
+    return handOver(In, Of.At);
   assignRoles(In, Of.At);
   settleJoining(In, Of.At);
 }
 
+void FailoverCoordinator::handOver(const Step &In, Progress &At) {
+  // Begun without enough others, a hand-over would end in a group that
+  // stands still: its primary is better kept until they are there.
+  const GroupRecord &Group = In.Group;
+  std::size_t Ready = 0;
+  for (const TargetAnnouncement &Each : In.View.targetsOf(Group.Database))
+    if (Group.isSettled(Each) &&
+        !isSuspected(Each.Name, In.Leases, In.View.Current->Failover, In.Now))
+      ++Ready;
+  const std::size_t Needed = readingsNeeded(In.Policy);
+  const std::string Who = Group.Primary + " is leaving";
+  if (Ready < Needed) {
+    if (!std::exchange(At.Noted, true))
+      In.Out.Proposals.push_back(
+          NoteTrouble{"hand-over-waiting", Group.Database,
+                      Who + "; " + std::to_string(Ready) +
+                          " other targets can take over, " +
+                          std::to_string(Needed) + " are needed"});
+    return;
+  }
+  if (In.Now < At.ProposedUntil)
+    return;
+  At.ProposedUntil = In.Now + ProposeAgainAfter;
+  In.Out.Proposals.push_back(DrainGroup{Group.Database, Group.Term, Who});
+}
+
+void FailoverCoordinator::stepDraining(const Step &In, Watched &Of) {
+  // What runs ends by its own deadline or by the bound of idle transactions.
+  // One caller must not keep all others waiting for longer.
+  const std::string Failed = reasonToReplace(In, Of);
+  const bool Drained =
+      In.Leases.isDrained(In.View, In.Group.Database, Of.At.Revision, In.Now);
+  if ((Failed.empty() && !Drained && In.Now - Of.At.Since < DrainAtMost) ||
+      In.Now < Of.At.ProposedUntil)
+    return;
+  Of.At.ProposedUntil = In.Now + ProposeAgainAfter;
+  In.Out.Proposals.push_back(FenceGroup{
+      In.Group.Database, In.Group.Term + 1,
+      Failed.empty() ? In.Group.Primary + " has handed over" : Failed});
+}
+
 bool FailoverCoordinator::mayCall(const std::string &Target, Progress &At,
                                   Millis Now) {
   const auto Called = At.CalledAt.find(Target);
@@ -224,7 +273,8 @@
 void FailoverCoordinator::stepFencing(const Step &In, Watched &Of) {
   const GroupRecord &Group = In.Group;
   Progress &At = Of.At;
-  for (const TargetAnnouncement &Each : In.View.targetsOf(Group.Database))
+  // One that is leaving is told too, though it's no candidate any more.
+  for (const TargetAnnouncement &Each : In.View.allTargetsOf(Group.Database))
     if (!isRead(Each, At) && mayCall(Each.Name, At, In.Now))
       In.Out.Calls.push_back(
           {TargetOrder::Fence, Each, Group.Term, Endpoint{}, Group.Forks});
--- a/Source/Failover/FailoverCoordinator.h
+++ b/Source/Failover/FailoverCoordinator.h
@@ -121,6 +121,8 @@
 
   static void stepForming(const Step &In, Progress &At);
   static void stepPromoted(const Step &In, Watched &Of);
+  static void stepDraining(const Step &In, Watched &Of);
+  static void handOver(const Step &In, Progress &At);
   static void stepFencing(const Step &In, Watched &Of);
   /// Why the primary should be replaced now; empty where it shouldn't.
   static std::string reasonToReplace(const Step &In, Watched &Of);
--- a/Source/Lease/LeaseRegistry.cpp
+++ b/Source/Lease/LeaseRegistry.cpp
@@ -41,8 +41,14 @@
   Holder &Known = Holders[Request.Proxy];
   Known.ReplyTo = ReplyTo;
   Known.LastHeard = Now;
-  Known.Reports = Request.Reports;
   Known.Applied = std::max(Known.Applied, Request.AppliedRevision);
+  // Datagrams may overtake each other.
+  if (Request.Sequence < Known.Sequence)
+    return;
+  Known.Sequence = Request.Sequence;
+  Known.ReportedAt = Request.AppliedRevision;
+  Known.Reports = Request.Reports;
+  Known.Running = Request.Running;
 }
 
 void LeaseRegistry::noteGrant(const LeaseGrant &Grant, Millis ReceivedAt,
@@ -74,6 +80,23 @@
   return true;
 }
 
+bool LeaseRegistry::isDrained(const ClusterView &View,
+                              const std::string &Database,
+                              std::uint64_t Revision, Millis Now) const {
+  if (!isInForce(View, Revision, Now))
+    return false;
+  for (const auto &[Id, Where] : View.Proxies) {
+    const auto Known = Holders.find(Id);
+    const auto End = expiry(Id);
+    if (Known == Holders.end() || !End || *End <= Now)
+      continue;
+    if (Known->second.ReportedAt < Revision ||
+        Known->second.Running.count(Database) != 0)
+      return false;
+  }
+  return true;
+}
+
 std::optional<Millis> LeaseRegistry::expiry(const ProcessId &Proxy) const {
   const auto Known = Holders.find(Proxy);
   if (Known == Holders.end() || Known->second.Ends.empty())
--- a/Source/Lease/LeaseRegistry.h
+++ b/Source/Lease/LeaseRegistry.h
@@ -37,6 +37,11 @@
   bool isInForce(const ClusterView &View, std::uint64_t Revision,
                  Millis Now) const;
 
+  /// True once nothing that began before \p Revision was applied still runs
+  /// at a database's primary, as far as live proxies report.
+  bool isDrained(const ClusterView &View, const std::string &Database,
+                 std::uint64_t Revision, Millis Now) const;
+
   /// When the last lease of a proxy ends; nothing where it has none.
   std::optional<Millis> expiry(const ProcessId &Proxy) const;
 
@@ -44,7 +49,11 @@
     Endpoint ReplyTo;
     Millis LastHeard;
     std::uint64_t Applied = 0;
+    /// Of the latest request, which also gave the three below.
+    std::uint64_t Sequence = 0;
+    std::uint64_t ReportedAt = 0; ///< The revision applied by then.
     std::vector<TargetReport> Reports;
+    std::set<std::string> Running;
     /// Latest end of the leases that require a revision, by that revision.
     std::map<std::uint64_t, Millis> Ends;
   };
--- a/Source/Lease/Messages.h
+++ b/Source/Lease/Messages.h
@@ -6,6 +6,8 @@
 
 #include "State/ClusterView.h"
 
+#include <set>
+
 namespace corianderdyke {
 
 /// What a proxy sees of a target that it watches.
@@ -30,10 +32,12 @@
   Millis SentAt; ///< By the proxy's clock; echoed and not interpreted.
   std::uint64_t AppliedRevision = 0;
   std::vector<TargetReport> Reports;
+  /// Databases at whose primary something of this proxy still runs.
+  std::set<std::string> Running = {};
 
   auto operator<=>(const LeaseRequest &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Proxy, Where, Sequence, SentAt, AppliedRevision, Reports);
+    Ar(Proxy, Where, Sequence, SentAt, AppliedRevision, Reports, Running);
   }
 };
 
--- a/Source/Operators/StatusReport.cpp
+++ b/Source/Operators/StatusReport.cpp
@@ -13,6 +13,8 @@
     return "forming";
   case GroupPhase::Fencing:
     return "fencing";
+  case GroupPhase::Draining:
+    return "draining";
   case GroupPhase::Promoted:
     break;
   }
--- a/Source/Proxy/DurabilityGate.cpp
+++ b/Source/Proxy/DurabilityGate.cpp
@@ -36,7 +36,7 @@
   const DatabasePolicy *Policy =
       View.Current ? View.Current->database(Write.Database) : nullptr;
   if (Group == nullptr || Policy == nullptr || Group->Term != Write.Term ||
-      !Group->isWritable())
+      !Group->hasPrimary())
     return Durability::Superseded;
   return Table.copies(Write.Database, Write.Term, Write.Position) <
                  Policy->Copies
--- a/Source/Proxy/ProxyNode.cpp
+++ b/Source/Proxy/ProxyNode.cpp
@@ -66,7 +66,8 @@
   Ports.Peers.send(leader().Peers, Delivery::Datagram,
                    LeaseRequest{Id, Options.Where, Lease.nextSequence(), Now,
                                 Lease.appliedRevision(),
-                                Table.reports(View, Now)});
+                                Table.reports(View, Now),
+                                Statements.running()});
 }
 
 void ProxyNode::receive(const Envelope &Arrived) {
--- a/Source/Proxy/StatementService.cpp
+++ b/Source/Proxy/StatementService.cpp
@@ -157,6 +157,14 @@
   sendInTransaction(Each);
 }
 
+std::set<std::string> StatementService::running() const {
+  std::set<std::string> Out = Transactions.databases();
+  for (const auto &[Id, Each] : Jobs)
+    if (Each->At == Job::Stage::Sent && Each->Way.IsPrimary)
+      Out.insert(Each->Statement.Database);
+  return Out;
+}
+
 void StatementService::dispatch(const JobPtr &Each) {
   if (Each->At == Job::Stage::Finished)
     return;
@@ -269,7 +277,10 @@
 
 void StatementService::send(const JobPtr &Each, PooledConnection Connection) {
   const GroupRecord *Group = View.group(Each->Statement.Database);
-  if (Group == nullptr || Group->Term != Each->Way.Term || !hasLease()) {
+  const bool Draining = Group != nullptr && Each->Way.IsPrimary &&
+                        Group->Phase == GroupPhase::Draining;
+  if (Group == nullptr || Group->Term != Each->Way.Term || Draining ||
+      !hasLease()) {
     Connection.setReusable(true);
     Connection.close();
     return dispatch(Each);
--- a/Source/Proxy/StatementService.h
+++ b/Source/Proxy/StatementService.h
@@ -59,6 +59,8 @@
 
   const StatementCounts &counts() const { return Counts; }
   std::size_t inFlight() const { return Jobs.size(); }
+  /// Databases at whose primary something still runs.
+  std::set<std::string> running() const;
   std::size_t openTransactions() const { return Transactions.size(); }
 
 private:
--- a/Source/Proxy/TransactionTable.cpp
+++ b/Source/Proxy/TransactionTable.cpp
@@ -22,6 +22,13 @@
       Timers.cancel(Each->IdleTimer);
 }
 
+std::set<std::string> TransactionTable::databases() const {
+  std::set<std::string> Out;
+  for (const auto &[Id, Each] : Open)
+    Out.insert(Each->Database);
+  return Out;
+}
+
 TransactionPtr TransactionTable::open(const std::string &Database,
                                       const Route &Way, const std::string &Peer,
                                       PooledConnection Connection,
--- a/Source/Proxy/TransactionTable.h
+++ b/Source/Proxy/TransactionTable.h
@@ -8,6 +8,8 @@
 #include "Proxy/ConnectionPool.h"
 #include "Routing/Router.h"
 
+#include <set>
+
 namespace corianderdyke {
 
 /// An open transaction. It owns its connection until it ends, so that no
@@ -61,6 +63,8 @@
   void abandonIdle();
 
   bool isOpen(const std::string &Id) const { return Open.count(Id) != 0; }
+  /// Databases on which some transaction is open.
+  std::set<std::string> databases() const;
   std::size_t size() const { return Open.size() + Ending.size(); }
 
 private:
--- a/Source/State/ClusterView.cpp
+++ b/Source/State/ClusterView.cpp
@@ -32,17 +32,46 @@
   return Found == Targets.end() ? nullptr : &Found->second;
 }
 
+std::string ClusterView::refusalOf(const TargetAnnouncement &Said) const {
+  const DatabasePolicy *Policy =
+      Current ? Current->database(Said.Database) : nullptr;
+  if (Policy == nullptr || group(Said.Database) == nullptr)
+    return "no database '" + Said.Database + "' in the manifest";
+  const TargetAnnouncement *Known = target(Said.Name);
+  // A copied configuration or a typing error gives two hosts one name. Were
+  // the later one believed, callers of the live target would be sent to it.
+  if (Known != nullptr && !Known->Leaving &&
+      (Known->Where != Said.Where || Known->Address != Said.Address ||
+       Known->Database != Said.Database))
+    return "the name belongs to " + Known->Address.text() + " of " +
+           Known->Database + " until that leaves or is long silent";
+  // With more members than the manifest says, the copies of a write and the
+  // positions that a failover reads need no longer have a target in common.
+  if ((Known == nullptr || Known->Leaving) && !Said.Leaving &&
+      targetsOf(Said.Database).size() >= Policy->Targets)
+    return "the group has its " + std::to_string(Policy->Targets) + " targets";
+  return "";
+}
+
 std::vector<TargetAnnouncement>
-ClusterView::targetsOf(const std::string &Database) const {
+ClusterView::allTargetsOf(const std::string &Database) const {
   std::vector<TargetAnnouncement> Out;
   const GroupRecord *Group = group(Database);
   if (Group == nullptr)
     return Out;
   for (const std::string &Name : Group->Targets)
-    if (const TargetAnnouncement *Each = target(Name);
-        Each != nullptr && !Each->Leaving)
+    if (const TargetAnnouncement *Each = target(Name); Each != nullptr)
       Out.push_back(*Each);
   return Out;
 }
 
+std::vector<TargetAnnouncement>
+ClusterView::targetsOf(const std::string &Database) const {
+  std::vector<TargetAnnouncement> Out;
+  for (TargetAnnouncement &Each : allTargetsOf(Database))
+    if (!Each.Leaving)
+      Out.push_back(std::move(Each));
+  return Out;
+}
+
 } // namespace corianderdyke
--- a/Source/State/ClusterView.h
+++ b/Source/State/ClusterView.h
@@ -28,6 +28,7 @@
   Forming,  ///< Too few targets have announced themselves yet.
   Fencing,  ///< The former primary's term has ended; no one may write.
   Promoted, ///< Primary holds the term.
+  Draining, ///< Primary is leaving: it ends what runs and begins nothing.
 };
 
 /// One database group.
@@ -55,7 +56,12 @@
 
   bool isSettled(const TargetAnnouncement &Target) const;
 
+  /// True where new work may begin at the primary.
   bool isWritable() const { return Phase == GroupPhase::Promoted; }
+  /// True where what runs at the primary may still be acknowledged.
+  bool hasPrimary() const {
+    return Phase == GroupPhase::Promoted || Phase == GroupPhase::Draining;
+  }
 
   /// True where a position that was acknowledged in \p InTerm is still part
   /// of the group's log: every later term began at or behind it.
@@ -81,6 +87,10 @@
 
   const GroupRecord *group(const std::string &Database) const;
   const TargetAnnouncement *target(const std::string &Name) const;
+  /// Why an announcement isn't believed; empty where it is.
+  std::string refusalOf(const TargetAnnouncement &Said) const;
+  std::vector<TargetAnnouncement>
+  allTargetsOf(const std::string &Database) const;
   /// Targets of a database that aren't leaving.
   std::vector<TargetAnnouncement> targetsOf(const std::string &Database) const;
 };
--- a/Source/State/Command.h
+++ b/Source/State/Command.h
@@ -90,6 +90,17 @@
   }
 };
 
+/// Begins the hand-over of a primary that is leaving.
+struct DrainGroup {
+  std::string Database;
+  std::uint64_t Term = 0;
+  std::string Reason;
+  auto operator<=>(const DrainGroup &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Database, Term, Reason);
+  }
+};
+
 /// Writes into the audit trail what the system can't or won't do, and why.
 struct NoteTrouble {
   std::string Action;
@@ -101,9 +112,10 @@
   }
 };
 
-using CommandBody = std::variant<ApplyManifest, RegisterProxy, RemoveProxy,
-                                 RecordTarget, FenceGroup, PromoteTarget,
-                                 SettleTarget, RemoveTarget, NoteTrouble>;
+using CommandBody =
+    std::variant<ApplyManifest, RegisterProxy, RemoveProxy, RecordTarget,
+                 FenceGroup, PromoteTarget, SettleTarget, RemoveTarget,
+                 NoteTrouble, DrainGroup>;
 
 struct Command {
   std::string Actor; ///< The operator, or "control" for the system itself.
--- a/Source/State/ControlState.cpp
+++ b/Source/State/ControlState.cpp
@@ -108,8 +108,8 @@
 std::optional<Error> ControlState::on(const Command &Entry,
                                       const RecordTarget &Body) {
   const TargetAnnouncement &New = Body.Target;
-  if (View.group(New.Database) == nullptr)
-    return Error{ErrorCode::NotFound, "no database '" + New.Database + "'"};
+  if (std::string Why = View.refusalOf(New); !Why.empty())
+    return Error{ErrorCode::Conflict, std::move(Why)};
   const auto Known = View.Targets.find(New.Name);
   if (Known != View.Targets.end() && Known->second.Sequence >= New.Sequence)
     return Error{ErrorCode::Conflict, "a later announcement is known"};
@@ -117,6 +117,10 @@
   if (!Joins)
     View.Groups[Known->second.Database].Targets.erase(New.Name);
   View.Groups[New.Database].Targets.insert(New.Name);
+  // If it comes back after another took its place, what was acknowledged
+  // meanwhile may be missing from its log.
+  if (New.Leaving)
+    View.Groups[New.Database].Settled.erase(New.Name);
   View.Targets[New.Name] = New;
   note(Entry, {.Action = New.Leaving ? "target-leaving"
                          : Joins     ? "target-joined"
@@ -176,6 +180,22 @@
   return std::nullopt;
 }
 
+std::optional<Error> ControlState::on(const Command &Entry,
+                                      const DrainGroup &Body) {
+  const auto Known = View.Groups.find(Body.Database);
+  if (Known == View.Groups.end())
+    return Error{ErrorCode::NotFound, "no such database"};
+  GroupRecord &Group = Known->second;
+  if (Group.Term != Body.Term || !Group.isWritable())
+    return Error{ErrorCode::Conflict, "the group has moved on"};
+  Group.Phase = GroupPhase::Draining;
+  note(Entry, {.Action = "primary-draining",
+               .Subject = Body.Database,
+               .From = describe(Group),
+               .Reason = Body.Reason});
+  return std::nullopt;
+}
+
 std::optional<Error> ControlState::on(const Command &Entry,
                                       const NoteTrouble &Body) {
   note(Entry,
--- a/Source/State/ControlState.h
+++ b/Source/State/ControlState.h
@@ -84,6 +84,7 @@
   std::optional<Error> on(const Command &Entry, const SettleTarget &Body);
   std::optional<Error> on(const Command &Entry, const RemoveTarget &Body);
   std::optional<Error> on(const Command &Entry, const NoteTrouble &Body);
+  std::optional<Error> on(const Command &Entry, const DrainGroup &Body);
   void settleAfterPromotion(GroupRecord &Group,
                             const TargetAnnouncement &Primary,
                             bool Lossy) const;
