--- a/Source/State/ControlState.h
+++ b/Source/State/ControlState.h
@@ -93,6 +93,7 @@
   std::optional<Error> on(const Command &Entry, const RemoveTarget &Body);
   std::optional<Error> on(const Command &Entry, const NoteTrouble &Body);
   void addToGroup(GroupRecord &Group, const TargetAnnouncement &Target) const;
+  std::optional<Error> on(const Command &Entry, const DrainGroup &Body);
   void settleAfterPromotion(GroupRecord &Group,
                             const TargetAnnouncement &Primary,
                             bool Lossy) const;
