--- /dev/null
+++ b/Tests/Unit/SettingsTest.cpp
@@ -0,0 +1,90 @@
+/// \file
+/// What settings are refused for, and with which advice.
+
+#include "Settings/Settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace corianderdyke;
+
+namespace {
+
+std::string good() {
+  return R"([process]
+name = "control-1"
+failure_domain = "kundzinsala"
+roles = ["control"]
+data_folder = "data"
+[listen]
+operators = "127.0.0.1:7200"
+peers = "127.0.0.1:7000"
+[keys]
+peers = "the key of all peers"
+sessions = "the key of all sessions"
+targets = "the key of all targets"
+operators = "the key of operators"
+[[control]]
+name = "control-1"
+peers = "127.0.0.1:7000"
+)";
+}
+
+std::string replaced(std::string Text, const std::string &From,
+                     const std::string &To) {
+  return Text.replace(Text.find(From), From.size(), To);
+}
+
+} // namespace
+
+TEST_CASE("The defaults that the manual shows are those of the program",
+          "[settings]") {
+  const auto Read = parseSettings("f", good());
+  REQUIRE(Read);
+  Settings Expected = *Read;
+  const Settings Plain;
+  Expected.JsonLogs = Plain.JsonLogs;
+  Expected.Level = Plain.Level;
+  Expected.StopNotice = Plain.StopNotice;
+  Expected.StopBound = Plain.StopBound;
+  CHECK(*Read == Expected);
+  CHECK(Read->Where == Place{"default", "kundzinsala", "control-1"});
+}
+
+TEST_CASE("Each contradiction is one finding with its place", "[settings]") {
+  const auto [From, To, Finding] =
+      GENERATE(table<std::string, std::string, std::string>({
+          {"peers = \"127.0.0.1:7000\"", "peers = \"127.0.0.1:7200\"",
+           "f:7:13: two listeners share 127.0.0.1:7200; give each its own "
+           "port\nf:14:1: the [[control]] list has 127.0.0.1:7000 for this "
+           "host, which listens on 127.0.0.1:7200; use the same port in "
+           "both\n"},
+          {"data_folder = \"data\"\n", "",
+           "f:1:1: a control host needs 'data_folder'; name a folder on a "
+           "disk that lasts\n"},
+          {"[\"control\"]", "[\"proxy\"]",
+           "f:6:1: a proxy needs 'callers'; write callers = "
+           "\"address:port\"\n"},
+          {"the key of all targets", "the key of all peers",
+           "f:10:9: a key that outsiders know is also one of the system's "
+           "own; use another key for each line\n"},
+          {"\"control-1\"\nfail", "\"control-2\"\nfail",
+           "f:14:1: this control host isn't in the [[control]] list; add a "
+           "table with name = \"control-2\"\n"},
+          {"7200", "72000",
+           "f:7:13: 'operators' in [listen]: '127.0.0.1:72000' has no port "
+           "of 0-65535; write it like 127.0.0.1:7000\n"},
+      }));
+  const auto Read = parseSettings("f", replaced(good(), From, To));
+  REQUIRE_FALSE(Read);
+  CHECK(text(Read.error()) == Finding);
+}
+
+TEST_CASE("A reload tells apart what takes effect", "[settings]") {
+  const std::string After =
+      replaced(good(), "[listen]", "log_level = \"error\"\n[listen]");
+  const std::vector<ItemDifference> Expected = {
+      {"process.log_level", "info", "error"}};
+  CHECK(differences(settingKeys(), good(), After) == Expected);
+  CHECK(settingKeys().find("[process]", "log_level")->Reloads);
+  CHECK_FALSE(settingKeys().find("[listen]", "peers")->Reloads);
+}
