Let open transactions end before a planned stop

Cause: a stopping proxy asked each caller to close its connection with the next answer, and ended once no answer was due. A transaction lives on its connection, so both cut it between two of its statements.

A connection with a transaction isn't asked to close, and the stop waits for open transactions, within the manifest's idle bound and the stop's own. Ruled out: rolling idle transactions back at once, which cuts what is in flight.

The drain session has a transaction that is open while the callers' port closes.

--- a/Source/App/Process.cpp
+++ b/Source/App/Process.cpp
@@ -129,8 +129,14 @@
 void Process::closeCallers() { CallerPort->stopListening(); }
 
 std::size_t Process::unfinished() const {
-  return OperatorPort->unanswered() +
-         (CallerPort ? CallerPort->unanswered() : 0);
+  std::size_t Out = OperatorPort->unanswered();
+  if (CallerPort)
+    Out += CallerPort->unanswered();
+  // A transaction whose caller is between two statements is in flight too;
+  // the manifest bounds how long it may idle.
+  if (Proxy)
+    Out += Proxy->statements().openTransactions();
+  return Out;
 }
 
 void Process::stopWhenIdle(Millis Until) {
@@ -140,7 +146,7 @@
     return;
   }
   if (Left > 0)
-    logEvent(EventId::StopBoundReached, {{"unanswered", std::to_string(Left)}});
+    logEvent(EventId::StopBoundReached, {{"unfinished", std::to_string(Left)}});
   Loop.stop();
 }
 
--- a/Source/Http/EventHttpServer.cpp
+++ b/Source/Http/EventHttpServer.cpp
@@ -86,8 +86,8 @@
 
 class EventHttpExchange final : public HttpExchange {
 public:
-  EventHttpExchange(evhttp_request *Raw, const bool &Closing)
-      : Raw(Raw), Closing(Closing) {}
+  EventHttpExchange(evhttp_request *Raw, std::function<bool()> Closes)
+      : Raw(Raw), Closes(std::move(Closes)) {}
 
   ~EventHttpExchange() override {
     // A request that nobody will answer would hold its caller for ever.
@@ -102,7 +102,7 @@
     evkeyvalq *Headers = evhttp_request_get_output_headers(Answered);
     for (const auto &[Name, Value] : Response.Headers)
       evhttp_add_header(Headers, Name.c_str(), Value.c_str());
-    if (Closing)
+    if (Closes())
       evhttp_add_header(Headers, "Connection", "close");
     endWatch(evhttp_request_get_connection(Answered));
     evbuffer *Body = evbuffer_new();
@@ -129,7 +129,7 @@
 
 private:
   evhttp_request *Raw;
-  const bool &Closing; ///< The server's; it outlives its requests.
+  std::function<bool()> Closes; ///< The server's; it outlives its requests.
   std::function<void()> HangUp;
 };
 
@@ -176,7 +176,8 @@
   }
   HttpRequest Request = requestOf(Raw);
   Request.Peer = Known->Peer;
-  const auto Exchange = std::make_shared<EventHttpExchange>(Raw, Closing);
+  const auto Exchange = std::make_shared<EventHttpExchange>(
+      Raw, [this, Peer = Known->Peer] { return closesAfterAnswer(Peer); });
   Known->Busy = true;
   evhttp_request_set_on_complete_cb(
       Raw,
--- a/Source/Http/EventHttpServer.h
+++ b/Source/Http/EventHttpServer.h
@@ -46,7 +46,8 @@
   /// Takes no new connections; those that stand go on.
   void stopListening();
 
-  /// From now on each answer asks its caller to close the connection.
+  /// From now on each answer asks its caller to close the connection, unless
+  /// something still lives on it.
   void closeAfterAnswers() { Closing = true; }
 
   /// Requests whose answer hasn't wholly left this process yet.
@@ -57,6 +58,9 @@
 
   explicit EventHttpServer(HttpService &Service);
   void arrived(evhttp_request *Raw);
+  bool closesAfterAnswer(const std::string &Peer) const {
+    return Closing && !Service.isBound(Peer);
+  }
 
   HttpService &Service;
   Endpoint At;
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -31,6 +31,9 @@
   virtual void handle(const HttpRequest &Request,
                       std::shared_ptr<HttpExchange> Exchange) = 0;
 
+  /// True while something lives on a connection that would end with it.
+  virtual bool isBound(const std::string & /*Peer*/) const { return false; }
+
   /// A connection over which requests came has closed.
   virtual void disconnected(const std::string & /*Peer*/) {}
 };
--- a/Source/Proxy/ProxyNode.h
+++ b/Source/Proxy/ProxyNode.h
@@ -29,6 +29,9 @@
   void handle(const HttpRequest &Request,
               std::shared_ptr<HttpExchange> Exchange) override;
   void disconnected(const std::string &Peer) override;
+  bool isBound(const std::string &Peer) const override {
+    return Statements.isBound(Peer);
+  }
 
   /// True while the balancer may send callers here.
   bool isReady() const;
--- a/Source/Proxy/StatementService.h
+++ b/Source/Proxy/StatementService.h
@@ -59,6 +59,10 @@
 
   const StatementCounts &counts() const { return Counts; }
   std::size_t inFlight() const { return Jobs.size(); }
+  /// True while a transaction lives on a caller's connection.
+  bool isBound(const std::string &Peer) const {
+    return Transactions.holds(Peer);
+  }
   std::size_t openTransactions() const { return Transactions.size(); }
 
 private:
--- a/Source/Proxy/TransactionTable.cpp
+++ b/Source/Proxy/TransactionTable.cpp
@@ -3,6 +3,8 @@
 
 #include "Proxy/TransactionTable.h"
 
+#include <algorithm>
+
 namespace corianderdyke {
 
 namespace {
@@ -88,6 +90,12 @@
       abandon(Each);
 }
 
+bool TransactionTable::holds(const std::string &Peer) const {
+  return std::any_of(Open.begin(), Open.end(), [&Peer](const auto &Each) {
+    return Each.second->Peer == Peer;
+  });
+}
+
 void TransactionTable::abandonIdle() {
   const auto Known = Open;
   for (const auto &[Id, Each] : Known)
--- a/Source/Proxy/TransactionTable.h
+++ b/Source/Proxy/TransactionTable.h
@@ -60,6 +60,9 @@
   /// left to end, and its transaction is rolled back with the next call.
   void abandonIdle();
 
+  /// True while a transaction waits for a caller's connection.
+  bool holds(const std::string &Peer) const;
+
   bool isOpen(const std::string &Id) const { return Open.count(Id) != 0; }
   std::size_t size() const { return Open.size() + Ending.size(); }
 
--- a/Tests/Golden/drain/steps.sh
+++ b/Tests/Golden/drain/steps.sh
@@ -30,6 +30,36 @@
   jq -c '.groups[].targets[] | [.name, .role]'
 try "$program" drain target nobody "${control[@]}"
 
-say "An operator drains the other proxy"
-try "$program" drain proxy --proxy "$operators_2" --operator anna
+say "An operator drains the other proxy while a transaction is open"
+exec 8<>"/dev/tcp/127.0.0.1/${port[9]}"
+clerk="Corianderdyke-Database: bale-ledger-1"$'\r\n'
+clerk+="Corianderdyke-Organisation: port-clerks"$'\r\n'
+clerk+="Corianderdyke-Kind: handover"$'\r\n'
+transaction=
+ask() { # path, idempotency key, body
+  printf 'POST %s HTTP/1.1\r\nHost: x\r\n%sCorianderdyke-Key: %s\r\n%s' \
+    "$1" "$clerk" "$2" "$transaction" >&8
+  printf 'Content-Length: %d\r\n\r\n%s' "${#3}" "$3" >&8
+  local line length=0
+  while read -r -t "$patience" -u 8 line && [ "$line" != $'\r' ]; do
+    line=${line%$'\r'}
+    case $line in
+    Content-Length:*) length=${line#*: } ;;
+    Corianderdyke-Transaction:*) transaction=$line$'\r\n' ;;
+    Corianderdyke-Outcome:* | Connection:*) echo "$line" ;;
+    esac
+  done
+  read -r -t "$patience" -N "$length" -u 8 line || true
+}
+ask /transaction/begin scan-19 ""
+ask /statement scan-19 "put bale-19 haulier-6"
+"$program" drain proxy --proxy "$operators_2" --operator anna >drained 2>&1 &
+draining=$!
+takes_nobody() { ! (exec 7<>"/dev/tcp/127.0.0.1/${port[9]}") 2>/dev/null; }
+wait_for takes_nobody
+ask /statement scan-20 "put bale-20 haulier-7"
+ask /transaction/commit scan-21 ""
+exec 8>&-
+wait $draining
+cat drained
 try "$program" drain proxy --proxy "$operators_2" --patience-ms 0
