Measure admission and connections on a model of the targets

Cause: whether a decision is good shows only in what callers receive. The experiment tool drives the same modules in virtual time: an open-loop load that counts from the intended start, targets with slots, connections that cost 12 ms, hops of both deployments, faults, scenarios as TOML, CSV out. Same seed, same bytes: a CTest compares two runs.

--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -9,10 +9,11 @@
 
 namespace {
 
-/// A waiting request is given up only where even this part of its estimated
-/// wait is too long: the estimate moves with each answer, and a request that
-/// was let in shouldn't fall to its noise.
-constexpr double CertainPart = 2.0 / 3.0;
+/// A request is let in only where this many times its estimated wait fits.
+/// The estimate moves with each answer; without the margin the queue of a
+/// flooding organisation reaches up to the deadline itself, and whoever falls
+/// to the noise is refused after waiting for most of it.
+constexpr double WaitMargin = 4.0 / 3.0;
 
 double span(Millis From, Millis To) {
   return static_cast<double>((To - From).count());
@@ -55,7 +56,8 @@
     return std::nullopt;
   const double Wait =
       wait(Order->costAhead(Request.Organisation, Request.Kind));
-  const double Late = Wait + Request.Cost - span(Now, Request.DeadlineAt);
+  const double Late =
+      Wait * WaitMargin + Request.Cost - span(Now, Request.DeadlineAt);
   if (Late > 0)
     return refuse(Request, RefusalReason::DeadlineOutOfReach, Late, Now);
   return std::nullopt;
@@ -129,8 +131,7 @@
     // What waits was estimated on arrival; the pace of now decides.
     const double Cost = Costs.of(Each.Request.Kind);
     const double Wait = wait(Each.Cost) * Cost / Each.Request.Cost;
-    const double Late =
-        Wait * CertainPart + Cost - span(Now, Each.Request.DeadlineAt);
+    const double Late = Wait + Cost - span(Now, Each.Request.DeadlineAt);
     const bool Overdue = Each.Request.DeadlineAt <= Now;
     if (!Overdue && (Late <= 0 || Running == 0))
       continue;
--- a/Source/Admission/FairQueue.cpp
+++ b/Source/Admission/FairQueue.cpp
@@ -10,6 +10,14 @@
 namespace {
 
 constexpr double LeastWeight = 1e-6;
+/// Use is a moving mean over about this many statements: the half second in
+/// which a proxy in Riga sends as many is the span of a deadline.
+constexpr double UseWindow = 64;
+/// The estimate starts too high and falls; what is left of the error halves
+/// with each turn where the others use half.
+constexpr int EstimateTurns = 3;
+/// Below it an organisation counts as gone.
+constexpr double LeastUse = 0.01;
 
 template <class Map, class Pick>
 std::vector<typename Map::iterator> byTime(Map &All, const Pick &IsWaiting) {
@@ -29,6 +37,10 @@
   return std::max(Share(Organisation), LeastWeight);
 }
 
+double FairQueue::charge(const QueuedRequest &For) const {
+  return Service.of({For.Organisation, For.Kind}).value_or(For.Cost);
+}
+
 double FairQueue::weightOf(const std::string &Kind) const {
   return std::max(KindWeight(Kind), LeastWeight);
 }
@@ -71,8 +83,9 @@
       takeOut(Of, From, From.Requests.begin());
       Time = std::max(Time, Of.Time);
       Of.KindTime = std::max(Of.KindTime, From.Time);
-      Of.Time += Out.Cost / shareOf(Out.Organisation);
-      From.Time += Out.Cost / weightOf(Out.Kind);
+      Out.Charged = charge(Out);
+      Of.Time += Out.Charged / shareOf(Out.Organisation);
+      From.Time += Out.Charged / weightOf(Out.Kind);
       ++Of.Running;
       return Out;
     }
@@ -87,11 +100,26 @@
   Member &Of = Found->second;
   if (Of.Running > 0)
     --Of.Running;
-  const double Correction = Spent - Request.Cost;
+  const double Due = charged(Request, Spent);
+  const double Gain =
+      std::min(Due / std::max(MeanCharge, 1.0) / UseWindow, 0.5);
+  for (auto &[Name, Each] : Members)
+    Each.Use += ((Name == Request.Organisation ? 1 : 0) - Each.Use) * Gain;
+  const double Correction = Due - Request.Charged;
   Of.Time += Correction / shareOf(Request.Organisation);
   Of.Flows[Request.Kind].Time += Correction / weightOf(Request.Kind);
 }
 
+/// What a statement costs in the end; nothing where it wasn't run.
+double FairQueue::charged(const QueuedRequest &Request, double Spent) {
+  if (Spent <= 0)
+    return 0;
+  Service.observe({Request.Organisation, Request.Kind}, Spent);
+  const double Due = charge(Request);
+  MeanCharge += (Due - MeanCharge) / UseWindow;
+  return Due;
+}
+
 std::optional<QueuedRequest> FairQueue::remove(std::uint64_t Id) {
   for (auto &[Name, Of] : Members)
     for (auto &[Kind, From] : Of.Flows) {
@@ -137,17 +165,31 @@
 double FairQueue::activeShares(const std::string &Organisation) const {
   double Sum = shareOf(Organisation);
   for (const auto &[Name, Each] : Members)
-    if (Name != Organisation && (Each.Length > 0 || Each.Running > 0))
+    if (Name != Organisation &&
+        (Each.Length > 0 || Each.Running > 0 || Each.Use > LeastUse))
       Sum += shareOf(Name);
   return Sum;
 }
 
+/// What the others leave: an organisation with a backlog takes its share, any
+/// other what it used lately. By who waits at this moment alone, a flooding
+/// organisation would count on all of the database whenever the others'
+/// queues are empty, and be refused after a long wait instead of at once.
 double FairQueue::portion(const std::string &Organisation) const {
-  return shareOf(Organisation) / activeShares(Organisation);
+  const double Shares = activeShares(Organisation);
+  double Left = 1;
+  for (const auto &[Name, Each] : Members) {
+    if (Name == Organisation)
+      continue;
+    const double Part = shareOf(Name) / Shares;
+    Left -= Each.Length > 0 ? Part : std::min(Part, Each.Use);
+  }
+  return std::max(Left, shareOf(Organisation) / Shares);
 }
 
-/// A flow's turn comes at the pace of its weight among the busy ones, or
-/// sooner: never more than all that waits is sent before it.
+/// A flow's turn comes at the pace of its weight among the busy ones. Of each
+/// other organisation its share goes first, or less where its backlog and
+/// what it goes on offering are less.
 double FairQueue::ahead(const std::string &Organisation,
                         const std::string &Kind, double InFlow) const {
   const auto Found = Members.find(Organisation);
@@ -157,9 +199,21 @@
   for (const auto &[Name, Each] : Found->second.Flows)
     if (Name != Kind && !Each.Requests.empty())
       Weights += weightOf(Name);
-  const double InMember =
+  const double Own =
       std::min(Found->second.Cost, InFlow * Weights / weightOf(Kind));
-  return std::min(Cost, InMember / portion(Organisation));
+  const double Shares = activeShares(Organisation);
+  double Total = Own * Shares / shareOf(Organisation);
+  for (int Turn = 0; Turn < EstimateTurns; ++Turn) {
+    double Next = Own;
+    for (const auto &[Name, Each] : Members) {
+      const double Part = shareOf(Name) / Shares;
+      if (Name != Organisation)
+        Next += std::min(Part * Total,
+                         Each.Cost + std::min(Part, Each.Use) * Total);
+    }
+    Total = Next;
+  }
+  return Total;
 }
 
 double FairQueue::costAhead(const std::string &Organisation,
--- a/Source/Admission/FairQueue.h
+++ b/Source/Admission/FairQueue.h
@@ -7,16 +7,17 @@
 ///
 /// Start-time fair queueing: each organisation has a virtual time that moves
 /// by cost divided by share; the one furthest back is next. Cost is the time
-/// that statements hold connections, not their number, so long statements
-/// buy nothing. What was charged by the estimate is corrected by the time
-/// really spent. An organisation that was idle starts at the current virtual
-/// time: it's next at once, so a lent share is back when one running
+/// that statements take of a target, not their number, so long statements
+/// buy nothing. What was charged by the estimate is corrected when the
+/// statement has ended. An organisation that was idle starts at the current
+/// virtual time: it's next at once, so a lent share is back when one running
 /// statement ends, and it can't save up idle time for a flood of its own.
 
 #ifndef CORIANDERDYKE_ADMISSION_FAIRQUEUE_H
 #define CORIANDERDYKE_ADMISSION_FAIRQUEUE_H
 
 #include "Admission/QueueDiscipline.h"
+#include "Admission/ServiceEstimate.h"
 
 #include <deque>
 #include <map>
@@ -55,11 +56,14 @@
     double Time = 0;
     double KindTime = 0; ///< Virtual time of its kinds.
     std::size_t Running = 0;
+    double Use = 0; ///< Recent part of the time that connections were held.
   };
 
+  double charge(const QueuedRequest &For) const;
+  double charged(const QueuedRequest &Request, double Spent);
   double shareOf(const std::string &Organisation) const;
   double weightOf(const std::string &Kind) const;
-  /// Shares of all organisations that wait or run, and of \p Organisation.
+  /// Shares of \p Organisation and of all that wait, run or ran lately.
   double activeShares(const std::string &Organisation) const;
   double ahead(const std::string &Organisation, const std::string &Kind,
                double InFlow) const;
@@ -67,9 +71,11 @@
 
   WeightOf Share;
   WeightOf KindWeight;
+  ServiceEstimate Service;
   std::map<std::string, Member> Members;
   std::size_t Length = 0;
   double Cost = 0;
+  double MeanCharge = 1;
   /// Never goes back: the start of the last request that was sent.
   double Time = 0;
 };
--- a/Source/Admission/QueueDiscipline.h
+++ b/Source/Admission/QueueDiscipline.h
@@ -24,6 +24,8 @@
   Millis DeadlineAt;
   /// Milliseconds that it's expected to hold a connection.
   double Cost = 1;
+  /// What its organisation was charged for it when it was sent.
+  double Charged = 0;
 
   auto operator<=>(const QueuedRequest &) const = default;
 };
--- /dev/null
+++ b/Source/Admission/ServiceEstimate.cpp
@@ -0,0 +1,41 @@
+/// \file
+/// What statements cost a target, told apart from how long they wait in it.
+
+#include "Admission/ServiceEstimate.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+namespace {
+
+/// As in CostEstimate.
+constexpr double Gain = 0.125;
+
+} // namespace
+
+void ServiceEstimate::observe(const Flow &Of, double Spent) {
+  Seen &To = Flows[Of];
+  To.Mean = To.Count == 0 ? Spent : To.Mean + (Spent - To.Mean) * Gain;
+  To.Latest[To.Count % Kept] = Spent;
+  ++To.Count;
+}
+
+double ServiceEstimate::Seen::least() const {
+  const auto End =
+      Latest.begin() + static_cast<std::ptrdiff_t>(std::min(Count, Kept));
+  return *std::min_element(Latest.begin(), End);
+}
+
+std::optional<double> ServiceEstimate::of(const Flow &Which) const {
+  const auto Found = Flows.find(Which);
+  if (Found == Flows.end())
+    return std::nullopt;
+  const auto Shortest = std::min_element(Flows.begin(), Flows.end(),
+                                         [](const auto &A, const auto &B) {
+                                           return A.second.Mean < B.second.Mean;
+                                         });
+  return Found->second.Mean - Shortest->second.Mean + Shortest->second.least();
+}
+
+} // namespace corianderdyke
--- a/Source/Rights/ConnectionLedger.cpp
+++ b/Source/Rights/ConnectionLedger.cpp
@@ -79,6 +79,7 @@
 
 void ConnectionLedger::takeReport(Holder &Of, const RightsRequest &Request) {
   Of.LastSequence = Request.Sequence;
+  Of.Leaving = Request.Leaving;
   for (auto &[Target, Each] : Of.Loans) {
     Each.Held = 0;
     Each.Wanted = 0;
@@ -98,6 +99,8 @@
   std::vector<ConnectionClaim> Claims;
   std::size_t Own = 0;
   for (const auto &[Id, Each] : Holders) {
+    if (Each.Leaving)
+      continue;
     if (Id == Proxy)
       Own = Claims.size();
     const auto Found = Each.Loans.find(Target);
@@ -107,13 +110,11 @@
                                            Found->second.outstanding()});
   }
   const std::vector<std::uint32_t> Parts = divideConnections(Limit, Claims);
-  std::uint32_t Lent = 0;
+  const std::uint32_t Lent = outstanding(Target);
   std::uint32_t Missing = 0;
-  for (std::size_t Index = 0; Index < Claims.size(); ++Index) {
-    Lent += Claims[Index].Outstanding;
+  for (std::size_t Index = 0; Index < Claims.size(); ++Index)
     if (Parts[Index] > Claims[Index].Outstanding)
       Missing += Parts[Index] - Claims[Index].Outstanding;
-  }
   const std::uint32_t Mine = Claims[Own].Outstanding;
   const bool MayLend = isRebuilt(Now) && Lent < Limit;
   const std::uint32_t Free = MayLend ? Limit - Lent : 0;
@@ -142,6 +143,8 @@
   Unheard.erase(Request.Proxy);
   takeReport(Of, Request);
   Of.End = ReceivedAt + longestRights(View);
+  if (Of.Leaving)
+    return std::nullopt;
   Out.Duration = RightsDuration;
   for (auto &[Target, Each] : Of.Loans) {
     const std::uint32_t Connections =
--- a/Source/Rights/ConnectionLedger.h
+++ b/Source/Rights/ConnectionLedger.h
@@ -66,6 +66,7 @@
 
   struct Holder {
     std::uint64_t LastSequence = 0;
+    bool Leaving = false;
     Millis End;
     std::map<std::string, Loan> Loans;
   };
--- a/Source/Rights/ConnectionRights.cpp
+++ b/Source/Rights/ConnectionRights.cpp
@@ -10,7 +10,8 @@
 RightsRequest
 ConnectionRights::request(const std::map<std::string, ConnectionUse> &Use,
                           Millis Now) {
-  RightsRequest Out{Self, ++Sequence, Now, LeaderTerm, AppliedGrant, {}};
+  RightsRequest Out{Self,         ++Sequence, Now, LeaderTerm,
+                    AppliedGrant, Leaving,    {}};
   std::map<std::string, ConnectionUse> All = Use;
   for (const auto &[Target, Connections] : Shares)
     All.try_emplace(Target);
@@ -32,7 +33,7 @@
   LeaderTerm = Grant.LeaderTerm;
   if (Grant.Duration == Millis())
     return IsNewLeader;
-  if (Grant.Sequence <= AppliedGrant || Grant.Sequence > Sequence)
+  if (Leaving || Grant.Sequence <= AppliedGrant || Grant.Sequence > Sequence)
     return false;
   AppliedGrant = Grant.Sequence;
   End = Grant.SentAt + Grant.Duration;
@@ -42,6 +43,14 @@
   return false;
 }
 
+void ConnectionRights::leave() {
+  Leaving = true;
+  Shares.clear();
+  FormerlyWanted.clear();
+  // No grant is taken any more, so none that is under way counts.
+  AppliedGrant = Sequence;
+}
+
 std::uint32_t ConnectionRights::limit(const std::string &Target,
                                       Millis Now) const {
   const auto Found = Shares.find(Target);
--- a/Source/Rights/ConnectionRights.h
+++ b/Source/Rights/ConnectionRights.h
@@ -34,9 +34,14 @@
   /// be sent at once: a new leader waits for a report in its term.
   bool apply(const RightsGrant &Grant);
 
+  /// The proxy stops: it opens nothing any more, and its requests give back
+  /// what isn't open.
+  void leave();
+
   /// Connections that may be open to a target now.
   std::uint32_t limit(const std::string &Target, Millis Now) const;
 
+  const ProcessId &id() const { return Self; }
   Millis end() const { return End; }
   const std::map<std::string, std::uint32_t> &shares() const { return Shares; }
 
@@ -45,6 +50,7 @@
   std::uint64_t Sequence = 0;
   std::uint64_t LeaderTerm = 0;
   std::uint64_t AppliedGrant = 0;
+  bool Leaving = false;
   Millis End = Millis(-1);
   std::map<std::string, std::uint32_t> Shares;
   std::map<std::string, std::uint32_t> FormerlyWanted;
--- a/Source/Rights/Messages.h
+++ b/Source/Rights/Messages.h
@@ -41,11 +41,13 @@
   std::uint64_t LeaderTerm = 0;
   /// The last grant that is contained in Held.
   std::uint64_t AppliedGrant = 0;
+  /// The proxy stops and takes no grant any more.
+  bool Leaving = false;
   std::vector<RightsDemand> Demands;
 
   auto operator<=>(const RightsRequest &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Proxy, Sequence, SentAt, LeaderTerm, AppliedGrant, Demands);
+    Ar(Proxy, Sequence, SentAt, LeaderTerm, AppliedGrant, Leaving, Demands);
   }
 };
 
--- /dev/null
+++ b/Tests/Experiment/Repeats.cmake
@@ -0,0 +1,11 @@
+# Runs a scenario twice and compares what it wrote.
+foreach(turn first second)
+  file(MAKE_DIRECTORY ${FOLDER}/${turn})
+  execute_process(COMMAND ${EXPERIMENT} ${SCENARIO} --out ${FOLDER}/${turn}
+    COMMAND_ERROR_IS_FATAL ANY)
+endforeach()
+foreach(file summary.csv timeline.csv)
+  execute_process(COMMAND ${CMAKE_COMMAND} -E compare_files
+    ${FOLDER}/first/${file} ${FOLDER}/second/${file}
+    COMMAND_ERROR_IS_FATAL ANY)
+endforeach()
--- /dev/null
+++ b/Tests/Experiment/Scenario.h
@@ -0,0 +1,87 @@
+/// \file
+/// One experiment: a pool of targets, the loads on it, and what fails.
+
+#ifndef CORIANDERDYKE_TESTS_EXPERIMENT_SCENARIO_H
+#define CORIANDERDYKE_TESTS_EXPERIMENT_SCENARIO_H
+
+#include "Common/Finding.h"
+#include "Manifest/Manifest.h"
+
+#include <tl/expected.hpp>
+
+namespace corianderdyke {
+
+/// The experiment counts in microseconds, since a hop takes half a
+/// millisecond; the modules under test are given whole milliseconds.
+using Micros = std::int64_t;
+
+/// The sizes of a deployment.
+struct Deployment {
+  std::string Name;
+  std::uint32_t Proxies = 8;
+  std::uint32_t Databases = 3;
+  std::uint32_t Targets = 3;
+  std::uint32_t Slots = 2;
+  std::uint32_t Connections = 16;
+  Micros ConnectCost = 12000;
+  Micros TargetHop = 500;
+  Micros CallerHop = 1000;
+  Millis Lag = Millis(20);
+
+  auto operator<=>(const Deployment &) const = default;
+};
+
+/// Statements of one kind by one organisation.
+struct Load {
+  std::string Organisation;
+  std::string Kind;
+  double PerSecond = 0; ///< Over all databases and proxies.
+  Micros Service = 0;   ///< Mean time in a slot.
+  bool Exponential = false;
+  Micros From = 0;
+  Micros Until = 0;
+  /// It comes in through this many of the proxies; 0 means all.
+  std::uint32_t Proxies = 0;
+
+  auto operator<=>(const Load &) const = default;
+};
+
+enum class FaultKind : std::uint8_t { ProxyDies, RollingRestart, SlowTarget };
+
+struct Fault {
+  FaultKind Kind = FaultKind::ProxyDies;
+  Micros At = 0;
+  Micros Until = 0;
+  std::uint32_t Index = 0;
+  std::uint32_t Factor = 1; ///< How many times slower a target becomes.
+
+  auto operator<=>(const Fault &) const = default;
+};
+
+struct Scenario {
+  std::string Name;
+  std::uint64_t Seed = 1;
+  Micros Length = 0;
+  /// What is offered before isn't counted.
+  Micros CountFrom = 0;
+  /// Refused callers come back this often, when they were told to.
+  std::uint32_t Returns = 0;
+  std::uint32_t QueueLimit = 200;
+  std::vector<Deployment> Deployments;
+  std::vector<std::string> Orders;
+  std::vector<std::string> Rights;
+  std::vector<OrganisationPolicy> Organisations;
+  std::vector<KindPolicy> Kinds;
+  std::vector<Load> Loads;
+  std::vector<Fault> Faults;
+
+  auto operator<=>(const Scenario &) const = default;
+};
+
+/// The scenario in \p Text, or all its faults.
+tl::expected<Scenario, Findings> parseScenario(const std::string &File,
+                                               const std::string &Text);
+
+} // namespace corianderdyke
+
+#endif
