--- a/Source/State/ClusterView.cpp
+++ b/Source/State/ClusterView.cpp
@@ -14,6 +14,14 @@
   return true;
 }
 
+bool GroupRecord::isSettled(const TargetAnnouncement &Target) const {
+  // Before the first primary nothing was acknowledged.
+  if (Forks.empty())
+    return true;
+  const auto Known = Settled.find(Target.Name);
+  return Known != Settled.end() && Known->second == Target.LogId;
+}
+
 const GroupRecord *ClusterView::group(const std::string &Database) const {
   const auto Found = Groups.find(Database);
   return Found == Groups.end() ? nullptr : &Found->second;
@@ -27,9 +35,13 @@
 std::vector<TargetAnnouncement>
 ClusterView::targetsOf(const std::string &Database) const {
   std::vector<TargetAnnouncement> Out;
-  for (const auto &[Name, Each] : Targets)
-    if (Each.Database == Database && !Each.Leaving)
-      Out.push_back(Each);
+  const GroupRecord *Group = group(Database);
+  if (Group == nullptr)
+    return Out;
+  for (const std::string &Name : Group->Targets)
+    if (const TargetAnnouncement *Each = target(Name);
+        Each != nullptr && !Each->Leaving)
+      Out.push_back(*Each);
   return Out;
 }
 
--- a/Tests/Unit/RightsTest.cpp
+++ b/Tests/Unit/RightsTest.cpp
@@ -22,7 +22,7 @@
   Manifest Current;
   Current.Databases.push_back({.Name = "ledger-1"});
   Out.Current = Current;
-  Out.Targets[Target] = {Target, "ledger-1", {}, {}, 1, false};
+  Out.Targets[Target] = {Target, "ledger-1", {}, {}, 1, false, {}};
   for (std::uint64_t Index = 1; Index <= Proxies; ++Index)
     Out.Proxies[{"entry-" + std::to_string(Index), 1}] = {};
   return Out;
