--- a/Tests/Experiment/Experiment.cpp
+++ b/Tests/Experiment/Experiment.cpp
@@ -57,7 +57,7 @@
     View.Current = Current;
     for (std::uint32_t Index = 0; Index < Count; ++Index) {
       const std::string Name = "target-" + std::to_string(Index);
-      View.Targets[Name] = {Name, Policy.Name, {}, {}, 1, false};
+      View.Targets[Name] = {Name, Policy.Name, {}, {}, 1, false, {}};
     }
   }
 
