Let admission and connection rights decide in the running proxy

Cause: the proxy queued first come, first served inside each connection pool and split a server's connections evenly, whatever the load. Statements now wait in the queues of their database and mode; who is next, who is refused and when it may come back is what the modules decide. Pools open what the control leader has lent, the leader answers only after the quorum's word, a proxy stays registered while it may hold connections, and what is open is closed when the right to it ends. Four statements a slot are under way; a transaction's begin leaves a connection to the others; a read that was lost is sent again only within the retry budget.

Ruled out: rights in the pools alone, with the queue left in them: the order within a pool can't see shares. Counting a transaction's idle connection as a statement under way: with a cap of one it stopped all others.

One test failed and was wrong in its setup: with one connection a server and two proxies it had both proxies open one, which is one more than the limit. It now declares one connection for each proxy; what it checks is unchanged.

--- /dev/null
+++ b/Source/Admission/DatabaseQueues.cpp
@@ -0,0 +1,121 @@
+/// \file
+/// The queues of a proxy.
+
+#include "Admission/DatabaseQueues.h"
+
+#include "Admission/FairQueue.h"
+
+namespace corianderdyke {
+
+namespace {
+
+WeightOf lookUp(const std::map<std::string, double> &In) {
+  return [&In](const std::string &Name) {
+    const auto Found = In.find(Name);
+    return Found == In.end() ? 1.0 : Found->second;
+  };
+}
+
+} // namespace
+
+void DatabaseQueues::update(const Manifest &Current) {
+  Shares.clear();
+  for (const OrganisationPolicy &Each : Current.Organisations)
+    Shares[Each.Name] = Each.Share;
+  Weights.clear();
+  for (const KindPolicy &Each : Current.Kinds)
+    Weights[Each.Name] = Each.Weight;
+  QueueLimit = Current.Limits.QueuePerDatabase;
+  for (auto &[Where, Each] : Controllers)
+    Each->setQueueLimit(QueueLimit);
+}
+
+AdmissionController &DatabaseQueues::controller(const Place &Where) {
+  std::unique_ptr<AdmissionController> &Found = Controllers[Where];
+  if (!Found)
+    Found = std::make_unique<AdmissionController>(
+        std::make_unique<FairQueue>(lookUp(Shares), lookUp(Weights)),
+        QueueLimit, Seed + Controllers.size());
+  return *Found;
+}
+
+void DatabaseQueues::forget(const std::vector<Refusal> &Refused) {
+  for (const Refusal &Each : Refused)
+    Requests.erase(Each.Request.Id);
+}
+
+std::vector<Refusal> DatabaseQueues::arrive(const AdmissionRequest &Request,
+                                            Millis Now) {
+  const Place Where(Request.Database, Request.Mode);
+  Requests[Request.Id] = {Where, std::nullopt, Millis()};
+  auto Refused =
+      controller(Where).arrive({Request.Id, Request.Organisation, Request.Kind,
+                                Now, Request.DeadlineAt, 0, 0},
+                               Now);
+  forget(Refused);
+  return Refused;
+}
+
+std::optional<std::uint64_t>
+DatabaseQueues::next(const std::string &Database, const Fits &CanRun,
+                     Millis Now, std::vector<Refusal> &GivenUp) {
+  for (const Access Mode : {Access::Write, Access::Read}) {
+    const auto Found = Controllers.find({Database, Mode});
+    if (Found == Controllers.end())
+      continue;
+    auto Next = Found->second->next(
+        [&CanRun](const QueuedRequest &Each) { return CanRun(Each.Id); }, Now,
+        GivenUp);
+    forget(GivenUp);
+    if (!Next)
+      continue;
+    Known &Of = Requests[Next->Id];
+    Of.Sent = *Next;
+    Of.SentAt = Now;
+    return Next->Id;
+  }
+  return std::nullopt;
+}
+
+void DatabaseQueues::leave(std::uint64_t Id, bool IsAnswered, Millis Now) {
+  const auto Found = Requests.find(Id);
+  if (Found == Requests.end())
+    return;
+  const Known Of = std::move(Found->second);
+  Requests.erase(Found);
+  AdmissionController &From = controller(Of.Where);
+  if (!Of.Sent) {
+    From.remove(Id);
+    return;
+  }
+  std::optional<double> Spent;
+  if (IsAnswered)
+    Spent = static_cast<double>(
+        std::max((Now - Of.SentAt).count(), std::int64_t(1)));
+  From.finished(*Of.Sent, Spent);
+}
+
+std::vector<Refusal> DatabaseQueues::giveUp(Millis Now) {
+  std::vector<Refusal> Out;
+  for (auto &[Where, Each] : Controllers)
+    for (Refusal &One : Each->giveUp(Now))
+      Out.push_back(std::move(One));
+  forget(Out);
+  return Out;
+}
+
+std::size_t DatabaseQueues::queued(const std::string &Database,
+                                   Access Mode) const {
+  const auto Found = Controllers.find({Database, Mode});
+  return Found == Controllers.end() ? 0 : Found->second->queued();
+}
+
+std::vector<QueueStatus> DatabaseQueues::status() const {
+  std::vector<QueueStatus> Out;
+  for (const auto &[Where, Each] : Controllers)
+    Out.push_back({Where.first, Where.second, Each->queued(), Each->running(),
+                   Each->counts()});
+  return Out;
+}
+
+} // namespace corianderdyke
--- a/Source/Control/ControlNode.cpp
+++ b/Source/Control/ControlNode.cpp
@@ -92,6 +92,24 @@
           [](const Expected<ApplyResult> &) {});
 }
 
+void ControlNode::on(const Envelope &From, const RightsRequest &Body) {
+  const Millis Now = Ports.Time.now();
+  // Without the quorum's word a former leader, cut off, would go on renewing
+  // rights that its successor has waited out.
+  const auto Ticket = Agreement.beginRead(Now);
+  if (!Ticket)
+    return;
+  RightsReads[*Ticket] = {Body, From.ReplyTo, Now};
+  settle();
+}
+
+void ControlNode::grantRights(const WaitingRights &To) {
+  const auto Grant =
+      Connections.answer(To.Request, State.view(), To.ReceivedAt);
+  if (Grant)
+    Ports.Peers.send(To.ReplyTo, Delivery::Datagram, *Grant);
+}
+
 void ControlNode::propose(std::string Actor, CommandBody Body,
                           ChangeHandler OnDone) {
   const Command Entry{std::move(Actor), Ports.Time.wallTime(), std::move(Body)};
@@ -179,6 +197,7 @@
 void ControlNode::answerReads(const ConsensusOutputs &Outputs) {
   for (const std::uint64_t Ticket : Outputs.FailedReads) {
     LeaseReads.erase(Ticket);
+    RightsReads.erase(Ticket);
     const auto Waiting = StateReads.find(Ticket);
     if (Waiting == StateReads.end())
       continue;
@@ -193,6 +212,12 @@
       LeaseReads.erase(Lease);
       grant(To);
     }
+    if (const auto Rights = RightsReads.find(Each.Ticket);
+        Rights != RightsReads.end()) {
+      const WaitingRights To = std::move(Rights->second);
+      RightsReads.erase(Rights);
+      grantRights(To);
+    }
     if (const auto Read = StateReads.find(Each.Ticket);
         Read != StateReads.end()) {
       const ReadHandler OnRead = std::move(Read->second);
@@ -223,6 +248,7 @@
   if (Leading) {
     Leases.begin(State.view(), Ports.Time.now());
     Failover.begin();
+    Connections.begin(Agreement.term(), State.view(), Ports.Time.now());
     Published = State.view();
     SentAt.clear();
   } else {
@@ -233,6 +259,7 @@
 
 void ControlNode::failWaiting() {
   LeaseReads.clear();
+  RightsReads.clear();
   const auto Waiting = std::exchange(Changes, {});
   for (const auto &[Index, Change] : Waiting)
     Change.OnDone(fail(ErrorCode::Unavailable,
@@ -286,7 +313,9 @@
   for (const auto &[Id, Where] : State.view().Proxies) {
     const auto Known = Leases.holders().find(Id);
     const auto End = Leases.expiry(Id);
-    const bool Expired = !End || *End < Now;
+    // A new leader waits for those that are registered: whoever may still
+    // have connections open is one of them.
+    const bool Expired = (!End || *End < Now) && !Connections.mayHold(Id, Now);
     const bool Silent = Known == Leases.holders().end() ||
                         Now - Known->second.LastHeard > Silence;
     const auto Proposed = ProposedRemoval.find(Id);
--- a/Source/Control/ControlNode.h
+++ b/Source/Control/ControlNode.h
@@ -8,6 +8,7 @@
 #include "Consensus/Consensus.h"
 #include "Control/TargetOrders.h"
 #include "Loop/Scheduler.h"
+#include "Rights/ConnectionLedger.h"
 #include "Settings/Settings.h"
 #include "State/ControlState.h"
 #include "Transport/Transport.h"
@@ -50,6 +51,7 @@
 
   const Consensus &consensus() const { return Agreement; }
   const LeaseRegistry &leases() const { return Leases; }
+  const ConnectionLedger &connections() const { return Connections; }
   /// What this host has applied; it may be behind unless it leads.
   const ControlState &applied() const { return State; }
   /// True once no proxy can act without the revision any more.
@@ -62,6 +64,12 @@
     Millis ReceivedAt;
   };
 
+  struct WaitingRights {
+    RightsRequest Request;
+    Endpoint ReplyTo;
+    Millis ReceivedAt;
+  };
+
   struct WaitingChange {
     std::uint64_t Term = 0;
     ChangeHandler OnDone;
@@ -73,6 +81,7 @@
   void on(const Envelope &From, const LeaseRequest &Body);
   void on(const Envelope &From, const ViewApplied &Body);
   void on(const Envelope &From, const ForwardedAnnouncement &Body);
+  void on(const Envelope &From, const RightsRequest &Body);
   template <class Other> void on(const Envelope &, const Other &) {}
 
   /// Carries out what the agreement wants done, and what follows from it.
@@ -81,6 +90,7 @@
   void apply(const Entry &Committed);
   void answerReads(const ConsensusOutputs &Outputs);
   void grant(const WaitingLease &To);
+  void grantRights(const WaitingRights &To);
   void noticeLeadership();
   void publish();
   /// Sends the whole view to a proxy that is behind, unless something went
@@ -96,6 +106,7 @@
   Consensus Agreement;
   ControlState State;
   LeaseRegistry Leases;
+  ConnectionLedger Connections;
   FailoverCoordinator Failover;
   TargetOrders Orders;
   bool Leading = false;
@@ -107,6 +118,7 @@
   std::map<ProcessId, Millis> SentAt;
   std::map<std::uint64_t, WaitingChange> Changes;
   std::map<std::uint64_t, WaitingLease> LeaseReads;
+  std::map<std::uint64_t, WaitingRights> RightsReads;
   std::map<std::uint64_t, ReadHandler> StateReads;
   std::map<ProcessId, Millis> ProposedRemoval;
   sigc::signal<void(const Error &)> Failed;
--- a/Source/Proxy/ConnectionPool.h
+++ b/Source/Proxy/ConnectionPool.h
@@ -39,6 +39,9 @@
   void setLimit(std::size_t NewLimit);
 
   std::size_t inUse() const { return Busy; }
+  /// Connections at the target, also those being opened.
+  std::size_t total() const { return open() + Opening.size(); }
+  std::size_t limit() const { return Limit; }
   std::size_t open() const { return Busy + Idle.size(); }
   std::size_t waiting() const { return Waiting.size(); }
 
@@ -54,7 +57,6 @@
   void serve();
   void openOne();
   void opened(std::uint64_t Id, const Expected<HttpResponse> &Answer);
-  std::size_t total() const { return open() + Opening.size(); }
 
   HttpConnector &Connector;
   Endpoint To;
--- a/Source/Proxy/ProxyNode.cpp
+++ b/Source/Proxy/ProxyNode.cpp
@@ -16,6 +16,10 @@
 constexpr Millis RequestIntervalWithoutManifest(100);
 /// Another control host is asked after this long without an answer.
 constexpr Millis LeaderPatience(250);
+/// Rights are asked for twenty times in their duration, and within the time
+/// that a new connection costs four times over where callers wait for them.
+constexpr Millis RightsInterval(500);
+constexpr Millis RightsIntervalWhenShort(50);
 constexpr int StatusAccepted = 202;
 constexpr int StatusBadRequest = 400;
 constexpr int StatusForbidden = 403;
@@ -26,9 +30,9 @@
 ProxyNode::ProxyNode(const Settings &Options, ProxyPorts Ports,
                      std::uint64_t Incarnation)
     : Options(Options), Ports(Ports), Id{Options.Name, Incarnation}, Lease(Id),
-      Watcher(Ports.Time, Ports.Timers, Ports.Connector, Table),
+      Rights(Id), Watcher(Ports.Time, Ports.Timers, Ports.Connector, Table),
       Statements({Ports.Time, Ports.Timers, Ports.Connector}, Id, View, Lease,
-                 Table, Watcher, Options.SessionKey) {}
+                 Table, Watcher, Rights, Options.SessionKey) {}
 
 void ProxyNode::start() {
   Ports.Peers.signalReceived().connect(
@@ -49,6 +53,8 @@
     Leader = (Leader + 1) % Options.Controls.size();
   if (Now - LastRequest >= Interval)
     requestLease();
+  renewRights(Now);
+  Statements.tick();
   if (Lease.isHeld(Now) != HeldLease) {
     HeldLease = !HeldLease;
     LeaseChanged.emit(HeldLease);
@@ -71,6 +77,34 @@
                                 Table.reports(SuspectAfter, Now)});
 }
 
+void ProxyNode::renewRights(Millis Now) {
+  if (HeldRights && Now >= Rights.end()) {
+    HeldRights = false;
+    Statements.rightsChanged();
+  }
+  const Millis Interval =
+      Statements.isShort() ? RightsIntervalWhenShort : RightsInterval;
+  if (View.Current && Now - LastRightsRequest >= Interval)
+    requestRights();
+}
+
+void ProxyNode::requestRights() {
+  LastRightsRequest = Ports.Time.now();
+  Ports.Peers.send(
+      leader().Peers, Delivery::Datagram,
+      Rights.request(Statements.connectionUse(), LastRightsRequest));
+}
+
+void ProxyNode::on(const Envelope &, const RightsGrant &Body) {
+  if (Rights.apply(Body)) {
+    requestRights();
+    return;
+  }
+  HeldRights = Ports.Time.now() < Rights.end();
+  if (HeldRights)
+    Statements.rightsChanged();
+}
+
 void ProxyNode::receive(const Envelope &Arrived) {
   std::visit([&](const auto &Body) { on(Arrived, Body); }, Arrived.Body);
 }
@@ -106,6 +140,8 @@
     View = New;
     Watcher.update(View);
     Statements.viewChanged();
+    // A new target has no connections here yet.
+    requestRights();
   }
   // Also for one that was known: the control host may have missed the
   // confirmation.
--- a/Source/Proxy/ProxyNode.h
+++ b/Source/Proxy/ProxyNode.h
@@ -34,6 +34,7 @@
 
   const ClusterView &view() const { return View; }
   const LeaseHolder &lease() const { return Lease; }
+  const ConnectionRights &rights() const { return Rights; }
   const StatementService &statements() const { return Statements; }
   const ProcessId &id() const { return Id; }
 
@@ -43,9 +44,12 @@
 private:
   void tick();
   void requestLease();
+  void requestRights();
+  void renewRights(Millis Now);
   void receive(const Envelope &Arrived);
   void on(const Envelope &From, const LeaseGrant &Body);
   void on(const Envelope &From, const NotLeader &Body);
+  void on(const Envelope &From, const RightsGrant &Body);
   void on(const Envelope &From, const ViewUpdate &Body);
   void on(const Envelope &From, const ViewDelta &Body);
   void adopt(const ClusterView &New, const Endpoint &Sender);
@@ -58,6 +62,7 @@
   ProcessId Id;
   ClusterView View;
   LeaseHolder Lease;
+  ConnectionRights Rights;
   TargetTable Table;
   TargetWatcher Watcher;
   StatementService Statements;
@@ -65,6 +70,8 @@
   std::size_t Leader = 0;
   Millis LastRequest = Millis(-1000000);
   Millis LastAnswer;
+  Millis LastRightsRequest = Millis(-1000000);
+  bool HeldRights = false;
   bool HeldLease = false;
   sigc::signal<void(bool)> LeaseChanged;
 };
--- a/Source/Proxy/StatementService.cpp
+++ b/Source/Proxy/StatementService.cpp
@@ -50,11 +50,31 @@
   return Out;
 }
 
+std::string reasonText(RefusalReason Reason) {
+  switch (Reason) {
+  case RefusalReason::DeadlineOutOfReach:
+    return "the queue is too long for the deadline";
+  case RefusalReason::QueueFull:
+    return "the queue is full";
+  case RefusalReason::Displaced:
+    return "the queue is full, and others use less of it";
+  case RefusalReason::GivenUp:
+    break;
+  }
+  return "it can't be served before its deadline any more";
+}
+
 } // namespace
 
 struct StatementService::Job {
   /// How far it is; what a refusal may say depends on it.
-  enum class Stage : std::uint8_t { Choosing, Acquiring, Sent, Finished };
+  enum class Stage : std::uint8_t {
+    Choosing,
+    Queued,
+    Acquiring,
+    Sent,
+    Finished
+  };
 
   std::uint64_t Id = 0;
   StatementRequest Statement;
@@ -66,6 +86,7 @@
   Scheduler::TimerId PatienceTimer = 0;
   Stage At = Stage::Choosing;
   unsigned Tries = 0;
+  bool IsAdmitted = false; ///< Its turn has come.
   /// Some try went out and got no answer: it may have run whatever the later
   /// tries say.
   bool Lost = false;
@@ -82,11 +103,12 @@
                                    const ClusterView &View,
                                    const LeaseHolder &Lease, TargetTable &Table,
                                    TargetWatcher &Watcher,
+                                   const ConnectionRights &Rights,
                                    std::string SessionKey)
     : Outside(Outside), View(View), Lease(Lease), Table(Table),
-      SessionKey(std::move(SessionKey)), Pools(Outside.Connector),
-      Gate(View, Table), Transactions(Outside.Timers, Self),
-      Retry(Self.Incarnation) {
+      SessionKey(std::move(SessionKey)), Rights(Rights),
+      Pools(Outside.Connector), Queues(Self.Incarnation), Gate(View, Table),
+      Transactions(Outside.Timers, Self), Retry(Self.Incarnation) {
   Watcher.signalChanged().connect(
       sigc::mem_fun(*this, &StatementService::wake));
 }
@@ -163,24 +185,174 @@
   Each->At = Job::Stage::Choosing;
   if (!hasLease())
     return giveUp(Each, "the lease of this proxy ran out");
-  const StatementRequest &Statement = Each->Statement;
+  const auto Found = choose(*Each);
+  if (!Found && Found.error().Code != ErrorCode::Unavailable)
+    return reject(Each, reply_status::Conflict, Found.error().Message);
+  if (!Found)
+    return waitForChange(Each, Found.error().Message);
+  if (!Each->IsAdmitted)
+    return enqueue(Each);
+  Each->Way = *Found;
+  acquire(Each);
+}
+
+Expected<Route> StatementService::choose(const Job &Each) const {
+  const StatementRequest &Statement = Each.Statement;
   const auto Floor = Statement.Session.floor(Statement.Database);
   const RouteQuery Query{Statement.Database,
                          Statement.isWrite() ? Access::Write : Access::Read,
                          Statement.Kind.AcceptedAge,
                          Floor,
                          Statement.Session.isPartial() && !Floor,
-                         Each->Avoid};
-  const auto Found = route(
+                         Each.Avoid};
+  return route(
       View, Table, Query,
       [this](const std::string &Target) { return Pools.load(Target); },
       Outside.Time.now());
-  if (!Found && Found.error().Code != ErrorCode::Unavailable)
-    return reject(Each, reply_status::Conflict, Found.error().Message);
-  if (!Found)
-    return waitForChange(Each, Found.error().Message);
-  Each->Way = *Found;
-  acquire(Each);
+}
+
+void StatementService::enqueue(const JobPtr &Each) {
+  Each->At = Job::Stage::Queued;
+  const StatementRequest &Of = Each->Statement;
+  refuse(Queues.arrive({Each->Id, Of.Database,
+                        Of.isWrite() ? Access::Write : Access::Read,
+                        Of.Organisation, Of.Kind.Name, Each->DeadlineAt},
+                       Outside.Time.now()));
+  pump(Of.Database);
+}
+
+void StatementService::pump(const std::string &Database) {
+  // What is sent may end at once and call back here; the outer call goes on.
+  if (IsPumping)
+    return;
+  IsPumping = true;
+  std::vector<Refusal> GivenUp;
+  const auto Fits = [this](std::uint64_t Id) { return canRun(Id); };
+  while (const auto Id =
+             Queues.next(Database, Fits, Outside.Time.now(), GivenUp)) {
+    const JobPtr Each = Jobs.at(*Id);
+    Each->IsAdmitted = true;
+    dispatch(Each);
+  }
+  IsPumping = false;
+  refuse(GivenUp);
+}
+
+bool StatementService::canRun(std::uint64_t Id) const {
+  const Job &Each = *Jobs.at(Id);
+  const auto Found = choose(Each);
+  // What can't be routed at all is told so, and doesn't wait for a turn.
+  return !Found || hasRoom(Found->Target, Each);
+}
+
+std::size_t StatementService::underWay(const std::string &Target) const {
+  const auto Sent = SentTo.find(Target);
+  const auto Pool = Pools.find(Target);
+  return (Sent == SentTo.end() ? 0 : Sent->second) +
+         (Pool ? Pool->waiting() : 0);
+}
+
+TargetCapacity StatementService::capacityOf(const std::string &Database) const {
+  const DatabasePolicy *Policy =
+      View.Current ? View.Current->database(Database) : nullptr;
+  return Policy == nullptr ? TargetCapacity()
+                           : TargetCapacity{Policy->SlotsPerTarget,
+                                            Policy->ConnectionsPerTarget};
+}
+
+bool StatementService::hasRoom(const std::string &Target,
+                               const Job &For) const {
+  const auto Pool = Pools.find(Target);
+  if (!Pool)
+    return true;
+  const std::size_t Busy = Pool->inUse() + Pool->waiting();
+  // A transaction leaves a connection to the others: callers who think
+  // between two statements would stop everyone else at this proxy.
+  const bool LeavesOne = For.Statement.What == Verb::Begin && Pool->limit() > 1;
+  if (Busy + (LeavesOne ? 1 : 0) >= Pool->limit())
+    return false;
+  return underWay(Target) <
+         statementsAtOnce(static_cast<std::uint32_t>(Pool->limit()),
+                          capacityOf(For.Statement.Database));
+}
+
+void StatementService::refuse(const std::vector<Refusal> &All) {
+  for (const Refusal &Each : All) {
+    const auto Found = Jobs.find(Each.Request.Id);
+    if (Found == Jobs.end())
+      continue;
+    const JobPtr Of = Found->second;
+    Of->At = Job::Stage::Choosing;
+    const bool MayHaveRun = Of->mayHaveRun();
+    finish(Of, MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+           refusalReply(MayHaveRun ? reply_status::Unknown
+                                   : reply_status::Unavailable,
+                        reasonText(Each.Reason), Each.RetryAfter));
+  }
+}
+
+void StatementService::tick() {
+  refuse(Queues.giveUp(Outside.Time.now()));
+  for (const QueueStatus &Each : Queues.status())
+    if (Each.Queued > 0)
+      pump(Each.Database);
+}
+
+TargetPools::LimitOf StatementService::limits() const {
+  return [this](const std::string &Target) {
+    return Rights.limit(Target, Outside.Time.now());
+  };
+}
+
+void StatementService::rightsChanged() {
+  Pools.setLimits(limits());
+  if (Outside.Time.now() >= Rights.end()) {
+    // Another proxy may be given these connections from now on; one more than
+    // the server takes would be refused there, and its caller's statement
+    // with it. The lease of this proxy ended long before, so nobody here
+    // could be answered with success any more.
+    Transactions.abandonIdle();
+    while (!Calls.empty())
+      answered(Calls.begin()->first,
+               fail(ErrorCode::Unavailable, "the right to connections ended"));
+  }
+  for (const QueueStatus &Each : Queues.status())
+    pump(Each.Database);
+}
+
+std::map<std::string, ConnectionUse> StatementService::connectionUse() const {
+  std::map<std::string, ConnectionUse> Out;
+  for (const std::string &Name : Pools.targets()) {
+    const TargetAnnouncement *Known = View.target(Name);
+    const auto Pool = Pools.find(Name);
+    if (Known == nullptr)
+      continue;
+    const GroupRecord *Group = View.group(Known->Database);
+    const std::size_t Others =
+        std::max<std::size_t>(View.targetsOf(Known->Database).size(), 1);
+    std::size_t Queued =
+        (Queues.queued(Known->Database, Access::Read) + Others - 1) / Others;
+    if (Group != nullptr && Group->Primary == Name)
+      Queued += Queues.queued(Known->Database, Access::Write);
+    const std::size_t Statements = underWay(Name);
+    const std::size_t InTransactions =
+        Pool->inUse() - std::min(Pool->inUse(), Statements);
+    Out[Name] = {static_cast<std::uint32_t>(Pool->total()),
+                 connectionsFor(static_cast<std::uint32_t>(Statements + Queued),
+                                capacityOf(Known->Database)) +
+                     static_cast<std::uint32_t>(InTransactions)};
+  }
+  return Out;
+}
+
+bool StatementService::isShort() const {
+  for (const QueueStatus &Each : Queues.status())
+    if (Each.Queued > 0)
+      return true;
+  for (const std::string &Name : Pools.targets())
+    if (Pools.find(Name)->limit() == 0)
+      return true;
+  return false;
 }
 
 void StatementService::acquire(const JobPtr &Each) {
@@ -226,6 +398,9 @@
   if (Until <= Now)
     return giveUp(Each, Why);
   Each->At = Job::Stage::Choosing;
+  // Its turn is for another meanwhile.
+  Each->IsAdmitted = false;
+  Queues.leave(Each->Id, false, Now);
   Waiting[Each->Id] = Each;
   if (Each->PatienceTimer == 0)
     Each->PatienceTimer = Outside.Timers.after(Until - Now, [this, Each, Why] {
@@ -248,7 +423,9 @@
 }
 
 void StatementService::viewChanged() {
-  Pools.update(View);
+  Pools.update(View, limits());
+  if (View.Current)
+    Queues.update(*View.Current);
   Patience.update(View, Outside.Time.now());
   Gate.check();
   const auto Known = Jobs;
@@ -278,6 +455,9 @@
   Each->SentAt = Outside.Time.now();
   const std::uint64_t Id = NextId++;
   const auto Made = Calls.emplace(Id, Call{Each, std::move(Connection)}).first;
+  ++SentTo[Each->Way.Target];
+  if (Each->Tries == 0)
+    Budget.noteFirstTry();
   Made->second.Connection->request(
       requestFor(Each->Statement, Each->Way, false), timeLeft(Each),
       [this, Id](const Expected<HttpResponse> &Answer) {
@@ -311,8 +491,18 @@
                                 const Expected<HttpResponse> &Answer) {
   auto Taken = Calls.extract(CallId);
   const JobPtr Each = Taken.mapped().Of;
-  PooledConnection Connection = std::move(Taken.mapped().Connection);
+  const std::string Database = Each->Statement.Database;
+  --SentTo[Each->Way.Target];
   const Verdict What = judge(Answer);
+  Each->IsAdmitted = false;
+  Queues.leave(Each->Id, What != Verdict::Lost, Outside.Time.now());
+  settle(Each, std::move(Taken.mapped().Connection), Answer, What);
+  pump(Database);
+}
+
+void StatementService::settle(const JobPtr &Each, PooledConnection Connection,
+                              const Expected<HttpResponse> &Answer,
+                              Verdict What) {
   if (What != Verdict::Lost)
     observe(Each, *Answer);
   Connection.setReusable(What != Verdict::Lost && What != Verdict::Stale);
@@ -413,7 +603,9 @@
   const std::string Why = "the connection to the target was lost before its "
                           "answer";
   Each->Lost = true;
-  if (Each->Statement.isWrite())
+  // What is sent again may have taken a target's time before; without a
+  // budget a failing target's load would come twice to those that are left.
+  if (Each->Statement.isWrite() || !Budget.take())
     return giveUp(Each, Why);
   tryElsewhere(Each, Why);
 }
@@ -518,12 +710,17 @@
 
 void StatementService::close(const JobPtr &Each) {
   leaveQueues(Each);
+  // One that was sent holds its connection until its answer comes.
+  if (Each->At != Job::Stage::Sent)
+    Queues.leave(Each->Id, false, Outside.Time.now());
   Gate.cancel(Each->GateTicket);
   for (Scheduler::TimerId *Timer : {&Each->DeadlineTimer, &Each->PatienceTimer})
     if (*Timer != 0)
       Outside.Timers.cancel(std::exchange(*Timer, 0));
   Each->At = Job::Stage::Finished;
+  const std::string Database = Each->Statement.Database;
   Jobs.erase(Each->Id);
+  pump(Database);
 }
 
 } // namespace corianderdyke
--- a/Source/Proxy/StatementService.h
+++ b/Source/Proxy/StatementService.h
@@ -4,6 +4,9 @@
 #ifndef CORIANDERDYKE_PROXY_STATEMENTSERVICE_H
 #define CORIANDERDYKE_PROXY_STATEMENTSERVICE_H
 
+#include "Admission/Concurrency.h"
+#include "Admission/DatabaseQueues.h"
+#include "Admission/RetryBudget.h"
 #include "Http/HttpServer.h"
 #include "Lease/LeaseHolder.h"
 #include "Proxy/AnswerJudge.h"
@@ -14,6 +17,7 @@
 #include "Proxy/TargetPools.h"
 #include "Proxy/TargetWatcher.h"
 #include "Proxy/TransactionTable.h"
+#include "Rights/ConnectionRights.h"
 #include "Routing/Router.h"
 
 namespace corianderdyke {
@@ -30,9 +34,9 @@
   auto operator<=>(const StatementCounts &) const = default;
 };
 
-/// Takes each statement through its stages: choose a target, get a
-/// connection, send, judge the answer, hold a write for its copies, answer.
-/// The stages' decisions live in classes of their own.
+/// Takes each statement through its stages: choose a target, wait for its
+/// turn, get a connection, send, judge the answer, hold a write for its copies,
+/// answer. The stages' decisions live in classes of their own.
 class StatementService : public sigc::trackable {
 public:
   struct Ports {
@@ -44,7 +48,7 @@
   StatementService(Ports Outside, const ProcessId &Self,
                    const ClusterView &View, const LeaseHolder &Lease,
                    TargetTable &Table, TargetWatcher &Watcher,
-                   std::string SessionKey);
+                   const ConnectionRights &Rights, std::string SessionKey);
   ~StatementService();
 
   void handle(Verb What, const HttpRequest &Request,
@@ -57,6 +61,21 @@
   /// wait for a change or at a primary that is none any more.
   void viewChanged();
 
+  /// Takes changed connection rights in. Where they have ended, everything
+  /// that is open is closed.
+  void rightsChanged();
+
+  /// Gives up what can't be served in time any more; to be called often.
+  void tick();
+
+  /// What this proxy does with each target, for its request for rights.
+  std::map<std::string, ConnectionUse> connectionUse() const;
+
+  /// True where callers wait for connections that it has no right to.
+  bool isShort() const;
+
+  std::vector<QueueStatus> queues() const { return Queues.status(); }
+  const RetryBudget &retries() const { return Budget; }
   const StatementCounts &counts() const { return Counts; }
   std::size_t inFlight() const { return Jobs.size(); }
   std::size_t openTransactions() const { return Transactions.size(); }
@@ -74,6 +93,16 @@
   void start(const JobPtr &Each);
   void startInTransaction(const JobPtr &Each);
   void dispatch(const JobPtr &Each);
+  Expected<Route> choose(const Job &Each) const;
+  void enqueue(const JobPtr &Each);
+  bool canRun(std::uint64_t Id) const;
+  bool hasRoom(const std::string &Target, const Job &For) const;
+  std::size_t underWay(const std::string &Target) const;
+  TargetCapacity capacityOf(const std::string &Database) const;
+  /// Sends what may be sent now.
+  void pump(const std::string &Database);
+  void refuse(const std::vector<Refusal> &All);
+  TargetPools::LimitOf limits() const;
   void acquire(const JobPtr &Each);
   void noConnection(const JobPtr &Each, const Error &Why);
   void waitForChange(const JobPtr &Each, const std::string &Why);
@@ -82,6 +111,8 @@
   void sendInTransaction(const JobPtr &Each);
   Millis timeLeft(const JobPtr &Each) const;
   void answered(std::uint64_t CallId, const Expected<HttpResponse> &Answer);
+  void settle(const JobPtr &Each, PooledConnection Connection,
+              const Expected<HttpResponse> &Answer, Verdict What);
   void answeredInTransaction(const JobPtr &Each,
                              const Expected<HttpResponse> &Answer);
   void observe(const JobPtr &Each, const HttpResponse &Answer);
@@ -111,7 +142,10 @@
   const LeaseHolder &Lease;
   TargetTable &Table;
   std::string SessionKey;
+  const ConnectionRights &Rights;
   TargetPools Pools;
+  DatabaseQueues Queues;
+  RetryBudget Budget;
   DurabilityGate Gate;
   TransactionTable Transactions;
   PrimaryPatience Patience;
@@ -119,6 +153,9 @@
   std::map<std::uint64_t, JobPtr> Jobs;    ///< By arrival.
   std::map<std::uint64_t, JobPtr> Waiting; ///< Of Jobs, for a change.
   std::map<std::uint64_t, Call> Calls;
+  /// Of Calls, by target.
+  std::map<std::string, std::size_t> SentTo;
+  bool IsPumping = false;
   std::uint64_t NextId = 1;
   StatementCounts Counts;
 };
--- a/Source/Proxy/TargetPools.cpp
+++ b/Source/Proxy/TargetPools.cpp
@@ -3,41 +3,34 @@
 
 #include "Proxy/TargetPools.h"
 
-#include <algorithm>
-
 namespace corianderdyke {
 
-namespace {
-
-/// This proxy's part of a server's connections.
-std::size_t connectionShare(const ClusterView &View,
-                            const std::string &Database) {
-  const DatabasePolicy *Policy =
-      View.Current ? View.Current->database(Database) : nullptr;
-  if (Policy == nullptr)
-    return 1;
-  const std::size_t Proxies = std::max<std::size_t>(View.Proxies.size(), 1);
-  return std::max<std::size_t>(Policy->ConnectionsPerTarget / Proxies, 1);
-}
-
-} // namespace
-
-void TargetPools::update(const ClusterView &View) {
+void TargetPools::update(const ClusterView &View, const LimitOf &Limit) {
   for (auto Each = Pools.begin(); Each != Pools.end();)
     Each = View.target(Each->first) == nullptr ? Pools.erase(Each)
                                                : std::next(Each);
   for (const auto &[Name, Target] : View.Targets) {
-    const std::size_t Limit = connectionShare(View, Target.Database);
     Entry &Known = Pools[Name];
     if (Known.Pool && Known.Address == Target.Address &&
-        Known.Sequence == Target.Sequence) {
-      Known.Pool->setLimit(Limit);
+        Known.Sequence == Target.Sequence)
       continue;
-    }
-    Known = {
-        Target.Address, Target.Sequence,
-        std::make_shared<ConnectionPool>(Connector, Target.Address, Limit)};
+    Known = {Target.Address, Target.Sequence,
+             std::make_shared<ConnectionPool>(Connector, Target.Address,
+                                              Limit(Name))};
   }
+  setLimits(Limit);
+}
+
+void TargetPools::setLimits(const LimitOf &Limit) {
+  for (const auto &[Name, Each] : Pools)
+    Each.Pool->setLimit(Limit(Name));
+}
+
+std::vector<std::string> TargetPools::targets() const {
+  std::vector<std::string> Out;
+  for (const auto &[Name, Each] : Pools)
+    Out.push_back(Name);
+  return Out;
 }
 
 std::shared_ptr<ConnectionPool>
--- a/Source/Proxy/TargetPools.h
+++ b/Source/Proxy/TargetPools.h
@@ -13,14 +13,21 @@
 public:
   explicit TargetPools(HttpConnector &Connector) : Connector(Connector) {}
 
+  /// Connections that may be open to a target.
+  using LimitOf = std::function<std::size_t(const std::string &Target)>;
+
   /// Takes a view in. A target that announced itself anew is another process,
   /// perhaps on another address: its former connections are dead.
-  void update(const ClusterView &View);
+  void update(const ClusterView &View, const LimitOf &Limit);
+
+  void setLimits(const LimitOf &Limit);
 
   /// The pool of a target; null where the view has no such target, which may
   /// happen between a choice and its use.
   std::shared_ptr<ConnectionPool> find(const std::string &Target) const;
 
+  std::vector<std::string> targets() const;
+
   /// Statements under way at a target or waiting for one of its connections.
   std::size_t load(const std::string &Target) const;
 
--- a/Source/Transport/Envelope.h
+++ b/Source/Transport/Envelope.h
@@ -6,6 +6,7 @@
 
 #include "Consensus/Messages.h"
 #include "Lease/Messages.h"
+#include "Rights/Messages.h"
 #include "State/ViewDelta.h"
 
 #include <variant>
@@ -16,7 +17,8 @@
 /// reads the ones it knows.
 using Message =
     std::variant<ConsensusMessage, LeaseRequest, LeaseGrant, NotLeader,
-                 ViewUpdate, ViewApplied, ForwardedAnnouncement, ViewDelta>;
+                 ViewUpdate, ViewApplied, ForwardedAnnouncement, ViewDelta,
+                 RightsRequest, RightsGrant>;
 
 struct Envelope {
   static constexpr std::uint32_t CurrentVersion = 1;
--- a/Tests/Unit/StatementTransactionTest.cpp
+++ b/Tests/Unit/StatementTransactionTest.cpp
@@ -9,13 +9,10 @@
 
 namespace {
 
-constexpr const char *OneConnectionManifest = R"(
+const std::string OneConnectionManifest = R"(
 version = 1
 [[organisation]]
 name = "port-clerks"
-[[database]]
-name = "bale-ledger-1"
-connections_per_target = 1
 [[kind]]
 name = "lookup"
 access = "read"
@@ -27,11 +24,14 @@
 transaction_idle_ms = 300
 )";
 
-/// One proxy with one connection to the primary, so that every statement
+/// Proxies with one connection each to the primary, so that every statement
 /// meets what the one before it left there.
 struct OneConnection {
   explicit OneConnection(std::size_t Proxies = 1) : Cluster(7, 3, Proxies) {
-    Cluster.bringUp(OneConnectionManifest);
+    Cluster.bringUp(OneConnectionManifest +
+                    ("[[database]]\nname = \"bale-ledger-1\"\n"
+                     "connections_per_target = " +
+                     std::to_string(Proxies) + "\n"));
     Caller = Cluster.connectTo("entry-1");
   }
 
