--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -9,11 +9,12 @@
 
 namespace {
 
-/// A request is let in only where this many times its estimated wait fits.
-/// The estimate moves with each answer; without the margin the queue of a
-/// flooding organisation reaches up to the deadline itself, and whoever falls
-/// to the noise is refused after waiting for most of it.
-constexpr double WaitMargin = 4.0 / 3.0;
+/// A request is let in, and later sent, only where this many times its
+/// estimated time fits. The estimate moves with each answer; without the
+/// margin the queue of a flooding organisation reaches up to the deadline
+/// itself, and whoever falls to the noise is refused after waiting for most
+/// of it, or sent and answered too late.
+constexpr double Margin = 4.0 / 3.0;
 
 double span(Millis From, Millis To) {
   return static_cast<double>((To - From).count());
@@ -57,7 +58,7 @@
   const double Wait =
       wait(Order->costAhead(Request.Organisation, Request.Kind));
   const double Late =
-      Wait * WaitMargin + Request.Cost - span(Now, Request.DeadlineAt);
+      (Wait + Request.Cost) * Margin - span(Now, Request.DeadlineAt);
   if (Late > 0)
     return refuse(Request, RefusalReason::DeadlineOutOfReach, Late, Now);
   return std::nullopt;
@@ -96,7 +97,7 @@
   while (auto Found = Order->pop(CanRun)) {
     const double Left = span(Now, Found->DeadlineAt);
     const bool TooLate =
-        Left <= 0 || (Running > 0 && Costs.of(Found->Kind) > Left);
+        Left <= 0 || (Running > 0 && Costs.of(Found->Kind) * Margin > Left);
     if (TooLate) {
       // Sending it would spend a connection on an answer that nobody waits
       // for any more.
--- a/Source/Proxy/ProxyNode.cpp
+++ b/Source/Proxy/ProxyNode.cpp
@@ -59,6 +59,7 @@
     HeldLease = !HeldLease;
     LeaseChanged.emit(HeldLease);
   }
+  WriteGaps.update(View, Table, HeldLease, Now);
   Ports.Timers.after(TickInterval, [this] { tick(); });
 }
 
@@ -69,12 +70,10 @@
 void ProxyNode::requestLease() {
   const Millis Now = Ports.Time.now();
   LastRequest = Now;
-  const Millis SuspectAfter =
-      View.Current ? View.Current->Failover.SuspectAfter : Millis();
   Ports.Peers.send(leader().Peers, Delivery::Datagram,
                    LeaseRequest{Id, Options.Where, Lease.nextSequence(), Now,
                                 Lease.appliedRevision(),
-                                Table.reports(SuspectAfter, Now)});
+                                Table.reports(View, Now)});
 }
 
 void ProxyNode::renewRights(Millis Now) {
--- a/Source/State/ControlState.cpp
+++ b/Source/State/ControlState.cpp
@@ -171,6 +171,7 @@
                .Subject = Body.Target,
                .From = Target->Address.text() + " of " + Target->Database,
                .Reason = Body.Reason});
+  View.Groups[Target->Database].Targets.erase(Body.Target);
   View.Targets.erase(Body.Target);
   return std::nullopt;
 }
--- a/Tests/Experiment/Scenario.cpp
+++ b/Tests/Experiment/Scenario.cpp
@@ -12,13 +12,70 @@
 constexpr Micros PerMilli = 1000;
 constexpr std::int64_t Most = 1000000;
 
-std::uint32_t count(TomlReader &In, const std::string &Key,
-                    std::int64_t Default, std::int64_t Least = 0) {
-  return static_cast<std::uint32_t>(In.number(Key, Default, Least, Most));
+KeyDescription text(const std::string &Table, const std::string &Key) {
+  return {.Table = Table, .Key = Key};
 }
 
-Micros millis(TomlReader &In, const std::string &Key, std::int64_t Default) {
-  return In.number(Key, Default, 0, Most) * PerMilli;
+KeyDescription number(const std::string &Table, const std::string &Key,
+                      const std::string &Default, std::int64_t Least = 0) {
+  return {.Table = Table,
+          .Key = Key,
+          .Type = KeyType::Number,
+          .Least = Least,
+          .Most = Most,
+          .Default = Default};
+}
+
+KeyDescription texts(const std::string &Key) {
+  return {.Key = Key, .Type = KeyType::Texts};
+}
+
+KeyDescription word(const std::string &Table, const std::string &Key,
+                    const std::vector<std::string> &Words) {
+  return {.Table = Table,
+          .Key = Key,
+          .Type = KeyType::Word,
+          .Words = Words,
+          .Default = Words.front()};
+}
+
+const KeyTable &keys() {
+  static const KeyTable Keys({
+      text("", "name"),
+      number("", "seed", "1"),
+      number("", "length_ms", "10000", 1),
+      number("", "count_from_ms", "2000"),
+      number("", "returns", "0"),
+      number("", "queue_per_database", "200", 1),
+      texts("deployments"),
+      texts("orders"),
+      texts("rights"),
+      text("[[organisation]]", "name"),
+      number("[[organisation]]", "share", "1", 1),
+      text("[[kind]]", "name"),
+      word("[[kind]]", "access", {"read", "write"}),
+      number("[[kind]]", "accepted_age_ms", "1000"),
+      number("[[kind]]", "deadline_ms", "1000", 1),
+      number("[[kind]]", "weight", "1", 1),
+      text("[[load]]", "organisation"),
+      text("[[load]]", "kind"),
+      number("[[load]]", "per_second", "0"),
+      number("[[load]]", "service_ms", "4"),
+      {.Table = "[[load]]",
+       .Key = "exponential",
+       .Type = KeyType::Flag,
+       .Default = "false"},
+      number("[[load]]", "from_ms", "0"),
+      number("[[load]]", "until_ms", "the length"),
+      number("[[load]]", "proxies", "0"),
+      word("[[fault]]", "kind",
+           {"proxy-dies", "rolling-restart", "slow-target"}),
+      number("[[fault]]", "at_ms", "0"),
+      number("[[fault]]", "until_ms", "0"),
+      number("[[fault]]", "index", "0"),
+      number("[[fault]]", "factor", "1", 1),
+  });
+  return Keys;
 }
 
 /// The sizes that the brief gives.
@@ -37,36 +94,34 @@
 
 KindPolicy readKind(TomlReader &In) {
   KindPolicy Out;
-  Out.Name = In.requiredText("name");
-  Out.Mode = In.word("access", {"read", "write"}, 0) == 0 ? Access::Read
-                                                          : Access::Write;
-  Out.AcceptedAge = Millis(In.number("accepted_age_ms", 1000, 0, Most));
-  Out.Deadline = Millis(In.number("deadline_ms", 1000, 1, Most));
-  Out.Weight = count(In, "weight", 1, 1);
+  Out.Name = In.text("name");
+  Out.Mode = In.word("access") == 0 ? Access::Read : Access::Write;
+  Out.AcceptedAge = In.millis("accepted_age_ms");
+  Out.Deadline = In.millis("deadline_ms");
+  Out.Weight = In.count("weight");
   return Out;
 }
 
 Load readLoad(TomlReader &In, Micros Length) {
   Load Out;
-  Out.Organisation = In.requiredText("organisation");
-  Out.Kind = In.requiredText("kind");
-  Out.PerSecond = static_cast<double>(In.number("per_second", 0, 0, Most));
-  Out.Service = millis(In, "service_ms", 4);
-  Out.Exponential = In.flag("exponential", false);
-  Out.From = millis(In, "from_ms", 0);
-  Out.Until = millis(In, "until_ms", Length / PerMilli);
-  Out.Proxies = count(In, "proxies", 0);
+  Out.Organisation = In.text("organisation");
+  Out.Kind = In.text("kind");
+  Out.PerSecond = In.count("per_second");
+  Out.Service = In.number("service_ms") * PerMilli;
+  Out.Exponential = In.flag("exponential");
+  Out.From = In.number("from_ms") * PerMilli;
+  Out.Until = In.number("until_ms", Length / PerMilli) * PerMilli;
+  Out.Proxies = In.count("proxies");
   return Out;
 }
 
 Fault readFault(TomlReader &In) {
   Fault Out;
-  Out.Kind = static_cast<FaultKind>(
-      In.word("kind", {"proxy-dies", "rolling-restart", "slow-target"}, 0));
-  Out.At = millis(In, "at_ms", 0);
-  Out.Until = millis(In, "until_ms", 0);
-  Out.Index = count(In, "index", 0);
-  Out.Factor = count(In, "factor", 1, 1);
+  Out.Kind = static_cast<FaultKind>(In.word("kind"));
+  Out.At = In.number("at_ms") * PerMilli;
+  Out.Until = In.number("until_ms") * PerMilli;
+  Out.Index = In.count("index");
+  Out.Factor = In.count("factor");
   return Out;
 }
 
@@ -78,14 +133,14 @@
   const toml::table Root = parseToml(File, Text, Found);
   if (!Found.empty())
     return tl::unexpected(Found);
-  TomlReader In(File, "the scenario", &Root, Found);
+  TomlReader In(File, keys(), Root, Found);
   Scenario Out;
-  Out.Name = In.requiredText("name");
-  Out.Seed = count(In, "seed", 1);
-  Out.Length = millis(In, "length_ms", 10000);
-  Out.CountFrom = millis(In, "count_from_ms", 2000);
-  Out.Returns = count(In, "returns", 0);
-  Out.QueueLimit = count(In, "queue_per_database", 200, 1);
+  Out.Name = In.text("name");
+  Out.Seed = In.count("seed");
+  Out.Length = In.number("length_ms") * PerMilli;
+  Out.CountFrom = In.number("count_from_ms") * PerMilli;
+  Out.Returns = In.count("returns");
+  Out.QueueLimit = In.count("queue_per_database");
   for (const std::string &Name : In.texts("deployments")) {
     const auto Known = deployment(Name);
     if (Known)
@@ -96,8 +151,8 @@
   Out.Orders = In.texts("orders");
   Out.Rights = In.texts("rights");
   In.tables("organisation", [&Out](TomlReader &Each) {
-    const std::string Name = Each.requiredText("name");
-    Out.Organisations.push_back({Name, count(Each, "share", 1, 1)});
+    const std::string Name = Each.text("name");
+    Out.Organisations.push_back({Name, Each.count("share")});
   });
   In.tables("kind",
             [&Out](TomlReader &Each) { Out.Kinds.push_back(readKind(Each)); });
