--- a/Source/Admission/AdmissionController.cpp
+++ b/Source/Admission/AdmissionController.cpp
@@ -9,10 +9,12 @@
 
 namespace {
 
-/// A waiting request is given up only where even this part of its estimated
-/// wait is too long: the estimate moves with each answer, and a request that
-/// was let in shouldn't fall to its noise.
-constexpr double CertainPart = 2.0 / 3.0;
+/// A request is let in, and later sent, only where this many times its
+/// estimated time fits. The estimate moves with each answer; without the
+/// margin the queue of a flooding organisation reaches up to the deadline
+/// itself, and whoever falls to the noise is refused after waiting for most
+/// of it, or sent and answered too late.
+constexpr double Margin = 4.0 / 3.0;
 
 double span(Millis From, Millis To) {
   return static_cast<double>((To - From).count());
@@ -55,7 +57,8 @@
     return std::nullopt;
   const double Wait =
       wait(Order->costAhead(Request.Organisation, Request.Kind));
-  const double Late = Wait + Request.Cost - span(Now, Request.DeadlineAt);
+  const double Late =
+      (Wait + Request.Cost) * Margin - span(Now, Request.DeadlineAt);
   if (Late > 0)
     return refuse(Request, RefusalReason::DeadlineOutOfReach, Late, Now);
   return std::nullopt;
@@ -94,7 +97,7 @@
   while (auto Found = Order->pop(CanRun)) {
     const double Left = span(Now, Found->DeadlineAt);
     const bool TooLate =
-        Left <= 0 || (Running > 0 && Costs.of(Found->Kind) > Left);
+        Left <= 0 || (Running > 0 && Costs.of(Found->Kind) * Margin > Left);
     if (TooLate) {
       // Sending it would spend a connection on an answer that nobody waits
       // for any more.
@@ -129,8 +132,7 @@
     // What waits was estimated on arrival; the pace of now decides.
     const double Cost = Costs.of(Each.Request.Kind);
     const double Wait = wait(Each.Cost) * Cost / Each.Request.Cost;
-    const double Late =
-        Wait * CertainPart + Cost - span(Now, Each.Request.DeadlineAt);
+    const double Late = Wait + Cost - span(Now, Each.Request.DeadlineAt);
     const bool Overdue = Each.Request.DeadlineAt <= Now;
     if (!Overdue && (Late <= 0 || Running == 0))
       continue;
--- a/Source/Proxy/ProxyNode.h
+++ b/Source/Proxy/ProxyNode.h
@@ -38,6 +38,7 @@
 
   const ClusterView &view() const { return View; }
   const LeaseHolder &lease() const { return Lease; }
+  const ConnectionRights &rights() const { return Rights; }
   const StatementService &statements() const { return Statements; }
   const WriteGapMeter &writeGaps() const { return WriteGaps; }
   const ProcessId &id() const { return Id; }
@@ -48,9 +49,12 @@
 private:
   void tick();
   void requestLease();
+  void requestRights();
+  void renewRights(Millis Now);
   void receive(const Envelope &Arrived);
   void on(const Envelope &From, const LeaseGrant &Body);
   void on(const Envelope &From, const NotLeader &Body);
+  void on(const Envelope &From, const RightsGrant &Body);
   void on(const Envelope &From, const ViewUpdate &Body);
   void on(const Envelope &From, const ViewDelta &Body);
   void adopt(const ClusterView &New, const Endpoint &Sender);
@@ -63,6 +67,7 @@
   ProcessId Id;
   ClusterView View;
   LeaseHolder Lease;
+  ConnectionRights Rights;
   TargetTable Table;
   TargetWatcher Watcher;
   StatementService Statements;
@@ -71,6 +76,8 @@
   std::size_t Leader = 0;
   Millis LastRequest = Millis(-1000000);
   Millis LastAnswer;
+  Millis LastRightsRequest = Millis(-1000000);
+  bool HeldRights = false;
   bool HeldLease = false;
   sigc::signal<void(bool)> LeaseChanged;
 };
--- /dev/null
+++ b/Tests/Experiment/Scenario.cpp
@@ -0,0 +1,171 @@
+/// \file
+/// Reads scenarios.
+
+#include "Scenario.h"
+
+#include "Settings/TomlReader.h"
+
+namespace corianderdyke {
+
+namespace {
+
+constexpr Micros PerMilli = 1000;
+constexpr std::int64_t Most = 1000000;
+
+KeyDescription text(const std::string &Table, const std::string &Key) {
+  return {.Table = Table, .Key = Key};
+}
+
+KeyDescription number(const std::string &Table, const std::string &Key,
+                      const std::string &Default, std::int64_t Least = 0) {
+  return {.Table = Table,
+          .Key = Key,
+          .Type = KeyType::Number,
+          .Least = Least,
+          .Most = Most,
+          .Default = Default};
+}
+
+KeyDescription texts(const std::string &Key) {
+  return {.Key = Key, .Type = KeyType::Texts};
+}
+
+KeyDescription word(const std::string &Table, const std::string &Key,
+                    const std::vector<std::string> &Words) {
+  return {.Table = Table,
+          .Key = Key,
+          .Type = KeyType::Word,
+          .Words = Words,
+          .Default = Words.front()};
+}
+
+const KeyTable &keys() {
+  static const KeyTable Keys({
+      text("", "name"),
+      number("", "seed", "1"),
+      number("", "length_ms", "10000", 1),
+      number("", "count_from_ms", "2000"),
+      number("", "returns", "0"),
+      number("", "queue_per_database", "200", 1),
+      texts("deployments"),
+      texts("orders"),
+      texts("rights"),
+      text("[[organisation]]", "name"),
+      number("[[organisation]]", "share", "1", 1),
+      text("[[kind]]", "name"),
+      word("[[kind]]", "access", {"read", "write"}),
+      number("[[kind]]", "accepted_age_ms", "1000"),
+      number("[[kind]]", "deadline_ms", "1000", 1),
+      number("[[kind]]", "weight", "1", 1),
+      text("[[load]]", "organisation"),
+      text("[[load]]", "kind"),
+      number("[[load]]", "per_second", "0"),
+      number("[[load]]", "service_ms", "4"),
+      {.Table = "[[load]]",
+       .Key = "exponential",
+       .Type = KeyType::Flag,
+       .Default = "false"},
+      number("[[load]]", "from_ms", "0"),
+      number("[[load]]", "until_ms", "the length"),
+      number("[[load]]", "proxies", "0"),
+      word("[[fault]]", "kind",
+           {"proxy-dies", "rolling-restart", "slow-target"}),
+      number("[[fault]]", "at_ms", "0"),
+      number("[[fault]]", "until_ms", "0"),
+      number("[[fault]]", "index", "0"),
+      number("[[fault]]", "factor", "1", 1),
+  });
+  return Keys;
+}
+
+/// The sizes that the brief gives.
+Expected<Deployment> deployment(const std::string &Name) {
+  Deployment Out;
+  Out.Name = Name;
+  if (Name == "riga")
+    return Out;
+  if (Name != "taichung")
+    return fail(ErrorCode::BadInput, "no deployment '" + Name + "'");
+  Out.Connections = 30;
+  Out.TargetHop = 1500;
+  Out.CallerHop = 3000;
+  return Out;
+}
+
+KindPolicy readKind(TomlReader &In) {
+  KindPolicy Out;
+  Out.Name = In.text("name");
+  Out.Mode = In.word("access") == 0 ? Access::Read : Access::Write;
+  Out.AcceptedAge = In.millis("accepted_age_ms");
+  Out.Deadline = In.millis("deadline_ms");
+  Out.Weight = In.count("weight");
+  return Out;
+}
+
+Load readLoad(TomlReader &In, Micros Length) {
+  Load Out;
+  Out.Organisation = In.text("organisation");
+  Out.Kind = In.text("kind");
+  Out.PerSecond = In.count("per_second");
+  Out.Service = In.number("service_ms") * PerMilli;
+  Out.Exponential = In.flag("exponential");
+  Out.From = In.number("from_ms") * PerMilli;
+  Out.Until = In.number("until_ms", Length / PerMilli) * PerMilli;
+  Out.Proxies = In.count("proxies");
+  return Out;
+}
+
+Fault readFault(TomlReader &In) {
+  Fault Out;
+  Out.Kind = static_cast<FaultKind>(In.word("kind"));
+  Out.At = In.number("at_ms") * PerMilli;
+  Out.Until = In.number("until_ms") * PerMilli;
+  Out.Index = In.count("index");
+  Out.Factor = In.count("factor");
+  return Out;
+}
+
+} // namespace
+
+tl::expected<Scenario, Findings> parseScenario(const std::string &File,
+                                               const std::string &Text) {
+  Findings Found;
+  const toml::table Root = parseToml(File, Text, Found);
+  if (!Found.empty())
+    return tl::unexpected(Found);
+  TomlReader In(File, keys(), Root, Found);
+  Scenario Out;
+  Out.Name = In.text("name");
+  Out.Seed = In.count("seed");
+  Out.Length = In.number("length_ms") * PerMilli;
+  Out.CountFrom = In.number("count_from_ms") * PerMilli;
+  Out.Returns = In.count("returns");
+  Out.QueueLimit = In.count("queue_per_database");
+  for (const std::string &Name : In.texts("deployments")) {
+    const auto Known = deployment(Name);
+    if (Known)
+      Out.Deployments.push_back(*Known);
+    else
+      In.report("deployments", Known.error().Message);
+  }
+  Out.Orders = In.texts("orders");
+  Out.Rights = In.texts("rights");
+  In.tables("organisation", [&Out](TomlReader &Each) {
+    const std::string Name = Each.text("name");
+    Out.Organisations.push_back({Name, Each.count("share")});
+  });
+  In.tables("kind",
+            [&Out](TomlReader &Each) { Out.Kinds.push_back(readKind(Each)); });
+  In.tables("load", [&Out](TomlReader &Each) {
+    Out.Loads.push_back(readLoad(Each, Out.Length));
+  });
+  In.tables("fault", [&Out](TomlReader &Each) {
+    Out.Faults.push_back(readFault(Each));
+  });
+  In.finish();
+  if (!Found.empty())
+    return tl::unexpected(Found);
+  return Out;
+}
+
+} // namespace corianderdyke
--- a/Tests/Golden/drain/steps.sh
+++ b/Tests/Golden/drain/steps.sh
@@ -37,8 +37,8 @@
 clerk+="Corianderdyke-Kind: handover"$'\r\n'
 transaction=
 ask() { # path, idempotency key, body
-  printf 'POST %s HTTP/1.1\r\nHost: x\r\n%sCorianderdyke-Key: %s\r\n%s' \
-    "$1" "$clerk" "$2" "$transaction" >&8
+  printf 'POST %s HTTP/1.1\r\nHost: x\r\n%sCorianderdyke-Key: %s-%s\r\n%s' \
+    "$1" "$clerk" "$(date +%s%3N)" "$2" "$transaction" >&8
   printf 'Content-Length: %d\r\n\r\n%s' "${#3}" "$3" >&8
   local line length=0
   while read -r -t "$patience" -u 8 line && [ "$line" != $'\r' ]; do
