--- a/Tests/Unit/ConsensusTest.cpp
+++ b/Tests/Unit/ConsensusTest.cpp
@@ -210,6 +210,13 @@
   Three.Group.run(Millis(3000));
   CHECK(Three.leaderName() == Leader);
   CHECK(Three.Group.leader()->term() == Term);
+  // Nor does a vote that it had asked for before, and that comes late.
+  const Consensus *Late = Three.Group.host(Three.follower());
+  Three.Group.leader()->receive(
+      {{Three.follower(), Late->log().diskId()},
+       VoteRequest{Term + 5, false, Late->log().lastIndex(), Term}},
+      Three.Group.Now);
+  CHECK(Three.Group.leader()->term() == Term);
 }
 
 TEST_CASE("A stale leader confirms no read", "[consensus]") {
@@ -379,3 +386,23 @@
   CHECK(Group.leader()->removeVoter("control-9", Group.Now).error().Code !=
         ErrorCode::Unavailable);
 }
+
+TEST_CASE("A leader that lacks a committed entry is an error", "[consensus]") {
+  // Two groups have met, or a disk has lied. The operator is told, and what
+  // was accepted stays.
+  ThreeHosts Three;
+  Consensus *Host = Three.Group.host(Three.follower());
+  const std::uint64_t Accepted = Host->commitIndex();
+  const Member Other{Three.leaderName(), "another disk"};
+  Host->receive({Other, AppendRequest{Host->term() + 1,
+                                      0,
+                                      0,
+                                      0,
+                                      1,
+                                      {Entry{1, Host->term() + 1,
+                                             EntryKind::Command, "other"}}}},
+                Three.Group.Now);
+  REQUIRE(Host->failure());
+  CHECK(Host->failure()->Code == ErrorCode::Corrupt);
+  CHECK(Host->log().lastIndex() >= Accepted);
+}
--- a/Tests/Unit/JournalTest.cpp
+++ b/Tests/Unit/JournalTest.cpp
@@ -5,7 +5,12 @@
 #include "Consensus/ReplicatedLog.h"
 #include "FakeDisk.h"
 
+#include "Storage/FileDisk.h"
+
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <filesystem>
+#include <unistd.h>
 
 using namespace corianderdyke;
 
@@ -186,3 +191,68 @@
   REQUIRE_FALSE(Found);
   CHECK(Found.error().Code == ErrorCode::Corrupt);
 }
+
+TEST_CASE("A damaged middle of a compacted journal is refused", "[journal]") {
+  // All of a compacted file was synced before it appeared, so no part of it
+  // can be a torn tail, also before anything was added to it.
+  FakeDisk Disk;
+  REQUIRE(Journal(Disk).replace("state", {"one", "two"}));
+  Disk.content("journal")[26] ^= 1;
+  const auto Found = Journal(Disk).load();
+  REQUIRE_FALSE(Found);
+  CHECK(Found.error().Code == ErrorCode::Corrupt);
+}
+
+TEST_CASE("An interrupted snapshot of another history leaves nothing of it",
+          "[journal]") {
+  // Power goes between the two files of a snapshot that another leader sent.
+  // The old journal holds an entry behind it from a history that lost; the
+  // host must neither keep it nor refuse to start.
+  FakeDisk Disk;
+  {
+    Journal Records(Disk);
+    ReplicatedLog Log(Records);
+    REQUIRE(Log.load(FirstDisk));
+    REQUIRE(Log.append({entry(1, 2), entry(2, 2), entry(3, 4)}));
+    Disk.losePowerAfter(3);
+    REQUIRE_FALSE(Log.install({5, 2, 3, 0, {}, "state 2"}));
+  }
+  Disk.crash();
+  Journal Records(Disk);
+  ReplicatedLog Log(Records);
+  REQUIRE(Log.load(NewDisk));
+  CHECK(Log.diskId() == FirstDisk);
+  CHECK(Log.snapshotIndex() == 2);
+  CHECK(Log.lastIndex() == 2);
+}
+
+TEST_CASE("Recovery time over the journal's length", "[.][recovery]") {
+  // Run by command; docs/design/journal.md has the figures.
+  for (const std::size_t Entries : {1000, 4000, 16000, 64000}) {
+    const std::string Folder = std::filesystem::temp_directory_path() /
+                               ("recovery-" + std::to_string(::getpid()));
+    {
+      auto Disk = FileDisk::open(Folder);
+      REQUIRE(Disk);
+      Journal Records(*Disk);
+      ReplicatedLog Log(Records);
+      REQUIRE(Log.load(FirstDisk));
+      std::vector<Entry> All;
+      for (std::uint64_t Index = 1; Index <= Entries; ++Index)
+        All.push_back({Index, 1, EntryKind::Command, std::string(1000, 'x')});
+      REQUIRE(Log.append(All));
+    }
+    auto Disk = FileDisk::open(Folder);
+    REQUIRE(Disk);
+    const auto Start = std::chrono::steady_clock::now();
+    Journal Records(*Disk);
+    ReplicatedLog Log(Records);
+    REQUIRE(Log.load(NewDisk));
+    const std::chrono::duration<double, std::milli> Took =
+        std::chrono::steady_clock::now() - Start;
+    CHECK(Log.lastIndex() == Entries);
+    WARN(Entries << " entries, " << Log.journalBytes()
+                 << " bytes: " << Took.count() << " ms");
+    std::filesystem::remove_all(Folder);
+  }
+}
--- a/Tests/Unit/ManifestTruthTest.cpp
+++ b/Tests/Unit/ManifestTruthTest.cpp
@@ -181,6 +181,8 @@
   Ops.cutOff("entry-1", Old);
   Ops.cutOff(Old, "entry-1");
   Ops.Cluster.Net.heal("entry-1", "caller");
+  // It still takes itself for the leader.
+  const auto Early = Ops.send(Old, HttpMethod::Get);
   REQUIRE(Ops.waitFor([&] {
     return Ops.Cluster.leader() != nullptr && Ops.leaderName() != Old;
   }));
@@ -195,11 +197,35 @@
   Ops.Cluster.Loop.runFor(Millis(600000));
   REQUIRE(Asked->Answer);
   CHECK(Asked->Answer->Status == 421);
+  REQUIRE(Early->Answer);
+  CHECK(Early->Answer->Status == 421);
   Ops.Cluster.Net.heal();
   REQUIRE(Ops.waitFor([&] { return Ops.isEverywhere(2); }));
   CHECK(Ops.Cluster.askNow("entry-1", Lookup).Outcome == "not-run");
 }
 
+TEST_CASE("In force means that no proxy acts on the older manifest",
+          "[manifest]") {
+  // The leader is cut off with a proxy and goes on taking itself for the
+  // leader for a while. If it granted leases meanwhile, the proxy would serve
+  // lookups after the operator was told that the manifest without them is in
+  // force.
+  const auto Seed = GENERATE(range(1, 21));
+  Operators Ops(static_cast<std::uint64_t>(Seed));
+  const std::string Old = Ops.leaderName();
+  Ops.cutOff("entry-1", Old);
+  Ops.cutOff(Old, "entry-1");
+  REQUIRE(Ops.waitFor([&] {
+    return Ops.Cluster.leader() != nullptr && Ops.leaderName() != Old;
+  }));
+  REQUIRE(Ops.apply(withoutLookups(2)).Status == 200);
+  const std::uint64_t Revision =
+      Ops.Cluster.leader()->applied().view().Revision;
+  REQUIRE(Ops.waitFor([&] { return Ops.Cluster.leader()->isInForce(Revision); },
+                      Millis(6000)));
+  CHECK_FALSE(Ops.Cluster.Proxies.at("entry-1")->isReady());
+}
+
 TEST_CASE("A proxy that reaches only a stale control host serves nothing",
           "[manifest]") {
   // A proxy starts and finds a control host that was cut off before the
