--- a/Source/Proxy/WriteGapMeter.cpp
+++ b/Source/Proxy/WriteGapMeter.cpp
@@ -10,8 +10,7 @@
   if (!View.Current)
     return;
   std::map<std::string, TargetReport> Reports;
-  for (TargetReport &Each :
-       Table.reports(View.Current->Failover.SuspectAfter, Now))
+  for (TargetReport &Each : Table.reports(View, Now))
     Reports[Each.Target] = std::move(Each);
   for (const auto &[Name, Group] : View.Groups) {
     Database &Known = Databases[Name];
@@ -22,9 +21,11 @@
       Known.InGap = Known.WasWritable;
       continue;
     }
-    if (Known.InGap)
+    // A quick failover may begin and end between two updates; the new term
+    // tells of it.
+    if (Known.InGap || (Known.WasWritable && Known.Term != Group.Term))
       Gaps.observe(Now - Known.LastWritable);
-    Known = {true, Now - Primary->second.SilentFor, false};
+    Known = {true, Now - Primary->second.SilentFor, false, Group.Term};
   }
 }
 
--- a/Tests/StandIn/CallerMain.cpp
+++ b/Tests/StandIn/CallerMain.cpp
@@ -31,6 +31,13 @@
   std::int64_t PauseMs = 2;
 };
 
+/// A key issued now; one that was issued before stays as it is.
+std::string issuedKey(const std::string &Name) {
+  if (Name.empty() || IdempotencyKey::parse(Name))
+    return Name;
+  return std::to_string(SystemClock().wallTime().count()) + "-" + Name;
+}
+
 /// Sends one statement to one proxy and waits for its answer.
 Expected<HttpResponse> call(EventLoop &Loop, const std::string &Proxy,
                             const CallerOptions &Options,
@@ -79,12 +86,12 @@
   const SystemClock Time;
   EventLoop Loop;
   const Millis Until = Time.now() + Millis(Options.PatienceMs);
+  const std::string Key = issuedKey(Options.Key);
   std::size_t Turn = 0;
   std::string Last = "nothing answered";
   while (Time.now() < Until) {
-    const auto Answer =
-        call(Loop, Options.Proxies[Turn++ % Options.Proxies.size()], Options,
-             Options.Key);
+    const auto Answer = call(
+        Loop, Options.Proxies[Turn++ % Options.Proxies.size()], Options, Key);
     if (Answer && Answer->header(caller_header::Outcome) == "done") {
       print(*Answer);
       return 0;
@@ -97,6 +104,20 @@
   return 1;
 }
 
+/// Sends a statement a single time and prints whatever came.
+int sendOnce(const CallerOptions &Options) {
+  EventLoop Loop;
+  const auto Answer = call(Loop, Options.Proxies.front(), Options, Options.Key);
+  if (!Answer) {
+    std::cout << "no answer: " << Answer.error().Message << "\n";
+    return 1;
+  }
+  std::cout << "status " << Answer->Status << "\n"
+            << "outcome " << Answer->header(caller_header::Outcome) << "\n"
+            << "body " << Answer->Body << "\n";
+  return 0;
+}
+
 /// Writes steadily until a gap between two successes was seen and ended.
 int measureGap(const CallerOptions &Options) {
   const SystemClock Time;
@@ -106,7 +127,7 @@
   Millis LastDone;
   std::string LastTarget;
   while (Time.now() < Until) {
-    const std::string Key = Options.Key + std::to_string(++Count);
+    const std::string Key = issuedKey(Options.Key + std::to_string(++Count));
     const auto Answer = call(
         Loop, Options.Proxies[Count % Options.Proxies.size()], Options, Key);
     const Millis Now = Time.now();
@@ -174,6 +195,9 @@
   CLI::App *Send = App.add_subcommand("send", "Sends until it's done");
   Common(*Send);
   Send->callback([&] { Result = untilDone(Options); });
+  CLI::App *Once = App.add_subcommand("once", "Sends a single time");
+  Common(*Once);
+  Once->callback([&] { Result = sendOnce(Options); });
   CLI::App *Gap = App.add_subcommand("gap", "Measures a failover gap");
   Common(*Gap);
   Gap->callback([&] { Result = measureGap(Options); });
