--- a/Source/Control/ControlNode.h
+++ b/Source/Control/ControlNode.h
@@ -40,7 +40,7 @@
 
   /// Makes a control host that has caught up a voter, or takes one out of the
   /// group for good. One change at a time: Conflict while another is under
-  /// way. The steps for an operator are in Help/task/replace-control-host.md.
+  /// way. The steps for an operator are in docs/design/control-state.md.
   void addControlHost(const std::string &Name, ChangeHandler OnDone);
   void removeControlHost(const std::string &Name, ChangeHandler OnDone);
 
