--- a/Tests/Unit/ConsensusTest.cpp
+++ b/Tests/Unit/ConsensusTest.cpp
@@ -198,6 +198,26 @@
   CHECK(Host.commitIndex() == 3);
 }
 
+TEST_CASE("A disk is lost while the group forms", "[consensus]") {
+  // All hosts start for the first time, and one loses its disk before the
+  // group has formed. Had each host written its own list of founders, two
+  // could hold other first entries. The group forms, and the logs agree.
+  const auto Seed = GENERATE(range(1, 101));
+  FakeControlGroup Group(static_cast<std::uint64_t>(Seed), 3);
+  Group.Quality = {0, 0, Millis(300)};
+  Group.run(Millis(static_cast<std::int64_t>(Group.Random() % 600)));
+  const std::string Name = Seed % 2 == 0 ? "control-2" : "control-3";
+  Group.crash(Name);
+  Group.loseDisk(Name);
+  Group.start(Name);
+  for (int Each = 0; Each < 200; ++Each) {
+    Group.run(Millis(10));
+    REQUIRE_NOTHROW(Group.checkLogs());
+  }
+  Group.Quality = {};
+  CHECK(Group.runUntil([&] { return Group.isSettled(); }));
+}
+
 TEST_CASE("A returning host doesn't topple a working leader", "[consensus]") {
   // A host sits behind a partition for ten seconds and asks for votes in vain.
   // On its return the leader leads on in the same term.
--- a/Tests/Unit/JournalTest.cpp
+++ b/Tests/Unit/JournalTest.cpp
@@ -195,9 +195,12 @@
 TEST_CASE("A damaged middle of a compacted journal is refused", "[journal]") {
   // All of a compacted file was synced before it appeared, so no part of it
   // can be a torn tail, also before anything was added to it.
+  const auto InFirst = std::size_t(26);
+  const auto InLast = std::size_t(52);
+  const auto Fault = GENERATE_COPY(InFirst, InLast);
   FakeDisk Disk;
   REQUIRE(Journal(Disk).replace("state", {"one", "two"}));
-  Disk.content("journal")[26] ^= 1;
+  Disk.content("journal")[Fault] ^= 1;
   const auto Found = Journal(Disk).load();
   REQUIRE_FALSE(Found);
   CHECK(Found.error().Code == ErrorCode::Corrupt);
