--- a/Tests/Support/FakeNetwork.cpp
+++ b/Tests/Support/FakeNetwork.cpp
@@ -63,7 +63,7 @@
     });
     FakeNetwork *Wire = &Net;
     FakeHost *From = &Client;
-    Net.Loop.at(Net.Loop.now() + Net.latency(),
+    Net.Loop.at(Net.Loop.now() + Net.latency(Client.name()),
                 [Wire, From, Each = Current, At = To, Request] {
                   arrive(*Wire, *From, Each, At, Request);
                 });
@@ -100,7 +100,7 @@
       Each->HangUp = nullptr;
       if (std::exchange(Answered, true) || Wire->isCut(Server->name(), Client))
         return;
-      Wire->Loop.at(Wire->Loop.now() + Wire->latency(),
+      Wire->Loop.at(Wire->Loop.now() + Wire->latency(Client),
                     [Held = Each, Response] { Held->finish(Response); });
     }
     void onHangUp(std::function<void()> Action) override {
--- a/Tests/Support/FakeNetwork.h
+++ b/Tests/Support/FakeNetwork.h
@@ -45,6 +45,8 @@
   /// One way, in whole milliseconds, uniform between the two.
   Millis LeastLatency = Millis(1);
   Millis MostLatency = Millis(2);
+  /// In place of these, to and from the HTTP requests of some hosts.
+  std::map<std::string, Millis> ClientLatency;
   /// Datagrams lost, out of a thousand.
   int LossPerMille = 0;
   /// Messages and their sealed bytes by index of Message, for measurements.
@@ -56,6 +58,10 @@
   class Connection;
   struct Call;
 
+  Millis latency(const std::string &Client) {
+    const auto Known = ClientLatency.find(Client);
+    return Known == ClientLatency.end() ? latency() : Known->second;
+  }
   Millis latency() {
     return Millis(std::uniform_int_distribution<std::int64_t>(
         LeastLatency.count(), MostLatency.count())(Random));
