Report a silent target when it falls silent

Cause: a proxy told control of a silent primary with its next lease request, up to 120 ms late; detection was 461 of 492 ms of the gap. It now looks 20 times in the suspicion time and asks for a lease at once where a target has become unreachable.

Ruled out: a shorter suspicion time, which buys the same with false replacements of slow primaries.

--- a/Source/Proxy/ProxyNode.cpp
+++ b/Source/Proxy/ProxyNode.cpp
@@ -5,6 +5,8 @@
 
 #include "Common/KeyedDigest.h"
 
+#include <algorithm>
+
 namespace corianderdyke {
 
 namespace {
@@ -14,6 +16,9 @@
 /// datagram or a change of the control leader doesn't end it.
 constexpr std::int64_t RequestsPerLease = 5;
 constexpr Millis RequestIntervalWithoutManifest(100);
+/// How often the targets' silence is looked at in the time after which one is
+/// suspected: a twentieth of it is added to the failover gap at the most.
+constexpr std::int64_t SilenceChecks = 20;
 /// Another control host is asked after this long without an answer.
 constexpr Millis LeaderPatience(250);
 constexpr int StatusAccepted = 202;
@@ -49,6 +54,7 @@
     Leader = (Leader + 1) % Options.Controls.size();
   if (Now - LastRequest >= Interval)
     requestLease();
+  reportSilence(Now);
   if (Lease.isHeld(Now) != HeldLease) {
     HeldLease = !HeldLease;
     LeaseChanged.emit(HeldLease);
@@ -57,6 +63,23 @@
   Ports.Timers.after(TickInterval, [this] { tick(); });
 }
 
+void ProxyNode::reportSilence(Millis Now) {
+  // Left to the next renewal, a silent primary would be missed later by up to
+  // the whole interval of renewals.
+  if (!View.Current)
+    return;
+  const Millis SuspectAfter = View.Current->Failover.SuspectAfter;
+  if (Now - LastSilenceCheck < SuspectAfter / SilenceChecks)
+    return;
+  LastSilenceCheck = Now;
+  std::set<std::string> Found = Table.unreachable(SuspectAfter, Now);
+  const bool News = !std::includes(Unreachable.begin(), Unreachable.end(),
+                                   Found.begin(), Found.end());
+  Unreachable = std::move(Found);
+  if (News)
+    requestLease();
+}
+
 const ControlHost &ProxyNode::leader() const {
   return Options.Controls[Leader];
 }
--- a/Source/Proxy/ProxyNode.h
+++ b/Source/Proxy/ProxyNode.h
@@ -45,6 +45,7 @@
 private:
   void tick();
   void requestLease();
+  void reportSilence(Millis Now);
   void receive(const Envelope &Arrived);
   void on(const Envelope &From, const LeaseGrant &Body);
   void on(const Envelope &From, const NotLeader &Body);
@@ -69,6 +70,8 @@
   Millis LastRequest = Millis(-1000000);
   Millis LastAnswer;
   bool HeldLease = false;
+  Millis LastSilenceCheck;
+  std::set<std::string> Unreachable; ///< At the last check.
   sigc::signal<void(bool)> LeaseChanged;
 };
 
--- a/Source/Routing/TargetTable.cpp
+++ b/Source/Routing/TargetTable.cpp
@@ -122,6 +122,15 @@
          Now - Found->second.LastAnswer < SuspectAfter;
 }
 
+std::set<std::string> TargetTable::unreachable(Millis SuspectAfter,
+                                               Millis Now) const {
+  std::set<std::string> Out;
+  for (const auto &[Name, Each] : Targets)
+    if (!isReachable(Name, SuspectAfter, Now))
+      Out.insert(Name);
+  return Out;
+}
+
 std::vector<TargetReport> TargetTable::reports(const ClusterView &View,
                                                Millis Now) const {
   std::vector<TargetReport> Out;
--- a/Source/Routing/TargetTable.h
+++ b/Source/Routing/TargetTable.h
@@ -8,6 +8,7 @@
 #include "State/ClusterView.h"
 
 #include <deque>
+#include <set>
 
 namespace corianderdyke {
 
@@ -43,6 +44,9 @@
   bool isReachable(const std::string &Target, Millis SuspectAfter,
                    Millis Now) const;
 
+  /// Targets that can't be reached now.
+  std::set<std::string> unreachable(Millis SuspectAfter, Millis Now) const;
+
   /// What control is told of the targets; nothing before the first manifest.
   std::vector<TargetReport> reports(const ClusterView &View, Millis Now) const;
 
