--- a/Source/Routing/TargetTable.cpp
+++ b/Source/Routing/TargetTable.cpp
@@ -149,15 +149,17 @@
   return Out;
 }
 
-std::size_t TargetTable::copies(const std::string &Database, std::uint64_t Term,
+std::size_t TargetTable::copies(const GroupRecord &Group,
                                 std::uint64_t Position) const {
   // A former primary that was fenced and not yet told whom to follow reports
   // the new term with the end of its own log. Counted as a copy, it would let
-  // a caller be told of a write that the next failover loses.
+  // a caller be told of a write that the next failover loses. The write itself
+  // may be of an earlier term, when its key was sent again.
   std::size_t Count = 0;
   for (const auto &[Name, Each] : Targets)
-    if (Each.Database == Database && Each.Seen.Term == Term &&
-        !Each.Seen.IsFenced && Each.Seen.Position >= Position)
+    if (Each.Database == Group.Database && Each.Seen.Term == Group.Term &&
+        !Each.Seen.IsFenced && Each.Seen.Position >= Position &&
+        Group.holds(Each.Seen.LogTerm, Each.Seen.Position))
       ++Count;
   return Count;
 }
--- a/Source/State/ControlState.cpp
+++ b/Source/State/ControlState.cpp
@@ -29,6 +29,11 @@
 } // namespace
 
 ApplyResult ControlState::apply(std::uint64_t Revision, const Command &Entry) {
+  // The same change sent again after its answer was lost: it gets the answer
+  // that was lost, and proxies get nothing new.
+  if (const auto *Body = std::get_if<ApplyManifest>(&Entry.Body);
+      Body != nullptr && isInForce(Body->New))
+    return {Manifests.back().Revision, std::nullopt};
   const std::uint64_t Before = View.Revision;
   View.Revision = Revision;
   auto Refusal =
@@ -59,18 +64,48 @@
     return fail(ErrorCode::Conflict, "version " + std::to_string(Now.Version) +
                                          " is in force; version " +
                                          std::to_string(New.Version) +
-                                         " is behind it");
+                                         " is behind it" + acceptedBefore(New));
   return {};
 }
 
+// An operator whose answer was lost may learn only now that the change had
+// been made, when another has already taken its place. To accept it again
+// would look as if it were in force.
+std::string ControlState::acceptedBefore(const Manifest &Old) const {
+  for (const ManifestRecord &Each : Manifests)
+    if (Each.Version == Old.Version)
+      return Each.Digest == Old.digest()
+                 ? "; it was accepted with this content at revision " +
+                       std::to_string(Each.Revision)
+                 : "; it was accepted with other content, digest " +
+                       Each.Digest + ", the one sent has " + Old.digest();
+  return "";
+}
+
+bool ControlState::isInForce(const Manifest &New) const {
+  return View.Current && View.Current->Version == New.Version &&
+         View.Current->digest() == New.digest();
+}
+
+ApplyResult ControlState::noteControlHosts(std::uint64_t Revision,
+                                           const std::string &Voters) {
+  // The entry carries no time of day. All hosts agree on that of the last
+  // line.
+  AuditRecord Line{.Revision = Revision,
+                   .WallTime = Audit.empty() ? Millis() : Audit.back().WallTime,
+                   .Actor = "control",
+                   .Action = "control-hosts-changed",
+                   .Subject = "control-group",
+                   .To = Voters};
+  Audit.push_back(std::move(Line));
+  keepLast(Audit, MaxAuditRecords);
+  return {Revision, std::nullopt};
+}
+
 std::optional<Error> ControlState::on(const Command &Entry,
                                       const ApplyManifest &Body) {
   if (auto Checked = check(Body.New); !Checked)
     return Checked.error();
-  // The same change sent again after its answer was lost: accepted before,
-  // so nothing changes and the answer is the same.
-  if (View.Current && View.Current->Version == Body.New.Version)
-    return std::nullopt;
   note(Entry, {.Action = "manifest-applied",
                .Subject = "manifest",
                .From = View.Current ? describe(*View.Current) : "none",
@@ -114,14 +149,14 @@
   if (Known != View.Targets.end() && Known->second.Sequence >= New.Sequence)
     return Error{ErrorCode::Conflict, "a later announcement is known"};
   const bool Joins = Known == View.Targets.end();
-  if (!Joins)
+  if (!Joins && Known->second.Database != New.Database)
     View.Groups[Known->second.Database].Targets.erase(New.Name);
-  View.Groups[New.Database].Targets.insert(New.Name);
+  View.Targets[New.Name] = New;
+  addToGroup(View.Groups[New.Database], New);
   // If it comes back after another took its place, what was acknowledged
   // meanwhile may be missing from its log.
   if (New.Leaving)
     View.Groups[New.Database].Settled.erase(New.Name);
-  View.Targets[New.Name] = New;
   note(Entry, {.Action = New.Leaving ? "target-leaving"
                          : Joins     ? "target-joined"
                                      : "target-changed",
@@ -130,6 +165,22 @@
   return std::nullopt;
 }
 
+void ControlState::addToGroup(GroupRecord &Group,
+                              const TargetAnnouncement &Target) const {
+  if (!Group.Targets.insert(Target.Name).second)
+    return;
+  ++Group.Joins;
+  // One of the first targets of a group, which starts with the first few of
+  // them. Nothing was ever acknowledged on the strength of a log that it has
+  // lost, nor on that of a target that it takes the place of. Without this a
+  // group whose primary fails before the last target has caught up would
+  // stand still for no reason.
+  const DatabasePolicy *Policy =
+      View.Current ? View.Current->database(Group.Database) : nullptr;
+  if (Policy != nullptr && Group.Joins <= Policy->Targets)
+    Group.Settled[Target.Name] = Target.LogId;
+}
+
 void ControlState::settleAfterPromotion(GroupRecord &Group,
                                         const TargetAnnouncement &Primary,
                                         bool Lossy) const {
