--- a/Source/Proxy/ProxyNode.h
+++ b/Source/Proxy/ProxyNode.h
@@ -51,6 +51,7 @@
   void requestLease();
   void requestRights();
   void renewRights(Millis Now);
+  void reportSilence(Millis Now);
   void receive(const Envelope &Arrived);
   void on(const Envelope &From, const LeaseGrant &Body);
   void on(const Envelope &From, const NotLeader &Body);
@@ -79,6 +80,8 @@
   Millis LastRightsRequest = Millis(-1000000);
   bool HeldRights = false;
   bool HeldLease = false;
+  Millis LastSilenceCheck;
+  std::set<std::string> Unreachable; ///< At the last check.
   sigc::signal<void(bool)> LeaseChanged;
 };
 
