Stop a proxy without cutting a statement

Answers ask callers to close their connection, but for one whose transaction lives on it.

Tests: ten scans queued for one connection and two that come during the notice are all done, a later one is refused at once; a transaction that commits in time is served; one that is kept busy or silent is ended by the bound; no new one begins.

Seen failing with the safeguard taken out: notice (1 check), wait for what is open (1), bound of transactions (1), refusal of new transactions (1).

Ruled out: ending transactions at once, which cuts work that is about to commit; and waiting for them without a bound, which lets one caller hold the process.

--- /dev/null
+++ b/Source/Proxy/GracefulStop.cpp
@@ -0,0 +1,15 @@
+/// \file
+/// Decides the steps of a proxy's planned stop.
+
+#include "Proxy/GracefulStop.h"
+
+namespace corianderdyke {
+
+bool GracefulStop::isDone(OpenWork Left, Millis Now) {
+  if (intake(Now) != Intake::Closed || Left.Statements != 0 ||
+      Left.Transactions != 0)
+    LastWork = Now;
+  return Now - LastWork >= Quiet;
+}
+
+} // namespace corianderdyke
--- a/Source/Proxy/ProxyNode.cpp
+++ b/Source/Proxy/ProxyNode.cpp
@@ -54,6 +54,8 @@
     LeaseChanged.emit(HeldLease);
   }
   WriteGaps.update(View, Table, HeldLease, Now);
+  if (Stop)
+    continueStop();
   Ports.Timers.after(TickInterval, [this] { tick(); });
 }
 
@@ -112,7 +114,28 @@
                    ViewApplied{Id, Lease.appliedRevision()});
 }
 
-bool ProxyNode::isReady() const { return Lease.isHeld(Ports.Time.now()); }
+bool ProxyNode::isReady() const {
+  return !Stop && Lease.isHeld(Ports.Time.now());
+}
+
+void ProxyNode::drain(std::function<void()> OnDone) {
+  if (Stop)
+    return;
+  OnStopped = std::move(OnDone);
+  Stop.emplace(Ports.Time.now(), Options.StopNotice,
+               View.Current ? View.Current->Limits.TransactionIdle : Millis());
+  continueStop();
+}
+
+void ProxyNode::continueStop() {
+  const Millis Now = Ports.Time.now();
+  Statements.setIntake(Stop->intake(Now));
+  if (Stop->endsTransactions(Now))
+    Statements.endIdleTransactions();
+  const OpenWork Left{Statements.inFlight(), Statements.openTransactions()};
+  if (OnStopped && Stop->isDone(Left, Now))
+    std::exchange(OnStopped, nullptr)();
+}
 
 void ProxyNode::handle(const HttpRequest &Request,
                        std::shared_ptr<HttpExchange> Exchange) {
--- a/Source/Proxy/ProxyNode.h
+++ b/Source/Proxy/ProxyNode.h
@@ -4,6 +4,7 @@
 #ifndef CORIANDERDYKE_PROXY_PROXYNODE_H
 #define CORIANDERDYKE_PROXY_PROXYNODE_H
 
+#include "Proxy/GracefulStop.h"
 #include "Proxy/StatementService.h"
 #include "Proxy/WriteGapMeter.h"
 #include "Settings/Settings.h"
@@ -33,6 +34,11 @@
   /// True while the balancer may send callers here.
   bool isReady() const;
 
+  /// Begins a planned stop: not ready from now on, serves what is in flight
+  /// and queued, ends open transactions by their idle bound, then calls
+  /// \p OnDone once. A second call does nothing.
+  void drain(std::function<void()> OnDone);
+
   const ClusterView &view() const { return View; }
   const LeaseHolder &lease() const { return Lease; }
   const StatementService &statements() const { return Statements; }
@@ -44,6 +50,7 @@
 
 private:
   void tick();
+  void continueStop();
   void requestLease();
   void receive(const Envelope &Arrived);
   void on(const Envelope &From, const LeaseGrant &Body);
@@ -63,6 +70,8 @@
   TargetTable Table;
   TargetWatcher Watcher;
   StatementService Statements;
+  std::optional<GracefulStop> Stop;
+  std::function<void()> OnStopped;
   WriteGapMeter WriteGaps;
   /// Index in Options.Controls of the host that is asked for leases.
   std::size_t Leader = 0;
--- a/Source/Proxy/StatementService.cpp
+++ b/Source/Proxy/StatementService.cpp
@@ -119,6 +119,8 @@
             Outside.Time.wallTime(), View.Current->Limits.KeyRetention);
         !Good)
       return reject(Each, reply_status::Gone, Good.error().Message);
+  if (!isTakenIn(Each->Statement))
+    return giveUp(Each, "this proxy is about to stop");
   Each->DeadlineAt = Outside.Time.now() + Each->Statement.Deadline;
   Each->DeadlineTimer = Outside.Timers.after(Each->Statement.Deadline,
                                              [this, Each] { expired(Each); });
@@ -129,6 +131,13 @@
   start(Each);
 }
 
+bool StatementService::isTakenIn(const StatementRequest &Statement) const {
+  if (Transactions.isOpen(Statement.Transaction))
+    return true;
+  return Accepts == Intake::Open || (Accepts == Intake::NoNewTransactions &&
+                                     Statement.What != Verb::Begin);
+}
+
 void StatementService::start(const JobPtr &Each) {
   if (Each->Statement.Transaction.empty())
     return dispatch(Each);
@@ -507,6 +516,11 @@
   if (What == Outcome::Unknown)
     ++Counts.Unknown;
   Response.Headers[caller_header::Outcome] = word(What);
+  // A caller with a kept connection would never meet the balancer's choice
+  // again. One inside a transaction has only this connection for it.
+  if (Accepts != Intake::Open &&
+      !Transactions.isOpen(Each->Statement.Transaction))
+    Response.Headers["Connection"] = "close";
   if (!Each->Way.Target.empty()) {
     Response.Headers[caller_header::Target] = Each->Way.Target;
     Response.Headers[caller_header::ServedBy] =
--- a/Source/Proxy/StatementService.h
+++ b/Source/Proxy/StatementService.h
@@ -8,6 +8,7 @@
 #include "Lease/LeaseHolder.h"
 #include "Proxy/AnswerJudge.h"
 #include "Proxy/DurabilityGate.h"
+#include "Proxy/GracefulStop.h"
 #include "Proxy/PrimaryPatience.h"
 #include "Proxy/StatementReply.h"
 #include "Proxy/StatementRequest.h"
@@ -57,6 +58,10 @@
   /// wait for a change or at a primary that is none any more.
   void viewChanged();
 
+  void setIntake(Intake Now) { Accepts = Now; }
+  /// Rolls back the transactions that wait for their callers.
+  void endIdleTransactions() { Transactions.abandonIdle(); }
+
   const StatementCounts &counts() const { return Counts; }
   std::size_t inFlight() const { return Jobs.size(); }
   std::size_t openTransactions() const { return Transactions.size(); }
@@ -71,6 +76,7 @@
     PooledConnection Connection;
   };
 
+  bool isTakenIn(const StatementRequest &Statement) const;
   void start(const JobPtr &Each);
   void startInTransaction(const JobPtr &Each);
   void dispatch(const JobPtr &Each);
@@ -120,6 +126,7 @@
   std::map<std::uint64_t, JobPtr> Waiting; ///< Of Jobs, for a change.
   std::map<std::uint64_t, Call> Calls;
   std::uint64_t NextId = 1;
+  Intake Accepts = Intake::Open;
   StatementCounts Counts;
 };
 
