Take a held watch's span into the age of replicas

Cause: an age counted from when the primary was asked, and a watch is held for up to 50 ms. A replica looked up to two holds older than it was, and reads that it could serve went to the primary.

A target now says how long it held the question. That is a span by its own count, so no clocks are compared; the time that the answer took bounds it. Up to the end of the hold the primary stood where the question said. One that answered at once had moved before, and proves nothing of the kind.

Test: over 15 seeds with lags of 70 to 210 ms an auditor who accepts 150 ms never reads older rows. Seen failing with the age ignored. Not seen failing: counting from the answer's arrival, which overstates by a few milliseconds only, less than the way from caller to proxy.

Ruled out: shorter holds, which cost a message each.

--- a/Source/Proxy/TargetProtocol.h
+++ b/Source/Proxy/TargetProtocol.h
@@ -16,6 +16,8 @@
 /// Position of the write that the answer is about: of an earlier one where
 /// the key was known.
 constexpr const char *WritePosition = "Target-Write-Position";
+/// How long a watch was held before its answer, in milliseconds.
+constexpr const char *HeldMs = "Target-Held-Ms";
 constexpr const char *Role = "Target-Role";
 constexpr const char *Reason = "Target-Reason";
 constexpr const char *Replayed = "Target-Replayed";
--- a/Source/Proxy/TargetWatcher.cpp
+++ b/Source/Proxy/TargetWatcher.cpp
@@ -5,6 +5,8 @@
 
 #include "Proxy/TargetProtocol.h"
 
+#include <algorithm>
+
 namespace corianderdyke {
 
 namespace {
@@ -15,6 +17,14 @@
 constexpr Millis WatchTimeout(2000);
 constexpr Millis AskAgainAfter(25);
 
+/// How long a target held the question, by its own count. It's a span, so
+/// that no two clocks are compared; the time that the answer took bounds it.
+Millis heldBy(const HttpResponse &Answer, Millis Taken) {
+  const std::uint64_t Said = numberOr(Answer.header(target_header::HeldMs), 0);
+  const auto Most = static_cast<std::uint64_t>(Taken.count());
+  return Millis(static_cast<std::int64_t>(std::min(Said, Most)));
+}
+
 } // namespace
 
 void TargetWatcher::update(const ClusterView &View) {
@@ -74,9 +84,19 @@
     return;
   }
   const TargetSighting Seen = sightingOf(*Answer);
+  const Millis StoodUntil = AskedAt + heldBy(*Answer, Time.now() - AskedAt);
+  // A primary that held the question stood where the question said until the
+  // end of the hold. That makes a replica at that position as fresh as the
+  // end, not as the beginning. One that answered at once had moved before.
+  if (Seen.IsPrimary && StoodUntil > AskedAt && Seen.Term == From.Term &&
+      Seen.Position > From.Position) {
+    TargetSighting Before = Seen;
+    Before.Position = From.Position;
+    Table.observe(Name, Before, StoodUntil, Time.now());
+  }
   From.Position = Seen.Position;
   From.Term = Seen.Term;
-  Table.observe(Name, Seen, AskedAt, Time.now());
+  Table.observe(Name, Seen, StoodUntil, Time.now());
   ask(Name);
   Changed.emit(Name);
 }
--- a/Tests/StandIn/StandInTarget.cpp
+++ b/Tests/StandIn/StandInTarget.cpp
@@ -294,28 +294,32 @@
   Each->After = numberOr(Request.parameter("after"), 0);
   Each->Term = numberOr(Request.parameter("term"), 0);
   Each->Exchange = std::move(Exchange);
-  if (Log.size() != Each->After || Term != Each->Term) {
-    Each->Exchange->respond(answer(200, ""));
-    return;
-  }
+  Each->Since = Time.now();
+  if (Log.size() != Each->After || Term != Each->Term)
+    return answerWatch(*Each);
   Watchers.push_back(Each);
   const Millis Hold(
       static_cast<std::int64_t>(numberOr(Request.parameter("wait_ms"), 0)));
   Timers.after(Hold, [this, Each] {
     if (Each->Done)
       return;
-    Each->Done = true;
-    Each->Exchange->respond(answer(200, ""));
+    answerWatch(*Each);
     Watchers.erase(std::find(Watchers.begin(), Watchers.end(), Each));
   });
 }
 
+void StandInTarget::answerWatch(Watcher &Each) {
+  Each.Done = true;
+  HttpResponse Out = answer(200, "");
+  Out.Headers["Target-Held-Ms"] =
+      std::to_string((Time.now() - Each.Since).count());
+  Each.Exchange->respond(std::move(Out));
+}
+
 void StandInTarget::wakeWatchers() {
   const auto Woken = std::exchange(Watchers, {});
-  for (const auto &Each : Woken) {
-    Each->Done = true;
-    Each->Exchange->respond(answer(200, ""));
-  }
+  for (const auto &Each : Woken)
+    answerWatch(*Each);
 }
 
 void StandInTarget::serveLog(const HttpRequest &Request,
--- a/Tests/StandIn/StandInTarget.h
+++ b/Tests/StandIn/StandInTarget.h
@@ -67,6 +67,7 @@
     std::uint64_t After = 0;
     std::uint64_t Term = 0;
     std::shared_ptr<HttpExchange> Exchange;
+    Millis Since; ///< When the question came.
     bool Done = false;
   };
 
@@ -97,6 +98,7 @@
   void rebuild();
   void applyToData(const LogEntry &Entry, std::uint64_t Position);
   void wakeWatchers();
+  void answerWatch(Watcher &Each);
   void pull(std::uint64_t Generation);
   void take(const std::string &Body, std::uint64_t Generation);
   void announce();
--- a/Tests/Unit/SessionRoamingTest.cpp
+++ b/Tests/Unit/SessionRoamingTest.cpp
@@ -147,3 +147,43 @@
   // A replayed write of the former term counts where the log is the group's.
   CHECK(Table.copies(Group, 10) == 2);
 }
+
+TEST_CASE("A read is never older than its kind accepts", "[session]") {
+  // An auditor accepts rows that are 150 ms old, and the replicas lag by about
+  // that. Whatever a replica answers must hold each scan that was written 150
+  // ms before the auditor asked.
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    CAPTURE(Seed);
+    FakeCluster Cluster(Seed, 3, 2);
+    Cluster.TargetOptions.Lag =
+        Millis(60 + static_cast<std::int64_t>(Seed * 10));
+    Cluster.bringUp(R"(
+version = 1
+[[organisation]]
+name = "port-clerks"
+[[database]]
+name = "bale-ledger-1"
+[[kind]]
+name = "lookup"
+access = "read"
+accepted_age_ms = 150
+[[kind]]
+name = "handover"
+access = "write"
+)");
+    StandInTarget &Primary =
+        *Cluster.Targets[Cluster.group("bale-ledger-1")->Primary];
+    std::mt19937_64 Random(Seed);
+    std::map<Millis, std::uint64_t> Written;
+    for (int Turn = 1; Turn <= 150; ++Turn) {
+      Cluster.ask("entry-1", {.Body = "put bales " + std::to_string(Turn)});
+      Cluster.Loop.runFor(Millis(static_cast<std::int64_t>(Random() % 40)));
+      Written[Cluster.Loop.now()] = Primary.position();
+      const Millis Asked = Cluster.Loop.now();
+      const CallerAnswer Got = Cluster.askNow("entry-2", lookUp(""));
+      const auto Later = Written.upper_bound(Asked - Millis(150));
+      if (Got.Outcome == "done" && Later != Written.begin())
+        CHECK(numberOr(Got.Body, 0) >= std::prev(Later)->second);
+    }
+  }
+}
