--- a/Source/Operators/StatusReport.cpp
+++ b/Source/Operators/StatusReport.cpp
@@ -17,6 +17,8 @@
     return "forming";
   case GroupPhase::Fencing:
     return "fencing";
+  case GroupPhase::Draining:
+    return "draining";
   case GroupPhase::Promoted:
     break;
   }
@@ -54,6 +56,7 @@
                         {"role", Each.Leaving                 ? "leaving"
                                  : Each.Name == Group.Primary ? "primary"
                                                               : "replica"},
+                        {"settled", Group.isSettled(Each)},
                         {"watched_by", Seen.WatchedBy},
                         {"reachable_from", Seen.ReachableFrom}};
   if (Seen.SilentFor)
