--- a/Source/Proxy/StatementService.h
+++ b/Source/Proxy/StatementService.h
@@ -11,6 +11,7 @@
 #include "Lease/LeaseHolder.h"
 #include "Proxy/AnswerJudge.h"
 #include "Proxy/DurabilityGate.h"
+#include "Proxy/GracefulStop.h"
 #include "Proxy/PrimaryPatience.h"
 #include "Proxy/StatementReply.h"
 #include "Proxy/StatementRequest.h"
@@ -76,6 +77,10 @@
 
   std::vector<QueueStatus> queues() const { return Queues.status(); }
   const RetryBudget &retries() const { return Budget; }
+  void setIntake(Intake Now) { Accepts = Now; }
+  /// Rolls back the transactions that wait for their callers.
+  void endIdleTransactions() { Transactions.abandonIdle(); }
+
   const StatementCounts &counts() const { return Counts; }
   std::size_t inFlight() const { return Jobs.size(); }
   /// Databases at whose primary something still runs.
@@ -96,6 +101,7 @@
     PooledConnection Connection;
   };
 
+  bool isTakenIn(const StatementRequest &Statement) const;
   void start(const JobPtr &Each);
   void startInTransaction(const JobPtr &Each);
   void dispatch(const JobPtr &Each);
@@ -166,6 +172,7 @@
   std::map<std::string, std::size_t> SentTo;
   bool IsPumping = false;
   std::uint64_t NextId = 1;
+  Intake Accepts = Intake::Open;
   StatementCounts Counts;
 };
 
