Let operators change the control group, and show its seats

Cause: the agreement could take control hosts in and out, but no command reached it, and the page on replacing one had to say so.

`control add` and `control remove` go through the operators' port with its key; status shows each host's seat and disk.

--- a/Source/App/CommandLine.cpp
+++ b/Source/App/CommandLine.cpp
@@ -180,6 +180,32 @@
   });
 }
 
+void addControlCommands(CLI::App &App, CommandState &State) {
+  CLI::App *Control =
+      App.add_subcommand("control", "Changes who is in the control group");
+  Control->require_subcommand(1);
+  CLI::App *Add = addCommand(*Control, "add",
+                             "Makes a control host that has caught up a voter",
+                             "control add control-4 --control 127.0.0.1:7201");
+  Add->add_option("name", State.Name, "Name of the control host")->required();
+  addControl(*Add, State);
+  addOperator(*Add, State);
+  Add->callback([&State] {
+    State.Result = OperatorCommands(State.Options).addControlHost(State.Name);
+  });
+  CLI::App *Remove =
+      addCommand(*Control, "remove", "Takes a control host out of the group",
+                 "control remove control-1 --control 127.0.0.1:7202");
+  Remove->add_option("name", State.Name, "Name of the control host")
+      ->required();
+  addControl(*Remove, State);
+  addOperator(*Remove, State);
+  Remove->callback([&State] {
+    State.Result =
+        OperatorCommands(State.Options).removeControlHost(State.Name);
+  });
+}
+
 void addDrainCommands(CLI::App &App, CommandState &State) {
   CLI::App *Drain = App.add_subcommand("drain", "Takes work off a process");
   Drain->require_subcommand(1);
@@ -223,6 +249,7 @@
   addFileCommands(App, State);
   addManifestCommands(App, State);
   addStateCommands(App, State);
+  addControlCommands(App, State);
   addDrainCommands(App, State);
   try {
     App.parse(Count, Words);
--- a/Source/App/OperatorCommands.cpp
+++ b/Source/App/OperatorCommands.cpp
@@ -179,6 +179,22 @@
   return NotInForce;
 }
 
+int OperatorCommands::addControlHost(const std::string &Name) const {
+  HttpRequest Request = post("/v1/control/add");
+  Request.Query["name"] = Name;
+  return run(std::move(Request), [](const nlohmann::json &Report) {
+    return "added: " + Report.value("added", "") + "\n";
+  });
+}
+
+int OperatorCommands::removeControlHost(const std::string &Name) const {
+  HttpRequest Request = post("/v1/control/remove");
+  Request.Query["name"] = Name;
+  return run(std::move(Request), [](const nlohmann::json &Report) {
+    return "removed: " + Report.value("removed", "") + "\n";
+  });
+}
+
 int OperatorCommands::drainTarget(const std::string &Name) const {
   HttpRequest Request = post("/v1/targets/drain");
   Request.Query["name"] = Name;
--- a/Source/App/OperatorCommands.h
+++ b/Source/App/OperatorCommands.h
@@ -38,6 +38,8 @@
   int compareManifest(const std::string &File) const;
   /// With \p Wait, returns once the manifest is in force or the time is over.
   int applyManifest(const std::string &File, bool Wait, Millis Bound) const;
+  int addControlHost(const std::string &Name) const;
+  int removeControlHost(const std::string &Name) const;
   int drainTarget(const std::string &Name) const;
   /// Returns once the process has stopped or the time is over.
   int drainProxy(Millis Bound) const;
--- a/Source/Operators/HumanReport.cpp
+++ b/Source/Operators/HumanReport.cpp
@@ -98,6 +98,7 @@
          cell(Report, "revision") + "\nmanifest: version " +
          cell(Report, "manifest_version") +
          ", in force: " + cell(Report, "manifest_in_force") + "\n\n" +
+         lines(list(Report, "control_hosts"), {"name", "seat"}) + "\n" +
          lines(list(Report, "groups"),
                {"database", "phase", "term", "primary"}) +
          "\n" + targetLines(list(Report, "groups")) + "\n" +
--- a/Source/Operators/OperatorService.cpp
+++ b/Source/Operators/OperatorService.cpp
@@ -70,7 +70,7 @@
           Accepted = std::move(Accepted)](const Expected<ApplyResult> &Result) {
     if (!Result)
       return Exchange->respond(
-          errorResponse(StatusUnavailable, Result.error().Message));
+          errorResponse(statusOf(Result.error()), Result.error().Message));
     if (Result->Refusal)
       return Exchange->respond(
           errorResponse(statusOf(*Result->Refusal), Result->Refusal->Message));
@@ -142,7 +142,15 @@
                                            "wrong"));
   if (Request.Path == "/v1/drain")
     return drainProcess(Exchange);
-  if (Request.Path != "/v1/manifest" && Request.Path != "/v1/targets/drain")
+  using Action =
+      void (OperatorService::*)(const HttpRequest &, const ExchangePtr &);
+  static const std::map<std::string, Action> Actions = {
+      {"/v1/manifest", &OperatorService::applyManifest},
+      {"/v1/targets/drain", &OperatorService::drainTarget},
+      {"/v1/control/add", &OperatorService::addControlHost},
+      {"/v1/control/remove", &OperatorService::removeControlHost}};
+  const auto Found = Actions.find(Request.Path);
+  if (Found == Actions.end())
     return Exchange->respond(errorResponse(StatusNotFound, "no such path"));
   if (From.Control == nullptr)
     return Exchange->respond(
@@ -150,10 +158,7 @@
   if (!From.Control->consensus().isLeader())
     return Exchange->respond(
         errorResponse(StatusMisdirected, "this control host doesn't lead"));
-  if (Request.Path == "/v1/manifest")
-    applyManifest(Request, Exchange);
-  else
-    drainTarget(Request, Exchange);
+  (this->*Found->second)(Request, Exchange);
 }
 
 void OperatorService::answerLatest(const ExchangePtr &Exchange, Report Of) {
@@ -178,16 +183,9 @@
   const std::uint64_t Version = Parsed->Version;
   const nlohmann::json Accepted = {
       {"accepted", true}, {"version", Version}, {"digest", Parsed->digest()}};
-  From.Control->propose(
-      actorOf(Request), ApplyManifest{std::move(*Parsed), Request.Body},
-      [this, Version, Answer = answerChange(Exchange, Accepted)](
-          Expected<ApplyResult> Result) {
-        // A change sent again gets the answer of the first time.
-        for (const ManifestRecord &Each : From.Control->applied().manifests())
-          if (Result && !Result->Refusal && Each.Version == Version)
-            Result->Revision = Each.Revision;
-        Answer(Result);
-      });
+  From.Control->propose(actorOf(Request),
+                        ApplyManifest{std::move(*Parsed), Request.Body},
+                        answerChange(Exchange, Accepted));
 }
 
 void OperatorService::compareManifest(const HttpRequest &Request,
@@ -217,6 +215,19 @@
                         answerChange(Exchange, {{"draining", Name}}));
 }
 
+void OperatorService::addControlHost(const HttpRequest &Request,
+                                     const ExchangePtr &Exchange) {
+  const std::string &Name = Request.parameter("name");
+  From.Control->addControlHost(Name, answerChange(Exchange, {{"added", Name}}));
+}
+
+void OperatorService::removeControlHost(const HttpRequest &Request,
+                                        const ExchangePtr &Exchange) {
+  const std::string &Name = Request.parameter("name");
+  From.Control->removeControlHost(Name,
+                                  answerChange(Exchange, {{"removed", Name}}));
+}
+
 void OperatorService::drainProcess(const ExchangePtr &Exchange) {
   Exchange->respond(jsonResponse(
       {{"draining", true},
--- a/Source/Operators/OperatorService.h
+++ b/Source/Operators/OperatorService.h
@@ -51,6 +51,9 @@
   void applyManifest(const HttpRequest &Request, const ExchangePtr &Exchange);
   void compareManifest(const HttpRequest &Request, const ExchangePtr &Exchange);
   void drainTarget(const HttpRequest &Request, const ExchangePtr &Exchange);
+  void addControlHost(const HttpRequest &Request, const ExchangePtr &Exchange);
+  void removeControlHost(const HttpRequest &Request,
+                         const ExchangePtr &Exchange);
   void drainProcess(const ExchangePtr &Exchange);
   bool isReady() const;
   std::string metrics() const;
--- a/Source/Operators/StatusReport.cpp
+++ b/Source/Operators/StatusReport.cpp
@@ -114,7 +114,16 @@
   nlohmann::json Proxies = nlohmann::json::array();
   for (const auto &[Id, Where] : View.Proxies)
     Proxies.push_back(proxyReport(Control.leases(), State, Id, Where, Now));
-  return {{"leader", Control.consensus().leader()},
+  nlohmann::json Hosts = nlohmann::json::array();
+  for (const Member &Each : Control.consensus().voters())
+    Hosts.push_back({{"name", Each.Name},
+                     {"disk", Each.DiskId},
+                     {"seat", Each.isVacant() ? "vacant" : "voter"}});
+  for (const Member &Each : Control.consensus().learners())
+    Hosts.push_back(
+        {{"name", Each.Name}, {"disk", Each.DiskId}, {"seat", "learner"}});
+  return {{"control_hosts", std::move(Hosts)},
+          {"leader", Control.consensus().leader()},
           {"control_term", Control.consensus().term()},
           {"revision", View.Revision},
           {"manifest_version", View.Current ? View.Current->Version : 0},
--- /dev/null
+++ b/Tests/Golden/members/steps.sh
@@ -0,0 +1,46 @@
+# Operators take a control host out of the group and back in; then one loses
+# its disk, and gets its seat back without anyone's command.
+seats() {
+  "$program" status "${control[@]}" --json |
+    jq -c '.control_hosts | map(.seat | select(. != "learner"))'
+}
+# A host that leads may step down; the command then finds the next leader.
+say "Everything starts; one that doesn't belong to it can't be removed"
+start_control
+apply "$(write_manifest 1 4)"
+seats
+try "$program" control remove control-9 "${control[@]}" --operator anna
+
+say "A control host is taken out, and the other two go on"
+"$program" control remove control-3 "${control[@]}" --operator anna |
+  sed 's/control-3/THAT/'
+kill -TERM "${process_of[control-3]}"
+wait "${process_of[control-3]}" || true
+seats
+apply "$(write_manifest 2 4)"
+
+say "It comes back and is added once it has caught up"
+start control-3
+until "$program" control add control-3 "${control[@]}" --operator anna \
+  >added 2>&1; do
+  sleep 0.05
+done
+sed 's/control-3/THAT/' added
+seats
+
+say "Its disk is lost; it comes back empty and votes again by itself"
+disk() {
+  "$program" status "${control[@]}" --json | jq -r '.control_hosts[] |
+    select(.name == "control-3" and .seat == "voter") | .disk'
+}
+lost=$(disk)
+kill -9 "${process_of[control-3]}"
+wait "${process_of[control-3]}" || true
+rm -r data-control-3
+start control-3
+new_disk_votes() { [ -n "$(disk)" ] && [ "$(disk)" != "$lost" ]; }
+wait_for new_disk_votes
+
+say "Its vote counts: another is stopped, and a change is still accepted"
+kill -9 "${process_of[control-1]}"
+apply "$(write_manifest 3 4)"
--- a/Utilities/check-docs.sh
+++ b/Utilities/check-docs.sh
@@ -36,7 +36,7 @@
       echo "$1: no such command: corianderdyke $first"
       continue
     }
-    case $first in manifest | drain)
+    case $first in manifest | drain | control)
       help=$("$program" "$first" "$second" --help 2>/dev/null)
       grep -q "^Usage: corianderdyke $first $second" <<<"$help" || {
         echo "$1: no such command: corianderdyke $first $second"
