--- a/Source/Proxy/StatementService.h
+++ b/Source/Proxy/StatementService.h
@@ -59,6 +59,8 @@
 
   const StatementCounts &counts() const { return Counts; }
   std::size_t inFlight() const { return Jobs.size(); }
+  /// Databases at whose primary something still runs.
+  std::set<std::string> running() const;
   /// True while a transaction lives on a caller's connection.
   bool isBound(const std::string &Peer) const {
     return Transactions.holds(Peer);
