--- a/Tests/Golden/drain/steps.sh
+++ b/Tests/Golden/drain/steps.sh
@@ -2,10 +2,11 @@
 # balancer turns away at once, and the process ends by itself. A drained
 # target gets nothing new.
 start_all --service-ms 400 >/dev/null
+key() { echo "$(date +%s%3N)-$1"; }
 
 say "SIGTERM comes while a handover is in flight"
 "$caller" once --proxy "$proxy_1" --database bale-ledger-1 \
-  --organisation port-clerks --kind handover --key scan-1 \
+  --organisation port-clerks --kind handover --key "$(key scan-1)" \
   --body "put bale-17 haulier-4" >answer &
 asking=$!
 in_flight() {
@@ -51,14 +52,14 @@
   done
   read -r -t "$patience" -N "$length" -u 8 line || true
 }
-ask /transaction/begin scan-19 ""
-ask /statement scan-19 "put bale-19 haulier-6"
+ask /transaction/begin "$(key scan-19)" ""
+ask /statement "$(key scan-19)" "put bale-19 haulier-6"
 "$program" drain proxy --proxy "$operators_2" --operator anna >drained 2>&1 &
 draining=$!
 takes_nobody() { ! (exec 7<>"/dev/tcp/127.0.0.1/${port[9]}") 2>/dev/null; }
 wait_for takes_nobody
-ask /statement scan-20 "put bale-20 haulier-7"
-ask /transaction/commit scan-21 ""
+ask /statement "$(key scan-20)" "put bale-20 haulier-7"
+ask /transaction/commit "$(key scan-21)" ""
 exec 8>&-
 wait $draining
 cat drained
