--- a/Source/Control/ControlNode.cpp
+++ b/Source/Control/ControlNode.cpp
@@ -44,8 +44,10 @@
 
 void ControlNode::tick() {
   Agreement.tick(Ports.Time.now());
-  if (Leading)
+  if (Leading) {
     removeExpiredProxies();
+    removeExpiredTargets();
+  }
   settle();
   Ports.Timers.after(TickInterval, [this] { tick(); });
 }
@@ -85,11 +87,13 @@
 }
 
 void ControlNode::on(const Envelope &, const ForwardedAnnouncement &Body) {
-  const TargetAnnouncement *Known = State.view().target(Body.Target.Name);
-  if (!Leading || (Known != nullptr && Known->Sequence >= Body.Target.Sequence))
+  if (!Leading)
     return;
-  propose(SystemActor, RecordTarget{Body.Target},
-          [](const Expected<ApplyResult> &) {});
+  auto Proposal =
+      Announcements.judge(State.view(), Body.Target, Ports.Time.now());
+  if (Proposal)
+    propose(SystemActor, std::move(*Proposal),
+            [](const Expected<ApplyResult> &) {});
 }
 
 void ControlNode::on(const Envelope &From, const RightsRequest &Body) {
@@ -113,7 +117,21 @@
 void ControlNode::propose(std::string Actor, CommandBody Body,
                           ChangeHandler OnDone) {
   const Command Entry{std::move(Actor), Ports.Time.wallTime(), std::move(Body)};
-  const auto Index = Agreement.propose(encode(Entry), Ports.Time.now());
+  await(Agreement.propose(encode(Entry), Ports.Time.now()), std::move(OnDone));
+}
+
+void ControlNode::addControlHost(const std::string &Name,
+                                 ChangeHandler OnDone) {
+  await(Agreement.addVoter(Name, Ports.Time.now()), std::move(OnDone));
+}
+
+void ControlNode::removeControlHost(const std::string &Name,
+                                    ChangeHandler OnDone) {
+  await(Agreement.removeVoter(Name, Ports.Time.now()), std::move(OnDone));
+}
+
+void ControlNode::await(const Expected<std::uint64_t> &Index,
+                        ChangeHandler OnDone) {
   if (!Index) {
     OnDone(tl::unexpected(Index.error()));
     return;
@@ -157,8 +175,10 @@
 
 void ControlNode::carryOut(ConsensusOutputs Outputs) {
   if (Outputs.RestoredState) {
-    State =
-        decode<ControlState>(*Outputs.RestoredState).value_or(ControlState());
+    auto Restored = decode<ControlState>(*Outputs.RestoredState);
+    if (!Restored)
+      return Failed.emit(Restored.error());
+    State = std::move(*Restored);
     AppliedIndex = Agreement.log().snapshotIndex();
   }
   for (const Entry &Each : Outputs.Committed)
@@ -175,13 +195,21 @@
   std::optional<ApplyResult> Result;
   if (Committed.Kind == EntryKind::Command) {
     const auto Entry = decode<Command>(Committed.Bytes);
-    if (Entry) {
-      const std::size_t Lines = State.audit().size();
-      Result = State.apply(Committed.Index, *Entry);
-      if (State.audit().size() > Lines)
-        Audited.emit(State.audit().back());
-    }
+    // To pass over a change that the others make would give this host another
+    // state than theirs under the same revision.
+    if (!Entry)
+      return Failed.emit(Entry.error());
+    Result = State.apply(Committed.Index, *Entry);
+  } else if (Committed.Kind == EntryKind::Membership) {
+    const auto Voters = decode<Members>(Committed.Bytes);
+    if (!Voters)
+      return Failed.emit(Voters.error());
+    Result = State.noteControlHosts(Committed.Index, describe(*Voters));
   }
+  // The trail is cut at its other end, so its length says nothing.
+  if (!State.audit().empty() &&
+      State.audit().back().Revision == Committed.Index)
+    Audited.emit(State.audit().back());
   const auto Waiting = Changes.find(Committed.Index);
   if (Waiting == Changes.end())
     return;
@@ -242,6 +270,10 @@
 }
 
 void ControlNode::noticeLeadership() {
+  // Also one that never settled may have taken changes in: without an answer
+  // their operators would wait for good.
+  if (!Agreement.isLeader())
+    failWaiting();
   if (Agreement.isSettledLeader() == Leading)
     return;
   Leading = Agreement.isSettledLeader();
@@ -249,10 +281,9 @@
     Leases.begin(State.view(), Ports.Time.now());
     Failover.begin();
     Connections.begin(Agreement.term(), State.view(), Ports.Time.now());
+    Announcements.begin(State.view(), Ports.Time.now());
     Published = State.view();
     SentAt.clear();
-  } else {
-    failWaiting();
   }
   Leadership.emit(Leading);
 }
@@ -328,6 +359,12 @@
   }
 }
 
+void ControlNode::removeExpiredTargets() {
+  for (RemoveTarget &Each :
+       Announcements.expired(State.view(), Leases, Ports.Time.now()))
+    propose(SystemActor, std::move(Each), [](const Expected<ApplyResult> &) {});
+}
+
 void ControlNode::compactIfLong() {
   if (Agreement.log().journalBytes() > CompactAtBytes)
     Agreement.compact(AppliedIndex, encode(State));
--- a/Source/Proxy/StatementService.cpp
+++ b/Source/Proxy/StatementService.cpp
@@ -44,8 +44,9 @@
   Out.Headers[statement_header::Floor] = std::to_string(Way.Floor);
   if (InTransaction)
     Out.Headers[statement_header::Transaction] = "open";
-  if (!Statement.Key.empty())
-    Out.Headers[statement_header::Key] = Statement.Key;
+  if (Statement.Key)
+    Out.Headers[statement_header::Key] =
+        Statement.Key->textFor(Statement.Organisation);
   Out.Body = Statement.Body;
   return Out;
 }
@@ -135,6 +136,11 @@
   if (!Parsed)
     return reject(Each, reply_status::BadRequest, Parsed.error().Message);
   Each->Statement = std::move(*Parsed);
+  if (Each->Statement.Key)
+    if (const auto Good = Each->Statement.Key->check(
+            Outside.Time.wallTime(), View.Current->Limits.KeyRetention);
+        !Good)
+      return reject(Each, reply_status::Gone, Good.error().Message);
   Each->DeadlineAt = Outside.Time.now() + Each->Statement.Deadline;
   Each->DeadlineTimer = Outside.Timers.after(Each->Statement.Deadline,
                                              [this, Each] { expired(Each); });
@@ -179,6 +185,14 @@
   sendInTransaction(Each);
 }
 
+std::set<std::string> StatementService::running() const {
+  std::set<std::string> Out = Transactions.databases();
+  for (const auto &[Id, Each] : Jobs)
+    if (Each->At == Job::Stage::Sent && Each->Way.IsPrimary)
+      Out.insert(Each->Statement.Database);
+  return Out;
+}
+
 void StatementService::dispatch(const JobPtr &Each) {
   if (Each->At == Job::Stage::Finished)
     return;
@@ -464,7 +478,10 @@
 
 void StatementService::send(const JobPtr &Each, PooledConnection Connection) {
   const GroupRecord *Group = View.group(Each->Statement.Database);
-  if (Group == nullptr || Group->Term != Each->Way.Term || !hasLease()) {
+  const bool Draining = Group != nullptr && Each->Way.IsPrimary &&
+                        Group->Phase == GroupPhase::Draining;
+  if (Group == nullptr || Group->Term != Each->Way.Term || Draining ||
+      !hasLease()) {
     Connection.setReusable(true);
     Connection.close();
     return dispatch(Each);
--- a/Source/Proxy/TransactionTable.cpp
+++ b/Source/Proxy/TransactionTable.cpp
@@ -3,6 +3,8 @@
 
 #include "Proxy/TransactionTable.h"
 
+#include <algorithm>
+
 namespace corianderdyke {
 
 namespace {
@@ -22,6 +24,13 @@
       Timers.cancel(Each->IdleTimer);
 }
 
+std::set<std::string> TransactionTable::databases() const {
+  std::set<std::string> Out;
+  for (const auto &[Id, Each] : Open)
+    Out.insert(Each->Database);
+  return Out;
+}
+
 TransactionPtr TransactionTable::open(const std::string &Database,
                                       const Route &Way, const std::string &Peer,
                                       PooledConnection Connection,
@@ -88,6 +97,12 @@
       abandon(Each);
 }
 
+bool TransactionTable::holds(const std::string &Peer) const {
+  return std::any_of(Open.begin(), Open.end(), [&Peer](const auto &Each) {
+    return Each.second->Peer == Peer;
+  });
+}
+
 void TransactionTable::abandonIdle() {
   const auto Known = Open;
   for (const auto &[Id, Each] : Known)
--- a/Source/Proxy/TransactionTable.h
+++ b/Source/Proxy/TransactionTable.h
@@ -8,6 +8,8 @@
 #include "Proxy/ConnectionPool.h"
 #include "Routing/Router.h"
 
+#include <set>
+
 namespace corianderdyke {
 
 /// An open transaction. It owns its connection until it ends, so that no
@@ -60,7 +62,12 @@
   /// left to end, and its transaction is rolled back with the next call.
   void abandonIdle();
 
+  /// True while a transaction waits for a caller's connection.
+  bool holds(const std::string &Peer) const;
+
   bool isOpen(const std::string &Id) const { return Open.count(Id) != 0; }
+  /// Databases on which some transaction is open.
+  std::set<std::string> databases() const;
   std::size_t size() const { return Open.size() + Ending.size(); }
 
 private:
--- a/Source/Rights/ConnectionLedger.cpp
+++ b/Source/Rights/ConnectionLedger.cpp
@@ -20,7 +20,7 @@
 
 std::uint32_t limitOf(const ClusterView &View, const std::string &Target) {
   const TargetAnnouncement *Known = View.target(Target);
-  if (Known == nullptr || Known->Leaving || !View.Current)
+  if (Known == nullptr || !View.Current)
     return 0;
   const DatabasePolicy *Policy = View.Current->database(Known->Database);
   return Policy == nullptr ? 0 : Policy->ConnectionsPerTarget;
--- a/Source/State/ClusterView.h
+++ b/Source/State/ClusterView.h
@@ -28,6 +28,7 @@
   Forming,  ///< Too few targets have announced themselves yet.
   Fencing,  ///< The former primary's term has ended; no one may write.
   Promoted, ///< Primary holds the term.
+  Draining, ///< Primary is leaving: it ends what runs and begins nothing.
 };
 
 /// One database group.
@@ -46,16 +47,23 @@
   /// The logs, by target, that are known to hold all that was acknowledged
   /// with a copy at that target. Only these prove anything in a failover.
   std::map<std::string, std::string> Settled = {};
+  /// How many times a name that wasn't in the group has joined it.
+  std::uint32_t Joins = 0;
 
   auto operator<=>(const GroupRecord &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Database, Phase, Term, Primary, Forks, Targets, PrimarySequence,
-       Settled);
+    Ar(Database, Phase, Term, Primary, Forks, Targets, PrimarySequence, Settled,
+       Joins);
   }
 
   bool isSettled(const TargetAnnouncement &Target) const;
 
+  /// True where new work may begin at the primary.
   bool isWritable() const { return Phase == GroupPhase::Promoted; }
+  /// True where what runs at the primary may still be acknowledged.
+  bool hasPrimary() const {
+    return Phase == GroupPhase::Promoted || Phase == GroupPhase::Draining;
+  }
 
   /// True where a position that was acknowledged in \p InTerm is still part
   /// of the group's log: every later term began at or behind it.
@@ -81,6 +89,10 @@
 
   const GroupRecord *group(const std::string &Database) const;
   const TargetAnnouncement *target(const std::string &Name) const;
+  /// Why an announcement isn't believed; empty where it is.
+  std::string refusalOf(const TargetAnnouncement &Said) const;
+  std::vector<TargetAnnouncement>
+  allTargetsOf(const std::string &Database) const;
   /// Targets of a database that aren't leaving.
   std::vector<TargetAnnouncement> targetsOf(const std::string &Database) const;
 };
--- a/Tests/Unit/WriteGapMeterTest.cpp
+++ b/Tests/Unit/WriteGapMeterTest.cpp
@@ -44,7 +44,7 @@
   }
   CHECK(Meter.gaps().total() == 0);
   View = viewWith("two", 2);
-  Table.observe("two", {2, 0, true}, Millis(299), Millis(300));
+  Table.observe("two", {2, 0, 0, true}, Millis(299), Millis(300));
   Meter.update(View, Table, true, Millis(300));
   CHECK(Meter.gaps().total() == 1);
   CHECK(Meter.gaps().sum() == Millis(200));
