Test that a caller who leaves takes its waiting statement along

One connection is busy with a transaction, another caller's write waits for it, and that caller leaves: the write never runs.

Seen failing with the hang-up ignored (see the check of the statements in flight).

--- a/Tests/Unit/StatementTransactionTest.cpp
+++ b/Tests/Unit/StatementTransactionTest.cpp
@@ -172,3 +172,21 @@
   CHECK(At.call("/transaction/commit", "", "k1").Outcome == "done");
   CHECK(At.lookUp("bales") == "1");
 }
+
+TEST_CASE("A caller who leaves while it waits is taken out", "[transaction]") {
+  // The one connection is busy with a transaction. Another clerk's scan waits
+  // for it and the clerk gives up. Run later, for nobody, the scan would move
+  // a bale that the clerk believes to be where it was.
+  OneConnection At;
+  At.beginWith("put gate 4");
+  auto Other = At.Cluster.connectTo("entry-1");
+  At.Cluster.askOver(*Other, {.Key = "k2", .Body = "put bale haulier"});
+  At.Cluster.Loop.runFor(Millis(20));
+  CHECK(At.Cluster.Proxies["entry-1"]->statements().inFlight() == 1);
+  Other.reset();
+  At.Cluster.Loop.runFor(Millis(20));
+  CHECK(At.Cluster.Proxies["entry-1"]->statements().inFlight() == 0);
+  CHECK(At.call("/transaction/commit", "", "k1").Outcome == "done");
+  CHECK(At.lookUp("gate") == "4");
+  CHECK(At.lookUp("bale").empty());
+}
