Give connection rights back before a planned stop

Cause: a proxy that stopped as planned left its connections unused for the 10 s of its rights, so a rolling restart of all took them from the others one part after the other. It now closes what it has and reports that last.

--- a/Source/App/Process.cpp
+++ b/Source/App/Process.cpp
@@ -147,6 +147,8 @@
   }
   if (Left > 0)
     logEvent(EventId::StopBoundReached, {{"unfinished", std::to_string(Left)}});
+  if (Proxy)
+    Proxy->giveBackRights();
   Loop.stop();
 }
 
--- a/Source/Proxy/ProxyNode.cpp
+++ b/Source/Proxy/ProxyNode.cpp
@@ -95,6 +95,12 @@
       Rights.request(Statements.connectionUse(), LastRightsRequest));
 }
 
+void ProxyNode::giveBackRights() {
+  Rights.leave();
+  Statements.rightsChanged();
+  requestRights();
+}
+
 void ProxyNode::on(const Envelope &, const RightsGrant &Body) {
   if (Rights.apply(Body)) {
     requestRights();
--- a/Source/Proxy/ProxyNode.h
+++ b/Source/Proxy/ProxyNode.h
@@ -33,6 +33,10 @@
     return Statements.isBound(Peer);
   }
 
+  /// Closes what isn't in use and gives the rights to it back, before a
+  /// planned stop. Otherwise nobody could use them until they expire.
+  void giveBackRights();
+
   /// True while the balancer may send callers here.
   bool isReady() const;
 
--- a/Tests/Unit/AdmissionClusterTest.cpp
+++ b/Tests/Unit/AdmissionClusterTest.cpp
@@ -241,3 +241,28 @@
   CHECK(Lent("entry-2") == 6);
   CHECK(Most <= 6);
 }
+
+TEST_CASE("A planned stop leaves its connections to the others",
+          "[admission][cluster]") {
+  // A busy proxy stops as planned. The other proxy, whose callers wait for
+  // connections, has all of them within two seconds, and not after ten.
+  FakeCluster Cluster(6);
+  Cluster.TargetOptions.ServiceTime = Millis(20);
+  Cluster.bringUp(TwoOrganisations);
+  const auto Load = [&](const std::string &Proxy, std::int64_t Span) {
+    for (std::int64_t At = 0; At < Span; At += 4) {
+      Cluster.ask(Proxy, {.Kind = "lookup", .Body = "get bale"});
+      Cluster.Loop.runFor(Millis(4));
+    }
+  };
+  Load("entry-1", 1500);
+  Cluster.Loop.runFor(Millis(600));
+  Cluster.Proxies["entry-1"]->giveBackRights();
+  Cluster.Loop.runFor(Millis(10));
+  Cluster.kill("entry-1");
+  Load("entry-2", 2000);
+  std::uint32_t Most = 0;
+  for (const auto &[Name, Each] : Cluster.Proxies["entry-2"]->rights().shares())
+    Most = std::max(Most, Each);
+  CHECK(Most == 6);
+}
