Report targets in trouble only

Cause: by the slopes, a lease request carried a report on every target, 36.6 bytes each: 2,382 KB/s a node at the size to come, and most of the processor time of a renewal. Control needs to know who sees trouble, and who watches at all; that is any proxy that has a view. A proxy without one neither counts for a primary nor against it.

--- a/Source/Failover/FailoverCoordinator.cpp
+++ b/Source/Failover/FailoverCoordinator.cpp
@@ -41,15 +41,11 @@
   std::size_t Live = 0;
   std::size_t Against = 0;
   for (const auto &[Id, Holder] : Leases.holders()) {
-    if (Now - Holder.LastHeard > Policy.LeaseDuration)
+    if (Now - Holder.LastHeard > Policy.LeaseDuration || !Holder.isWatching())
       continue;
-    for (const TargetReport &Each : Holder.Reports) {
-      if (Each.Target != Target)
-        continue;
-      ++Live;
-      if (!Each.Reachable || Each.Stalled)
-        ++Against;
-    }
+    ++Live;
+    if (Holder.trouble(Target) != nullptr)
+      ++Against;
   }
   return Live > 0 && Against * 2 > Live;
 }
--- a/Source/Lease/LeaseRegistry.cpp
+++ b/Source/Lease/LeaseRegistry.cpp
@@ -25,6 +25,14 @@
          Rounding;
 }
 
+const TargetReport *
+LeaseRegistry::Holder::trouble(const std::string &Target) const {
+  for (const TargetReport &Each : Reports)
+    if (Each.Target == Target && Each.isTrouble())
+      return &Each;
+  return nullptr;
+}
+
 void LeaseRegistry::begin(const ClusterView &View, Millis Now) {
   Holders.clear();
   const std::uint32_t DriftPpm =
--- a/Source/Lease/LeaseRegistry.h
+++ b/Source/Lease/LeaseRegistry.h
@@ -51,11 +51,16 @@
     std::uint64_t Applied = 0;
     /// Of the latest request, which also gave the three below.
     std::uint64_t Sequence = 0;
-    std::uint64_t ReportedAt = 0; ///< The revision applied by then.
-    std::vector<TargetReport> Reports;
+    std::uint64_t ReportedAt = 0;      ///< The revision applied by then.
+    std::vector<TargetReport> Reports; ///< Of targets in trouble.
     std::set<std::string> Running;
     /// Latest end of the leases that require a revision, by that revision.
     std::map<std::uint64_t, Millis> Ends;
+
+    /// What it reports of a target; null where it sees no trouble there.
+    const TargetReport *trouble(const std::string &Target) const;
+    /// It has a view, and so watches the targets in it.
+    bool isWatching() const { return Applied > 0; }
   };
 
   const std::map<ProcessId, Holder> &holders() const { return Holders; }
--- a/Source/Lease/Messages.h
+++ b/Source/Lease/Messages.h
@@ -10,7 +10,9 @@
 
 namespace corianderdyke {
 
-/// What a proxy sees of a target that it watches.
+/// What a proxy sees of a target that it watches. Only targets in trouble are
+/// sent: a report on each would, with thousands of targets, cost a node far
+/// more than all else that control does.
 struct TargetReport {
   std::string Target;
   bool Reachable = true;
@@ -18,6 +20,8 @@
   /// A primary that takes writes and copies them to too few replicas.
   bool Stalled = false;
 
+  bool isTrouble() const { return !Reachable || Stalled; }
+
   auto operator<=>(const TargetReport &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Target, Reachable, SilentFor, Stalled);
@@ -31,7 +35,7 @@
   std::uint64_t Sequence = 0;
   Millis SentAt; ///< By the proxy's clock; echoed and not interpreted.
   std::uint64_t AppliedRevision = 0;
-  std::vector<TargetReport> Reports;
+  std::vector<TargetReport> Reports; ///< Of targets in trouble.
   /// Databases at whose primary something of this proxy still runs.
   std::set<std::string> Running = {};
 
--- a/Source/Operators/StatusReport.cpp
+++ b/Source/Operators/StatusReport.cpp
@@ -29,20 +29,25 @@
 struct Sightings {
   std::size_t WatchedBy = 0;
   std::size_t ReachableFrom = 0;
-  std::optional<Millis> SilentFor; ///< The shortest.
+  /// The shortest silence, where every proxy that watches reports one.
+  std::optional<Millis> SilentFor;
 };
 
 Sightings sightings(const LeaseRegistry &Leases, const std::string &Target) {
   Sightings Out;
-  for (const auto &[Id, Holder] : Leases.holders())
-    for (const TargetReport &Each : Holder.Reports) {
-      if (Each.Target != Target)
-        continue;
-      ++Out.WatchedBy;
-      Out.ReachableFrom += Each.Reachable ? 1 : 0;
-      Out.SilentFor =
-          std::min(Out.SilentFor.value_or(Each.SilentFor), Each.SilentFor);
-    }
+  for (const auto &[Id, Holder] : Leases.holders()) {
+    if (!Holder.isWatching())
+      continue;
+    ++Out.WatchedBy;
+    const TargetReport *Trouble = Holder.trouble(Target);
+    if (Trouble == nullptr || Trouble->Reachable)
+      ++Out.ReachableFrom;
+    else
+      Out.SilentFor = std::min(Out.SilentFor.value_or(Trouble->SilentFor),
+                               Trouble->SilentFor);
+  }
+  if (Out.ReachableFrom > 0)
+    Out.SilentFor.reset();
   return Out;
 }
 
--- a/Source/Proxy/ProxyNode.cpp
+++ b/Source/Proxy/ProxyNode.cpp
@@ -98,7 +98,7 @@
   Ports.Peers.send(leader().Peers, Delivery::Datagram,
                    LeaseRequest{Id, Options.Where, Lease.nextSequence(), Now,
                                 Lease.appliedRevision(),
-                                Table.reports(View, Now),
+                                Table.troubles(View, Now),
                                 Statements.running()});
 }
 
--- a/Source/Routing/TargetTable.cpp
+++ b/Source/Routing/TargetTable.cpp
@@ -149,6 +149,16 @@
   return Out;
 }
 
+std::vector<TargetReport> TargetTable::troubles(const ClusterView &View,
+                                                Millis Now) const {
+  std::vector<TargetReport> Out = reports(View, Now);
+  Out.erase(std::remove_if(
+                Out.begin(), Out.end(),
+                [](const TargetReport &Each) { return !Each.isTrouble(); }),
+            Out.end());
+  return Out;
+}
+
 std::size_t TargetTable::copies(const GroupRecord &Group,
                                 std::uint64_t Position) const {
   // A former primary that was fenced and not yet told whom to follow reports
--- a/Source/Routing/TargetTable.h
+++ b/Source/Routing/TargetTable.h
@@ -47,8 +47,10 @@
   /// Targets that can't be reached now.
   std::set<std::string> unreachable(Millis SuspectAfter, Millis Now) const;
 
-  /// What control is told of the targets; nothing before the first manifest.
+  /// What is seen of all targets; nothing before the first manifest.
   std::vector<TargetReport> reports(const ClusterView &View, Millis Now) const;
+  /// Of those, the targets in trouble: what control is told.
+  std::vector<TargetReport> troubles(const ClusterView &View, Millis Now) const;
 
   /// True where a primary is ahead of replicas that answer but took nothing
   /// for long, so that no write can be acknowledged. A replica that lags far
--- a/Utilities/Capacity/TargetSize.cpp
+++ b/Utilities/Capacity/TargetSize.cpp
@@ -87,7 +87,7 @@
     Out.push_back(
         {"node", "lease traffic", "(lease-request + lease-grant) / interval",
          "KB/s", KilobytesPerSecond,
-         (at("lease-request-bytes", Targets) + at("lease-grant-bytes", 1)) /
+         (at("lease-request-bytes", 0) + at("lease-grant-bytes", 1)) /
              RenewalSeconds / Kilo,
          Shards * (at("lease-request-bytes", 0) + at("lease-grant-bytes", 1)) /
              PlannedRenewalSeconds / Kilo,
@@ -100,7 +100,7 @@
                    changeBytesPerSecond() / Kilo, "as today"});
     Out.push_back({"node", "processor time of leases", "renewal-wire a renewal",
                    "% core", CorePercent,
-                   at("renewal-wire-micros", Targets) / RenewalSeconds /
+                   at("renewal-wire-micros", 0) / RenewalSeconds /
                        MicrosPerSecond * Percent,
                    Shards * at("renewal-wire-micros", 0) /
                        PlannedRenewalSeconds / MicrosPerSecond * Percent,
@@ -131,8 +131,7 @@
         {"control leader", "processor time of renewals",
          "nodes / interval x (renewal-wire + renewal)", "% core", 0,
          Nodes / RenewalSeconds *
-             (at("renewal-wire-micros", Databases * TargetsPerDatabase) +
-              at("renewal-micros", Nodes)) /
+             (at("renewal-wire-micros", 0) + at("renewal-micros", Nodes)) /
              MicrosPerSecond * Percent,
          Nodes / PlannedRenewalSeconds * RenewalMicros / MicrosPerSecond *
              Percent,
