--- a/Source/Control/ControlNode.cpp
+++ b/Source/Control/ControlNode.cpp
@@ -280,8 +280,8 @@
   if (Leading) {
     Leases.begin(State.view(), Ports.Time.now());
     Failover.begin();
-    Connections.begin(Agreement.term(), State.view(), Ports.Time.now());
     Announcements.begin(State.view(), Ports.Time.now());
+    Connections.begin(Agreement.term(), State.view(), Ports.Time.now());
     Published = State.view();
     SentAt.clear();
   }
--- a/Source/Proxy/ProxyNode.cpp
+++ b/Source/Proxy/ProxyNode.cpp
@@ -5,6 +5,8 @@
 
 #include "Common/KeyedDigest.h"
 
+#include <algorithm>
+
 namespace corianderdyke {
 
 namespace {
@@ -14,6 +16,9 @@
 /// datagram or a change of the control leader doesn't end it.
 constexpr std::int64_t RequestsPerLease = 5;
 constexpr Millis RequestIntervalWithoutManifest(100);
+/// How often the targets' silence is looked at in the time after which one is
+/// suspected: a twentieth of it is added to the failover gap at the most.
+constexpr std::int64_t SilenceChecks = 20;
 /// Another control host is asked after this long without an answer.
 constexpr Millis LeaderPatience(250);
 /// Rights are asked for twenty times in their duration, and within the time
@@ -55,14 +60,34 @@
     requestLease();
   renewRights(Now);
   Statements.tick();
+  reportSilence(Now);
   if (Lease.isHeld(Now) != HeldLease) {
     HeldLease = !HeldLease;
     LeaseChanged.emit(HeldLease);
   }
   WriteGaps.update(View, Table, HeldLease, Now);
+  if (Stop)
+    continueStop();
   Ports.Timers.after(TickInterval, [this] { tick(); });
 }
 
+void ProxyNode::reportSilence(Millis Now) {
+  // Left to the next renewal, a silent primary would be missed later by up to
+  // the whole interval of renewals.
+  if (!View.Current)
+    return;
+  const Millis SuspectAfter = View.Current->Failover.SuspectAfter;
+  if (Now - LastSilenceCheck < SuspectAfter / SilenceChecks)
+    return;
+  LastSilenceCheck = Now;
+  std::set<std::string> Found = Table.unreachable(SuspectAfter, Now);
+  const bool News = !std::includes(Unreachable.begin(), Unreachable.end(),
+                                   Found.begin(), Found.end());
+  Unreachable = std::move(Found);
+  if (News)
+    requestLease();
+}
+
 const ControlHost &ProxyNode::leader() const {
   return Options.Controls[Leader];
 }
@@ -155,7 +180,28 @@
                    ViewApplied{Id, Lease.appliedRevision()});
 }
 
-bool ProxyNode::isReady() const { return Lease.isHeld(Ports.Time.now()); }
+bool ProxyNode::isReady() const {
+  return !Stop && Lease.isHeld(Ports.Time.now());
+}
+
+void ProxyNode::drain(std::function<void()> OnDone) {
+  if (Stop)
+    return;
+  OnStopped = std::move(OnDone);
+  Stop.emplace(Ports.Time.now(), Options.StopNotice,
+               View.Current ? View.Current->Limits.TransactionIdle : Millis());
+  continueStop();
+}
+
+void ProxyNode::continueStop() {
+  const Millis Now = Ports.Time.now();
+  Statements.setIntake(Stop->intake(Now));
+  if (Stop->endsTransactions(Now))
+    Statements.endIdleTransactions();
+  const OpenWork Left{Statements.inFlight(), Statements.openTransactions()};
+  if (OnStopped && Stop->isDone(Left, Now))
+    std::exchange(OnStopped, nullptr)();
+}
 
 void ProxyNode::handle(const HttpRequest &Request,
                        std::shared_ptr<HttpExchange> Exchange) {
--- a/Source/Proxy/ProxyNode.h
+++ b/Source/Proxy/ProxyNode.h
@@ -4,6 +4,7 @@
 #ifndef CORIANDERDYKE_PROXY_PROXYNODE_H
 #define CORIANDERDYKE_PROXY_PROXYNODE_H
 
+#include "Proxy/GracefulStop.h"
 #include "Proxy/StatementService.h"
 #include "Proxy/WriteGapMeter.h"
 #include "Settings/Settings.h"
@@ -40,6 +41,11 @@
   /// True while the balancer may send callers here.
   bool isReady() const;
 
+  /// Begins a planned stop: not ready from now on, serves what is in flight
+  /// and queued, ends open transactions by their idle bound, then calls
+  /// \p OnDone once. A second call does nothing.
+  void drain(std::function<void()> OnDone);
+
   const ClusterView &view() const { return View; }
   const LeaseHolder &lease() const { return Lease; }
   const ConnectionRights &rights() const { return Rights; }
@@ -52,9 +58,11 @@
 
 private:
   void tick();
+  void continueStop();
   void requestLease();
   void requestRights();
   void renewRights(Millis Now);
+  void reportSilence(Millis Now);
   void receive(const Envelope &Arrived);
   void on(const Envelope &From, const LeaseGrant &Body);
   void on(const Envelope &From, const NotLeader &Body);
@@ -75,6 +83,8 @@
   TargetTable Table;
   TargetWatcher Watcher;
   StatementService Statements;
+  std::optional<GracefulStop> Stop;
+  std::function<void()> OnStopped;
   WriteGapMeter WriteGaps;
   /// Index in Options.Controls of the host that is asked for leases.
   std::size_t Leader = 0;
@@ -83,6 +93,8 @@
   Millis LastRightsRequest = Millis(-1000000);
   bool HeldRights = false;
   bool HeldLease = false;
+  Millis LastSilenceCheck;
+  std::set<std::string> Unreachable; ///< At the last check.
   sigc::signal<void(bool)> LeaseChanged;
 };
 
--- a/Source/Rights/ConnectionLedger.cpp
+++ b/Source/Rights/ConnectionLedger.cpp
@@ -22,6 +22,11 @@
   const TargetAnnouncement *Known = View.target(Target);
   if (Known == nullptr || !View.Current)
     return 0;
+  // A leaving primary serves until another has taken its place. Without its
+  // connections even strict reads would wait for the end of the hand-over.
+  const GroupRecord *Group = View.group(Known->Database);
+  if (Known->Leaving && (Group == nullptr || Group->Primary != Target))
+    return 0;
   const DatabasePolicy *Policy = View.Current->database(Known->Database);
   return Policy == nullptr ? 0 : Policy->ConnectionsPerTarget;
 }
--- a/Tests/StandIn/CallerMain.cpp
+++ b/Tests/StandIn/CallerMain.cpp
@@ -107,7 +107,8 @@
 /// Sends a statement a single time and prints whatever came.
 int sendOnce(const CallerOptions &Options) {
   EventLoop Loop;
-  const auto Answer = call(Loop, Options.Proxies.front(), Options, Options.Key);
+  const auto Answer =
+      call(Loop, Options.Proxies.front(), Options, issuedKey(Options.Key));
   if (!Answer) {
     std::cout << "no answer: " << Answer.error().Message << "\n";
     return 1;
--- a/Tests/Unit/ConsensusTest.cpp
+++ b/Tests/Unit/ConsensusTest.cpp
@@ -198,6 +198,26 @@
   CHECK(Host.commitIndex() == 3);
 }
 
+TEST_CASE("A disk is lost while the group forms", "[consensus]") {
+  // All hosts start for the first time, and one loses its disk before the
+  // group has formed. Had each host written its own list of founders, two
+  // could hold other first entries. The group forms, and the logs agree.
+  const auto Seed = GENERATE(range(1, 101));
+  FakeControlGroup Group(static_cast<std::uint64_t>(Seed), 3);
+  Group.Quality = {0, 0, Millis(300)};
+  Group.run(Millis(static_cast<std::int64_t>(Group.Random() % 600)));
+  const std::string Name = Seed % 2 == 0 ? "control-2" : "control-3";
+  Group.crash(Name);
+  Group.loseDisk(Name);
+  Group.start(Name);
+  for (int Each = 0; Each < 200; ++Each) {
+    Group.run(Millis(10));
+    REQUIRE_NOTHROW(Group.checkLogs());
+  }
+  Group.Quality = {};
+  CHECK(Group.runUntil([&] { return Group.isSettled(); }));
+}
+
 TEST_CASE("A returning host doesn't topple a working leader", "[consensus]") {
   // A host sits behind a partition for ten seconds and asks for votes in vain.
   // On its return the leader leads on in the same term.
@@ -210,6 +230,13 @@
   Three.Group.run(Millis(3000));
   CHECK(Three.leaderName() == Leader);
   CHECK(Three.Group.leader()->term() == Term);
+  // Nor does a vote that it had asked for before, and that comes late.
+  const Consensus *Late = Three.Group.host(Three.follower());
+  Three.Group.leader()->receive(
+      {{Three.follower(), Late->log().diskId()},
+       VoteRequest{Term + 5, false, Late->log().lastIndex(), Term}},
+      Three.Group.Now);
+  CHECK(Three.Group.leader()->term() == Term);
 }
 
 TEST_CASE("A stale leader confirms no read", "[consensus]") {
@@ -379,3 +406,23 @@
   CHECK(Group.leader()->removeVoter("control-9", Group.Now).error().Code !=
         ErrorCode::Unavailable);
 }
+
+TEST_CASE("A leader that lacks a committed entry is an error", "[consensus]") {
+  // Two groups have met, or a disk has lied. The operator is told, and what
+  // was accepted stays.
+  ThreeHosts Three;
+  Consensus *Host = Three.Group.host(Three.follower());
+  const std::uint64_t Accepted = Host->commitIndex();
+  const Member Other{Three.leaderName(), "another disk"};
+  Host->receive({Other, AppendRequest{Host->term() + 1,
+                                      0,
+                                      0,
+                                      0,
+                                      1,
+                                      {Entry{1, Host->term() + 1,
+                                             EntryKind::Command, "other"}}}},
+                Three.Group.Now);
+  REQUIRE(Host->failure());
+  CHECK(Host->failure()->Code == ErrorCode::Corrupt);
+  CHECK(Host->log().lastIndex() >= Accepted);
+}
