--- a/Utilities/Capacity/TargetSize.cpp
+++ b/Utilities/Capacity/TargetSize.cpp
@@ -91,8 +91,7 @@
              RenewalSeconds / Kilo,
          Shards * (at("lease-request-bytes", 0) + at("lease-grant-bytes", 1)) /
              PlannedRenewalSeconds / Kilo,
-         "reports of unreachable targets only; 3 s leases; one "
-         "lease a shard"});
+         "3 s leases; one lease a shard"});
     Out.push_back({"node", "traffic of changes",
                    "manifest changes x delta by manifest + others x delta by "
                    "database",
