Join the two ways of stopping, and guard changed numbers of copies

Three things that only showed once all parts stood together:

- A planned stop was decided twice: by the process, which counted open sockets, and by the proxy, which counts statements and transactions.
The process now asks the proxy to drain, and looks at its sockets after it.
- A manifest that raised copies or changed targets made a failover read fewer targets than former acknowledgements needed: with copies raised from 1 to 2 and the primary gone, a confirmed handover was lost ("the session's last write was lost in a failover").
Until every target has shown, after the new manifest is in force, that it holds what was acknowledged before, a failover reads as many as either manifest asks for; meanwhile the numbers can't be changed without a primary.
Ruled out: counting only the primary as settled, after which three live targets without a primary stand still for ever (seen).
The test fails without it.

Queue lengths, waits, refusals by reason, retries, connection rights and what is lent are metrics now; status shows what is lent of each target. A proxy that drains still holds its lease, and the metric says so.

--- a/Source/App/Process.cpp
+++ b/Source/App/Process.cpp
@@ -112,7 +112,7 @@
   logEvent(EventId::Stopping, {{"reason", Reason}});
   Operators->beginStopping();
   const Millis Until = Time.now() + Options.StopNotice + Options.StopBound;
-  if (!CallerPort) {
+  if (!Proxy) {
     stopWhenIdle(Until);
     return;
   }
@@ -120,20 +120,15 @@
   // answer. New ones are still served, since the balancer sends them until it
   // has seen that this process isn't ready.
   CallerPort->closeAfterAnswers();
-  Loop.after(Options.StopNotice, [this, Until] {
-    closeCallers();
-    stopWhenIdle(Until);
-  });
+  Loop.after(Options.StopNotice, [this] { CallerPort->stopListening(); });
+  Proxy->drain([this, Until] { stopWhenIdle(Until); });
+  Loop.after(Until - Time.now(), [this, Until] { stopWhenIdle(Until); });
 }
 
-void Process::closeCallers() { CallerPort->stopListening(); }
-
 std::size_t Process::unfinished() const {
   std::size_t Out = OperatorPort->unanswered();
   if (CallerPort)
     Out += CallerPort->unanswered();
-  // A transaction whose caller is between two statements is in flight too;
-  // the manifest bounds how long it may idle.
   if (Proxy)
     Out += Proxy->statements().openTransactions();
   return Out;
--- a/Source/App/Process.h
+++ b/Source/App/Process.h
@@ -36,7 +36,6 @@
   Expected<void> openListeners();
   void connectLogs();
   void beginStop(const std::string &Reason);
-  void closeCallers();
   void stopWhenIdle(Millis Until);
   std::size_t unfinished() const;
   void reload();
--- a/Source/Failover/FailoverCoordinator.cpp
+++ b/Source/Failover/FailoverCoordinator.cpp
@@ -23,10 +23,6 @@
 /// within this time.
 constexpr Millis OthersFirst(150);
 
-std::size_t readingsNeeded(const DatabasePolicy &Policy) {
-  return Policy.Targets - Policy.Copies + 1;
-}
-
 /// Higher log term first: a target that followed a fork may hold a higher
 /// position of a term that lost.
 bool isBehind(const TargetPosition &Left, const TargetPosition &Right) {
@@ -92,7 +88,8 @@
 }
 
 void FailoverCoordinator::stepForming(const Step &In, Progress &At) {
-  if (In.View.targetsOf(In.Group.Database).size() < readingsNeeded(In.Policy) ||
+  if (In.View.targetsOf(In.Group.Database).size() <
+          In.Group.readingsNeeded(In.Policy) ||
       In.Now < At.ProposedUntil)
     return;
   At.ProposedUntil = In.Now + ProposeAgainAfter;
@@ -151,7 +148,7 @@
     if (Group.isSettled(Each) &&
         !isSuspected(Each.Name, In.Leases, In.View.Current->Failover, In.Now))
       ++Ready;
-  const std::size_t Needed = readingsNeeded(In.Policy);
+  const std::size_t Needed = In.Group.readingsNeeded(In.Policy);
   const std::string Who = Group.Primary + " is leaving";
   if (Ready < Needed) {
     if (!std::exchange(At.Noted, true))
@@ -212,11 +209,15 @@
   const GroupRecord &Group = In.Group;
   const TargetAnnouncement &Primary = *In.View.target(Group.Primary);
   for (const TargetAnnouncement &Each : In.View.targetsOf(Group.Database)) {
-    if (Group.isSettled(Each) || Each.Name == Group.Primary)
+    const bool Proven =
+        Group.isSettled(Each) && Group.Unproven.count(Each.Name) == 0;
+    if (Proven || Each.Name == Group.Primary)
       continue;
     CatchUp &Of = At.Joining[Each.Name];
-    if (Of.Revision == 0 || Of.LogId != Each.LogId)
-      Of = {Each.LogId, In.View.Revision, false, std::nullopt, false};
+    const std::uint64_t Version = In.View.Current->Version;
+    if (Of.Revision == 0 || Of.LogId != Each.LogId ||
+        Of.ManifestVersion != Version)
+      Of = {Each.LogId, Version, In.View.Revision, false, std::nullopt, false};
     if (!In.Leases.isInForce(In.View, Of.Revision, In.Now))
       continue;
     if (Of.Reached && In.Now >= At.ProposedUntil) {
@@ -282,7 +283,7 @@
   // A target that came back without its log proves nothing by its position.
   std::vector<TargetAnnouncement> Read = readTargets(In, At, true);
   const std::size_t Readings = Read.size();
-  const std::size_t Needed = readingsNeeded(In.Policy);
+  const std::size_t Needed = In.Group.readingsNeeded(In.Policy);
   std::string Reason =
       std::to_string(Readings) + " of " + std::to_string(In.Policy.Targets) +
       " targets told their position, " + std::to_string(Needed) + " are needed";
@@ -321,7 +322,7 @@
       Others.push_back(Each);
   if (Others.size() == Read.size())
     return true;
-  if (Others.size() < readingsNeeded(In.Policy))
+  if (Others.size() < In.Group.readingsNeeded(In.Policy))
     return In.Now - Of.At.Since >= OthersFirst;
   Read = std::move(Others);
   return true;
--- a/Source/Failover/FailoverCoordinator.h
+++ b/Source/Failover/FailoverCoordinator.h
@@ -75,6 +75,8 @@
   /// all that was acknowledged with the copy of one that left is below that.
   struct CatchUp {
     std::string LogId;
+    /// Proof counts from the manifest that was in force when it began.
+    std::uint64_t ManifestVersion = 0;
     std::uint64_t Revision = 0; ///< To be in force first.
     bool Asked = false;         ///< The primary, for its position.
     std::optional<std::uint64_t> PrimaryPosition;
--- a/Source/Operators/MetricSet.cpp
+++ b/Source/Operators/MetricSet.cpp
@@ -56,6 +56,25 @@
        "proxy",
        "Time in which a database wasn't writable through this proxy, from "
        "the failed primary's last answer on."},
+      {"corianderdyke_queue_length", MetricType::Gauge, "database, access",
+       "proxy", "Statements that wait here for a connection to a target."},
+      {"corianderdyke_queue_sent_total", MetricType::Counter,
+       "database, access", "proxy",
+       "Statements that left the queue for a "
+       "target."},
+      {"corianderdyke_queue_wait_seconds_total", MetricType::Counter,
+       "database, access", "proxy",
+       "Time that the statements which were sent had waited, in sum."},
+      {"corianderdyke_refusals_total", MetricType::Counter,
+       "database, access, reason", "proxy",
+       "Statements that were refused, or given up, in the queue."},
+      {"corianderdyke_read_retries_total", MetricType::Counter, "", "proxy",
+       "Reads that were sent again after an answer was lost."},
+      {"corianderdyke_connection_rights", MetricType::Gauge, "target", "proxy",
+       "Connections to the target that control has lent to this proxy."},
+      {"corianderdyke_connections_lent", MetricType::Gauge, "target", "control",
+       "Connections to the target that may be open over all proxies, on the "
+       "leading control host."},
       {"corianderdyke_failover_seconds", MetricType::Histogram, "", "control",
        "Time from the fencing of a primary to the promotion of the next, on "
        "the leading control host."},
--- a/Source/Operators/OperatorService.cpp
+++ b/Source/Operators/OperatorService.cpp
@@ -297,7 +297,9 @@
         Counts.Writes);
   To.add("corianderdyke_statements_in_flight",
          static_cast<double>(From.Proxy->statements().inFlight()));
-  To.add("corianderdyke_lease_held", From.Proxy->isReady() ? 1 : 0);
+  addAdmissionMetrics(To);
+  To.add("corianderdyke_lease_held",
+         From.Proxy->lease().isHeld(From.Time.now()) ? 1 : 0);
   To.add("corianderdyke_ready", isReady() ? 1 : 0);
   To.add("corianderdyke_applied_revision",
          static_cast<double>(From.Proxy->lease().appliedRevision()));
@@ -305,6 +307,35 @@
          From.Proxy->writeGaps().gaps());
 }
 
+void OperatorService::addAdmissionMetrics(MetricSet &To) const {
+  const StatementService &Statements = From.Proxy->statements();
+  constexpr double MillisASecond = 1000;
+  for (const QueueStatus &Each : Statements.queues()) {
+    const MetricSet::Labels Of = {
+        {"database", Each.Database},
+        {"access", Each.Mode == Access::Read ? "read" : "write"}};
+    const AdmissionCounts &Counts = Each.Counts;
+    To.add("corianderdyke_queue_length", static_cast<double>(Each.Queued), Of);
+    To.add("corianderdyke_queue_sent_total", static_cast<double>(Counts.Sent),
+           Of);
+    To.add("corianderdyke_queue_wait_seconds_total",
+           static_cast<double>(Counts.TotalWait.count()) / MillisASecond, Of);
+    const auto Refused = [&To, &Of](const char *Reason, std::uint64_t Count) {
+      MetricSet::Labels All = Of;
+      All.push_back({"reason", Reason});
+      To.add("corianderdyke_refusals_total", static_cast<double>(Count), All);
+    };
+    Refused("deadline-out-of-reach", Counts.DeadlineOutOfReach);
+    Refused("queue-full", Counts.QueueFull);
+    Refused("displaced", Counts.Displaced);
+    Refused("given-up", Counts.GivenUp);
+  }
+  To.add("corianderdyke_read_retries_total",
+         static_cast<double>(Statements.retries().taken()));
+  for (const auto &[Target, Share] : From.Proxy->rights().shares())
+    To.add("corianderdyke_connection_rights", Share, {{"target", Target}});
+}
+
 void OperatorService::addControlMetrics(MetricSet &To) const {
   const Consensus &Agreement = From.Control->consensus();
   const ClusterView &View = From.Control->applied().view();
@@ -313,6 +344,10 @@
   To.add("corianderdyke_control_term", static_cast<double>(Agreement.term()));
   To.add("corianderdyke_control_revision", static_cast<double>(View.Revision));
   To.add("corianderdyke_proxies", static_cast<double>(View.Proxies.size()));
+  if (Agreement.isSettledLeader())
+    for (const auto &[Name, Target] : View.Targets)
+      To.add("corianderdyke_connections_lent",
+             From.Control->connections().outstanding(Name), {{"target", Name}});
   for (const auto &[Name, Group] : View.Groups) {
     To.add("corianderdyke_group_promoted", Group.isWritable() ? 1 : 0,
            {{"database", Name}});
--- a/Source/Operators/OperatorService.h
+++ b/Source/Operators/OperatorService.h
@@ -58,6 +58,7 @@
   bool isReady() const;
   std::string metrics() const;
   void addProxyMetrics(MetricSet &To) const;
+  void addAdmissionMetrics(MetricSet &To) const;
   void addControlMetrics(MetricSet &To) const;
   void observeFailover(const AuditRecord &Line);
 
--- a/Source/Operators/StatusReport.cpp
+++ b/Source/Operators/StatusReport.cpp
@@ -51,30 +51,32 @@
   return Out;
 }
 
-nlohmann::json targetReport(const LeaseRegistry &Leases,
+nlohmann::json targetReport(const ControlNode &Control,
                             const GroupRecord &Group,
                             const TargetAnnouncement &Each) {
-  const Sightings Seen = sightings(Leases, Each.Name);
-  nlohmann::json Out = {{"name", Each.Name},
-                        {"address", Each.Address.text()},
-                        {"failure_domain", Each.Where.FailureDomain},
-                        {"role", Each.Leaving                 ? "leaving"
-                                 : Each.Name == Group.Primary ? "primary"
-                                                              : "replica"},
-                        {"settled", Group.isSettled(Each)},
-                        {"watched_by", Seen.WatchedBy},
-                        {"reachable_from", Seen.ReachableFrom}};
+  const Sightings Seen = sightings(Control.leases(), Each.Name);
+  nlohmann::json Out = {
+      {"name", Each.Name},
+      {"address", Each.Address.text()},
+      {"failure_domain", Each.Where.FailureDomain},
+      {"role", Each.Leaving                 ? "leaving"
+               : Each.Name == Group.Primary ? "primary"
+                                            : "replica"},
+      {"settled", Group.isSettled(Each)},
+      {"connections_lent", Control.connections().outstanding(Each.Name)},
+      {"watched_by", Seen.WatchedBy},
+      {"reachable_from", Seen.ReachableFrom}};
   if (Seen.SilentFor)
     Out["silent_for_ms"] = Seen.SilentFor->count();
   return Out;
 }
 
-nlohmann::json groupReport(const ClusterView &View, const LeaseRegistry &Leases,
+nlohmann::json groupReport(const ControlNode &Control, const ClusterView &View,
                            const GroupRecord &Group) {
   nlohmann::json Targets = nlohmann::json::array();
   for (const auto &[Name, Each] : View.Targets)
     if (Each.Database == Group.Database)
-      Targets.push_back(targetReport(Leases, Group, Each));
+      Targets.push_back(targetReport(Control, Group, Each));
   return {{"database", Group.Database},
           {"phase", word(Group.Phase)},
           {"term", Group.Term},
@@ -117,7 +119,7 @@
   const ClusterView &View = State.view();
   nlohmann::json Groups = nlohmann::json::array();
   for (const auto &[Name, Group] : View.Groups)
-    Groups.push_back(groupReport(View, Control.leases(), Group));
+    Groups.push_back(groupReport(Control, View, Group));
   nlohmann::json Proxies = nlohmann::json::array();
   for (const auto &[Id, Where] : View.Proxies)
     Proxies.push_back(proxyReport(Control.leases(), State, Id, Where, Now));
--- a/Source/Proxy/StatementService.cpp
+++ b/Source/Proxy/StatementService.cpp
@@ -737,11 +737,6 @@
   if (What == Outcome::Unknown)
     ++Counts.Unknown;
   Response.Headers[caller_header::Outcome] = word(What);
-  // A caller with a kept connection would never meet the balancer's choice
-  // again. One inside a transaction has only this connection for it.
-  if (Accepts != Intake::Open &&
-      !Transactions.isOpen(Each->Statement.Transaction))
-    Response.Headers["Connection"] = "close";
   if (!Each->Way.Target.empty()) {
     Response.Headers[caller_header::Target] = Each->Way.Target;
     Response.Headers[caller_header::ServedBy] =
--- a/Source/State/ClusterView.cpp
+++ b/Source/State/ClusterView.cpp
@@ -3,6 +3,8 @@
 
 #include "State/ClusterView.h"
 
+#include <algorithm>
+
 namespace corianderdyke {
 
 bool GroupRecord::holds(std::uint64_t InTerm, std::uint64_t Position) const {
@@ -22,6 +24,12 @@
   return Known != Settled.end() && Known->second == Target.LogId;
 }
 
+std::size_t GroupRecord::readingsNeeded(const DatabasePolicy &Policy) const {
+  // A write is acknowledged with Copies targets; that many readings leave out
+  // fewer than Copies, so that one of them has it.
+  return std::max(Policy.Targets - Policy.Copies + 1, LeastReadings);
+}
+
 const GroupRecord *ClusterView::group(const std::string &Database) const {
   const auto Found = Groups.find(Database);
   return Found == Groups.end() ? nullptr : &Found->second;
--- a/Source/State/ClusterView.h
+++ b/Source/State/ClusterView.h
@@ -49,6 +49,15 @@
   std::map<std::string, std::string> Settled = {};
   /// How many times a name that wasn't in the group has joined it.
   std::uint32_t Joins = 0;
+  /// Value of Joins once no target can be one of the group's first any more.
+  static constexpr std::uint32_t NoMoreFirst = UINT32_MAX;
+  /// Targets that a failover reads at the least, where what was acknowledged
+  /// by an earlier manifest asks for more than the present one does. 0 where
+  /// the present one says enough.
+  std::uint32_t LeastReadings = 0;
+  /// Targets that have yet to show, after such a change of the manifest, that
+  /// they hold all that was acknowledged before it.
+  std::set<std::string> Unproven = {};
 
   auto operator<=>(const GroupRecord &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
@@ -58,6 +67,9 @@
 
   bool isSettled(const TargetAnnouncement &Target) const;
 
+  /// Targets that must tell their position before one is promoted.
+  std::size_t readingsNeeded(const DatabasePolicy &Policy) const;
+
   /// True where new work may begin at the primary.
   bool isWritable() const { return Phase == GroupPhase::Promoted; }
   /// True where what runs at the primary may still be acknowledged.
--- a/Source/State/ControlState.cpp
+++ b/Source/State/ControlState.cpp
@@ -65,6 +65,13 @@
                                          " is in force; version " +
                                          std::to_string(New.Version) +
                                          " is behind it" + acceptedBefore(New));
+  // Which copies a failover under way must read would change under it.
+  for (const std::string &Database : databasesWithOtherCopies(New))
+    if (!View.group(Database)->isWritable())
+      return fail(ErrorCode::Conflict,
+                  "'" + Database +
+                      "' has no primary at the moment; its targets and "
+                      "copies can be changed once it has");
   return {};
 }
 
@@ -102,6 +109,40 @@
   return {Revision, std::nullopt};
 }
 
+std::vector<std::string>
+ControlState::databasesWithOtherCopies(const Manifest &New) const {
+  std::vector<std::string> Out;
+  for (const DatabasePolicy &Each : New.Databases) {
+    const DatabasePolicy *Now =
+        View.Current ? View.Current->database(Each.Name) : nullptr;
+    const GroupRecord *Group = View.group(Each.Name);
+    if (Now != nullptr && Group != nullptr && !Group->Forks.empty() &&
+        (Now->Targets != Each.Targets || Now->Copies != Each.Copies))
+      Out.push_back(Each.Name);
+  }
+  return Out;
+}
+
+void ControlState::keepReadings(GroupRecord &Group) const {
+  // Writes that were acknowledged with fewer copies, or in a larger group, may
+  // be on none of the targets that the new numbers have read in a failover:
+  // callers would miss them after it. Until each target has reached a position
+  // that the primary told after the new manifest was in force everywhere, a
+  // failover reads as many as either manifest asks for.
+  const DatabasePolicy *Former = View.Current->database(Group.Database);
+  Group.LeastReadings =
+      static_cast<std::uint32_t>(Group.readingsNeeded(*Former));
+  Group.Joins = GroupRecord::NoMoreFirst;
+  Group.Unproven = Group.Targets;
+  Group.Unproven.erase(Group.Primary);
+}
+
+void ControlState::noteProven(GroupRecord &Group, const std::string &Target) {
+  Group.Unproven.erase(Target);
+  if (Group.Unproven.empty())
+    Group.LeastReadings = 0;
+}
+
 std::optional<Error> ControlState::on(const Command &Entry,
                                       const ApplyManifest &Body) {
   if (auto Checked = check(Body.New); !Checked)
@@ -110,6 +151,8 @@
                .Subject = "manifest",
                .From = View.Current ? describe(*View.Current) : "none",
                .To = describe(Body.New)});
+  for (const std::string &Database : databasesWithOtherCopies(Body.New))
+    keepReadings(View.Groups[Database]);
   View.Current = Body.New;
   View.LongestLease =
       std::max(View.LongestLease, Body.New.Failover.LeaseDuration);
@@ -169,7 +212,8 @@
                               const TargetAnnouncement &Target) const {
   if (!Group.Targets.insert(Target.Name).second)
     return;
-  ++Group.Joins;
+  if (Group.Joins != GroupRecord::NoMoreFirst)
+    ++Group.Joins;
   // One of the first targets of a group, which starts with the first few of
   // them. Nothing was ever acknowledged on the strength of a log that it has
   // lost, nor on that of a target that it takes the place of. Without this a
@@ -191,6 +235,10 @@
     for (const TargetAnnouncement &Each : View.targetsOf(Group.Database))
       Group.Settled[Each.Name] = Each.LogId;
   Group.Settled[Primary.Name] = Primary.LogId;
+  if (Group.LeastReadings > 0) {
+    Group.Unproven = Group.Targets;
+    Group.Unproven.erase(Primary.Name);
+  }
 }
 
 std::optional<Error> ControlState::on(const Command &Entry,
@@ -204,6 +252,7 @@
       Target->LogId != Body.LogId || Target->Leaving)
     return Error{ErrorCode::Conflict, "the group or the target has moved on"};
   Group.Settled[Body.Target] = Body.LogId;
+  noteProven(Group, Body.Target);
   note(Entry, {.Action = "target-settled",
                .Subject = Body.Target,
                .To = "holds the log of " + Body.Database});
@@ -226,7 +275,9 @@
                .Subject = Body.Target,
                .From = Target->Address.text() + " of " + Target->Database,
                .Reason = Body.Reason});
-  View.Groups[Target->Database].Targets.erase(Body.Target);
+  GroupRecord &Left = View.Groups[Target->Database];
+  Left.Targets.erase(Body.Target);
+  noteProven(Left, Body.Target);
   View.Targets.erase(Body.Target);
   return std::nullopt;
 }
--- a/Source/State/ControlState.h
+++ b/Source/State/ControlState.h
@@ -92,6 +92,10 @@
   std::optional<Error> on(const Command &Entry, const SettleTarget &Body);
   std::optional<Error> on(const Command &Entry, const RemoveTarget &Body);
   std::optional<Error> on(const Command &Entry, const NoteTrouble &Body);
+  /// Databases in use whose numbers of targets or copies would change.
+  std::vector<std::string> databasesWithOtherCopies(const Manifest &New) const;
+  void keepReadings(GroupRecord &Group) const;
+  static void noteProven(GroupRecord &Group, const std::string &Target);
   void addToGroup(GroupRecord &Group, const TargetAnnouncement &Target) const;
   std::optional<Error> on(const Command &Entry, const DrainGroup &Body);
   void settleAfterPromotion(GroupRecord &Group,
--- a/Tests/Experiment/Experiment.cpp
+++ b/Tests/Experiment/Experiment.cpp
@@ -177,10 +177,16 @@
     const bool Counts = isCounted();
     const std::string Organisation = Each->Of->Organisation;
     Received &Of = Out.Organisations[Organisation];
-    Each->Answer = [this, Each, Counts, &Of](bool IsServed, Millis RetryAfter) {
+    // Not the statement itself: it would hold itself for ever.
+    const std::weak_ptr<Statement> Asked = Each;
+    Each->Answer = [this, Asked, Counts, &Of](bool IsServed,
+                                              Millis RetryAfter) {
+      const StatementPtr Held = Asked.lock();
+      if (Held == nullptr)
+        return;
       Time.after(How.Sizes.CallerHop,
-                 [this, Each, Counts, &Of, IsServed, RetryAfter] {
-                   answered(Each, Counts, Of, IsServed, RetryAfter);
+                 [this, Held, Counts, &Of, IsServed, RetryAfter] {
+                   answered(Held, Counts, Of, IsServed, RetryAfter);
                  });
     };
     Time.after(Each->Kind->Deadline.count() * 1000, [Each, Counts, &Of] {
--- a/Tests/Unit/GroupSettlingTest.cpp
+++ b/Tests/Unit/GroupSettlingTest.cpp
@@ -68,3 +68,47 @@
   Cluster.Loop.runFor(Millis(8000));
   CHECK_FALSE(Cluster.isWritable(Database));
 }
+
+TEST_CASE("More copies don't forget what was confirmed with fewer",
+          "[failover]") {
+  // A handover is confirmed on the primary alone, as the manifest allows. The
+  // next manifest asks for two copies, so that a failover reads two targets;
+  // the primary dies before the others have the handover. Writes must wait for
+  // it instead of starting without the handover. While they wait, the numbers
+  // can't be changed again.
+  std::string Text = FakeCluster::Manifest1;
+  Text.insert(Text.find("[[kind]]"), "copies = 1\n");
+  FakeCluster Cluster(1);
+  Cluster.bringUp(Text);
+  const std::string Primary = primaryOf(Cluster);
+  for (const std::string &Each : othersThan(Cluster, Primary))
+    Cluster.Net.cutBoth(Primary, Each);
+  const CallerAnswer Written =
+      Cluster.askNow("entry-1", {.Key = "k1", .Body = "put bale haulier"});
+  REQUIRE(Written.Outcome == "done");
+  Text.replace(Text.find("copies = 1"), 10, "copies = 2");
+  Text.replace(Text.find("version = 1"), 11, "version = 2");
+  Cluster.apply(Text);
+  Cluster.Hosts[Primary]->freeze();
+  Cluster.Loop.runFor(Millis(8000));
+  CHECK_FALSE(Cluster.isWritable(Database));
+  Text.replace(Text.find("copies = 2"), 10, "copies = 1");
+  Text.replace(Text.find("version = 2"), 11, "version = 3");
+  CHECK_FALSE(Cluster.leader()->applied().check(*parseManifest("test", Text)));
+  Cluster.Net.heal();
+  Cluster.Hosts[Primary]->thaw();
+  const CallerAnswer Read = askAgain(
+      Cluster, "entry-2",
+      {.Kind = "lookup", .Body = "get bale", .Session = Written.Session});
+  CHECK(Read.Body ==
+        "haulier"); // Once all have caught up, the new numbers alone count.
+  CHECK(Cluster.Loop.runUntilTrue(
+      [&] { return Cluster.group(Database)->LeastReadings == 0; },
+      Millis(5000)));
+  const std::string Second = primaryOf(Cluster);
+  Cluster.kill(Second);
+  REQUIRE(awaitOther(Cluster, Second));
+  CHECK(
+      askAgain(Cluster, "entry-2", {.Key = "k2", .Body = "put a b"}).Outcome ==
+      "done");
+}
