--- a/Utilities/check-docs.sh
+++ b/Utilities/check-docs.sh
@@ -1,13 +1,15 @@
 #!/usr/bin/env bash
 # Checks what the pages say against the program: relative links lead
 # somewhere, tables are those of the program, commands exist with the options
-# that are shown, and example files parse. Prints every fault; exits 1 if
+# that are shown, example files parse, and tests that are named exist. Prints every fault; exits 1 if
 # there is one.
 #
 # Usage: Utilities/check-docs.sh BUILD_FOLDER
 set -euo pipefail
 
-program=$(realpath "${1:?the build folder is missing}")/Source/corianderdyke
+build=$(realpath "${1:?the build folder is missing}")
+program=$build/Source/corianderdyke
+tests=$build/Tests/corianderdyke-tests
 cd "$(dirname "$0")/.."
 pages=$(find README.md Help docs -name '*.md')
 faults=$(mktemp)
@@ -50,7 +52,18 @@
   done
 }
 
+# Each test that a page of proofs names is one of the test program's.
+check_test_names() { # page
+  # The program's exit code is the number of tests.
+  names=$("$tests" --list-test-names-only || true)
+  tr '\n' ' ' <"$1" | tr -s ' ' | grep -oE '"[A-Z][^"]+"' | tr -d '"' |
+    while read -r name; do
+      grep -qxF -- "$name" <<<"$names" || echo "$1: no such test: $name"
+    done
+}
+
 {
+  check_test_names docs/promises.md
   for page in $pages; do
     check_links "$page"
     check_commands "$page"
