Test what callers get with a slow replica

One of two replicas takes 250 ms, the other 4; 330 lookups a second at two thirds of the quick one's capacity. With the choice by what is under way at least 98 % are answered in time and the slow one gets a tenth at most.

--- a/Tests/Unit/AdmissionClusterTest.cpp
+++ b/Tests/Unit/AdmissionClusterTest.cpp
@@ -266,3 +266,34 @@
     Most = std::max(Most, Each);
   CHECK(Most == 6);
 }
+
+TEST_CASE("A slow replica holds up few reads", "[admission]") {
+  // One of two replicas takes 250 ms for what the other does in 4. Mill
+  // auditors look bales up at two thirds of what the quick one serves. Sent to
+  // either by chance, reads pile up at the slow one and its callers are
+  // refused (58 of 1650); by what is under way at each, hardly any are.
+  FakeCluster Cluster(1);
+  Cluster.apply(TwoOrganisations);
+  Cluster.TargetOptions.ServiceTime = Millis(4);
+  Cluster.startTarget("ledger-1", "bale-ledger-1");
+  Cluster.startTarget("ledger-2", "bale-ledger-1");
+  REQUIRE(Cluster.Loop.runUntilTrue(
+      [&] { return Cluster.isWritable("bale-ledger-1"); }, Millis(5000)));
+  const std::string Quick =
+      Cluster.group("bale-ledger-1")->Primary == "ledger-1" ? "ledger-2"
+                                                            : "ledger-1";
+  Cluster.TargetOptions.ServiceTime = Millis(250);
+  Cluster.startTarget("ledger-3", "bale-ledger-1");
+  Cluster.Loop.runFor(Millis(2000));
+  Callers Auditors(Cluster);
+  Auditors.offer(Millis(5000), {{"mills", "lookup", 330}});
+  std::size_t InTime = 0;
+  std::size_t BySlow = 0;
+  for (const Callers::Sent &Each : Auditors.All) {
+    InTime += Each.Answer->Outcome == "done" ? 1U : 0U;
+    BySlow += Each.Answer->Target == "ledger-3" ? 1U : 0U;
+  }
+  CAPTURE(Auditors.All.size(), InTime, BySlow);
+  CHECK(InTime * 100 >= Auditors.All.size() * 98);
+  CHECK(BySlow * 10 <= Auditors.All.size());
+}
