--- a/Utilities/Capacity/Main.cpp
+++ b/Utilities/Capacity/Main.cpp
@@ -95,6 +95,7 @@
   measureDuties(Measured);
   measureState(Measured);
   measureLoopback(Measured);
+  measureStatements(Measured);
   std::cout << slopeTable(Measured) << "\n" << targetTable(Measured);
   return Page.empty() ? 0 : writePage(Page, Measured);
 }
--- a/Utilities/Capacity/Measurements.cpp
+++ b/Utilities/Capacity/Measurements.cpp
@@ -109,6 +109,20 @@
     return wireBytes(
         LeaseGrant{sampleProxy(1), 1000, Millis(1000000), Millis(600), 10000});
   });
+  add(Into, "rights-exchange-bytes", "B", "target in use", SmallSizes,
+      [](std::size_t Size) {
+        RightsRequest Request;
+        Request.Proxy = sampleProxy(1);
+        RightsGrant Grant;
+        Grant.Proxy = Request.Proxy;
+        for (std::size_t Number = 0; Number < Size; ++Number) {
+          const std::string Target =
+              "bale-ledger-1000-" + std::to_string(Number % 10);
+          Request.Demands.push_back({Target, 2, 4});
+          Grant.Shares.push_back({Target, 3});
+        }
+        return wireBytes(Request) + wireBytes(Grant);
+      });
   add(Into, "view-applied-bytes", "B", "-", {1, 2, 3}, [](std::size_t) {
     return wireBytes(ViewApplied{sampleProxy(1), 10000});
   });
--- a/Utilities/Capacity/Measurements.h
+++ b/Utilities/Capacity/Measurements.h
@@ -21,6 +21,8 @@
 void measureState(Slopes &Into);
 /// Watches, renewals and callers' connections over real loopback sockets.
 void measureLoopback(Slopes &Into);
+/// A read through a proxy, without the caller's and the target's part.
+void measureStatements(Slopes &Into);
 
 /// Processor time of this process in microseconds.
 double cpuMicros();
--- a/Utilities/Capacity/TargetSize.cpp
+++ b/Utilities/Capacity/TargetSize.cpp
@@ -20,6 +20,7 @@
 // Today's mechanisms: every proxy knows and watches every database.
 constexpr double RenewalSeconds = 0.12;
 constexpr double WatchesPerSecond = 20;
+constexpr double RightsSeconds = 0.5;
 constexpr double TicksPerSecond = 100;
 
 // Planned mechanisms. A database is served by a subset of the proxies, a
@@ -29,6 +30,7 @@
 constexpr double Shards = 4;
 constexpr double PlannedRenewalSeconds = 0.6;
 constexpr double PlannedWatchesPerSecond = 4;
+constexpr double PlannedRightsSeconds = 3;
 constexpr double DatabasesPerNode = Databases * ProxiesPerDatabase / Nodes;
 
 class Lines {
@@ -84,6 +86,13 @@
                    at("connection-heap-bytes", Connections / Nodes) / Mega,
                    at("connection-heap-bytes", Connections / Nodes) / Mega,
                    "as today; not a cost of control"});
+    const double Statements = StatementsPerSecond / Nodes;
+    Out.push_back(
+        {"node", "processor time of statements",
+         "statements a second / nodes x statement", "% core", 0,
+         Statements * at("statement-micros", 1) / MicrosPerSecond * Percent,
+         Statements * at("statement-micros", 1) / MicrosPerSecond * Percent,
+         "as today; forwarding adds a hop for a part of them"});
     Out.push_back(
         {"node", "lease traffic", "(lease-request + lease-grant) / interval",
          "KB/s", KilobytesPerSecond,
@@ -92,6 +101,13 @@
          Shards * (at("lease-request-bytes", 0) + at("lease-grant-bytes", 1)) /
              PlannedRenewalSeconds / Kilo,
          "3 s leases; one lease a shard"});
+    Out.push_back({"node", "traffic of connection rights",
+                   "rights-exchange by target in use / interval", "KB/s",
+                   KilobytesPerSecond,
+                   at("rights-exchange-bytes", Targets) / RightsSeconds / Kilo,
+                   at("rights-exchange-bytes", PlannedTargets) /
+                       PlannedRightsSeconds / Kilo,
+                   "subset; renewed every 3 s of their 10"});
     Out.push_back({"node", "traffic of changes",
                    "manifest changes x delta by manifest + others x delta by "
                    "database",
