Put the measuring tools beside the maintainers', and trim the audit trail less

The experiment tool, its load generator and the gap and share measurements test nothing themselves; they stand in Utilities now, with the capacity tool.

The slope of an announcement was flat at 81 us, whatever the number of databases: each new line of a full audit trail moved all 5000. The oldest tenth goes at once now; after that it's 0.85 us. Ruled out: a deque, which changes the type that every reader of the trail sees.

--- a/Source/State/ControlState.cpp
+++ b/Source/State/ControlState.cpp
@@ -21,8 +21,11 @@
          (Of.Primary.empty() ? "" : " primary " + Of.Primary);
 }
 
-template <class T> void keepLast(std::vector<T> &All, std::size_t Most) {
-  if (All.size() > Most)
+/// Drops the oldest of more than \p Most, at least \p AtOnce of them: to move
+/// thousands of lines for each new one took most of a change's time.
+template <class T>
+void keepLast(std::vector<T> &All, std::size_t Most, std::size_t AtOnce) {
+  if (All.size() >= Most + AtOnce)
     All.erase(All.begin(), All.end() - static_cast<std::ptrdiff_t>(Most));
 }
 
@@ -48,7 +51,7 @@
   Record.WallTime = Entry.WallTime;
   Record.Actor = Entry.Actor;
   Audit.push_back(std::move(Record));
-  keepLast(Audit, MaxAuditRecords);
+  keepLast(Audit, MaxAuditRecords, MaxAuditRecords / 10);
 }
 
 Expected<void> ControlState::check(const Manifest &New) const {
@@ -105,7 +108,7 @@
                    .Subject = "control-group",
                    .To = Voters};
   Audit.push_back(std::move(Line));
-  keepLast(Audit, MaxAuditRecords);
+  keepLast(Audit, MaxAuditRecords, MaxAuditRecords / 10);
   return {Revision, std::nullopt};
 }
 
@@ -158,7 +161,7 @@
       std::max(View.LongestLease, Body.New.Failover.LeaseDuration);
   Manifests.push_back({View.Revision, Entry.WallTime, Entry.Actor,
                        Body.New.Version, Body.New.digest(), Body.Text});
-  keepLast(Manifests, MaxManifests);
+  keepLast(Manifests, MaxManifests, 1);
   for (const DatabasePolicy &Each : Body.New.Databases) {
     GroupRecord &Group = View.Groups[Each.Name];
     Group.Database = Each.Name;
--- a/Utilities/bench.sh
+++ b/Utilities/bench.sh
@@ -21,5 +21,5 @@
 statement "$proxy_1" handover --key first --body "put bale haulier" >/dev/null
 
 # The first target is the primary; the second is a replica.
-"$build/Tests/bench-proxy" --proxy "$proxy_1" \
+"$build/Utilities/Bench/bench-proxy" --proxy "$proxy_1" \
   --target "127.0.0.1:${port[13]}" --proxy-process "${process_of[entry-1]}" "$@"
