--- a/Source/Operators/OperatorService.cpp
+++ b/Source/Operators/OperatorService.cpp
@@ -218,14 +218,34 @@
 void OperatorService::addControlHost(const HttpRequest &Request,
                                      const ExchangePtr &Exchange) {
   const std::string &Name = Request.parameter("name");
-  From.Control->addControlHost(Name, answerChange(Exchange, {{"added", Name}}));
+  From.Control->addControlHost(
+      Name, noteOrder(actorOf(Request), "control-host-added", Name,
+                      answerChange(Exchange, {{"added", Name}})));
 }
 
 void OperatorService::removeControlHost(const HttpRequest &Request,
                                         const ExchangePtr &Exchange) {
   const std::string &Name = Request.parameter("name");
-  From.Control->removeControlHost(Name,
-                                  answerChange(Exchange, {{"removed", Name}}));
+  From.Control->removeControlHost(
+      Name, noteOrder(actorOf(Request), "control-host-removed", Name,
+                      answerChange(Exchange, {{"removed", Name}})));
+}
+
+ControlNode::ChangeHandler
+OperatorService::noteOrder(std::string Actor, std::string Action,
+                           std::string Name,
+                           ControlNode::ChangeHandler OnDone) {
+  return [this, Actor = std::move(Actor), Action = std::move(Action),
+          Name = std::move(Name),
+          OnDone = std::move(OnDone)](const Expected<ApplyResult> &Result) {
+    if (!Result || Result->Refusal)
+      return OnDone(Result);
+    // The change stands whether or not the note can still be made: a leader
+    // that removed itself makes none.
+    From.Control->propose(
+        Actor, NoteTrouble{Action, Name, "ordered by an operator"},
+        [OnDone, Result](const Expected<ApplyResult> &) { OnDone(Result); });
+  };
 }
 
 void OperatorService::drainProcess(const ExchangePtr &Exchange) {
--- a/Source/Operators/OperatorService.h
+++ b/Source/Operators/OperatorService.h
@@ -54,6 +54,11 @@
   void addControlHost(const HttpRequest &Request, const ExchangePtr &Exchange);
   void removeControlHost(const HttpRequest &Request,
                          const ExchangePtr &Exchange);
+  /// The entry that changes the control group carries no operator's name; a
+  /// note beside it does.
+  ControlNode::ChangeHandler noteOrder(std::string Actor, std::string Action,
+                                       std::string Name,
+                                       ControlNode::ChangeHandler OnDone);
   void drainProcess(const ExchangePtr &Exchange);
   bool isReady() const;
   std::string metrics() const;
--- a/Source/State/Command.h
+++ b/Source/State/Command.h
@@ -101,7 +101,8 @@
   }
 };
 
-/// Writes into the audit trail what the system can't or won't do, and why.
+/// Writes into the audit trail what the system can't or won't do, and why, or
+/// who ordered what an entry of another kind carries out.
 struct NoteTrouble {
   std::string Action;
   std::string Subject;
--- a/Tests/Golden/members/steps.sh
+++ b/Tests/Golden/members/steps.sh
@@ -27,6 +27,7 @@
 done
 sed 's/control-3/THAT/' added
 seats
+audit --subject control-3 --json | jq -c '.[] | [.actor, .action]'
 
 say "Its disk is lost; it comes back empty and votes again by itself"
 disk() {
