Give up a statement in one place

A refusal from the queue and one from elsewhere built the same answer twice, with the same choice between "not run" and "unknown". One function does now; they differ in when the caller is told to come back.

--- a/Source/Proxy/StatementService.cpp
+++ b/Source/Proxy/StatementService.cpp
@@ -199,11 +199,7 @@
       continue;
     const JobPtr Of = Found->second;
     Of->At = Job::Stage::Choosing;
-    const bool MayHaveRun = Of->mayHaveRun();
-    finish(Of, MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
-           refusalReply(MayHaveRun ? reply_status::Unknown
-                                   : reply_status::Unavailable,
-                        text(Each.Reason), Each.RetryAfter));
+    giveUp(Of, text(Each.Reason), Each.RetryAfter);
   }
 }
 
@@ -554,11 +550,16 @@
 }
 
 void StatementService::giveUp(const JobPtr &Each, const std::string &Why) {
+  giveUp(Each, Why, Retry.next(RetryAfter));
+}
+
+void StatementService::giveUp(const JobPtr &Each, const std::string &Why,
+                              Millis ComeBackAfter) {
   const bool MayHaveRun = Each->mayHaveRun();
   finish(Each, MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
          refusalReply(MayHaveRun ? reply_status::Unknown
                                  : reply_status::Unavailable,
-                      Why, Retry.next(RetryAfter)));
+                      Why, ComeBackAfter));
 }
 
 void StatementService::reject(const JobPtr &Each, int Status,
--- a/Source/Proxy/StatementService.h
+++ b/Source/Proxy/StatementService.h
@@ -133,6 +133,7 @@
   void hungUp(const JobPtr &Each);
   void done(const JobPtr &Each, HttpResponse Response);
   void giveUp(const JobPtr &Each, const std::string &Why);
+  void giveUp(const JobPtr &Each, const std::string &Why, Millis ComeBackAfter);
   void reject(const JobPtr &Each, int Status, const std::string &Why);
   void finish(const JobPtr &Each, Outcome What, HttpResponse Response);
   /// Takes the job out of wherever it waits.
