Turn spans into seconds in one place for metrics

The metric set already had the conversion for its histograms; two readings of proxies had written it again with a constant of their own. A span is added as such now, and the names and values stay.

--- a/Source/Operators/MetricSet.cpp
+++ b/Source/Operators/MetricSet.cpp
@@ -137,6 +137,10 @@
   To.metric.push_back(std::move(New));
 }
 
+void MetricSet::add(const std::string &Name, Millis Span, Labels Of) {
+  add(Name, seconds(Span), std::move(Of));
+}
+
 void MetricSet::add(const std::string &Name, const DurationHistogram &Spans,
                     Labels Of) {
   ClientMetric New;
--- a/Source/Operators/MetricSet.h
+++ b/Source/Operators/MetricSet.h
@@ -31,6 +31,8 @@
   using Labels = std::vector<prometheus::ClientMetric::Label>;
 
   void add(const std::string &Name, double Value, Labels Of = {});
+  /// A span, in seconds as Prometheus wants it.
+  void add(const std::string &Name, Millis Span, Labels Of = {});
   void add(const std::string &Name, const DurationHistogram &Spans,
            Labels Of = {});
 
--- a/Source/Operators/OperatorService.cpp
+++ b/Source/Operators/OperatorService.cpp
@@ -330,7 +330,6 @@
 
 void OperatorService::addAdmissionMetrics(MetricSet &To) const {
   const StatementService &Statements = From.Proxy->statements();
-  constexpr double MillisASecond = 1000;
   for (const QueueStatus &Each : Statements.queues()) {
     const MetricSet::Labels Of = {
         {"database", Each.Database},
@@ -339,8 +338,7 @@
     To.add("corianderdyke_queue_length", static_cast<double>(Each.Queued), Of);
     To.add("corianderdyke_queue_sent_total", static_cast<double>(Counts.Sent),
            Of);
-    To.add("corianderdyke_queue_wait_seconds_total",
-           static_cast<double>(Counts.TotalWait.count()) / MillisASecond, Of);
+    To.add("corianderdyke_queue_wait_seconds_total", Counts.TotalWait, Of);
     const auto Refused = [&To, &Of](const char *Reason, std::uint64_t Count) {
       MetricSet::Labels All = Of;
       All.push_back({"reason", Reason});
@@ -360,7 +358,6 @@
 void OperatorService::addTargetMetrics(MetricSet &To) const {
   const ClusterView &View = From.Proxy->view();
   const Millis Now = From.Time.now();
-  constexpr double MillisASecond = 1000;
   for (const TargetReport &Each : From.Proxy->targets().reports(View, Now)) {
     const MetricSet::Labels Of = {{"target", Each.Target}};
     To.add("corianderdyke_target_reachable", Each.Reachable ? 1 : 0, Of);
@@ -370,8 +367,7 @@
     if (Group == nullptr)
       continue;
     if (const auto Age = From.Proxy->targets().age(Each.Target, *Group, Now))
-      To.add("corianderdyke_target_age_seconds",
-             static_cast<double>(Age->count()) / MillisASecond, Of);
+      To.add("corianderdyke_target_age_seconds", *Age, Of);
   }
 }
 
