--- a/Source/App/CommandLine.cpp
+++ b/Source/App/CommandLine.cpp
@@ -26,6 +26,7 @@
   bool IsManifest = false;
   bool Wait = false;
   int Result = Success;
+  EdgeFactory MakeEdge;
 };
 
 constexpr std::int64_t ApplyBoundMs = 10000;
@@ -85,7 +86,8 @@
       addCommand(App, "run", "Runs a process until a signal ends it",
                  "run Examples/riga/entry-1.toml");
   Run->add_option("settings", State.File, "Settings file")->required();
-  Run->callback([&State] { State.Result = runProcess(State.File); });
+  Run->callback(
+      [&State] { State.Result = runProcess(State.File, State.MakeEdge); });
 
   CLI::App *Check =
       addCommand(App, "check", "Checks a settings file or a manifest",
@@ -238,12 +240,13 @@
 
 } // namespace
 
-int runCommandLine(int Count, char **Words) {
+int runCommandLine(int Count, char **Words, EdgeFactory MakeEdge) {
   CLI::App App("A database proxy with session consistency", "corianderdyke");
   App.require_subcommand(1);
   App.footer("Example: corianderdyke run Examples/riga/entry-1.toml\n"
              "The manual tells the exit codes: Help/command/exit-codes.md.");
   CommandState State;
+  State.MakeEdge = std::move(MakeEdge);
   if (const char *Key = std::getenv("CORIANDERDYKE_OPERATOR_KEY"))
     State.Options.Key = Key;
   addFileCommands(App, State);
--- a/Source/App/CommandLine.h
+++ b/Source/App/CommandLine.h
@@ -4,10 +4,12 @@
 #ifndef CORIANDERDYKE_APP_COMMANDLINE_H
 #define CORIANDERDYKE_APP_COMMANDLINE_H
 
+#include "App/FileCommands.h"
+
 namespace corianderdyke {
 
 /// Runs the command that the words name; the exit code.
-int runCommandLine(int Count, char **Words);
+int runCommandLine(int Count, char **Words, EdgeFactory MakeEdge);
 
 } // namespace corianderdyke
 
--- a/Source/App/FileCommands.cpp
+++ b/Source/App/FileCommands.cpp
@@ -6,6 +6,7 @@
 #include "App/ExitCode.h"
 #include "App/Process.h"
 #include "App/ReadFile.h"
+#include "App/SteeringProcess.h"
 #include "Logs/LogEvents.h"
 #include "Manifest/ManifestFile.h"
 #include "Operators/StatusReport.h"
@@ -30,9 +31,17 @@
   return BadFile;
 }
 
+template <class T> int runMade(Expected<std::unique_ptr<T>> Made) {
+  if (!Made) {
+    logEvent(EventId::StartRefused, {{"error", Made.error().Message}});
+    return Failure;
+  }
+  return (*Made)->run();
+}
+
 } // namespace
 
-int runProcess(const std::string &SettingsFile) {
+int runProcess(const std::string &SettingsFile, const EdgeFactory &MakeEdge) {
   const auto Text = readFile(SettingsFile);
   if (!Text)
     return report(Text.error());
@@ -40,12 +49,9 @@
   if (!Options)
     return report(Options.error(), false);
   setUpLogs(Options->JsonLogs, static_cast<Severity>(Options->Level));
-  auto Made = Process::make(*Options, SettingsFile, *Text);
-  if (!Made) {
-    logEvent(EventId::StartRefused, {{"error", Made.error().Message}});
-    return Failure;
-  }
-  return (*Made)->run();
+  if (Options->Lead == Leadership::Targets)
+    return runMade(SteeringProcess::make(*Options, SettingsFile, MakeEdge()));
+  return runMade(Process::make(*Options, SettingsFile, *Text));
 }
 
 int checkSettings(const std::string &File, bool Json) {
--- a/Source/App/FileCommands.h
+++ b/Source/App/FileCommands.h
@@ -4,13 +4,20 @@
 #ifndef CORIANDERDYKE_APP_FILECOMMANDS_H
 #define CORIANDERDYKE_APP_FILECOMMANDS_H
 
+#include <functional>
+#include <memory>
 #include <string>
 
 namespace corianderdyke {
 
+class Edge;
+
+/// Makes the adapter to the protocols of the site.
+using EdgeFactory = std::function<std::unique_ptr<Edge>()>;
+
 // Each returns an exit code.
 
-int runProcess(const std::string &SettingsFile);
+int runProcess(const std::string &SettingsFile, const EdgeFactory &MakeEdge);
 int checkSettings(const std::string &File, bool Json);
 int checkManifest(const std::string &File, bool Json);
 
--- a/Source/App/Main.cpp
+++ b/Source/App/Main.cpp
@@ -1,8 +1,10 @@
 /// \file
-/// The program's entry.
+/// The program's entry: the one place that knows which adapter is built in.
 
 #include "App/CommandLine.h"
+#include "PlatformEdge.h"
 
 int main(int Count, char **Words) {
-  return corianderdyke::runCommandLine(Count, Words);
+  return corianderdyke::runCommandLine(Count, Words,
+                                       corianderdyke::platform::makeEdge);
 }
--- /dev/null
+++ b/Source/App/SteeringProcess.cpp
@@ -0,0 +1,241 @@
+/// \file
+/// One running process where targets enforce their leadership themselves.
+
+#include "App/SteeringProcess.h"
+
+#include "App/ReadFile.h"
+#include "Logs/LogEvents.h"
+
+#include <csignal>
+#include <random>
+
+namespace corianderdyke {
+
+namespace {
+
+constexpr Millis StopCheckInterval(50);
+/// Part of the time for a stop in which sessions between statements are asked
+/// to leave; the rest is for those that are still at work.
+constexpr std::int64_t SessionsLeaveBy = 4; // of 6
+constexpr std::int64_t TransactionsEndBy = 3;
+constexpr std::int64_t StopParts = 6;
+
+std::uint64_t randomNumber() {
+  std::random_device Device;
+  return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
+}
+
+std::vector<std::string> addressesOf(const std::vector<Endpoint> &All) {
+  std::vector<std::string> Out;
+  for (const Endpoint &Each : All)
+    Out.push_back(Each.Address);
+  return Out;
+}
+
+} // namespace
+
+Expected<std::unique_ptr<SteeringProcess>>
+SteeringProcess::make(const Settings &Options, std::string File,
+                      std::unique_ptr<Edge> Outer) {
+  std::unique_ptr<SteeringProcess> Made(
+      new SteeringProcess(Options, std::move(File), std::move(Outer)));
+  if (auto Done = Made->open(); !Done)
+    return tl::unexpected(Done.error());
+  return Made;
+}
+
+Expected<void> SteeringProcess::open() {
+  auto Transport = SocketTransport::listen(Loop, Options.Peers, Options.Name,
+                                           Options.PeerKey);
+  if (!Transport)
+    return tl::unexpected(Transport.error());
+  Peers = std::move(*Transport);
+  Targets = Outer->targets(Loop);
+  if (Options.IsControl)
+    if (auto Done = openControl(); !Done)
+      return Done;
+  return Options.IsProxy ? openProxy() : Expected<void>();
+}
+
+Expected<std::unique_ptr<EventHttpServer>>
+SteeringProcess::listen(const Endpoint &At, HttpService &Service) {
+  return EventHttpServer::listen(Loop, At, Service);
+}
+
+Expected<void> SteeringProcess::openControl() {
+  auto Folder = FileDisk::open(Options.DataFolder);
+  if (!Folder)
+    return tl::unexpected(Folder.error());
+  Disk.emplace(std::move(*Folder));
+  Records.emplace(*Disk);
+  Log.emplace(*Records);
+  if (auto Loaded = Log->load(std::to_string(randomNumber())); !Loaded)
+    return Loaded;
+  Orders = Outer->orders(Loop, *Targets);
+  Promotions =
+      Outer->promotions(Loop, Connector, {Options.Promotions, Options.Name});
+  SteeringOptions Given;
+  Given.Name = Options.Peers.Address;
+  Given.Process = Options.Name;
+  Given.PeerPort = Options.Peers.Port;
+  Given.Seeds = addressesOf(Options.Seeds);
+  Given.MayFound = Options.MayFound;
+  Given.LostDisksBorne = Options.LostDisksBorne;
+  Control = std::make_unique<SteeringNode>(
+      Given, SteeringPorts{Time, Loop, *Peers, *Orders, *Promotions}, *Log,
+      randomNumber());
+  DirectoryCalls = Outer->directory(*Control, Options.Directory);
+  auto Opened = listen(Options.Directory, *DirectoryCalls);
+  if (!Opened)
+    return tl::unexpected(Opened.error());
+  DirectoryPort = std::move(*Opened);
+  return {};
+}
+
+Expected<void> SteeringProcess::openProxy() {
+  Pipeline = std::make_unique<SessionPipeline>(
+      SessionPipeline::Ports{Time, Loop, *Targets}, Options.Where);
+  Feed =
+      std::make_unique<ControlFeed>(FeedOptions{{Options.Name, randomNumber()},
+                                                Options.Peers.Port,
+                                                addressesOf(Options.Seeds)},
+                                    Time, Loop, *Peers);
+  auto Callers = Outer->listenForCallers(Loop, Options.Sessions, *Pipeline);
+  if (!Callers)
+    return tl::unexpected(Callers.error());
+  CallerPort = std::move(*Callers);
+  ReadinessCalls = Outer->readiness([this] {
+    return !Stopping && Feed->isCurrent() && Pipeline->plan().Version > 0;
+  });
+  auto Opened = listen(Options.Readiness, *ReadinessCalls);
+  if (!Opened)
+    return tl::unexpected(Opened.error());
+  ReadinessPort = std::move(*Opened);
+  return {};
+}
+
+void SteeringProcess::connectControl() {
+  Control->signalAudited().connect([](const AuditRecord &Line) {
+    logEvent(EventId::StateChanged, {{"action", Line.Action},
+                                     {"actor", Line.Actor},
+                                     {"subject", Line.Subject},
+                                     {"from", Line.From},
+                                     {"to", Line.To},
+                                     {"reason", Line.Reason}});
+  });
+  Control->signalLeadership().connect([](bool Leads) {
+    logEvent(Leads ? EventId::LeadershipGained : EventId::LeadershipLost, {});
+  });
+  Control->promotions().signalStep().connect([](const std::string &Group,
+                                                const std::string &What,
+                                                const std::string &Why) {
+    logEvent(EventId::PromotionStep,
+             {{"group", Group}, {"step", What}, {"reason", Why}});
+  });
+  Control->signalFailed().connect([this](const Error &Problem) {
+    // Nothing may be promised any more once a write to disk failed.
+    logEvent(EventId::DiskFailed, {{"error", Problem.Message}});
+    ExitCode = 1;
+    Loop.stop();
+  });
+}
+
+void SteeringProcess::connectProxy() {
+  Feed->signalPlan().connect([this] {
+    logEvent(EventId::PlanInForce,
+             {{"version", std::to_string(Feed->plan().Version)},
+              {"before", std::to_string(Pipeline->plan().Version)}});
+    Pipeline->adopt(Feed->plan());
+    Pipeline->update(Feed->directory());
+  });
+  Feed->signalDirectory().connect(
+      [this] { Pipeline->update(Feed->directory()); });
+  Feed->signalProxies().connect(
+      [this](std::size_t Count) { Pipeline->setProxyCount(Count); });
+  Feed->signalContact().connect([](bool HasContact) {
+    logEvent(HasContact ? EventId::ControlFound : EventId::ControlLost, {});
+  });
+  Pipeline->signalTrouble().connect(
+      [this](const TargetTrouble &Seen) { Feed->noteFailed(Seen.Id); });
+  Pipeline->signalReached().connect(
+      [this](const std::string &Id) { Feed->noteReached(Id); });
+  Pipeline->signalRefused().connect(
+      [](const CallerSession &Session, const Statement &What,
+         const StatementRefusal &Why, const std::string &Grounds) {
+        logEvent(EventId::StatementRefused,
+                 {{"id", What.Id},
+                  {"database", Session.Database},
+                  {"session", std::to_string(Session.Id)},
+                  {"code", std::to_string(static_cast<int>(Why.Code))},
+                  {"why", Why.Why},
+                  {"grounds", Grounds}});
+      });
+}
+
+int SteeringProcess::run() {
+  std::signal(SIGPIPE, SIG_IGN);
+  for (const int Signal : {SIGTERM, SIGINT})
+    Loop.onSignal(Signal, [this] { beginStop(); });
+  Loop.onSignal(SIGHUP, [this] { reload(); });
+  logEvent(EventId::Started, {{"name", Options.Name}});
+  if (Control) {
+    connectControl();
+    Control->start();
+  }
+  if (Feed) {
+    connectProxy();
+    Feed->start();
+  }
+  Loop.run();
+  logEvent(EventId::Stopped, {{"name", Options.Name}});
+  return ExitCode;
+}
+
+void SteeringProcess::beginStop() {
+  if (std::exchange(Stopping, true))
+    return;
+  logEvent(EventId::Stopping, {{"reason", "signal"}});
+  if (!Pipeline) {
+    Loop.stop();
+    return;
+  }
+  const Millis Now = Time.now();
+  const Millis Part = Options.StopBound / StopParts;
+  Pipeline->beginStop(Now + Part * TransactionsEndBy,
+                      Now + Part * SessionsLeaveBy);
+  stopWhenQuiet(Now + Part * (StopParts - 1));
+}
+
+void SteeringProcess::stopWhenQuiet(Millis Until) {
+  // The balancer sends callers here until it has seen that this process isn't
+  // ready, so an early quiet moment is no reason to go.
+  const Millis Notice = Until -
+                        Options.StopBound / StopParts * (StopParts - 1) +
+                        Options.StopNotice;
+  const Millis Now = Time.now();
+  if ((Pipeline->isQuiet() && Now >= Notice) || Now >= Until) {
+    if (!Pipeline->isQuiet())
+      logEvent(EventId::StopBoundReached,
+               {{"unfinished", std::to_string(Pipeline->sessions())}});
+    Loop.stop();
+    return;
+  }
+  Loop.after(StopCheckInterval, [this, Until] { stopWhenQuiet(Until); });
+}
+
+void SteeringProcess::reload() {
+  const auto New = readFile(File);
+  if (!New)
+    return logEvent(EventId::SettingsRefused, {{"error", New.error().Message}});
+  const auto Parsed = parseSettings(File, *New);
+  if (!Parsed) {
+    for (const Finding &Each : Parsed.error())
+      logEvent(EventId::SettingsRefused, {{"error", Each.text()}});
+    return;
+  }
+  if (Feed)
+    Feed->setSeeds(addressesOf(Parsed->Seeds));
+  logEvent(EventId::SettingsReloaded, {{"key", "group.seeds"}});
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/App/SteeringProcess.h
@@ -0,0 +1,76 @@
+/// \file
+/// One running process where targets enforce their leadership themselves, on
+/// real sockets and files.
+
+#ifndef CORIANDERDYKE_APP_STEERINGPROCESS_H
+#define CORIANDERDYKE_APP_STEERINGPROCESS_H
+
+#include "Common/SystemClock.h"
+#include "Http/EventHttpConnector.h"
+#include "Http/EventHttpServer.h"
+#include "Settings/Settings.h"
+#include "Steering/ControlFeed.h"
+#include "Steering/Edge.h"
+#include "Storage/FileDisk.h"
+#include "Transport/SocketTransport.h"
+
+#include <optional>
+
+namespace corianderdyke {
+
+/// Puts the slices together. Only this layer and the edge know sockets.
+class SteeringProcess {
+public:
+  /// Opens the data folder and the ports; the first that fails is the error.
+  static Expected<std::unique_ptr<SteeringProcess>>
+  make(const Settings &Options, std::string File, std::unique_ptr<Edge> Outer);
+
+  /// Runs until a signal ends it; the exit code.
+  int run();
+
+private:
+  SteeringProcess(const Settings &Options, std::string File,
+                  std::unique_ptr<Edge> Outer)
+      : Options(Options), File(std::move(File)), Outer(std::move(Outer)) {}
+
+  Expected<void> open();
+  Expected<void> openControl();
+  Expected<void> openProxy();
+  Expected<std::unique_ptr<EventHttpServer>> listen(const Endpoint &At,
+                                                    HttpService &Service);
+  void connectControl();
+  void connectProxy();
+  void beginStop();
+  void stopWhenQuiet(Millis Until);
+  void reload();
+
+  Settings Options;
+  std::string File;
+  SystemClock Time;
+  EventLoop Loop;
+  EventHttpConnector Connector{Loop};
+  std::unique_ptr<Edge> Outer;
+  std::unique_ptr<SocketTransport> Peers;
+  std::unique_ptr<TargetConnector> Targets;
+  // Control.
+  std::unique_ptr<TargetOrderPort> Orders;
+  std::unique_ptr<PromotionPort> Promotions;
+  std::optional<FileDisk> Disk;
+  std::optional<Journal> Records;
+  std::optional<ReplicatedLog> Log;
+  std::unique_ptr<SteeringNode> Control;
+  std::unique_ptr<HttpService> DirectoryCalls;
+  std::unique_ptr<EventHttpServer> DirectoryPort;
+  // Proxy.
+  std::unique_ptr<SessionPipeline> Pipeline;
+  std::unique_ptr<ControlFeed> Feed;
+  std::unique_ptr<CallerListener> CallerPort;
+  std::unique_ptr<HttpService> ReadinessCalls;
+  std::unique_ptr<EventHttpServer> ReadinessPort;
+  bool Stopping = false;
+  int ExitCode = 0;
+};
+
+} // namespace corianderdyke
+
+#endif
--- a/Source/Consensus/Consensus.cpp
+++ b/Source/Consensus/Consensus.cpp
@@ -56,10 +56,11 @@
   EmittedIndex = CommitIndex;
   resetElectionTimer(Now);
   if (Voters.empty())
-    Role = ConsensusRole::Founding;
+    Role = Options.MayFound ? ConsensusRole::Founding : ConsensusRole::Joining;
   else
     Role = isVoter(self()) ? ConsensusRole::Follower : ConsensusRole::Joining;
-  if (Voters.empty() && Options.Hosts.size() == 1)
+  if (Role == ConsensusRole::Founding && Options.Hosts.size() == 1 &&
+      Options.Hosts.front() == Options.Name)
     found({self()}, Now);
 }
 
@@ -118,6 +119,8 @@
       startRound(Now);
     if (isLeader())
       checkLeadership(Now);
+    if (isLeader())
+      removeSilentVoter(Now);
     return;
   default:
     if (Now >= ElectionDeadline)
@@ -140,10 +143,22 @@
 // others take it over. If each wrote its own, a disk lost meanwhile would make
 // lists that differ, under the same index and term.
 
+std::set<std::string> Consensus::knownHosts() const {
+  std::set<std::string> Out(Options.Hosts.begin(), Options.Hosts.end());
+  if (Options.Membership == GroupPolicyKind::Open) {
+    // The hosts of the settings may all have been replaced since the file was
+    // written.
+    for (const Member &Each : Voters)
+      Out.insert(Each.Name);
+    Out.insert(NamedByOthers.begin(), NamedByOthers.end());
+  }
+  Out.erase(Options.Name);
+  return Out;
+}
+
 void Consensus::sayHello() {
-  for (const std::string &Host : Options.Hosts)
-    if (Host != Options.Name)
-      send(Host, FoundingHello{Voters, Log.votersIndex(), false});
+  for (const std::string &Host : knownHosts())
+    send(Host, FoundingHello{Voters, Log.votersIndex(), false});
 }
 
 void Consensus::on(const Member &From, const FoundingHello &Hello, Millis Now) {
@@ -153,6 +168,10 @@
     admitLearner(From, Now);
     return;
   }
+  if (Options.Membership == GroupPolicyKind::Open &&
+      (Role == ConsensusRole::Founding || Role == ConsensusRole::Joining))
+    for (const Member &Each : Hello.Voters)
+      NamedByOthers.insert(Each.Name);
   if (Role != ConsensusRole::Founding)
     return;
   if (!Hello.Voters.empty()) {
@@ -577,7 +596,8 @@
   const auto Known = Peers.find(Host.Name);
   if (Known != Peers.end() && Known->second.Identity == Host)
     return;
-  if (findByName(Voters, Host.Name) == nullptr &&
+  if (Options.Membership == GroupPolicyKind::Listed &&
+      findByName(Voters, Host.Name) == nullptr &&
       std::find(Options.Hosts.begin(), Options.Hosts.end(), Host.Name) ==
           Options.Hosts.end())
     return;
@@ -616,18 +636,56 @@
     if (Each.Voter || Each.Match < CommitIndex)
       continue;
     const Member *Seat = findByName(Voters, Name);
-    // Without a seat it waits for the operator's command.
-    if (Seat == nullptr)
+    // Without a seat it waits for the operator's command, but in an open
+    // group.
+    if (Seat == nullptr && Options.Membership == GroupPolicyKind::Listed)
       continue;
-    const Member Taken =
-        Seat->isVacant() ? Each.Identity : Member{Name, VacantDisk};
     Members Next = Voters;
-    std::replace(Next.begin(), Next.end(), *Seat, Taken);
+    if (Seat == nullptr) {
+      Next.push_back(Each.Identity);
+    } else {
+      const Member Taken =
+          Seat->isVacant() ? Each.Identity : Member{Name, VacantDisk};
+      std::replace(Next.begin(), Next.end(), *Seat, Taken);
+    }
     static_cast<void>(appendVoters(std::move(Next), Now));
     return;
   }
 }
 
+// A host that is gone for good counts in the size of the majority until it's
+// taken out. With an even number of voters its seat is worth nothing: the
+// majority of one voter less is one smaller, so as many others may fail, and
+// no fewer disks hold what is committed than one more than half of the rest.
+// With an odd number it stays: it may only be cut off.
+void Consensus::removeSilentVoter(Millis Now) {
+  if (Options.Membership != GroupPolicyKind::Open || !isSettledLeader() ||
+      changeUnderWay() || Voters.size() % 2 != 0)
+    return;
+  for (const Member &Each : Voters) {
+    if (Each == self())
+      continue;
+    const auto Known = Peers.find(Each.Name);
+    const bool IsSilent = Known == Peers.end() ||
+                          Known->second.Identity != Each ||
+                          Now - Known->second.LastReply > SilenceBorne;
+    if (!IsSilent)
+      continue;
+    Members Next = Voters;
+    Next.erase(std::find(Next.begin(), Next.end(), Each));
+    static_cast<void>(changeVoters(std::move(Next), Now));
+    return;
+  }
+}
+
+std::size_t Consensus::disksHolding(std::uint64_t Index) const {
+  std::size_t Out = Log.lastIndex() >= Index ? 1 : 0;
+  for (const auto &[Name, Each] : Peers)
+    if (Each.Match >= Index)
+      ++Out;
+  return Out;
+}
+
 Expected<std::uint64_t> Consensus::addVoter(const std::string &Name,
                                             Millis Now) {
   if (auto Ready = checkChange(Now); !Ready)
--- a/Source/Consensus/Consensus.h
+++ b/Source/Consensus/Consensus.h
@@ -19,9 +19,20 @@
 
 namespace corianderdyke {
 
+/// Who decides on the members of the group.
+enum class GroupPolicyKind : std::uint8_t {
+  /// The settings list the hosts; operators add and remove others.
+  Listed,
+  /// The settings name some hosts to start from. Any host that knocks becomes
+  /// a member once it has caught up, and one that stays silent is taken out
+  /// where the group is the safer for it.
+  Open,
+};
+
 struct ConsensusOptions {
   std::string Name;
-  /// All control hosts by name, this one included, as the settings say.
+  /// Control hosts by name as the settings say: all of them, this one
+  /// included, or in an open group those that found it.
   std::vector<std::string> Hosts;
   Millis HeartbeatInterval = Millis(50);
   /// A follower that hears nothing for this long, and up to as long again,
@@ -29,6 +40,10 @@
   Millis ElectionTimeout = Millis(300);
   /// Most bytes of entries in one message.
   std::size_t BatchBytes = 1U << 20U;
+  GroupPolicyKind Membership = GroupPolicyKind::Listed;
+  /// False on a host that must never found a group: its disk was emptied, or
+  /// it was added later.
+  bool MayFound = true;
 };
 
 /// A message for the control host of that name.
@@ -114,12 +129,17 @@
   /// Why this host doesn't lead, for an operator.
   std::string notLeading(Millis Now) const;
   const Members &voters() const { return Voters; }
+  /// Disks that hold the entry for certain, this one included.
+  std::size_t disksHolding(std::uint64_t Index) const;
   /// Hosts that the leader feeds but doesn't count, by name.
   std::vector<Member> learners() const;
 
 private:
   /// Long before any reading of the clock.
   static constexpr Millis NeverSent = Millis(-1000000);
+  /// A voter of an open group that has been silent for this long may be taken
+  /// out: longer than a restart takes.
+  static constexpr Millis SilenceBorne = Millis(1500);
 
   struct Peer {
     Member Identity;
@@ -147,6 +167,7 @@
 
   void becomeFollower(std::uint64_t Term, const std::string &NewLeader,
                       Millis Now);
+  std::set<std::string> knownHosts() const;
   void sayHello();
   void startPreVote(Millis Now);
   void countOwnVote();
@@ -165,6 +186,7 @@
   void emitCommitted();
   void admitLearner(const Member &Host, Millis Now);
   void replaceCaughtUpLearners(Millis Now);
+  void removeSilentVoter(Millis Now);
   Peer newPeer(const Member &Host, bool Voter, Millis Now) const;
   bool changeUnderWay() const;
   Expected<void> checkChange(Millis Now) const;
@@ -205,6 +227,8 @@
   std::vector<PendingRead> Reads;
   /// While founding: what the other hosts said of themselves.
   std::map<std::string, Member> Fresh;
+  /// Hosts that others named as members while this one had no group.
+  std::set<std::string> NamedByOthers;
   std::optional<Error> Failure;
   ConsensusOutputs Out;
 };
--- /dev/null
+++ b/Source/Directory/TargetDirectory.cpp
@@ -0,0 +1,140 @@
+/// \file
+/// The targets that are known, from their own heartbeats.
+
+#include "Directory/TargetDirectory.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+std::uint64_t TargetDirectory::nextPrimary(const std::string &Group) const {
+  std::uint64_t Last = 0;
+  for (const auto &[Id, Each] : Targets)
+    if (Each.Record.Group == Group)
+      Last = std::max(Last, Each.Record.PrimarySince);
+  return Last + 1;
+}
+
+bool TargetDirectory::hear(TargetRecord Said, Millis Now) {
+  const auto Found = Targets.find(Said.Id);
+  if (Found == Targets.end()) {
+    if (Said.IsPrimary)
+      Said.PrimarySince = nextPrimary(Said.Group);
+    supersede(Said, Now);
+    Targets[Said.Id] = {Said, Now, Millis()};
+    ++Revision;
+    return true;
+  }
+  Known &Old = Found->second;
+  if (Old.Record.IsGone || Said.Sequence <= Old.Record.Sequence)
+    return false;
+  Old.LastHeard = Now;
+  Said.PrimarySince = Old.Record.PrimarySince;
+  if (Said.IsPrimary && !Old.Record.IsPrimary)
+    Said.PrimarySince = nextPrimary(Said.Group);
+  // Leaving can't be taken back: a proxy that was told so has closed its
+  // connections for good.
+  Said.IsLeaving = Said.IsLeaving || Old.Record.IsLeaving;
+  const std::uint64_t Sequence = Said.Sequence;
+  Said.Sequence = Old.Record.Sequence;
+  const bool IsNews = Said != Old.Record;
+  Said.Sequence = Sequence;
+  Old.Record = std::move(Said);
+  if (IsNews)
+    ++Revision;
+  return IsNews;
+}
+
+void TargetDirectory::supersede(const TargetRecord &Newer, Millis Now) {
+  for (auto &[Id, Each] : Targets)
+    if (Id != Newer.Id && Each.Record.Address == Newer.Address &&
+        !Each.Record.IsGone) {
+      Each.Record.IsGone = true;
+      Each.GoneAt = Now;
+    }
+}
+
+bool TargetDirectory::leave(const std::string &Id, Millis Now) {
+  const auto Found = Targets.find(Id);
+  if (Found == Targets.end() || Found->second.Record.IsGone)
+    return false;
+  Found->second.Record.IsGone = true;
+  Found->second.GoneAt = Now;
+  ++Revision;
+  return true;
+}
+
+bool TargetDirectory::merge(const std::vector<TargetRecord> &Others,
+                            Millis Now) {
+  bool IsNews = false;
+  for (const TargetRecord &Each : Others) {
+    const auto Found = Targets.find(Each.Id);
+    if (Found == Targets.end()) {
+      Targets[Each.Id] = {Each, Now, Each.IsGone ? Now : Millis()};
+      IsNews = true;
+      continue;
+    }
+    Known &Old = Found->second;
+    TargetRecord New = Each.Sequence >= Old.Record.Sequence ? Each : Old.Record;
+    New.IsGone = Each.IsGone || Old.Record.IsGone;
+    New.IsLeaving = Each.IsLeaving || Old.Record.IsLeaving;
+    New.PrimarySince = std::max(Each.PrimarySince, Old.Record.PrimarySince);
+    if (New.IsGone && !Old.Record.IsGone)
+      Old.GoneAt = Now;
+    if (Each.Sequence > Old.Record.Sequence)
+      Old.LastHeard = Now;
+    if (New == Old.Record)
+      continue;
+    Old.Record = std::move(New);
+    IsNews = true;
+  }
+  if (IsNews)
+    ++Revision;
+  return IsNews;
+}
+
+void TargetDirectory::forgetGone(Millis Now) {
+  for (auto Each = Targets.begin(); Each != Targets.end();)
+    if (Each->second.Record.IsGone && Now - Each->second.GoneAt > GoneKept)
+      Each = Targets.erase(Each);
+    else
+      ++Each;
+}
+
+std::vector<TargetRecord> TargetDirectory::all() const {
+  std::vector<TargetRecord> Out;
+  Out.reserve(Targets.size());
+  for (const auto &[Id, Each] : Targets)
+    Out.push_back(Each.Record);
+  return Out;
+}
+
+const TargetRecord *TargetDirectory::find(const std::string &Id) const {
+  const auto Found = Targets.find(Id);
+  return Found == Targets.end() ? nullptr : &Found->second.Record;
+}
+
+std::vector<TargetRecord>
+TargetDirectory::ofGroup(const std::string &Group) const {
+  std::vector<TargetRecord> Out;
+  for (const auto &[Id, Each] : Targets)
+    if (Each.Record.Group == Group && !Each.Record.IsGone)
+      Out.push_back(Each.Record);
+  return Out;
+}
+
+std::optional<TargetRecord>
+TargetDirectory::primaryOf(const std::string &Group) const {
+  std::optional<TargetRecord> Out;
+  for (const TargetRecord &Each : ofGroup(Group))
+    if (Each.IsPrimary && (!Out || Each.PrimarySince > Out->PrimarySince))
+      Out = Each;
+  return Out;
+}
+
+Millis TargetDirectory::lastHeard(const std::string &Id) const {
+  const auto Found = Targets.find(Id);
+  return Found == Targets.end() ? Millis() : Found->second.LastHeard;
+}
+
+} // namespace corianderdyke
--- a/Source/Logs/LogEvents.cpp
+++ b/Source/Logs/LogEvents.cpp
@@ -109,6 +109,16 @@
        "The proxy holds a lease and serves callers."},
       {EventId::LeaseLost, Severity::Warning, "lease-lost",
        "The proxy's lease ran out; it serves nothing until it has another."},
+      {EventId::PlanInForce, Severity::Info, "plan-in-force",
+       "The proxy serves by this version of the plan from now on."},
+      {EventId::ControlLost, Severity::Warning, "control-lost",
+       "No control host answers; callers are served on with what is known."},
+      {EventId::ControlFound, Severity::Info, "control-found",
+       "The leading control host answers."},
+      {EventId::StatementRefused, Severity::Warning, "statement-refused",
+       "A statement got no result; the fields tell the code and its grounds."},
+      {EventId::PromotionStep, Severity::Warning, "promotion-step",
+       "A step of a change of primary, with what decided it."},
   };
   return All;
 }
--- a/Source/Logs/LogEvents.h
+++ b/Source/Logs/LogEvents.h
@@ -27,6 +27,11 @@
   DiskFailed = 203,
   LeaseGained = 300,
   LeaseLost = 301,
+  PlanInForce = 400,
+  ControlLost = 401,
+  ControlFound = 402,
+  StatementRefused = 403,
+  PromotionStep = 404,
 };
 
 enum class Severity : std::uint8_t { Info, Warning, Error };
--- /dev/null
+++ b/Source/Pipeline/CallerSession.h
@@ -0,0 +1,75 @@
+/// \file
+/// What one caller's session holds at its proxy.
+
+#ifndef CORIANDERDYKE_PIPELINE_CALLERSESSION_H
+#define CORIANDERDYKE_PIPELINE_CALLERSESSION_H
+
+#include "Loop/Scheduler.h"
+#include "Pipeline/TargetConnection.h"
+#include "Plan/RoutePlan.h"
+
+namespace corianderdyke {
+
+struct CallerSession;
+
+/// Where a statement may run.
+enum class Placement : std::uint8_t {
+  Leader,  ///< At a target that proves its lead.
+  Replica, ///< Wherever the log holds the floor.
+};
+
+/// One statement on its way through the proxy.
+struct SessionJob {
+  enum class Stage : std::uint8_t { Waiting, Running, Done };
+
+  Statement What;
+  std::weak_ptr<CallerSession> Of;
+  RoutePolicy Route;
+  Millis ArrivedAt;  ///< Of its first byte, or of its transaction's.
+  Millis DeadlineAt; ///< Of this statement.
+  Stage At = Stage::Waiting;
+  Placement Where = Placement::Leader;
+  std::optional<LogPosition> Floor;
+  std::set<std::string> Avoid; ///< Targets that refused it.
+  unsigned Lagged = 0;
+  unsigned Tries = 0;
+  /// True once the caller's own text went out on the present try.
+  bool IsSent = false;
+  Millis SentAt;
+  Millis RetryAt; ///< Waits until then after a refusal.
+  TargetConnectionPtr Connection;
+  bool Writes = false;
+};
+
+using SessionJobPtr = std::shared_ptr<SessionJob>;
+
+struct SessionTransaction {
+  bool OnlyReads = false;
+  Millis StartedAt;
+  Millis LastUsed;
+  TargetConnectionPtr Connection; ///< From its first statement on.
+  bool AtLeader = false;
+  bool HasWritten = false;
+  bool HasSetValues = false;
+};
+
+struct CallerSession {
+  std::uint64_t Id = 0;
+  std::shared_ptr<CallerLink> Link;
+  std::string Database;
+  SessionValues Values;
+  std::map<std::string, PreparedShape> Prepared;
+  SessionPhase Phase = SessionPhase::Idle;
+  std::optional<SessionTransaction> Transaction;
+  /// The session's own last commit by group: its reads must not miss it.
+  std::map<std::string, LogPosition> LastCommit;
+  SessionJobPtr Current;
+  std::deque<Statement> Unstarted; ///< Behind the current one.
+  bool IsGone = false;             ///< The caller has left.
+};
+
+using CallerSessionPtr = std::shared_ptr<CallerSession>;
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Pipeline/FloorTable.cpp
@@ -0,0 +1,41 @@
+/// \file
+/// Proven floors: log positions that hold everything acknowledged before a
+/// known moment.
+
+#include "Pipeline/FloorTable.h"
+
+namespace corianderdyke {
+
+void FloorTable::note(const std::string &Group, LogPosition Shown,
+                      Millis SentAt) {
+  std::deque<Proof> &Known = Groups[Group];
+  // A floor in the tail that a promotion rolled back is in no log any more:
+  // every replica would refuse it for as long as it's kept.
+  if (!Known.empty() && Known.back().Shown.Term > Shown.Term)
+    return;
+  if (!Known.empty() && Known.back().Shown.Term < Shown.Term)
+    Known.clear();
+  if (!Known.empty() && SentAt < Known.back().SentAt)
+    return;
+  if (Known.size() > 1 && SentAt - Known[Known.size() - 2].SentAt < Spacing) {
+    Known.back() = {Shown, SentAt};
+    return;
+  }
+  Known.push_back({Shown, SentAt});
+  while (Known.size() > MaxProofs || SentAt - Known.front().SentAt > Kept)
+    Known.pop_front();
+}
+
+std::optional<LogPosition> FloorTable::floor(const std::string &Group,
+                                             Millis ArrivedAt,
+                                             Millis AcceptedAge) const {
+  const auto Found = Groups.find(Group);
+  if (Found == Groups.end())
+    return std::nullopt;
+  for (const Proof &Each : Found->second)
+    if (Each.SentAt > ArrivedAt - AcceptedAge)
+      return Each.Shown;
+  return std::nullopt;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Pipeline/FloorTable.h
@@ -0,0 +1,55 @@
+/// \file
+/// Proven floors: log positions that hold everything acknowledged before a
+/// known moment.
+///
+/// A read may miss commits that are younger than its accepted age. A replica
+/// alone can't tell how old it is, and the time that it last heard of its
+/// primary proves nothing once another leads. A position that a leader showed
+/// in an answer to something sent at time T holds every commit acknowledged
+/// before T, whichever proxy carried it. A target whose log holds that
+/// position is fresh enough for any read that arrives within the accepted age
+/// after T, without clocks of other hosts and without control.
+
+#ifndef CORIANDERDYKE_PIPELINE_FLOORTABLE_H
+#define CORIANDERDYKE_PIPELINE_FLOORTABLE_H
+
+#include "Common/Millis.h"
+#include "Statements/Statement.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace corianderdyke {
+
+class FloorTable {
+public:
+  /// A target that proved its lead showed \p Shown in an answer to something
+  /// that was sent at \p SentAt.
+  void note(const std::string &Group, LogPosition Shown, Millis SentAt);
+
+  /// The lowest position that is a floor for a read which arrived at
+  /// \p ArrivedAt and accepts \p AcceptedAge; the lowest lets the most
+  /// replicas serve it. Nothing where no proof is young enough.
+  std::optional<LogPosition> floor(const std::string &Group, Millis ArrivedAt,
+                                   Millis AcceptedAge) const;
+
+private:
+  struct Proof {
+    LogPosition Shown;
+    Millis SentAt;
+  };
+
+  /// Longest accepted age that is supported; older proofs are dropped.
+  static constexpr Millis Kept = Millis(60000);
+  /// Proofs this close together are worth one; bounds the table.
+  static constexpr Millis Spacing = Millis(20);
+  static constexpr std::size_t MaxProofs = 512;
+
+  std::map<std::string, std::deque<Proof>> Groups;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Pipeline/SessionPipeline.h
@@ -0,0 +1,190 @@
+/// \file
+/// Carries the statements of callers' sessions to targets that enforce their
+/// leadership themselves.
+///
+/// Under this policy a proxy needs no lease to be truthful. A write reaches
+/// its callers as done only with the answer of a target that leads, which the
+/// target itself guarantees. A read is proved fresh by the target that runs
+/// it: inside a transaction that only a leader accepts, or on a log that
+/// holds a proven floor. Control may be cut off, frozen or gone: callers are
+/// served on.
+
+#ifndef CORIANDERDYKE_PIPELINE_SESSIONPIPELINE_H
+#define CORIANDERDYKE_PIPELINE_SESSIONPIPELINE_H
+
+#include "Common/Clock.h"
+#include "Pipeline/CallerSession.h"
+#include "Pipeline/FloorTable.h"
+#include "Pipeline/TargetPool.h"
+
+#include <list>
+#include <sigc++/sigc++.h>
+
+namespace corianderdyke {
+
+/// Counters for metrics.
+struct PipelineCounts {
+  std::uint64_t Sessions = 0;
+  std::uint64_t ReadsByReplica = 0;
+  std::uint64_t ReadsByLeader = 0;
+  std::uint64_t Writes = 0;
+  std::uint64_t Commits = 0;
+  std::uint64_t NotRun = 0;  ///< StatementRefusal, and nothing is kept.
+  std::uint64_t Failed = 0;  ///< Ran and failed, or ran out of time.
+  std::uint64_t Unknown = 0; ///< May have run.
+  std::uint64_t Retries = 0;
+  std::uint64_t Opened = 0; ///< Connections to targets.
+
+  auto operator<=>(const PipelineCounts &) const = default;
+};
+
+/// A target that couldn't be used, as seen here.
+struct TargetTrouble {
+  std::string Id;
+  bool IsRefused = false; ///< StatementRefusal or reset; else silent.
+
+  auto operator<=>(const TargetTrouble &) const = default;
+};
+
+class SessionPipeline : public sigc::trackable {
+public:
+  struct Ports {
+    Clock &Time;
+    Scheduler &Timers;
+    TargetConnector &Targets;
+  };
+
+  SessionPipeline(Ports Outside, Place Where);
+  ~SessionPipeline();
+
+  /// Callers.
+  std::uint64_t open(const std::string &Database,
+                     std::shared_ptr<CallerLink> Link);
+  void receive(std::uint64_t Session, Statement What);
+  void disconnected(std::uint64_t Session);
+
+  /// What control said.
+  void adopt(const RoutePlan &New);
+  void update(const TargetDirectory &Known);
+  void setProxyCount(std::size_t Count);
+
+  /// A planned stop. Sessions between statements are closed a few at a time,
+  /// so that they don't all come back at once elsewhere.
+  void beginStop(Millis TransactionsUntil, Millis SessionsUntil);
+  bool isQuiet() const { return Sessions.empty(); }
+  std::size_t sessions() const { return Sessions.size(); }
+
+  const RoutePlan &plan() const { return Plan; }
+  const PipelineCounts &counts() const { return Counts; }
+
+  /// Emitted when a target couldn't be reached.
+  sigc::signal<void(const TargetTrouble &)> &signalTrouble() { return Trouble; }
+  /// Emitted when a primary answered.
+  sigc::signal<void(const std::string &)> &signalReached() { return Reached; }
+  /// Emitted with each statement that isn't answered with a result.
+  sigc::signal<void(const CallerSession &, const Statement &,
+                    const StatementRefusal &, const std::string &)> &
+  signalRefused() {
+    return RefusedSignal;
+  }
+
+private:
+  struct Group {
+    std::map<std::string, TargetPool> Pools; ///< By target.
+    std::string Primary;                     ///< Empty where none is known.
+    std::list<SessionJobPtr> Waiting;
+    bool IsPumping = false;
+  };
+
+  // Sessions and their statements.
+  void startNext(const CallerSessionPtr &Session);
+  void start(const CallerSessionPtr &Session, const Statement &What);
+  void answerHere(const CallerSessionPtr &Session, const Statement &What);
+  void beginTransaction(const CallerSessionPtr &Session, const Statement &What);
+  void rollBack(const CallerSessionPtr &Session);
+  void endTransaction(SessionTransaction Ended);
+  void startJob(const CallerSessionPtr &Session, const Statement &What);
+  bool resolveExecution(const CallerSessionPtr &Session, SessionJob &Job);
+  void place(const CallerSession &Session, SessionJob &Job) const;
+  void reply(const CallerSessionPtr &Session, const StatementAnswer &Answer);
+  void replyDone(const CallerSessionPtr &Session);
+  void replyRefused(const CallerSessionPtr &Session, const Statement &What,
+                    StatementRefusal Why, const std::string &Grounds);
+  void closeSession(const CallerSessionPtr &Session);
+
+  // Assigning connections.
+  void enqueue(const SessionJobPtr &Job);
+  void pump(const std::string &Name);
+  bool assign(Group &In, const SessionJobPtr &Job);
+  std::vector<TargetPool *> candidates(Group &In, const SessionJob &Job);
+  double cost(const Group &In, const TargetPool &Pool,
+              const SessionJob &Job) const;
+  bool openIfAllowed(const std::string &GroupName, TargetPool &Pool);
+  void openConnection(const std::string &GroupName, TargetPool &Pool);
+  void opened(const std::string &GroupName, const TargetConnectionPtr &Made);
+  void closed(const std::string &GroupName, const TargetConnectionPtr &Gone,
+              const std::optional<StatementRefusal> &Why);
+  void release(const TargetConnectionPtr &Used);
+  void discard(const TargetConnectionPtr &Used);
+  TargetPool *poolOf(const TargetConnectionPtr &Used);
+
+  // Running.
+  void run(const SessionJobPtr &Job, const TargetConnectionPtr &On);
+  void openTransaction(const SessionJobPtr &Job, bool AtLeader);
+  void runAtLeader(const SessionJobPtr &Job);
+  void runStatement(const SessionJobPtr &Job, bool RollBackAfter);
+  TargetCommand commandOf(const SessionJobPtr &Job,
+                          std::vector<TargetConnection::Step> &Before);
+  /// Ends what is open on a connection, which is free with the answer.
+  TargetConnection::Step rollBackStep(const TargetConnectionPtr &On);
+  void transactionOpened(const SessionJobPtr &Job, bool AtLeader,
+                         const StatementAnswer &Answer);
+  void leaderOpened(const SessionJobPtr &Job, const StatementAnswer &Answer);
+  void openingRefused(const SessionJobPtr &Job, const StatementAnswer &Answer);
+  void answered(const SessionJobPtr &Job, const StatementAnswer &Answer);
+  void answeredInTransaction(const SessionJobPtr &Job,
+                             const CallerSessionPtr &Session,
+                             const StatementAnswer &Answer);
+  void answeredAlone(const SessionJobPtr &Job, const CallerSessionPtr &Session,
+                     const StatementAnswer &Answer);
+  void lost(const SessionJobPtr &Job, const std::string &Grounds);
+  void tryAgain(const SessionJobPtr &Job, const StatementRefusal &Why,
+                Millis After);
+  void finishRefused(const SessionJobPtr &Job, StatementRefusal Why,
+                     const std::string &Grounds);
+  void noteAnswer(const SessionJobPtr &Job, const StatementAnswer &Answer,
+                  bool ProvesLead);
+
+  // Time.
+  void tick();
+  void keepTicking();
+  void overdue(const SessionJobPtr &Job, Millis Now);
+  void closeIdleSessions(Millis Now);
+  void endIdleTransactions(Millis Now);
+
+  Ports Outside;
+  Place Where;
+  RoutePlan Plan;
+  std::map<std::string, Group> Groups;
+  FloorTable Floors;
+  std::map<std::uint64_t, CallerSessionPtr> Sessions;
+  std::set<SessionJobPtr> Running;
+  std::uint64_t NextSession = 1;
+  std::size_t Proxies = 8;
+  Scheduler::TimerId Ticking = 0;
+  bool IsStopping = false;
+  Millis StopBeganAt;
+  Millis TransactionsUntil;
+  Millis SessionsUntil;
+  std::size_t SessionsAtStop = 0;
+  PipelineCounts Counts;
+  sigc::signal<void(const TargetTrouble &)> Trouble;
+  sigc::signal<void(const std::string &)> Reached;
+  sigc::signal<void(const CallerSession &, const Statement &,
+                    const StatementRefusal &, const std::string &)>
+      RefusedSignal;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -0,0 +1,406 @@
+/// \file
+/// How waiting statements get connections to targets, and what is sent on
+/// them.
+
+#include "Pipeline/SessionPipeline.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+namespace {
+
+/// Connections of one proxy to one target that it may keep warm at least.
+constexpr std::size_t LeastShare = 1;
+/// Part of a target's connections that is left for control and for those
+/// that the target hasn't noticed to be closed.
+constexpr std::size_t SpareConnections = 2;
+/// What a statement costs more in another failure domain, in units of one
+/// statement that runs there already: the way there and back costs time and
+/// bytes between failure domains.
+constexpr double DistanceCost = 1.5;
+/// A replica that hadn't reached the floor when it last answered would
+/// refuse the read, which costs one way there and back.
+constexpr double BehindCost = 3;
+/// The primary is left to those that need it.
+constexpr double PrimaryCost = 1;
+/// Milliseconds of a target's mean answer time that weigh as much as one
+/// statement that runs there.
+constexpr double LatencyUnit = 15;
+/// A target that opened no transaction is asked again after this long.
+constexpr Millis BusyPause(10);
+
+} // namespace
+
+void SessionPipeline::adopt(const RoutePlan &New) {
+  // Never back: callers have seen the later one.
+  if (New.Version <= Plan.Version)
+    return;
+  Plan = New;
+  setProxyCount(Proxies);
+}
+
+void SessionPipeline::setProxyCount(std::size_t Count) {
+  Proxies = std::max<std::size_t>(Count, 1);
+  for (auto &[Name, Each] : Groups) {
+    const GroupPolicy *Policy = Plan.group(Name);
+    if (Policy == nullptr)
+      continue;
+    const std::size_t All =
+        std::max<std::size_t>(Policy->MaxConnections, SpareConnections + 1) -
+        SpareConnections;
+    for (auto &[Id, Pool] : Each.Pools)
+      Pool.setShare(std::max(LeastShare, All / Proxies));
+  }
+}
+
+void SessionPipeline::update(const TargetDirectory &Known) {
+  const Millis Now = Outside.Time.now();
+  for (const TargetRecord &Each : Known.all()) {
+    Group &In = Groups[Each.Group];
+    const auto Pool = In.Pools.find(Each.Id);
+    if (Pool != In.Pools.end())
+      Pool->second.update(Each, Now);
+    else if (!Each.IsGone)
+      In.Pools.emplace(Each.Id, TargetPool(Each, LeastShare, Now));
+  }
+  for (auto &[Name, Each] : Groups) {
+    const auto Primary = Known.primaryOf(Name);
+    Each.Primary = Primary ? Primary->Id : "";
+    for (auto Pool = Each.Pools.begin(); Pool != Each.Pools.end();) {
+      Pool->second.tend(Now);
+      const bool Ended =
+          Pool->second.record().IsGone && Pool->second.size() == 0;
+      Pool = Ended ? Each.Pools.erase(Pool) : std::next(Pool);
+    }
+  }
+  setProxyCount(Proxies);
+  std::vector<std::string> Names;
+  for (const auto &[Name, Each] : Groups)
+    Names.push_back(Name);
+  for (const std::string &Name : Names)
+    pump(Name);
+}
+
+void SessionPipeline::pump(const std::string &Name) {
+  Group &In = Groups[Name];
+  if (In.IsPumping)
+    return;
+  In.IsPumping = true;
+  const Millis Now = Outside.Time.now();
+  for (auto Each = In.Waiting.begin(); Each != In.Waiting.end();) {
+    const SessionJobPtr Job = *Each;
+    if (Job->RetryAt > Now || !assign(In, Job)) {
+      ++Each;
+      continue;
+    }
+    Each = In.Waiting.erase(Each);
+    const TargetConnectionPtr On = Job->Connection;
+    run(Job, On);
+  }
+  In.IsPumping = false;
+}
+
+std::vector<TargetPool *> SessionPipeline::candidates(Group &In,
+                                                      const SessionJob &Job) {
+  const Millis Now = Outside.Time.now();
+  std::vector<TargetPool *> Out;
+  for (auto &[Id, Pool] : In.Pools) {
+    const TargetRecord &Record = Pool.record();
+    if (Record.IsGone)
+      continue;
+    // A leaving primary serves on until another has taken its place, or until
+    // the time that it was promised is nearly over.
+    if (Job.Where == Placement::Leader &&
+        (Id != In.Primary || !Pool.mayLead(Now) || !Pool.mayTakeWork(Now)))
+      continue;
+    if (Job.Where == Placement::Replica &&
+        (Record.IsLeaving || Job.Avoid.count(Id) != 0))
+      continue;
+    Out.push_back(&Pool);
+  }
+  std::sort(Out.begin(), Out.end(),
+            [&](const TargetPool *Left, const TargetPool *Right) {
+              return cost(In, *Left, Job) < cost(In, *Right, Job);
+            });
+  return Out;
+}
+
+double SessionPipeline::cost(const Group &In, const TargetPool &Pool,
+                             const SessionJob &Job) const {
+  double Out = static_cast<double>(Pool.busy()) + Pool.latency() / LatencyUnit;
+  if (Pool.record().FailureDomain != Where.FailureDomain)
+    Out += DistanceCost;
+  if (Job.Floor && Pool.position() < *Job.Floor)
+    Out += BehindCost;
+  if (Pool.record().Id == In.Primary)
+    Out += PrimaryCost;
+  return Out;
+}
+
+bool SessionPipeline::assign(Group &In, const SessionJobPtr &Job) {
+  const Millis Now = Outside.Time.now();
+  const CallerSessionPtr Session = Job->Of.lock();
+  if (!Session)
+    return false;
+  std::vector<TargetPool *> Choices = candidates(In, *Job);
+  if (Choices.empty() && Job->Where == Placement::Replica) {
+    // Every replica refused it, or none is left.
+    Job->Where = Placement::Leader;
+    Job->Floor.reset();
+    Choices = candidates(In, *Job);
+  }
+  // The best target gets a connection even while another has one free;
+  // otherwise callers would stay with the far target for good.
+  if (!Choices.empty() && !Choices.front()->idle(Session->Values))
+    openIfAllowed(Job->Route.Group, *Choices.front());
+  for (TargetPool *Pool : Choices) {
+    if (const TargetConnectionPtr Free = Pool->idle(Session->Values)) {
+      Free->setBusy(true, Now);
+      Job->Connection = Free;
+      return true;
+    }
+  }
+  // One connection on its way for all that wait: each costs the target a slot.
+  for (TargetPool *Pool : Choices)
+    if (Pool->opening() > 0 || openIfAllowed(Job->Route.Group, *Pool))
+      break;
+  return false;
+}
+
+bool SessionPipeline::openIfAllowed(const std::string &GroupName,
+                                    TargetPool &Pool) {
+  if (Pool.opening() > 0 || !Pool.mayOpen(Outside.Time.now()))
+    return false;
+  openConnection(GroupName, Pool);
+  return true;
+}
+
+void SessionPipeline::openConnection(const std::string &GroupName,
+                                     TargetPool &Pool) {
+  const TargetRecord &To = Pool.record();
+  ++Counts.Opened;
+  // The handlers run on the loop, after this has returned.
+  auto Weak = std::make_shared<std::weak_ptr<TargetConnection>>();
+  auto Made = std::make_shared<TargetConnection>(
+      Outside.Targets, TargetAddress{To.Group, To.Id, To.Address},
+      Outside.Time.now(),
+      TargetConnection::Events{
+          [this, GroupName, Weak] {
+            if (const TargetConnectionPtr Open = Weak->lock())
+              opened(GroupName, Open);
+          },
+          [this, GroupName, Weak](const std::optional<StatementRefusal> &Why) {
+            if (const TargetConnectionPtr Gone = Weak->lock())
+              closed(GroupName, Gone, Why);
+          }});
+  *Weak = Made;
+  Pool.add(Made);
+  keepTicking();
+}
+
+void SessionPipeline::opened(const std::string &GroupName,
+                             const TargetConnectionPtr &Made) {
+  Made->setBusy(false, Outside.Time.now());
+  if (TargetPool *Pool = poolOf(Made))
+    Pool->reached();
+  pump(GroupName);
+}
+
+void SessionPipeline::closed(const std::string &GroupName,
+                             const TargetConnectionPtr &Gone,
+                             const std::optional<StatementRefusal> &Why) {
+  const Millis Now = Outside.Time.now();
+  Group &In = Groups[GroupName];
+  if (TargetPool *Pool = poolOf(Gone)) {
+    Pool->remove(Gone);
+    if (Why && Why->Code == RefusalCode::ConnectionLimit)
+      Pool->refusedConnection(Now);
+    else
+      Pool->unreachable(Now);
+    if (!Why || Why->Code == RefusalCode::Misrouted)
+      Trouble.emit({Gone->to().Id, true});
+  }
+  // Whoever waits for an answer on it learns so now.
+  std::vector<SessionJobPtr> Lost;
+  for (const SessionJobPtr &Job : Running)
+    if (Job->Connection == Gone)
+      Lost.push_back(Job);
+  for (const SessionJobPtr &Job : Lost)
+    lost(Job, "the connection to target " + Gone->to().Id + " was lost");
+  if (!In.Waiting.empty())
+    pump(GroupName);
+}
+
+TargetPool *SessionPipeline::poolOf(const TargetConnectionPtr &Used) {
+  if (!Used)
+    return nullptr;
+  const auto In = Groups.find(Used->to().Group);
+  if (In == Groups.end())
+    return nullptr;
+  const auto Pool = In->second.Pools.find(Used->to().Id);
+  return Pool == In->second.Pools.end() ? nullptr : &Pool->second;
+}
+
+void SessionPipeline::release(const TargetConnectionPtr &Used) {
+  if (Used->stage() == TargetConnection::Stage::Closed)
+    return;
+  const std::string GroupName = Used->to().Group;
+  Used->setBusy(false, Outside.Time.now());
+  if (TargetPool *Pool = poolOf(Used);
+      Pool != nullptr && Pool->record().IsLeaving)
+    Pool->tend(Outside.Time.now());
+  pump(GroupName);
+}
+
+void SessionPipeline::discard(const TargetConnectionPtr &Used) {
+  if (!Used)
+    return;
+  if (TargetPool *Pool = poolOf(Used))
+    Pool->remove(Used);
+  Used->close();
+}
+
+// What is sent.
+
+void SessionPipeline::run(const SessionJobPtr &Job,
+                          const TargetConnectionPtr &On) {
+  const CallerSessionPtr Session = Job->Of.lock();
+  if (!Session) {
+    release(On);
+    return;
+  }
+  Job->At = SessionJob::Stage::Running;
+  Job->SentAt = Outside.Time.now();
+  Running.insert(Job);
+  keepTicking();
+  if (Session->Transaction) {
+    openTransaction(Job, Job->Where == Placement::Leader);
+    return;
+  }
+  if (Job->Where == Placement::Leader && !Job->Writes) {
+    runAtLeader(Job);
+    return;
+  }
+  runStatement(Job, false);
+}
+
+// A transaction's first statement goes out only once the target has opened
+// the transaction: behind a refused opening it would run on its own.
+void SessionPipeline::openTransaction(const SessionJobPtr &Job, bool AtLeader) {
+  const CallerSessionPtr Session = Job->Of.lock();
+  std::vector<TargetConnection::Step> Steps;
+  Job->Connection->adjust(Session->Values, Steps);
+  Steps.push_back({{.What = AtLeader ? TargetCommand::Kind::Begin
+                                     : TargetCommand::Kind::BeginRead,
+                    .After = AtLeader ? std::nullopt : Job->Floor},
+                   [this, Job, AtLeader](const StatementAnswer &Answer) {
+                     transactionOpened(Job, AtLeader, Answer);
+                   }});
+  Job->Connection->send(std::move(Steps));
+}
+
+void SessionPipeline::transactionOpened(const SessionJobPtr &Job, bool AtLeader,
+                                        const StatementAnswer &Answer) {
+  if (Job->At != SessionJob::Stage::Running)
+    return;
+  const CallerSessionPtr Session = Job->Of.lock();
+  noteAnswer(Job, Answer, AtLeader);
+  if (Answer.Refusal || Answer.Phase != SessionPhase::InTransaction)
+    return openingRefused(Job, Answer);
+  if (!Session || !Session->Transaction || Session->IsGone) {
+    // The caller left meanwhile.
+    Running.erase(Job);
+    Job->At = SessionJob::Stage::Done;
+    if (Session)
+      Session->Current.reset();
+    SessionTransaction Unused;
+    Unused.Connection = Job->Connection;
+    return endTransaction(std::move(Unused));
+  }
+  Session->Transaction->Connection = Job->Connection;
+  Session->Transaction->AtLeader = AtLeader;
+  runStatement(Job, false);
+}
+
+void SessionPipeline::openingRefused(const SessionJobPtr &Job,
+                                     const StatementAnswer &Answer) {
+  Running.erase(Job);
+  const TargetConnectionPtr On = Job->Connection;
+  if (Answer.Phase == SessionPhase::Idle)
+    release(On);
+  else
+    discard(On);
+  const StatementRefusal Why = Answer.Refusal.value_or(
+      StatementRefusal{RefusalCode::Busy, "the target opened no transaction"});
+  if (Why.Code == RefusalCode::Lagging) {
+    ++Job->Lagged;
+    Job->Avoid.insert(On->to().Id);
+    return tryAgain(Job, Why, Millis(0));
+  }
+  tryAgain(Job, Why, BusyPause);
+}
+
+// A read that must miss nothing runs inside a transaction that only a leader
+// opens. A primary that was replaced answers a plain read from its old log,
+// and its caller would miss what the new primary has acknowledged.
+void SessionPipeline::runAtLeader(const SessionJobPtr &Job) {
+  const CallerSessionPtr Session = Job->Of.lock();
+  std::vector<TargetConnection::Step> Steps;
+  Job->Connection->adjust(Session->Values, Steps);
+  Steps.push_back({{.What = TargetCommand::Kind::Begin},
+                   [this, Job](const StatementAnswer &Answer) {
+                     leaderOpened(Job, Answer);
+                   }});
+  Job->Connection->send(std::move(Steps));
+}
+
+void SessionPipeline::leaderOpened(const SessionJobPtr &Job,
+                                   const StatementAnswer &Answer) {
+  if (Job->At != SessionJob::Stage::Running)
+    return;
+  if (!Answer.Refusal && Answer.Phase == SessionPhase::InTransaction)
+    return runStatement(Job, true);
+  noteAnswer(Job, Answer, false);
+  openingRefused(Job, Answer);
+}
+
+TargetCommand
+SessionPipeline::commandOf(const SessionJobPtr &Job,
+                           std::vector<TargetConnection::Step> &Before) {
+  TargetCommand Out;
+  Out.Id = Job->What.Id;
+  Out.Text = Job->What.Text;
+  const CallerSessionPtr Session = Job->Of.lock();
+  const bool IsAlone = Session && !Session->Transaction;
+  if (IsAlone && Job->Where == Placement::Replica)
+    Out.After = Job->Floor;
+  if (Job->What.Kind == StatementKind::Execute && Session) {
+    Out.What = TargetCommand::Kind::Execute;
+    Out.Name =
+        Job->Connection->prepare(Session->Prepared[Job->What.Name], Before);
+    Out.Text = Job->What.Arguments;
+  }
+  return Out;
+}
+
+void SessionPipeline::runStatement(const SessionJobPtr &Job,
+                                   bool RollBackAfter) {
+  const CallerSessionPtr Session = Job->Of.lock();
+  const TargetConnectionPtr On = Job->Connection;
+  if (!Session || !On)
+    return;
+  std::vector<TargetConnection::Step> Steps;
+  On->adjust(Session->Values, Steps);
+  TargetCommand Own = commandOf(Job, Steps);
+  Steps.push_back({std::move(Own), [this, Job](const StatementAnswer &Answer) {
+                     answered(Job, Answer);
+                   }});
+  if (RollBackAfter)
+    Steps.push_back(rollBackStep(On));
+  Job->IsSent = true;
+  Job->SentAt = Outside.Time.now();
+  On->send(std::move(Steps));
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Pipeline/TargetConnection.cpp
@@ -0,0 +1,110 @@
+/// \file
+/// One connection to a target, with the session state that it carries.
+
+#include "Pipeline/TargetConnection.h"
+
+#include <utility>
+
+namespace corianderdyke {
+
+TargetConnection::TargetConnection(TargetConnector &Connector,
+                                   const TargetAddress &To, Millis Now,
+                                   Events Handlers)
+    : To(To), Handlers(std::move(Handlers)), IdleSince(Now), OpenedAt(Now) {
+  Link = Connector.open(
+      To,
+      {[this] {
+         At = Stage::Idle;
+         const auto Handler = this->Handlers.OnOpen;
+         Handler();
+       },
+       [this](const StatementAnswer &Answer) { answered(Answer); },
+       [this](const std::optional<StatementRefusal> &Why) { closed(Why); }});
+}
+
+void TargetConnection::adjust(const SessionValues &Wanted,
+                              std::vector<Step> &Out) {
+  if (carries(Wanted))
+    return;
+  bool Extends = ValuesKnown;
+  for (const auto &[Name, Value] : Values)
+    Extends = Extends && Wanted.count(Name) != 0;
+  if (!Extends) {
+    Out.push_back({{.What = TargetCommand::Kind::Reset}});
+    Values.clear();
+    Prepared.clear();
+    ValuesKnown = true;
+  }
+  for (const auto &[Name, Value] : Wanted) {
+    const auto Known = Values.find(Name);
+    if (Known == Values.end() || Known->second != Value)
+      Out.push_back({{.What = TargetCommand::Kind::SetValue,
+                      .Text = Value,
+                      .Name = Name}});
+  }
+  Values = Wanted;
+}
+
+std::string TargetConnection::prepare(const PreparedShape &Shape,
+                                      std::vector<Step> &Out) {
+  std::string &Name = Prepared[Shape];
+  if (Name.empty()) {
+    Name = "p" + std::to_string(NextName++);
+    Out.push_back({{.What = TargetCommand::Kind::Prepare,
+                    .Text = Shape.Text,
+                    .Name = Name}});
+  }
+  return Name;
+}
+
+void TargetConnection::send(std::vector<Step> Steps) {
+  std::vector<TargetCommand> Commands;
+  Commands.reserve(Steps.size());
+  for (Step &Each : Steps) {
+    Commands.push_back(std::move(Each.Command));
+    Awaited.push_back(std::move(Each.Handler));
+  }
+  if (Link)
+    Link->send(Commands);
+}
+
+void TargetConnection::answered(const StatementAnswer &Answer) {
+  if (Awaited.empty()) {
+    // An answer to nothing: the order of answers can't be trusted any more.
+    closed(std::nullopt);
+    return;
+  }
+  const OnAnswer Handler = std::move(Awaited.front());
+  Awaited.pop_front();
+  if (Handler)
+    Handler(Answer);
+  else if (Answer.Refusal)
+    closed(Answer.Refusal);
+}
+
+void TargetConnection::closed(const std::optional<StatementRefusal> &Why) {
+  if (At == Stage::Closed)
+    return;
+  At = Stage::Closed;
+  Awaited.clear();
+  const auto Handler = std::exchange(Handlers, {}).OnClose;
+  if (Handler)
+    Handler(Why);
+}
+
+void TargetConnection::close() {
+  At = Stage::Closed;
+  Handlers = {};
+  Awaited.clear();
+  Link.reset();
+}
+
+void TargetConnection::setBusy(bool Busy, Millis Now) {
+  if (At == Stage::Closed)
+    return;
+  At = Busy ? Stage::Busy : Stage::Idle;
+  if (!Busy)
+    IdleSince = Now;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Pipeline/TargetConnection.h
@@ -0,0 +1,90 @@
+/// \file
+/// One connection to a target, with the session state that it carries.
+
+#ifndef CORIANDERDYKE_PIPELINE_TARGETCONNECTION_H
+#define CORIANDERDYKE_PIPELINE_TARGETCONNECTION_H
+
+#include "Common/Millis.h"
+#include "Statements/Links.h"
+
+#include <deque>
+#include <set>
+
+namespace corianderdyke {
+
+/// A shape that a caller prepared.
+struct PreparedShape {
+  std::string Text; ///< What is prepared, without the name.
+  bool Writes = false;
+
+  auto operator<=>(const PreparedShape &) const = default;
+};
+
+/// Remembers which session values and prepared names the target holds for
+/// this connection. A statement that ran with another session's values would
+/// return that session's view of the data.
+class TargetConnection {
+public:
+  enum class Stage : std::uint8_t { Opening, Idle, Busy, Closed };
+  using OnAnswer = std::function<void(const StatementAnswer &)>;
+
+  struct Step {
+    TargetCommand Command;
+    OnAnswer Handler = nullptr;
+  };
+
+  struct Events {
+    std::function<void()> OnOpen;
+    std::function<void(std::optional<StatementRefusal>)> OnClose;
+  };
+
+  TargetConnection(TargetConnector &Connector, const TargetAddress &To,
+                   Millis Now, Events Handlers);
+
+  /// Adds what gives this connection exactly these values.
+  void adjust(const SessionValues &Wanted, std::vector<Step> &Out);
+  /// Adds what makes a shape known here; the name that it has here.
+  std::string prepare(const PreparedShape &Shape, std::vector<Step> &Out);
+  /// Sends steps in one write. One without a handler must succeed: where it
+  /// fails the connection closes, since what the target holds for it isn't
+  /// known any more.
+  void send(std::vector<Step> Steps);
+  /// Ends it at once; no handler runs any more.
+  void close();
+  /// The values can't be relied on: the next use clears them.
+  void forgetValues() { ValuesKnown = false; }
+  bool carries(const SessionValues &Wanted) const {
+    return ValuesKnown && Values == Wanted;
+  }
+
+  const TargetAddress &to() const { return To; }
+  Stage stage() const { return At; }
+  void setBusy(bool Busy, Millis Now);
+  Millis idleSince() const { return IdleSince; }
+  Millis openedAt() const { return OpenedAt; }
+  /// True while answers are outstanding.
+  bool awaitsAnswers() const { return !Awaited.empty(); }
+
+private:
+  void answered(const StatementAnswer &Answer);
+  void closed(const std::optional<StatementRefusal> &Why);
+
+  TargetAddress To;
+  Events Handlers;
+  std::unique_ptr<TargetLink> Link;
+  Stage At = Stage::Opening;
+  SessionValues Values;
+  bool ValuesKnown = true;
+  /// Names at the target by shape; lost with a reset.
+  std::map<PreparedShape, std::string> Prepared;
+  std::uint64_t NextName = 1;
+  std::deque<OnAnswer> Awaited;
+  Millis IdleSince;
+  Millis OpenedAt;
+};
+
+using TargetConnectionPtr = std::shared_ptr<TargetConnection>;
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Pipeline/TargetPool.cpp
@@ -0,0 +1,89 @@
+/// \file
+/// The connections of this proxy to one target, and what it knows of it.
+
+#include "Pipeline/TargetPool.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+void TargetPool::update(const TargetRecord &New, Millis Now) {
+  if (New.IsLeaving && !Record.IsLeaving)
+    LeavingSince = Now;
+  Record = New;
+}
+
+std::size_t TargetPool::count(TargetConnection::Stage Which) const {
+  return static_cast<std::size_t>(
+      std::count_if(All.begin(), All.end(), [Which](const auto &Each) {
+        return Each->stage() == Which;
+      }));
+}
+
+TargetConnectionPtr TargetPool::idle(const SessionValues &Wanted) const {
+  TargetConnectionPtr Best;
+  for (const TargetConnectionPtr &Each : All) {
+    if (Each->stage() != TargetConnection::Stage::Idle)
+      continue;
+    if (Each->carries(Wanted))
+      return Each;
+    if (!Best || Each->idleSince() > Best->idleSince())
+      Best = Each;
+  }
+  return Best;
+}
+
+bool TargetPool::mayOpen(Millis Now) const {
+  return !isAvoided(Now) && All.size() < Limit.value_or(Share + Burst);
+}
+
+void TargetPool::remove(const TargetConnectionPtr &Gone) {
+  All.erase(std::remove(All.begin(), All.end(), Gone), All.end());
+}
+
+void TargetPool::refusedConnection(Millis Now) {
+  Limit = std::max<std::size_t>(1, All.size());
+  LimitRaisedAt = Now;
+  if (All.empty())
+    AvoidUntil = Now + FirstAvoid;
+}
+
+void TargetPool::unreachable(Millis Now) {
+  LastAvoid = LastAvoid == Millis() ? FirstAvoid
+                                    : std::min(LastAvoid * 2, LongestAvoid);
+  AvoidUntil = Now + LastAvoid;
+}
+
+void TargetPool::reached() {
+  LastAvoid = Millis();
+  AvoidUntil = Millis();
+}
+
+void TargetPool::tend(Millis Now) {
+  if (Limit && Now - LimitRaisedAt >= LimitRecovery) {
+    LimitRaisedAt = Now;
+    if (++*Limit >= Share + Burst)
+      Limit.reset();
+  }
+  const bool ServesOn =
+      Record.IsLeaving ? Record.IsPrimary && mayTakeWork(Now) : !Record.IsGone;
+  const std::size_t Kept = ServesOn ? Share : 0;
+  const std::vector<TargetConnectionPtr> Before = All;
+  for (const TargetConnectionPtr &Each : Before) {
+    if (All.size() <= Kept)
+      return;
+    if (Each->stage() != TargetConnection::Stage::Idle)
+      continue;
+    if (Kept > 0 && Now - Each->idleSince() < IdleBeyondShare)
+      continue;
+    Each->close();
+    remove(Each);
+  }
+}
+
+void TargetPool::noteLatency(Millis Taken) {
+  constexpr double Weight = 0.1;
+  Latency += Weight * (static_cast<double>(Taken.count()) - Latency);
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Pipeline/TargetPool.h
@@ -0,0 +1,95 @@
+/// \file
+/// The connections of this proxy to one target, and what it knows of it.
+
+#ifndef CORIANDERDYKE_PIPELINE_TARGETPOOL_H
+#define CORIANDERDYKE_PIPELINE_TARGETPOOL_H
+
+#include "Directory/TargetDirectory.h"
+#include "Pipeline/TargetConnection.h"
+
+namespace corianderdyke {
+
+/// Keeps few connections warm. The target counts connections of all proxies
+/// together, and a new one costs it a slot, so each proxy keeps its share
+/// and goes beyond it only while the target takes more.
+class TargetPool {
+public:
+  TargetPool(TargetRecord Of, std::size_t Share, Millis Now)
+      : Record(std::move(Of)), Share(Share), LeavingSince(Now),
+        LimitRaisedAt(Now) {}
+
+  const TargetRecord &record() const { return Record; }
+  void update(const TargetRecord &New, Millis Now);
+  void setShare(std::size_t New) { Share = New; }
+
+  /// An idle connection, one that carries these values where there is one.
+  TargetConnectionPtr idle(const SessionValues &Wanted) const;
+  bool mayOpen(Millis Now) const;
+  void add(TargetConnectionPtr Opened) { All.push_back(std::move(Opened)); }
+  void remove(const TargetConnectionPtr &Gone);
+  std::size_t opening() const {
+    return count(TargetConnection::Stage::Opening);
+  }
+  std::size_t busy() const { return count(TargetConnection::Stage::Busy); }
+  std::size_t size() const { return All.size(); }
+  const std::vector<TargetConnectionPtr> &connections() const { return All; }
+
+  /// The target took no further connection: stay below for a while.
+  void refusedConnection(Millis Now);
+  /// It can't be reached: try later, later each time.
+  void unreachable(Millis Now);
+  void reached();
+  /// False once a leaving target must get nothing new.
+  bool mayTakeWork(Millis Now) const {
+    return !Record.IsGone &&
+           (!Record.IsLeaving || Now - LeavingSince < LeavingUse);
+  }
+  bool isAvoided(Millis Now) const { return Now < AvoidUntil; }
+  /// Lets the limit grow again, and closes what stands idle beyond the share.
+  void tend(Millis Now);
+
+  /// Time from sending to a whole answer.
+  void noteLatency(Millis Taken);
+  double latency() const { return Latency; }
+  void notePosition(LogPosition Seen) { Position = std::max(Position, Seen); }
+  LogPosition position() const { return Position; }
+  /// It said that it doesn't lead.
+  void noteNotLeading(Millis Now) { NotLeadingUntil = Now + LeadRecheck; }
+  bool mayLead(Millis Now) const { return Now >= NotLeadingUntil; }
+
+private:
+  std::size_t count(TargetConnection::Stage Which) const;
+
+  /// A leaving target is promised no new work after some seconds; this is
+  /// well below that, and longer than a planned change of primary takes.
+  static constexpr Millis LeavingUse = Millis(4000);
+  /// Above the share by this many, while nobody else needs them.
+  static constexpr std::size_t Burst = 4;
+  /// Idle connections beyond the share are closed after this long: longer
+  /// than the gaps between statements of one caller, shorter than a burst
+  /// elsewhere waits.
+  static constexpr Millis IdleBeyondShare = Millis(1500);
+  /// The limit is raised by one this often after a refusal.
+  static constexpr Millis LimitRecovery = Millis(1000);
+  static constexpr Millis FirstAvoid = Millis(50);
+  static constexpr Millis LongestAvoid = Millis(800);
+  /// A target that doesn't lead is asked again after this long, in case the
+  /// word of its promotion is late.
+  static constexpr Millis LeadRecheck = Millis(60);
+
+  TargetRecord Record;
+  std::size_t Share;
+  Millis LeavingSince; ///< Where the record says that it leaves.
+  std::vector<TargetConnectionPtr> All;
+  std::optional<std::size_t> Limit; ///< Learned from a refusal.
+  Millis LimitRaisedAt;
+  Millis AvoidUntil;
+  Millis LastAvoid;
+  Millis NotLeadingUntil;
+  double Latency = 5;
+  LogPosition Position;
+};
+
+} // namespace corianderdyke
+
+#endif
--- a/Source/Settings/Settings.cpp
+++ b/Source/Settings/Settings.cpp
@@ -70,6 +70,36 @@
        .Most = 600000,
        .Default = "30000",
        .Meaning = "How long a graceful stop may wait for what is in flight."},
+      {.Table = "[process]",
+       .Key = "stop_within",
+       .Default = "none",
+       .Meaning = "Bound of a whole graceful stop, like \"6s\" or "
+                  "\"4500ms\"; goes before stop_bound_ms."},
+      {.Table = "[process]",
+       .Key = "leadership",
+       .Type = Type::Word,
+       .Words = {"leases", "targets"},
+       .Default = "leases",
+       .Meaning = "What keeps a replaced primary from acknowledging anything: "
+                  "leases of the proxies, or the targets themselves."},
+      {.Table = "[listen]",
+       .Key = "sessions",
+       .Type = Type::Address,
+       .Default = "none",
+       .Meaning = "Callers' sessions; proxies need it where leadership is "
+                  "\"targets\"."},
+      {.Table = "[listen]",
+       .Key = "readiness",
+       .Type = Type::Address,
+       .Default = "none",
+       .Meaning = "The balancer's check; proxies need it where leadership is "
+                  "\"targets\"."},
+      {.Table = "[listen]",
+       .Key = "directory",
+       .Type = Type::Address,
+       .Default = "none",
+       .Meaning = "Heartbeats of targets and calls of operators; control "
+                  "hosts need it where leadership is \"targets\"."},
       {.Table = "[listen]",
        .Key = "callers",
        .Type = Type::Address,
@@ -95,6 +125,32 @@
       {.Table = "[keys]",
        .Key = "operators",
        .Meaning = "Shown by operators who change something."},
+      {.Table = "[group]",
+       .Key = "seeds",
+       .Type = Type::Texts,
+       .Default = "none",
+       .Meaning = "Addresses of control hosts to start from, where leadership "
+                  "is \"targets\". The group needs no other list."},
+      {.Table = "[group]",
+       .Key = "may_found",
+       .Type = Type::Flag,
+       .Default = "false",
+       .Meaning = "The whole system starts for the first time, so that the "
+                  "seeds may found a group."},
+      {.Table = "[group]",
+       .Key = "lost_disks_borne",
+       .Type = Type::Number,
+       .Least = 0,
+       .Most = 100,
+       .Default = "1",
+       .Meaning = "Disks that may be lost at once; an acknowledged change is "
+                  "on one more."},
+      {.Table = "[group]",
+       .Key = "promotions",
+       .Type = Type::Address,
+       .Default = "none",
+       .Meaning = "Who carries out changes of primary; control hosts need it "
+                  "where leadership is \"targets\"."},
       {.Table = "[[control]]",
        .Key = "name",
        .Meaning = "Name of a control host; one table for each."},
@@ -136,9 +192,41 @@
   Out.Level = static_cast<LogLevel>(In.word("log_level"));
   Out.StopNotice = In.millis("stop_notice_ms");
   Out.StopBound = In.millis("stop_bound_ms");
+  if (const Millis Within = In.duration("stop_within"); Within > Millis(0))
+    Out.StopBound = Within;
+  Out.Lead = static_cast<Leadership>(In.word("leadership"));
   In.finish();
 }
 
+/// The listeners and the group where targets enforce their leadership.
+void readSteering(TomlReader Listen, TomlReader Group, Settings &Out) {
+  Out.Sessions = Listen.endpoint("sessions");
+  Out.Readiness = Listen.endpoint("readiness");
+  Out.Directory = Listen.endpoint("directory");
+  Out.Peers = Listen.endpoint("peers");
+  const auto Need = [](TomlReader &In, const char *Key, bool IsMissing) {
+    if (IsMissing)
+      In.report(Key, std::string("'") + Key + "' is missing",
+                "this role needs it where leadership is \"targets\"");
+  };
+  Need(Listen, "sessions", Out.IsProxy && Out.Sessions.Port == 0);
+  Need(Listen, "readiness", Out.IsProxy && Out.Readiness.Port == 0);
+  Need(Listen, "directory", Out.IsControl && Out.Directory.Port == 0);
+  for (const std::string &Each : Group.texts("seeds")) {
+    const auto Parsed = Endpoint::parse(Each);
+    if (Parsed)
+      Out.Seeds.push_back(*Parsed);
+    else
+      Group.report("seeds", Parsed.error().Message);
+  }
+  Need(Group, "seeds", Out.Seeds.empty());
+  Out.MayFound = Group.flag("may_found");
+  Out.LostDisksBorne = Group.count("lost_disks_borne");
+  Out.Promotions = Group.endpoint("promotions");
+  Listen.finish();
+  Group.finish();
+}
+
 void readListen(TomlReader In, Settings &Out) {
   Out.Callers = In.endpoint("callers");
   Out.Operators = In.endpoint("operators");
@@ -227,9 +315,16 @@
   TomlReader In(File, settingKeys(), Root, Found);
   Settings Out;
   readProcess(In.table("process"), Out);
-  readListen(In.table("listen"), Out);
-  readKeys(In.table("keys"), Out);
-  readControls(In, Out);
+  if (Out.Lead == Leadership::Targets) {
+    readSteering(In.table("listen"), In.table("group"), Out);
+    TomlReader Keys = In.table("keys");
+    Out.PeerKey = readKey(Keys, "peers");
+    Keys.finish();
+  } else {
+    readListen(In.table("listen"), Out);
+    readKeys(In.table("keys"), Out);
+    readControls(In, Out);
+  }
   In.finish();
   if (!Found.empty())
     return tl::unexpected(inOrder(std::move(Found)));
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -24,8 +24,16 @@
 /// The least severe log events that are written.
 enum class LogLevel : std::uint8_t { Info, Warning, Error };
 
+/// What keeps a replaced primary from acknowledging anything.
+enum class Leadership : std::uint8_t {
+  Leases,  ///< Proxies hold leases from control and serve nothing without.
+  Targets, ///< Targets enforce their terms themselves; proxies serve on
+           ///< while control is away.
+};
+
 struct Settings {
   std::string Name;
+  Leadership Lead = Leadership::Leases;
   Place Where;
   bool IsProxy = false;
   bool IsControl = false;
@@ -38,6 +46,14 @@
   std::string SessionKey;  ///< Seals session tokens.
   std::string TargetKey;   ///< Given by targets that announce themselves.
   std::string OperatorKey; ///< Given by operators who change something.
+  // Only where targets enforce their leadership.
+  Endpoint Sessions;           ///< Proxy: where callers open sessions.
+  Endpoint Readiness;          ///< Proxy: where the balancer asks.
+  Endpoint Directory;          ///< Control: for targets and operators.
+  Endpoint Promotions;         ///< Control: who carries out changes of primary.
+  std::vector<Endpoint> Seeds; ///< Control hosts to start from.
+  bool MayFound = false;       ///< Control: the system starts anew.
+  std::size_t LostDisksBorne = 1; ///< Control: at once, without any loss.
   bool JsonLogs = false;
   LogLevel Level = LogLevel::Info;
   /// How long a stopping proxy still takes new callers, so that the balancer
--- a/Source/Settings/TomlReader.cpp
+++ b/Source/Settings/TomlReader.cpp
@@ -189,6 +189,23 @@
   return *Value;
 }
 
+Millis TomlReader::duration(const std::string &Key) {
+  const std::string Text = text(Key);
+  if (Text.empty())
+    return Millis();
+  constexpr double MillisPerSecond = 1000;
+  char *Unit = nullptr;
+  const double Count = std::strtod(Text.c_str(), &Unit);
+  const std::string Word(Unit);
+  if (Count < 0 || Unit == Text.c_str() || (Word != "s" && Word != "ms")) {
+    report(Key, "'" + Key + "' is no span of time",
+           "write it like 6s or 4500ms");
+    return Millis();
+  }
+  return Millis(
+      static_cast<std::int64_t>(Word == "s" ? Count * MillisPerSecond : Count));
+}
+
 bool TomlReader::flag(const std::string &Key) {
   const bool Otherwise = describe(Key).Default == "true";
   const toml::node *At = node(Key);
--- a/Source/Settings/TomlReader.h
+++ b/Source/Settings/TomlReader.h
@@ -33,6 +33,8 @@
     return static_cast<std::uint32_t>(number(Key));
   }
   Millis millis(const std::string &Key) { return Millis(number(Key)); }
+  /// A span like "6s" or "4500ms"; 0 where it's missing and may be.
+  Millis duration(const std::string &Key);
   bool flag(const std::string &Key);
   std::vector<std::string> texts(const std::string &Key);
   /// An address; no address where it's missing and may be.
--- /dev/null
+++ b/Source/Statements/Links.h
@@ -0,0 +1,98 @@
+/// \file
+/// The ports through which statements come in and go out: one towards
+/// callers, one towards targets.
+
+#ifndef CORIANDERDYKE_STATEMENTS_LINKS_H
+#define CORIANDERDYKE_STATEMENTS_LINKS_H
+
+#include "Common/Identity.h"
+#include "Statements/Statement.h"
+
+#include <functional>
+#include <memory>
+
+namespace corianderdyke {
+
+/// The way back to one caller.
+class CallerLink {
+public:
+  virtual ~CallerLink() = default;
+
+  /// Tells that the session is open.
+  virtual void accept() = 0;
+  /// Tells why it isn't, and closes.
+  virtual void reject(const StatementRefusal &Why) = 0;
+  /// Answers the oldest unanswered statement.
+  virtual void answer(const StatementAnswer &Answer) = 0;
+  /// Closes once everything written has left.
+  virtual void close() = 0;
+};
+
+/// What goes to a target on one connection.
+struct TargetCommand {
+  enum class Kind : std::uint8_t {
+    Reset, ///< Clears the values and prepared names of the connection.
+    SetValue,
+    Prepare,
+    Begin,
+    BeginRead,
+    Rollback,
+    Run,     ///< The caller's text, unchanged.
+    Execute, ///< A prepared name of ours with the caller's arguments.
+    Status,
+    StopReceiving,
+    ReceiveAgain,
+    StepDown,
+  };
+
+  Kind What = Kind::Run;
+  std::string Id = {};   ///< The caller's statement; empty for one of our own.
+  std::string Text = {}; ///< The caller's text, a shape, a value or arguments.
+  std::string Name = {}; ///< Of a value or a prepared statement.
+  /// The target refuses unless its log holds this position.
+  std::optional<LogPosition> After = {};
+  std::uint64_t Term = 0; ///< For orders about the lead.
+
+  bool operator==(const TargetCommand &) const = default;
+};
+
+/// One connection to a target. Answers come in the order of the commands.
+class TargetLink {
+public:
+  struct Events {
+    /// The target took the connection.
+    std::function<void()> OnOpen;
+    std::function<void(StatementAnswer)> OnAnswer;
+    /// No answer will come any more; the refusal tells what the target said
+    /// on opening, where it said anything.
+    std::function<void(std::optional<StatementRefusal>)> OnClose;
+  };
+
+  virtual ~TargetLink() = default;
+
+  /// Sends commands in one write.
+  virtual void send(const std::vector<TargetCommand> &Commands) = 0;
+};
+
+/// Where a target is and whom to expect there.
+struct TargetAddress {
+  std::string Group;
+  std::string Id;
+  Endpoint Address;
+
+  auto operator<=>(const TargetAddress &) const = default;
+};
+
+class TargetConnector {
+public:
+  virtual ~TargetConnector() = default;
+
+  /// Opens a connection; no event is raised before this returns. Destroying
+  /// the link closes it without further events.
+  virtual std::unique_ptr<TargetLink> open(const TargetAddress &To,
+                                           TargetLink::Events Events) = 0;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Steering/AgreedState.cpp
@@ -0,0 +1,43 @@
+/// \file
+/// What the control group agrees on where targets enforce their leadership
+/// themselves.
+
+#include "Steering/AgreedState.h"
+
+namespace corianderdyke {
+
+bool AgreedState::apply(std::uint64_t Index, const AgreedCommand &Command) {
+  AuditRecord Line{.Revision = Index, .WallTime = Command.WallTime};
+  const bool Changed = std::visit(
+      [&](const auto &Body) { return on(Body, Line); }, Command.Body);
+  if (!Changed)
+    return false;
+  Audit.push_back(std::move(Line));
+  if (Audit.size() > MaxAuditRecords)
+    Audit.erase(Audit.begin(), Audit.begin() + static_cast<std::ptrdiff_t>(
+                                                   MaxAuditRecords / 10));
+  return true;
+}
+
+bool AgreedState::on(const AcceptPlan &Body, AuditRecord &Line) {
+  if (Body.Plan.Version <= Plan.Version)
+    return false;
+  Line.Actor = "operator";
+  Line.Action = "plan-accepted";
+  Line.Subject = "plan";
+  Line.From = "version " + std::to_string(Plan.Version);
+  Line.To = "version " + std::to_string(Body.Plan.Version);
+  Plan = Body.Plan;
+  return true;
+}
+
+bool AgreedState::on(const OrderPromotion &Body, AuditRecord &Line) {
+  Line.Actor = Body.Holder;
+  Line.Action = "promotion-ordered";
+  Line.Subject = Body.Group;
+  Line.To = Body.Target;
+  Line.Reason = Body.Reason;
+  return true;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Steering/AgreedState.h
@@ -0,0 +1,71 @@
+/// \file
+/// What the control group agrees on where targets enforce their leadership
+/// themselves: the plan in force and the order of promotions.
+
+#ifndef CORIANDERDYKE_STEERING_AGREEDSTATE_H
+#define CORIANDERDYKE_STEERING_AGREEDSTATE_H
+
+#include "Plan/RoutePlan.h"
+#include "State/ControlState.h"
+
+#include <map>
+#include <variant>
+
+namespace corianderdyke {
+
+/// Makes a plan the one in force where its version is higher.
+struct AcceptPlan {
+  RoutePlan Plan;
+
+  bool operator==(const AcceptPlan &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Plan); }
+};
+
+/// Decides that a target is to lead its group. The entry's index is the
+/// order's fencing token: later orders of any holder have higher ones.
+struct OrderPromotion {
+  std::string Group;
+  std::string Target;
+  std::string Holder;
+  std::string Reason;
+
+  bool operator==(const OrderPromotion &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Group, Target, Holder, Reason);
+  }
+};
+
+struct AgreedCommand {
+  Millis WallTime; ///< For people only.
+  std::variant<AcceptPlan, OrderPromotion> Body;
+
+  bool operator==(const AgreedCommand &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(WallTime, Body); }
+};
+
+class AgreedState {
+public:
+  /// Applies the entry at \p Index; true where it changed what is in force.
+  bool apply(std::uint64_t Index, const AgreedCommand &Command);
+
+  const RoutePlan &plan() const { return Plan; }
+  /// Decisions, the oldest first; the oldest are dropped.
+  const std::vector<AuditRecord> &audit() const { return Audit; }
+
+  bool operator==(const AgreedState &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Plan, Audit); }
+
+private:
+  bool on(const AcceptPlan &Body, AuditRecord &Line);
+  bool on(const OrderPromotion &Body, AuditRecord &Line);
+
+  /// A month of primary changes and a day of plans at the target size.
+  static constexpr std::size_t MaxAuditRecords = 1600;
+
+  RoutePlan Plan;
+  std::vector<AuditRecord> Audit;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Steering/ControlFeed.cpp
@@ -0,0 +1,144 @@
+/// \file
+/// A proxy's line to control.
+
+#include "Steering/ControlFeed.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+namespace {
+
+/// How often a proxy speaks to control: a lost datagram delays a plan by
+/// this, well below the seconds in which it must be in force.
+constexpr Millis AskInterval(500);
+/// Until a plan is known, and while another leader is looked for.
+constexpr Millis AskIntervalWhenLost(150);
+/// Sightings of failed targets go out at most this often.
+constexpr Millis ReportInterval(40);
+/// Without an answer for this long the next host is asked.
+constexpr Millis Patience(700);
+/// Without an answer for this long contact counts as lost.
+constexpr Millis LostAfter(2000);
+
+} // namespace
+
+ControlFeed::ControlFeed(FeedOptions Given, Clock &Time, Scheduler &Timers,
+                         Transport &Peers)
+    : Options(std::move(Given)), Time(Time), Timers(Timers), Peers(Peers),
+      Hosts(Options.Seeds) {
+  if (!Hosts.empty())
+    Asked = Hosts[Options.Self.Incarnation % Hosts.size()];
+}
+
+void ControlFeed::start() {
+  Peers.signalReceived().connect(sigc::mem_fun(*this, &ControlFeed::receive));
+  tick();
+}
+
+void ControlFeed::setSeeds(std::vector<std::string> Seeds) {
+  for (std::string &Each : Seeds)
+    if (std::find(Hosts.begin(), Hosts.end(), Each) == Hosts.end())
+      Hosts.push_back(std::move(Each));
+}
+
+void ControlFeed::tick() {
+  const Millis Now = Time.now();
+  const bool IsLost = Now - LastAnswer > Patience;
+  const Millis Interval =
+      IsLost || !IsProven ? AskIntervalWhenLost : AskInterval;
+  if (Now - LastAsked >= Interval) {
+    if (IsLost && LastAsked > Millis(0))
+      nextHost();
+    ask();
+  }
+  if (HasContact && Now - LastAnswer > LostAfter) {
+    HasContact = false;
+    ContactChanged.emit(false);
+  }
+  Timers.after(Interval / 2, [this] { tick(); });
+}
+
+void ControlFeed::nextHost() {
+  if (Hosts.empty())
+    return;
+  const auto Now = std::find(Hosts.begin(), Hosts.end(), Asked);
+  const auto Next = Now == Hosts.end() ? Hosts.begin() : std::next(Now);
+  Asked = Next == Hosts.end() ? Hosts.front() : *Next;
+}
+
+void ControlFeed::ask() {
+  if (Asked.empty())
+    return;
+  LastAsked = Time.now();
+  FollowRequest Request{Options.Self, ++Sequence, Plan.Version,
+                        Seen,         !IsProven,  {}};
+  for (const std::string &Each : std::exchange(Reached, {}))
+    Request.Sightings.push_back({Each, true});
+  for (const std::string &Each : std::exchange(FailedTargets, {}))
+    Request.Sightings.push_back({Each, false});
+  Peers.send({Asked, Options.PeerPort}, Delivery::Datagram, std::move(Request));
+}
+
+void ControlFeed::noteReached(const std::string &Target) {
+  Reached.insert(Target);
+}
+
+void ControlFeed::noteFailed(const std::string &Target) {
+  Reached.erase(Target);
+  const bool IsNews = FailedTargets.insert(Target).second;
+  if (IsNews)
+    Timers.after(ReportInterval, [this] {
+      if (!FailedTargets.empty())
+        ask();
+    });
+}
+
+void ControlFeed::receive(const Envelope &Arrived) {
+  std::visit([&](const auto &Body) { on(Body, Arrived); }, Arrived.Body);
+}
+
+void ControlFeed::on(const FollowReply &Body, const Envelope &From) {
+  LastAnswer = Time.now();
+  if (!HasContact) {
+    HasContact = true;
+    ContactChanged.emit(true);
+  }
+  Asked = From.ReplyTo.Address;
+  std::vector<std::string> All = Body.ControlHosts;
+  for (const std::string &Each : Options.Seeds)
+    if (std::find(All.begin(), All.end(), Each) == All.end())
+      All.push_back(Each);
+  Hosts = std::move(All);
+  if (Body.IsProven && Body.PlanVersion > 0) {
+    ProvenVersion = std::max(ProvenVersion, Body.PlanVersion);
+    IsProven = Plan.Version >= ProvenVersion;
+  }
+  ProxiesChanged.emit(Body.Proxies);
+}
+
+void ControlFeed::on(const FollowElsewhere &Body, const Envelope &) {
+  if (Body.Leader.empty() || Body.Leader == Asked)
+    return;
+  Asked = Body.Leader;
+  LastAnswer = Time.now();
+  ask();
+}
+
+void ControlFeed::on(const PlanUpdate &Body, const Envelope &) {
+  // Never back within one life: callers have seen the later one.
+  if (Body.Plan.Version <= Plan.Version)
+    return;
+  Plan = Body.Plan;
+  IsProven = IsProven || (ProvenVersion > 0 && Plan.Version >= ProvenVersion);
+  PlanChanged.emit();
+  ask();
+}
+
+void ControlFeed::on(const DirectoryUpdate &Body, const Envelope &) {
+  Seen = Body.Version;
+  if (Directory.merge(Body.Targets, Time.now()))
+    DirectoryChanged.emit();
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Steering/ControlFeed.h
@@ -0,0 +1,84 @@
+/// \file
+/// A proxy's line to control: the plan, the targets, and its own sightings.
+
+#ifndef CORIANDERDYKE_STEERING_CONTROLFEED_H
+#define CORIANDERDYKE_STEERING_CONTROLFEED_H
+
+#include "Common/Clock.h"
+#include "Loop/Scheduler.h"
+#include "Transport/Transport.h"
+
+#include <set>
+
+namespace corianderdyke {
+
+struct FeedOptions {
+  ProcessId Self;
+  std::uint16_t PeerPort = 0;     ///< The same on all hosts.
+  std::vector<std::string> Seeds; ///< Addresses of control hosts.
+};
+
+/// Asks the leading control host again and again, and looks for another where
+/// none answers. What it has learned stays in force while control is away.
+class ControlFeed : public sigc::trackable {
+public:
+  ControlFeed(FeedOptions Options, Clock &Time, Scheduler &Timers,
+              Transport &Peers);
+
+  void start();
+  /// The settings name other hosts now.
+  void setSeeds(std::vector<std::string> Seeds);
+
+  /// A target answered, or couldn't be used. The latter is told at once: it's
+  /// the first part of the time in which nobody can write.
+  void noteReached(const std::string &Target);
+  void noteFailed(const std::string &Target);
+
+  /// True once a quorum has confirmed the plan that this process holds.
+  bool isCurrent() const { return IsProven; }
+  const RoutePlan &plan() const { return Plan; }
+  const TargetDirectory &directory() const { return Directory; }
+
+  sigc::signal<void()> &signalPlan() { return PlanChanged; }
+  sigc::signal<void()> &signalDirectory() { return DirectoryChanged; }
+  sigc::signal<void(std::size_t)> &signalProxies() { return ProxiesChanged; }
+  /// Emitted when control is lost or found again.
+  sigc::signal<void(bool)> &signalContact() { return ContactChanged; }
+
+private:
+  void tick();
+  void ask();
+  void receive(const Envelope &Arrived);
+  void on(const FollowReply &Body, const Envelope &From);
+  void on(const FollowElsewhere &Body, const Envelope &From);
+  void on(const PlanUpdate &Body, const Envelope &From);
+  void on(const DirectoryUpdate &Body, const Envelope &From);
+  template <class Other> void on(const Other &, const Envelope &) {}
+  void nextHost();
+
+  FeedOptions Options;
+  Clock &Time;
+  Scheduler &Timers;
+  Transport &Peers;
+  RoutePlan Plan;
+  TargetDirectory Directory;
+  DirectoryVersion Seen;
+  std::vector<std::string> Hosts; ///< Seeds and members, as last told.
+  std::string Asked;              ///< The host that is believed to lead.
+  std::uint64_t Sequence = 0;
+  Millis LastAsked = Millis(-1000000);
+  Millis LastAnswer = Millis(-1000000);
+  bool HasContact = false;
+  bool IsProven = false;
+  std::uint64_t ProvenVersion = 0;
+  std::set<std::string> Reached;
+  std::set<std::string> FailedTargets;
+  sigc::signal<void()> PlanChanged;
+  sigc::signal<void()> DirectoryChanged;
+  sigc::signal<void(std::size_t)> ProxiesChanged;
+  sigc::signal<void(bool)> ContactChanged;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Steering/Messages.h
@@ -0,0 +1,87 @@
+/// \file
+/// What proxies and control hosts tell each other where targets enforce their
+/// leadership themselves.
+
+#ifndef CORIANDERDYKE_STEERING_MESSAGES_H
+#define CORIANDERDYKE_STEERING_MESSAGES_H
+
+#include "Directory/TargetDirectory.h"
+#include "Plan/RoutePlan.h"
+
+namespace corianderdyke {
+
+/// A state of the directory at one leading control host.
+struct DirectoryVersion {
+  std::uint64_t Term = 0; ///< The control leader's.
+  std::uint64_t Revision = 0;
+
+  auto operator<=>(const DirectoryVersion &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Term, Revision); }
+};
+
+/// A target as one proxy sees it.
+struct PrimarySighting {
+  std::string Id;
+  bool IsReached = false; ///< It answered lately; else it couldn't be used.
+
+  auto operator<=>(const PrimarySighting &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Id, IsReached); }
+};
+
+/// A proxy's regular word to control: what it knows and what it sees.
+struct FollowRequest {
+  ProcessId Proxy;
+  std::uint64_t Sequence = 0;
+  std::uint64_t PlanVersion = 0; ///< In force there; 0 where none is.
+  DirectoryVersion Directory;
+  /// Asks for an answer that the quorum has confirmed: a proxy that just
+  /// started must not begin with a plan that another has replaced.
+  bool NeedsProof = false;
+  std::vector<PrimarySighting> Sightings;
+
+  bool operator==(const FollowRequest &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Proxy, Sequence, PlanVersion, Directory, NeedsProof, Sightings);
+  }
+};
+
+/// The leader's answer. What the proxy lacks follows in messages of its own.
+struct FollowReply {
+  std::uint64_t Sequence = 0;
+  bool IsProven = false;
+  std::uint64_t PlanVersion = 0;
+  std::vector<std::string> ControlHosts; ///< Addresses of the group's members.
+  std::uint32_t Proxies = 0;             ///< That follow at the moment.
+
+  bool operator==(const FollowReply &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Sequence, IsProven, PlanVersion, ControlHosts, Proxies);
+  }
+};
+
+/// The asked control host doesn't lead.
+struct FollowElsewhere {
+  std::string Leader; ///< Address; empty where none is known.
+
+  bool operator==(const FollowElsewhere &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Leader); }
+};
+
+struct PlanUpdate {
+  RoutePlan Plan;
+
+  bool operator==(const PlanUpdate &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Plan); }
+};
+
+struct DirectoryUpdate {
+  DirectoryVersion Version;
+  std::vector<TargetRecord> Targets;
+
+  bool operator==(const DirectoryUpdate &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Version, Targets); }
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -0,0 +1,317 @@
+/// \file
+/// Decides which target of a group leads, where a promotion is all it takes.
+
+#include "Steering/PromotionCoordinator.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+namespace {
+
+/// After a failed attempt the next follows this much later.
+constexpr Millis AttemptPause(100);
+/// Where a planned change can't be made now, it's tried again after this.
+constexpr Millis PlannedPause(400);
+/// Proxies that must find a primary unusable before control looks into it,
+/// where that many follow: one alone may be cut off itself.
+constexpr std::size_t LeastReports = 2;
+
+} // namespace
+
+PromotionCoordinator::PromotionCoordinator(
+    Clock &Time, const TargetDirectory &Directory, TargetOrderPort &Orders,
+    PromotionPort &Promotions, Propose OnPropose, std::string Holder,
+    PromotionTimes Times)
+    : Time(Time), Directory(Directory), Orders(Orders), Promotions(Promotions),
+      OnPropose(std::move(OnPropose)), Holder(std::move(Holder)), Times(Times) {
+}
+
+void PromotionCoordinator::begin() {
+  IsActive = true;
+  BeganAt = Time.now();
+  for (auto &[Name, Each] : Groups)
+    back(Each, Millis(0));
+}
+
+void PromotionCoordinator::end() {
+  IsActive = false;
+  for (auto &[Name, Each] : Groups)
+    back(Each, Millis(0));
+}
+
+void PromotionCoordinator::noteSightings(
+    const ProcessId &Proxy, const std::vector<PrimarySighting> &Seen) {
+  for (const PrimarySighting &Each : Seen) {
+    Sighting &Known = Sightings[Each.Id][Proxy];
+    (Each.IsReached ? Known.ReachedAt : Known.FailedAt) = Time.now();
+  }
+}
+
+std::size_t PromotionCoordinator::reporting(const std::string &Target,
+                                            bool Failed) const {
+  const auto Found = Sightings.find(Target);
+  if (Found == Sightings.end())
+    return 0;
+  const Millis Now = Time.now();
+  return static_cast<std::size_t>(std::count_if(
+      Found->second.begin(), Found->second.end(), [&](const auto &Each) {
+        const Sighting &Said = Each.second;
+        if (Failed)
+          return Said.FailedAt > Said.ReachedAt &&
+                 Now - Said.FailedAt < Times.SightingKept;
+        return Said.ReachedAt >= Said.FailedAt &&
+               Now - Said.ReachedAt < Times.SightingKept;
+      }));
+}
+
+void PromotionCoordinator::enter(Group &In, Stage Next) {
+  In.At = Next;
+  In.Since = Time.now();
+  ++In.Round;
+}
+
+void PromotionCoordinator::back(Group &In, Millis Pause) {
+  enter(In, Stage::Watching);
+  In.RetryAt = Time.now() + Pause;
+}
+
+bool PromotionCoordinator::isCurrent(const std::string &Name,
+                                     std::uint64_t Round,
+                                     Stage Expected) const {
+  const auto Found = Groups.find(Name);
+  return IsActive && Found != Groups.end() && Found->second.Round == Round &&
+         Found->second.At == Expected;
+}
+
+void PromotionCoordinator::tick(const RoutePlan &Plan, std::size_t Proxies) {
+  if (!IsActive)
+    return;
+  for (const GroupPolicy &Each : Plan.Groups) {
+    Group &In = Groups[Each.Name];
+    if (In.At == Stage::Watching)
+      watch(Each.Name, In, Proxies);
+    else
+      settle(Each.Name, In);
+  }
+}
+
+// The new primary shows itself by its own heartbeat, whatever the answer to
+// the call was. A stage that stands still for long begins anew.
+void PromotionCoordinator::settle(const std::string &Name, Group &In) {
+  const auto Primary = Directory.primaryOf(Name);
+  const Millis Now = Time.now();
+  if ((In.At == Stage::Awaiting || In.At == Stage::Ordering) && Primary &&
+      Primary->Id == In.Chosen) {
+    Step.emit(Name, "promoted",
+              In.Chosen + " leads after " +
+                  std::to_string((Now - In.BeganAt).count()) + " ms");
+    In.Excluded.clear();
+    return back(In, Millis(0));
+  }
+  if (Now - In.Since <= Times.PromotionPatience)
+    return;
+  Step.emit(Name, "attempt-ended", "no progress in time");
+  if (In.At == Stage::Awaiting)
+    In.Excluded.insert(In.Chosen);
+  back(In, AttemptPause);
+}
+
+void PromotionCoordinator::watch(const std::string &Name, Group &In,
+                                 std::size_t Proxies) {
+  const Millis Now = Time.now();
+  if (Now < In.RetryAt)
+    return;
+  const auto Primary = Directory.primaryOf(Name);
+  if (!Primary) {
+    const bool IsKnown = !Directory.ofGroup(Name).empty();
+    if (!IsKnown || Now - BeganAt < Times.Acquaintance)
+      return;
+    In.IsPlanned = false;
+    In.Reason = "no target leads";
+    In.Old.clear();
+    In.BeganAt = Now;
+    return read(Name);
+  }
+  In.Old = Primary->Id;
+  if (Primary->IsLeaving) {
+    In.IsPlanned = true;
+    In.Reason = "the primary is leaving";
+    In.BeganAt = Now;
+    return stepDown(Name, *Primary);
+  }
+  const std::size_t Failed = reporting(Primary->Id, true);
+  const std::size_t Reached = reporting(Primary->Id, false);
+  const bool Reported = Failed >= std::min(LeastReports, Proxies) &&
+                        Failed > 0 && Failed > Reached;
+  const bool IsSilent =
+      Now - Directory.lastHeard(Primary->Id) > Times.SuspectAfter &&
+      Reached == 0;
+  if (!Reported && !IsSilent)
+    return;
+  In.BeganAt = Now;
+  In.Reason = Reported ? std::to_string(Failed) + " proxies can't use it, " +
+                             std::to_string(Reached) + " can"
+                       : "no heartbeat";
+  probe(Name, *Primary, Reported && Failed * 2 > Proxies);
+}
+
+void PromotionCoordinator::probe(const std::string &Name,
+                                 const TargetRecord &Primary,
+                                 bool MostProxiesFail) {
+  Group &In = Groups[Name];
+  enter(In, Stage::Probing);
+  Orders.ask(addressOf(Primary), TargetCommand::Kind::Status, 0,
+             Times.AskTimeout,
+             [this, Name, Round = In.Round, Primary,
+              MostProxiesFail](const Expected<TargetStatus> &Answer) {
+               if (!isCurrent(Name, Round, Stage::Probing))
+                 return;
+               Group &In = Groups[Name];
+               if (Answer && Answer->IsPrimary && !MostProxiesFail)
+                 return back(In, Times.AskTimeout);
+               In.IsPlanned = Answer && Answer->IsPrimary;
+               if (In.IsPlanned) {
+                 // It works, but not for those who need it.
+                 In.Reason += "; control can";
+                 return stepDown(Name, Primary);
+               }
+               In.Reason += "; nor can control";
+               read(Name);
+             });
+}
+
+void PromotionCoordinator::stepDown(const std::string &Name,
+                                    const TargetRecord &Primary) {
+  Group &In = Groups[Name];
+  // Nobody could take over: it goes on.
+  const auto Others = Directory.ofGroup(Name);
+  const bool HasOther =
+      std::any_of(Others.begin(), Others.end(), [&](const TargetRecord &Each) {
+        return Each.Id != Primary.Id && !Each.IsLeaving;
+      });
+  if (!HasOther)
+    return back(In, PlannedPause);
+  Step.emit(Name, "planned-change", In.Reason);
+  enter(In, Stage::SteppingDown);
+  const auto OnStatus = [this, Name, Round = In.Round,
+                         Primary](const Expected<TargetStatus> &Answer) {
+    if (!isCurrent(Name, Round, Stage::SteppingDown))
+      return;
+    if (!Answer)
+      return read(Name);
+    Groups[Name].Term = Answer->Term;
+    Orders.ask(addressOf(Primary), TargetCommand::Kind::StepDown,
+               Answer->Term + 1, Times.AskTimeout,
+               [this, Name, Round](const Expected<TargetStatus> &Last) {
+                 if (!isCurrent(Name, Round, Stage::SteppingDown))
+                   return;
+                 if (Last)
+                   Groups[Name].Goal = Last->Received;
+                 read(Name);
+               });
+  };
+  In.Goal.reset();
+  Orders.ask(addressOf(Primary), TargetCommand::Kind::Status, 0,
+             Times.AskTimeout, OnStatus);
+}
+
+void PromotionCoordinator::read(const std::string &Name) {
+  Group &In = Groups[Name];
+  enter(In, Stage::Reading);
+  if (!In.IsPlanned)
+    In.Goal.reset();
+  In.Read.clear();
+  In.Answered = 0;
+  std::vector<TargetRecord> Choices;
+  for (const TargetRecord &Each : Directory.ofGroup(Name))
+    if (Each.Id != In.Old && !Each.IsLeaving && In.Excluded.count(Each.Id) == 0)
+      Choices.push_back(Each);
+  In.Asked = Choices.size();
+  if (Choices.empty()) {
+    In.Excluded.clear();
+    return back(In, AttemptPause);
+  }
+  for (const TargetRecord &Each : Choices)
+    Orders.ask(addressOf(Each), TargetCommand::Kind::Status, 0,
+               Times.AskTimeout,
+               [this, Name, Round = In.Round,
+                Id = Each.Id](const Expected<TargetStatus> &Answer) {
+                 if (!isCurrent(Name, Round, Stage::Reading))
+                   return;
+                 Group &In = Groups[Name];
+                 ++In.Answered;
+                 if (Answer)
+                   In.Read[Id] = *Answer;
+                 if (In.Answered == In.Asked)
+                   decide(Name);
+               });
+}
+
+void PromotionCoordinator::decide(const std::string &Name) {
+  Group &In = Groups[Name];
+  const auto Best = std::max_element(
+      In.Read.begin(), In.Read.end(), [](const auto &Left, const auto &Right) {
+        return Left.second.Received < Right.second.Received;
+      });
+  if (Best == In.Read.end()) {
+    Step.emit(Name, "attempt-ended", "no replica answers");
+    return back(In, AttemptPause);
+  }
+  const Millis Waited = Time.now() - In.BeganAt;
+  if (In.Goal && Best->second.Received < *In.Goal &&
+      Waited < Times.CatchUpPatience)
+    return read(Name);
+  order(Name, Best->first);
+}
+
+void PromotionCoordinator::order(const std::string &Name,
+                                 const std::string &Target) {
+  Group &In = Groups[Name];
+  enter(In, Stage::Ordering);
+  In.Chosen = Target;
+  std::string Read;
+  for (const auto &[Id, Each] : In.Read)
+    Read += (Read.empty() ? "" : ", ") + Id + " has " +
+            std::to_string(Each.Received.Term) + "." +
+            std::to_string(Each.Received.Number);
+  const std::string Why = In.Reason + "; " + Read;
+  Step.emit(Name, "promotion-ordered", Target + ": " + Why);
+  OnPropose({Name, Target, Holder, Why},
+            [this, Name, Target,
+             Round = In.Round](std::optional<std::uint64_t> Token) {
+              if (!isCurrent(Name, Round, Stage::Ordering))
+                return;
+              if (!Token)
+                return back(Groups[Name], AttemptPause);
+              carryOut(Name, Target, *Token);
+            });
+}
+
+void PromotionCoordinator::carryOut(const std::string &Name,
+                                    const std::string &Target,
+                                    std::uint64_t Token) {
+  Group &In = Groups[Name];
+  In.Token = Token;
+  enter(In, Stage::Awaiting);
+  Promotions.promote(
+      Name, Target, Token,
+      [this, Name, Target, Round = In.Round](PromotionPort::Result Result) {
+        if (!isCurrent(Name, Round, Stage::Awaiting))
+          return;
+        Group &In = Groups[Name];
+        if (Result == PromotionPort::Result::Taken)
+          return;
+        Step.emit(Name, "promotion-refused",
+                  Target + (Result == PromotionPort::Result::Rejected
+                                ? ": rejected"
+                                : ": no answer"));
+        if (Result == PromotionPort::Result::Rejected)
+          In.Excluded.insert(Target);
+        // A call without an answer may still be carried out. The next order
+        // has a higher token, so the later one wins whichever comes first.
+        back(In, AttemptPause);
+      });
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Steering/PromotionCoordinator.h
@@ -0,0 +1,148 @@
+/// \file
+/// Decides which target of a group leads, where a promotion is all it takes
+/// and targets enforce the lead themselves.
+///
+/// A primary counts as failed when proxies can't use it, or nobody has heard
+/// of it for long, and control itself gets no answer from it. Its replicas
+/// are asked for their positions and the furthest one is promoted. A primary
+/// that announces its leaving is told to step down first, and its successor
+/// has all of its log before it's promoted: nothing is rolled back.
+///
+/// The class is driven by ticks and answers; whoever owns it carries out what
+/// it asks for.
+
+#ifndef CORIANDERDYKE_STEERING_PROMOTIONCOORDINATOR_H
+#define CORIANDERDYKE_STEERING_PROMOTIONCOORDINATOR_H
+
+#include "Common/Clock.h"
+#include "Steering/AgreedState.h"
+#include "Steering/Messages.h"
+#include "Steering/Ports.h"
+
+#include <functional>
+#include <set>
+#include <sigc++/sigc++.h>
+
+namespace corianderdyke {
+
+struct PromotionTimes {
+  /// A primary is looked into when no heartbeat came for this long: more than
+  /// two intervals, so that one lost heartbeat is no reason.
+  Millis SuspectAfter = Millis(2800);
+  /// A proxy's word on a target counts for this long.
+  Millis SightingKept = Millis(1200);
+  /// How long control waits for a target's word.
+  Millis AskTimeout = Millis(300);
+  /// A promotion that took effect is seen within this time, or another order
+  /// follows.
+  Millis PromotionPatience = Millis(2500);
+  /// How long a planned change waits for its successor to have the whole log.
+  Millis CatchUpPatience = Millis(1500);
+  /// Pause between two questions while a successor catches up.
+  Millis AskPause = Millis(25);
+  /// A group that has never had a primary is left alone for this long after
+  /// control began to lead: heartbeats are still coming in.
+  Millis Acquaintance = Millis(2500);
+};
+
+class PromotionCoordinator : public sigc::trackable {
+public:
+  /// Proposes the order to the control group; runs the handler with the
+  /// token once it's committed, or with nothing where it isn't.
+  using Propose = std::function<void(
+      OrderPromotion, std::function<void(std::optional<std::uint64_t>)>)>;
+
+  PromotionCoordinator(Clock &Time, const TargetDirectory &Directory,
+                       TargetOrderPort &Orders, PromotionPort &Promotions,
+                       Propose OnPropose, std::string Holder,
+                       PromotionTimes Times = {});
+
+  /// Begins as a new leader; what a former leadership had under way is over.
+  void begin();
+  /// Another leads now: nothing more is ordered.
+  void end();
+  /// Takes in what a proxy sees.
+  void noteSightings(const ProcessId &Proxy,
+                     const std::vector<PrimarySighting> &Seen);
+  /// To be called every few dozen milliseconds while leading.
+  void tick(const RoutePlan &Plan, std::size_t Proxies);
+
+  /// Emitted with each step: group, what, and why.
+  sigc::signal<void(const std::string &, const std::string &,
+                    const std::string &)> &
+  signalStep() {
+    return Step;
+  }
+
+private:
+  enum class Stage : std::uint8_t {
+    Watching,
+    Probing,      ///< Asks the suspected primary.
+    SteppingDown, ///< Tells the present primary to step down.
+    Reading,      ///< Asks the replicas for their positions.
+    Ordering,     ///< The order is being agreed on, then carried out.
+    Awaiting,     ///< The new primary hasn't shown itself yet.
+  };
+
+  struct Group {
+    Stage At = Stage::Watching;
+    std::uint64_t Round = 0; ///< Answers of earlier rounds are dropped.
+    Millis Since;            ///< Of the stage.
+    Millis BeganAt;          ///< Of the change.
+    bool IsPlanned = false;
+    std::string Reason;
+    std::string Old;
+    std::string Chosen;
+    std::uint64_t Token = 0;
+    std::uint64_t Term = 0;          ///< The newest that any target told.
+    std::optional<LogPosition> Goal; ///< That the successor must reach.
+    std::map<std::string, TargetStatus> Read;
+    std::size_t Asked = 0;
+    std::size_t Answered = 0;
+    std::set<std::string> Excluded; ///< StatementRefusal or failed this time.
+    Millis RetryAt;
+  };
+
+  struct Sighting {
+    Millis FailedAt = Millis(-1000000);
+    Millis ReachedAt = Millis(-1000000);
+  };
+
+  void watch(const std::string &Name, Group &In, std::size_t Proxies);
+  std::size_t reporting(const std::string &Target, bool Failed) const;
+  void probe(const std::string &Name, const TargetRecord &Primary,
+             bool MostProxiesFail);
+  void stepDown(const std::string &Name, const TargetRecord &Primary);
+  void read(const std::string &Name);
+  void decide(const std::string &Name);
+  void order(const std::string &Name, const std::string &Target);
+  void carryOut(const std::string &Name, const std::string &Target,
+                std::uint64_t Token);
+  void settle(const std::string &Name, Group &In);
+  void enter(Group &In, Stage Next);
+  void back(Group &In, Millis Pause);
+  bool isCurrent(const std::string &Name, std::uint64_t Round,
+                 Stage Expected) const;
+  TargetAddress addressOf(const TargetRecord &Of) const {
+    return {Of.Group, Of.Id, Of.Address};
+  }
+
+  Clock &Time;
+  const TargetDirectory &Directory;
+  TargetOrderPort &Orders;
+  PromotionPort &Promotions;
+  Propose OnPropose;
+  std::string Holder;
+  PromotionTimes Times;
+  bool IsActive = false;
+  Millis BeganAt;
+  std::map<std::string, Group> Groups;
+  std::map<std::string, std::map<ProcessId, Sighting>> Sightings;
+  sigc::signal<void(const std::string &, const std::string &,
+                    const std::string &)>
+      Step;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Steering/SteeringNode.cpp
@@ -0,0 +1,359 @@
+/// \file
+/// A control host where targets enforce their leadership themselves.
+
+#include "Steering/SteeringNode.h"
+
+#include "Common/Codec.h"
+
+namespace corianderdyke {
+
+namespace {
+
+/// Half of the shortest interval of the agreement.
+constexpr Millis TickInterval(25);
+constexpr Millis HeartbeatInterval(100);
+/// Five heartbeats: a host whose disk or processor is slow for a moment isn't
+/// replaced at once.
+constexpr Millis ElectionTimeout(500);
+/// Groups are looked at this often while leading.
+constexpr Millis WatchInterval(50);
+/// What a follower didn't confirm is sent again after this long.
+constexpr Millis SendAgainAfter(400);
+/// A proxy that wasn't heard for this long doesn't count any more.
+constexpr Millis FollowerKept(3000);
+constexpr std::size_t CompactAtBytes = 4U << 20U;
+
+ConsensusOptions consensusOptions(const SteeringOptions &From) {
+  ConsensusOptions Out;
+  Out.Name = From.Name;
+  Out.Hosts = From.Seeds;
+  Out.HeartbeatInterval = HeartbeatInterval;
+  Out.ElectionTimeout = ElectionTimeout;
+  Out.Membership = GroupPolicyKind::Open;
+  Out.MayFound = From.MayFound;
+  return Out;
+}
+
+tl::unexpected<Error> notLeading() {
+  return fail(ErrorCode::Unavailable, "this control host doesn't lead");
+}
+
+} // namespace
+
+SteeringNode::SteeringNode(SteeringOptions Given, SteeringPorts Ports,
+                           ReplicatedLog &Log, std::uint64_t Seed)
+    : Options(std::move(Given)), Ports(Ports),
+      Agreement(consensusOptions(Options), Log, Seed),
+      Coordinator(
+          Ports.Time, Directory, Ports.Orders, Ports.Promotions,
+          [this](OrderPromotion Body, Committed OnDone) {
+            propose({this->Ports.Time.wallTime(), std::move(Body)},
+                    std::move(OnDone));
+          },
+          Options.Process) {}
+
+void SteeringNode::start() {
+  Agreement.start(Ports.Time.now());
+  Ports.Peers.signalReceived().connect(
+      sigc::mem_fun(*this, &SteeringNode::receive));
+  settle();
+  tick();
+}
+
+void SteeringNode::tick() {
+  const Millis Now = Ports.Time.now();
+  Agreement.tick(Now);
+  if (Leading && Now - LastWatch >= WatchInterval) {
+    LastWatch = Now;
+    Directory.forgetGone(Now);
+    dropSilentFollowers();
+    Coordinator.tick(State.plan(), Followers.size());
+  }
+  settle();
+  Ports.Timers.after(TickInterval, [this] { tick(); });
+}
+
+void SteeringNode::receive(const Envelope &Arrived) {
+  std::visit([&](const auto &Body) { on(Arrived, Body); }, Arrived.Body);
+}
+
+void SteeringNode::on(const Envelope &, const ConsensusMessage &Body) {
+  Agreement.receive(Body, Ports.Time.now());
+  settle();
+}
+
+// Proxies.
+
+void SteeringNode::on(const Envelope &From, const FollowRequest &Body) {
+  if (!Leading) {
+    Ports.Peers.send(From.ReplyTo, Delivery::Datagram,
+                     FollowElsewhere{leader() == Options.Name ? "" : leader()});
+    return;
+  }
+  Follower &Known = Followers[Body.Proxy];
+  Known.Address = From.ReplyTo;
+  Known.LastHeard = Ports.Time.now();
+  Known.PlanVersion = Body.PlanVersion;
+  Known.Directory = Body.Directory;
+  Coordinator.noteSightings(Body.Proxy, Body.Sightings);
+  bringUpToDate(Known);
+  if (!Body.NeedsProof)
+    return answer(From.ReplyTo, Body, false);
+  barrier([this, To = From.ReplyTo, Body](const Expected<void> &Done) {
+    if (Done)
+      answer(To, Body, true);
+  });
+}
+
+void SteeringNode::answer(const Endpoint &To, const FollowRequest &Request,
+                          bool Proven) {
+  Ports.Peers.send(To, Delivery::Datagram,
+                   FollowReply{Request.Sequence, Proven, State.plan().Version,
+                               members(),
+                               static_cast<std::uint32_t>(Followers.size())});
+}
+
+std::vector<std::string> SteeringNode::members() const {
+  std::vector<std::string> Out;
+  for (const Member &Each : Agreement.voters())
+    Out.push_back(Each.Name);
+  return Out;
+}
+
+void SteeringNode::bringUpToDate(Follower &To) {
+  const Millis Now = Ports.Time.now();
+  if (To.PlanVersion < State.plan().Version &&
+      Now - To.PlanSentAt >= SendAgainAfter) {
+    To.PlanSentAt = Now;
+    Ports.Peers.send(To.Address, Delivery::Stream, PlanUpdate{State.plan()});
+  }
+  if (To.Directory != directoryVersion() &&
+      Now - To.DirectorySentAt >= SendAgainAfter) {
+    To.DirectorySentAt = Now;
+    Ports.Peers.send(To.Address, Delivery::Datagram,
+                     DirectoryUpdate{directoryVersion(), Directory.all()});
+  }
+}
+
+void SteeringNode::publish() {
+  if (!Leading || Published == directoryVersion())
+    return;
+  Published = directoryVersion();
+  const DirectoryUpdate Update{Published, Directory.all()};
+  for (auto &[Id, Each] : Followers) {
+    Each.DirectorySentAt = Ports.Time.now();
+    Ports.Peers.send(Each.Address, Delivery::Datagram, Update);
+  }
+  // A successor starts with what this leader knew.
+  for (const std::string &Host : members())
+    if (Host != Options.Name)
+      Ports.Peers.send({Host, Options.PeerPort}, Delivery::Datagram, Update);
+}
+
+void SteeringNode::on(const Envelope &, const DirectoryUpdate &Body) {
+  Directory.merge(Body.Targets, Ports.Time.now());
+}
+
+void SteeringNode::dropSilentFollowers() {
+  for (auto Each = Followers.begin(); Each != Followers.end();)
+    if (Ports.Time.now() - Each->second.LastHeard > FollowerKept)
+      Each = Followers.erase(Each);
+    else
+      ++Each;
+}
+
+// Operators and targets.
+
+void SteeringNode::accept(RoutePlan Plan, DoneHandler OnDone) {
+  if (!Leading)
+    return OnDone(notLeading());
+  // What was overtaken, or comes again, changes nothing.
+  if (Plan.Version <= State.plan().Version)
+    return OnDone({});
+  propose({Ports.Time.wallTime(), AcceptPlan{std::move(Plan)}},
+          [OnDone](std::optional<std::uint64_t> Index) {
+            if (Index)
+              OnDone({});
+            else
+              OnDone(fail(ErrorCode::Unavailable,
+                          "leadership moved before the change was kept; send "
+                          "it again"));
+          });
+}
+
+void SteeringNode::readPlan(PlanHandler OnRead) {
+  barrier([this, OnRead](const Expected<void> &Done) {
+    if (Done)
+      OnRead(&State.plan());
+    else
+      OnRead(tl::unexpected(Done.error()));
+  });
+}
+
+void SteeringNode::hear(const TargetRecord &Said, DoneHandler OnDone) {
+  if (!Leading)
+    return OnDone(notLeading());
+  const TargetRecord *Known = Directory.find(Said.Id);
+  const bool IsPromise =
+      Said.IsLeaving && (Known == nullptr || !Known->IsLeaving);
+  Directory.hear(Said, Ports.Time.now());
+  publish();
+  // The target takes the answer for a promise that it gets nothing new soon.
+  // A leader that is cut off from the others, and from most proxies with
+  // them, can't keep that.
+  if (IsPromise)
+    return barrier(std::move(OnDone));
+  OnDone({});
+}
+
+void SteeringNode::forget(const std::string &Target, DoneHandler OnDone) {
+  if (!Leading)
+    return OnDone(notLeading());
+  Directory.leave(Target, Ports.Time.now());
+  publish();
+  OnDone({});
+}
+
+void SteeringNode::barrier(DoneHandler OnDone) {
+  const auto Ticket = Agreement.beginRead(Ports.Time.now());
+  if (!Ticket)
+    return OnDone(tl::unexpected(Ticket.error()));
+  Barriers[*Ticket] = std::move(OnDone);
+  settle();
+}
+
+// The agreement.
+
+void SteeringNode::propose(AgreedCommand Command, Committed OnDone) {
+  const auto Index = Agreement.propose(encode(Command), Ports.Time.now());
+  if (!Index)
+    return OnDone(std::nullopt);
+  Changes[*Index] = {Agreement.term(), false, std::move(OnDone)};
+  settle();
+}
+
+void SteeringNode::settle() {
+  if (Settling)
+    return;
+  Settling = true;
+  do {
+    carryOut(Agreement.takeOutputs());
+    noticeLeadership();
+    finishChanges();
+    publish();
+  } while (Agreement.hasOutputs());
+  compactIfLong();
+  Settling = false;
+  if (Agreement.failure())
+    Failed.emit(*Agreement.failure());
+}
+
+void SteeringNode::carryOut(ConsensusOutputs Outputs) {
+  if (Outputs.RestoredState) {
+    auto Restored = decode<AgreedState>(*Outputs.RestoredState);
+    if (!Restored)
+      return Failed.emit(Restored.error());
+    State = std::move(*Restored);
+    AppliedIndex = Agreement.log().snapshotIndex();
+  }
+  for (const Entry &Each : Outputs.Committed)
+    apply(Each);
+  for (const std::uint64_t Ticket : Outputs.FailedReads) {
+    const auto Waiting = Barriers.find(Ticket);
+    if (Waiting == Barriers.end())
+      continue;
+    const DoneHandler OnDone = std::move(Waiting->second);
+    Barriers.erase(Waiting);
+    OnDone(notLeading());
+  }
+  for (const ConfirmedRead &Each : Outputs.Reads) {
+    const auto Waiting = Barriers.find(Each.Ticket);
+    if (Waiting == Barriers.end())
+      continue;
+    const DoneHandler OnDone = std::move(Waiting->second);
+    Barriers.erase(Waiting);
+    OnDone({});
+  }
+  for (OutgoingConsensus &Each : Outputs.Messages)
+    Ports.Peers.send({Each.To, Options.PeerPort}, Delivery::Stream,
+                     std::move(Each.Message));
+}
+
+void SteeringNode::apply(const Entry &Done) {
+  AppliedIndex = Done.Index;
+  if (Done.Kind == EntryKind::Command) {
+    const auto Command = decode<AgreedCommand>(Done.Bytes);
+    // To pass over a change that the others make would give this host another
+    // state than theirs.
+    if (!Command)
+      return Failed.emit(Command.error());
+    const std::uint64_t Before = State.plan().Version;
+    if (State.apply(Done.Index, *Command))
+      Audited.emit(State.audit().back());
+    if (Leading && State.plan().Version != Before)
+      for (auto &[Id, Each] : Followers) {
+        Each.PlanSentAt = Millis(-1000000);
+        bringUpToDate(Each);
+      }
+  }
+  const auto Waiting = Changes.find(Done.Index);
+  if (Waiting == Changes.end())
+    return;
+  if (Waiting->second.Term == Done.Term) {
+    Waiting->second.IsCommitted = true;
+    return;
+  }
+  const Committed OnDone = std::move(Waiting->second.OnDone);
+  Changes.erase(Waiting);
+  OnDone(std::nullopt);
+}
+
+// In a group that is still forming a majority may be fewer disks than may be
+// lost; the operator hears of success only once one more than those hold it.
+std::size_t SteeringNode::disksNeeded() const {
+  return std::min(Options.LostDisksBorne + 1, Agreement.voters().size());
+}
+
+void SteeringNode::finishChanges() {
+  for (auto Each = Changes.begin(); Each != Changes.end();) {
+    if (!Each->second.IsCommitted ||
+        Agreement.disksHolding(Each->first) < disksNeeded()) {
+      ++Each;
+      continue;
+    }
+    const std::uint64_t Index = Each->first;
+    const Committed OnDone = std::move(Each->second.OnDone);
+    Each = Changes.erase(Each);
+    OnDone(Index);
+    // The handler may have proposed another.
+    Each = Changes.upper_bound(Index);
+  }
+}
+
+void SteeringNode::failChanges() {
+  const auto Waiting = std::exchange(Changes, {});
+  for (const auto &[Index, Change] : Waiting)
+    Change.OnDone(std::nullopt);
+}
+
+void SteeringNode::noticeLeadership() {
+  if (!Agreement.isLeader() && !Changes.empty())
+    failChanges();
+  if (Agreement.isSettledLeader() == Leading)
+    return;
+  Leading = Agreement.isSettledLeader();
+  Followers.clear();
+  Published = {};
+  if (Leading)
+    Coordinator.begin();
+  else
+    Coordinator.end();
+  Leadership.emit(Leading);
+}
+
+void SteeringNode::compactIfLong() {
+  if (Agreement.log().journalBytes() >= CompactAtBytes)
+    Agreement.compact(AppliedIndex, encode(State));
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Steering/SteeringNode.h
@@ -0,0 +1,139 @@
+/// \file
+/// A control host where targets enforce their leadership themselves: the
+/// agreement on the plan, the directory of targets, and the proxies that
+/// follow.
+
+#ifndef CORIANDERDYKE_STEERING_STEERINGNODE_H
+#define CORIANDERDYKE_STEERING_STEERINGNODE_H
+
+#include "Consensus/Consensus.h"
+#include "Loop/Scheduler.h"
+#include "Steering/PromotionCoordinator.h"
+#include "Transport/Transport.h"
+
+namespace corianderdyke {
+
+struct SteeringOptions {
+  std::string Name;           ///< The host's address: members are named by it.
+  std::string Process;        ///< For people and as the holder of orders.
+  std::uint16_t PeerPort = 0; ///< The same on all hosts.
+  std::vector<std::string> Seeds; ///< Addresses of hosts to start from.
+  bool MayFound = false;
+  /// Disks that may be lost at once without losing an acknowledged change.
+  std::size_t LostDisksBorne = 1;
+};
+
+struct SteeringPorts {
+  Clock &Time;
+  Scheduler &Timers;
+  Transport &Peers;
+  TargetOrderPort &Orders;
+  PromotionPort &Promotions;
+};
+
+class SteeringNode : public sigc::trackable {
+public:
+  /// The plan in force when the handler runs, or Unavailable.
+  using PlanHandler = std::function<void(Expected<const RoutePlan *>)>;
+  /// Nothing, or Unavailable where the leader must be asked.
+  using DoneHandler = std::function<void(Expected<void>)>;
+
+  SteeringNode(SteeringOptions Options, SteeringPorts Ports, ReplicatedLog &Log,
+               std::uint64_t Seed);
+
+  void start();
+
+  /// Makes a plan the one in force; succeeds without effect where its version
+  /// isn't higher. The caller has checked it.
+  void accept(RoutePlan Plan, DoneHandler OnDone);
+  /// Reads through the quorum.
+  void readPlan(PlanHandler OnRead);
+  /// A target's heartbeat; done once the proxies are being told.
+  void hear(const TargetRecord &Said, DoneHandler OnDone);
+  void forget(const std::string &Target, DoneHandler OnDone);
+
+  bool leads() const { return Leading; }
+  /// Address of the leading host; empty where none is known.
+  const std::string &leader() const { return Agreement.leader(); }
+  const Consensus &consensus() const { return Agreement; }
+  const AgreedState &state() const { return State; }
+  const TargetDirectory &directory() const { return Directory; }
+  std::size_t followers() const { return Followers.size(); }
+
+  /// Emitted when the disk failed: the process must end.
+  sigc::signal<void(const Error &)> &signalFailed() { return Failed; }
+  sigc::signal<void(const AuditRecord &)> &signalAudited() { return Audited; }
+  sigc::signal<void(bool)> &signalLeadership() { return Leadership; }
+  PromotionCoordinator &promotions() { return Coordinator; }
+
+private:
+  using Committed = std::function<void(std::optional<std::uint64_t>)>;
+
+  struct WaitingChange {
+    std::uint64_t Term = 0;
+    bool IsCommitted = false;
+    Committed OnDone;
+  };
+
+  struct Follower {
+    Endpoint Address;
+    Millis LastHeard;
+    std::uint64_t PlanVersion = 0;
+    DirectoryVersion Directory;
+    Millis PlanSentAt;
+    Millis DirectorySentAt;
+  };
+
+  struct WaitingFollow {
+    Endpoint To;
+    FollowRequest Request;
+  };
+
+  void tick();
+  void receive(const Envelope &Arrived);
+  void on(const Envelope &From, const ConsensusMessage &Body);
+  void on(const Envelope &From, const FollowRequest &Body);
+  void on(const Envelope &From, const DirectoryUpdate &Body);
+  template <class Other> void on(const Envelope &, const Other &) {}
+
+  void settle();
+  void carryOut(ConsensusOutputs Outputs);
+  void apply(const Entry &Done);
+  void propose(AgreedCommand Command, Committed OnDone);
+  void finishChanges();
+  void failChanges();
+  void noticeLeadership();
+  void barrier(DoneHandler OnDone);
+  void answer(const Endpoint &To, const FollowRequest &Request, bool Proven);
+  void bringUpToDate(Follower &To);
+  void publish();
+  void dropSilentFollowers();
+  void compactIfLong();
+  DirectoryVersion directoryVersion() const {
+    return {Agreement.term(), Directory.revision()};
+  }
+  std::vector<std::string> members() const;
+  std::size_t disksNeeded() const;
+
+  SteeringOptions Options;
+  SteeringPorts Ports;
+  Consensus Agreement;
+  AgreedState State;
+  TargetDirectory Directory;
+  PromotionCoordinator Coordinator;
+  bool Leading = false;
+  bool Settling = false;
+  std::uint64_t AppliedIndex = 0;
+  DirectoryVersion Published;
+  std::map<std::uint64_t, WaitingChange> Changes;
+  std::map<std::uint64_t, DoneHandler> Barriers;
+  std::map<ProcessId, Follower> Followers;
+  Millis LastWatch;
+  sigc::signal<void(const Error &)> Failed;
+  sigc::signal<void(const AuditRecord &)> Audited;
+  sigc::signal<void(bool)> Leadership;
+};
+
+} // namespace corianderdyke
+
+#endif
--- a/Source/Transport/Envelope.h
+++ b/Source/Transport/Envelope.h
@@ -8,6 +8,7 @@
 #include "Lease/Messages.h"
 #include "Rights/Messages.h"
 #include "State/ViewDelta.h"
+#include "Steering/Messages.h"
 
 #include <variant>
 
@@ -18,7 +19,8 @@
 using Message =
     std::variant<ConsensusMessage, LeaseRequest, LeaseGrant, NotLeader,
                  ViewUpdate, ViewApplied, ForwardedAnnouncement, ViewDelta,
-                 RightsRequest, RightsGrant>;
+                 RightsRequest, RightsGrant, FollowRequest, FollowReply,
+                 FollowElsewhere, PlanUpdate, DirectoryUpdate>;
 
 struct Envelope {
   static constexpr std::uint32_t CurrentVersion = 1;
