Count primaries by control's term, end hopeless waits, bound the logs

Ruled out: promotions (one was made and took effect), connections over the cap (224, on other targets).

- The count begins above all that an earlier term of control gave out.
- A wait is bounded to two fifths of the timeout, and ends at once where the next leader isn't expected within it (LeaderOutage).
- Openings and statements that may run again aren't waited for to the deadline.
- Log lines go to standard output without waiting for its reader, bounded by event; lines for refusals, moves, results and unusable targets.

--- /dev/null
+++ b/Source/App/StatementLogs.h
@@ -0,0 +1,17 @@
+/// \file
+/// The log lines about statements: one for each decision that touches one.
+
+#ifndef CORIANDERDYKE_APP_STATEMENTLOGS_H
+#define CORIANDERDYKE_APP_STATEMENTLOGS_H
+
+#include "Pipeline/SessionPipeline.h"
+
+namespace corianderdyke {
+
+/// Writes a line with the caller's id for each refusal, move and result that
+/// \p Of tells, within the bounds of the catalogue.
+void logStatements(SessionPipeline &Of, const Clock &Time);
+
+} // namespace corianderdyke
+
+#endif
--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -4,6 +4,7 @@
 #include "App/SteeringProcess.h"
 
 #include "App/ReadFile.h"
+#include "App/StatementLogs.h"
 #include "Logs/LogEvents.h"
 
 #include <csignal>
@@ -159,17 +160,7 @@
       [this](const TargetTrouble &Seen) { Feed->noteFailed(Seen.Id); });
   Pipeline->signalReached().connect(
       [this](const std::string &Id) { Feed->noteReached(Id); });
-  Pipeline->signalRefused().connect(
-      [](const CallerSession &Session, const Statement &What,
-         const StatementRefusal &Why, const std::string &Grounds) {
-        logEvent(EventId::StatementRefused,
-                 {{"id", What.Id},
-                  {"database", Session.Database},
-                  {"session", std::to_string(Session.Id)},
-                  {"code", std::to_string(static_cast<int>(Why.Code))},
-                  {"why", Why.Why},
-                  {"grounds", Grounds}});
-      });
+  logStatements(*Pipeline, Time);
 }
 
 int SteeringProcess::run() {
--- a/Source/Directory/TargetDirectory.cpp
+++ b/Source/Directory/TargetDirectory.cpp
@@ -7,8 +7,12 @@
 
 namespace corianderdyke {
 
+void TargetDirectory::beginTerm(std::uint64_t Term) {
+  FirstPrimary = std::max(FirstPrimary, Term * PrimariesPerTerm);
+}
+
 std::uint64_t TargetDirectory::nextPrimary(const std::string &Group) const {
-  std::uint64_t Last = 0;
+  std::uint64_t Last = FirstPrimary - 1;
   for (const auto &[Id, Each] : Targets)
     if (Each.Record.Group == Group)
       Last = std::max(Last, Each.Record.PrimarySince);
--- a/Source/Directory/TargetDirectory.h
+++ b/Source/Directory/TargetDirectory.h
@@ -37,6 +37,11 @@
 
 class TargetDirectory {
 public:
+  /// Begins to count primaries anew, above all that a control host of an
+  /// earlier term counted: one that starts without their records would else
+  /// give a new primary the number of one that is gone.
+  void beginTerm(std::uint64_t Term);
+
   /// Takes a target's own word in; true where something changed that others
   /// must know. A record of an older sequence is ignored: a heartbeat that a
   /// partition held up would bring a dead life back.
@@ -76,7 +81,11 @@
   void supersede(const TargetRecord &Newer, Millis Now);
   std::uint64_t nextPrimary(const std::string &Group) const;
 
+  /// Changes of primary in one group under one leader of control.
+  static constexpr std::uint64_t PrimariesPerTerm = 1U << 20U;
+
   std::map<std::string, Known> Targets;
+  std::uint64_t FirstPrimary = 1;
   std::uint64_t Revision = 0;
 };
 
--- a/Source/Logs/LogEvents.cpp
+++ b/Source/Logs/LogEvents.cpp
@@ -3,10 +3,15 @@
 
 #include "Logs/LogEvents.h"
 
+#include "Common/SystemClock.h"
+#include "Logs/LineBudget.h"
+#include "Logs/StandardOutput.h"
+
+#include <map>
 #include <nlohmann/json.hpp>
 #include <spdlog/fmt/chrono.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace corianderdyke {
 
@@ -14,6 +19,13 @@
 
 bool JsonLines = false;
 
+/// The budgets of the events that have one. Logs are written by the one
+/// thread of the loop.
+LineBudget &budgetOf(const EventDescription &Event) {
+  static std::map<EventId, LineBudget> All;
+  return All.try_emplace(Event.Id, LineBudget(Event.PerSecond)).first->second;
+}
+
 const EventDescription &describe(EventId Id) {
   for (const EventDescription &Each : eventCatalogue())
     if (Each.Id == Id)
@@ -116,9 +128,18 @@
       {EventId::ControlFound, Severity::Info, "control-found",
        "The leading control host answers."},
       {EventId::StatementRefused, Severity::Warning, "statement-refused",
-       "A statement got no result; the fields tell the code and its grounds."},
+       "A statement got no result; the fields tell the code and its grounds.",
+       100},
       {EventId::PromotionStep, Severity::Warning, "promotion-step",
        "A step of a change of primary, with what decided it."},
+      {EventId::StatementMoved, Severity::Info, "statement-moved",
+       "A try of a statement gave no result; it's tried again.", 50},
+      {EventId::StatementServed, Severity::Info, "statement-served",
+       "A statement got a target's result: where it ran, by which floor, and "
+       "how long it waited.",
+       10},
+      {EventId::TargetUnusable, Severity::Warning, "target-unusable",
+       "A target couldn't be reached, or gave no answer in time.", 20},
   };
   return All;
 }
@@ -135,15 +156,24 @@
 void setUpLogs(bool Json, Severity Least) {
   JsonLines = Json;
   auto Logger = std::make_shared<spdlog::logger>(
-      "corianderdyke", std::make_shared<spdlog::sinks::stderr_sink_st>());
+      "corianderdyke", std::make_shared<StandardOutput>(STDOUT_FILENO));
   Logger->set_pattern(Json ? "%v" : "%Y-%m-%dT%H:%M:%S.%eZ %l %v",
                       spdlog::pattern_time_type::utc);
   Logger->set_level(levelOf(Least));
   spdlog::set_default_logger(std::move(Logger));
 }
 
-void logEvent(EventId Id, const LogFields &Fields) {
+bool wantsEvent(EventId Id) {
+  const EventDescription &Event = describe(Id);
+  return Event.PerSecond == 0 || budgetOf(Event).allow(SystemClock().now());
+}
+
+void logEvent(EventId Id, const LogFields &Given) {
   const EventDescription &Event = describe(Id);
+  LogFields Fields = Given;
+  if (Event.PerSecond != 0)
+    if (const auto LeftOut = budgetOf(Event).takeLeftOut(); LeftOut > 0)
+      Fields.emplace_back("left_out", std::to_string(LeftOut));
   spdlog::log(levelOf(Event.Level), "{}",
               JsonLines ? jsonLine(Event, Fields) : humanLine(Event, Fields));
 }
--- a/Source/Logs/LogEvents.h
+++ b/Source/Logs/LogEvents.h
@@ -31,6 +31,9 @@
   ControlLost = 401,
   ControlFound = 402,
   StatementRefused = 403,
+  StatementMoved = 405,
+  StatementServed = 406,
+  TargetUnusable = 407,
   PromotionStep = 404,
 };
 
@@ -41,6 +44,8 @@
   Severity Level;
   const char *Name;
   const char *Meaning;
+  /// Lines a second that a process writes at most; 0 for no bound.
+  std::uint32_t PerSecond = 0;
 };
 
 /// All events in the order of their numbers.
@@ -49,10 +54,14 @@
 /// The catalogue as rows of a Markdown table, as the manual has them.
 std::string eventMarkdown();
 
-/// Sends later events of \p Least severity or more to standard error, as
+/// Sends later events of \p Least severity or more to standard output, as
 /// lines for people or as one JSON object a line.
 void setUpLogs(bool Json, Severity Least);
 
+/// True where an event would be written now; else it's counted as left out.
+/// Saves making the fields of events that come with every statement.
+bool wantsEvent(EventId Id);
+
 using LogFields = std::vector<std::pair<std::string, std::string>>;
 
 /// Writes an event with its fields; empty fields are left out.
--- /dev/null
+++ b/Source/Logs/StandardOutput.cpp
@@ -0,0 +1,23 @@
+/// \file
+/// Log lines to standard output without ever waiting for its reader.
+
+#include "Logs/StandardOutput.h"
+
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
+
+namespace corianderdyke {
+
+void StandardOutput::sink_it_(const spdlog::details::log_msg &Message) {
+  spdlog::memory_buf_t Line;
+  formatter_->format(Message, Line);
+  // A pipe that is ready takes this many bytes whole, and without waiting.
+  const bool Fits = Line.size() <= PIPE_BUF;
+  pollfd Ready{Descriptor, POLLOUT, 0};
+  if (!Fits || ::poll(&Ready, 1, 0) != 1 || (Ready.revents & POLLOUT) == 0 ||
+      ::write(Descriptor, Line.data(), Line.size()) < 0)
+    ++LeftOut;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Logs/StandardOutput.h
@@ -0,0 +1,34 @@
+/// \file
+/// Log lines to standard output without ever waiting for its reader.
+
+#ifndef CORIANDERDYKE_LOGS_STANDARDOUTPUT_H
+#define CORIANDERDYKE_LOGS_STANDARDOUTPUT_H
+
+#include <cstdint>
+#include <mutex>
+#include <spdlog/sinks/base_sink.h>
+
+namespace corianderdyke {
+
+/// A reader that stands still costs lines, not service: what doesn't fit at
+/// once is left out and counted.
+class StandardOutput final
+    : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+public:
+  explicit StandardOutput(int Descriptor) : Descriptor(Descriptor) {}
+
+  /// Lines left out since the last call.
+  std::uint64_t takeLeftOut() { return std::exchange(LeftOut, 0); }
+
+protected:
+  void sink_it_(const spdlog::details::log_msg &Message) override;
+  void flush_() override {}
+
+private:
+  int Descriptor;
+  std::uint64_t LeftOut = 0;
+};
+
+} // namespace corianderdyke
+
+#endif
--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -27,6 +27,8 @@
   RoutePolicy Route;
   Millis ArrivedAt;  ///< Of its first byte, or of its transaction's.
   Millis DeadlineAt; ///< Of this statement.
+  /// Until then it may wait for a connection or be tried again.
+  Millis WaitUntil;
   Stage At = Stage::Waiting;
   Placement Where = Placement::Leader;
   std::optional<LogPosition> Floor;
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -12,12 +12,16 @@
 
 /// How often waits and bounds are looked at while there are any.
 constexpr Millis TickInterval(20);
-/// A statement that still waits for a connection this long before its
-/// deadline is given up: it couldn't be served in time any more.
-constexpr Millis LeastTimeToServe(20);
-/// A read without an answer for this long, or for its objective where that is
-/// longer, is sent elsewhere: its answer may be lost.
-constexpr Millis ReadPatience(250);
+/// Part of its timeout that a statement may wait for a connection, or be
+/// tried again. Less than half: a caller who is refused then has time for
+/// another proxy, and what is started then has time to be answered.
+constexpr std::int64_t WaitParts = 2; // of 5
+constexpr std::int64_t TimeoutParts = 5;
+/// A statement without an answer for this long, or for its objective where
+/// that is longer, counts as lost where it may be sent again or taken back.
+constexpr Millis AnswerPatience(250);
+/// Opening a transaction takes a target no work.
+constexpr Millis OpeningPatience(200);
 /// Targets that one statement is tried at.
 constexpr unsigned MaxTries = 6;
 /// A busy target is asked again after this long: about one statement's work.
@@ -295,6 +299,8 @@
   if (IsBound)
     Job->Route.Group = Session->Transaction->Connection->to().Group;
   Job->DeadlineAt = Job->ArrivedAt + Job->Route.StatementTimeout;
+  Job->WaitUntil =
+      Job->ArrivedAt + Job->Route.StatementTimeout * WaitParts / TimeoutParts;
   Job->Writes = What.Kind == StatementKind::Write;
   if (!resolveExecution(Session, *Job))
     return;
@@ -381,7 +387,10 @@
     if (Answer.Refusal && Answer.Refusal->Code == RefusalCode::ReadOnly)
       Pool->noteNotLeading(Outside.Time.now());
   }
-  if (ProvesLead && Answer.Position && !Answer.Refusal)
+  if (!ProvesLead || Answer.Refusal)
+    return;
+  Groups[Job->Route.Group].Outage.noteLeading(Outside.Time.now());
+  if (Answer.Position)
     Floors.note(Job->Route.Group, *Answer.Position, Job->SentAt);
 }
 
@@ -411,7 +420,7 @@
   noteAnswer(Job, Answer, Within.AtLeader && (!Commits || Within.HasWritten));
   if (Answer.Refusal && Answer.Refusal->Code == RefusalCode::Busy &&
       Answer.Phase == SessionPhase::InTransaction && Job->Tries < MaxTries &&
-      Job->DeadlineAt - Outside.Time.now() > LeastTimeToServe) {
+      Outside.Time.now() < Job->WaitUntil) {
     ++Job->Tries;
     ++Counts.Retries;
     Job->RetryAt = Outside.Time.now() + BusyPause;
@@ -460,6 +469,8 @@
       else
         discard(Used);
     }
+    if (Job->Connection)
+      Served.emit(*Job, Job->Connection->to().Id);
     StatementAnswer Out = Answer;
     Out.Phase = Session->Phase;
     reply(Session, Out);
@@ -513,6 +524,7 @@
   } else {
     ++Counts.ReadsByReplica;
   }
+  Served.emit(*Job, Target);
   StatementAnswer Out = Answer;
   Out.Phase = Session->Phase;
   reply(Session, Out);
@@ -527,9 +539,10 @@
   if (++Job->Tries > MaxTries &&
       (Why.Code != RefusalCode::ReadOnly && Why.Code != RefusalCode::Busy))
     return finishRefused(Job, Why, "tried at several targets");
-  if (Job->DeadlineAt - Now <= LeastTimeToServe)
+  if (Now >= Job->WaitUntil)
     return finishRefused(Job, Why, "no time for another try");
   ++Counts.Retries;
+  Moved.emit(*Job, Why);
   Job->RetryAt = Now + After;
   if (const CallerSessionPtr Session = Job->Of.lock())
     place(*Session, *Job);
@@ -602,15 +615,7 @@
   const Millis Now = Outside.Time.now();
   bool IsNeeded = IsStopping;
   for (auto &[Name, Each] : Groups) {
-    const std::list<SessionJobPtr> Waiting = Each.Waiting;
-    for (const SessionJobPtr &Job : Waiting)
-      if (Job->DeadlineAt - Now <= LeastTimeToServe) {
-        Each.Waiting.remove(Job);
-        finishRefused(Job,
-                      refused(RefusalCode::Busy, "no connection came free"),
-                      Each.Primary.empty() ? "no primary is known"
-                                           : "waited for a connection");
-      }
+    giveUpWaiting(Each, Now);
     if (!Each.Waiting.empty()) {
       pump(Name);
       IsNeeded = true;
@@ -639,31 +644,58 @@
     keepTicking();
 }
 
+void SessionPipeline::giveUpWaiting(Group &In, Millis Now) {
+  const std::list<SessionJobPtr> Waiting = In.Waiting;
+  for (const SessionJobPtr &Job : Waiting) {
+    const bool IsHopeless = Job->Where == Placement::Leader &&
+                            !In.Outage.isWorthWaiting(Now, Job->WaitUntil);
+    if (!IsHopeless && Now < Job->WaitUntil)
+      continue;
+    In.Waiting.remove(Job);
+    std::string Why = "no connection came free";
+    if (IsHopeless)
+      Why = "no target leads; come back after " +
+            std::to_string(In.Outage.comeBackAfter(Now).count()) + " ms";
+    finishRefused(Job, {RefusalCode::Busy, std::move(Why)},
+                  IsHopeless ? "no leader within its time"
+                             : "waited for a connection");
+  }
+}
+
 void SessionPipeline::overdue(const SessionJobPtr &Job, Millis Now) {
   const bool IsAlone = [&] {
     const CallerSessionPtr Session = Job->Of.lock();
     return Session && !Session->Transaction;
   }();
-  const Millis Patience = std::max(ReadPatience, Job->Route.Objective);
-  const bool MayMove = IsAlone && !Job->Writes && Job->IsSent &&
-                       Now - Job->SentAt > Patience &&
-                       Job->DeadlineAt - Now > Patience;
-  if (!MayMove && Now < Job->DeadlineAt)
+  if (Now < Job->SentAt + patience(*Job, IsAlone))
     return;
   const TargetConnectionPtr Used = Job->Connection;
+  if (TargetPool *Pool = poolOf(Used); Pool != nullptr && !Job->IsSent)
+    Pool->unreachable(Now);
   if (Used) {
     Trouble.emit({Used->to().Id, false});
     discard(Used);
   }
-  if (MayMove || !IsAlone || (Job->Writes && Job->IsSent))
-    return lost(Job, MayMove ? "no answer in time, sent elsewhere"
-                             : "no answer before the timeout");
-  finishRefused(
-      Job,
-      Job->IsSent
-          ? refused(RefusalCode::Timeout, "no answer before the timeout")
-          : refused(RefusalCode::Busy, "the target didn't take it in time"),
-      "no answer before the timeout");
+  if (IsAlone && !Job->Writes && Job->IsSent && Now >= Job->WaitUntil)
+    return finishRefused(Job,
+                         {RefusalCode::Timeout, "no answer before the timeout"},
+                         "no answer before the timeout");
+  lost(Job, "no answer within " + std::to_string((Now - Job->SentAt).count()) +
+                " ms");
+}
+
+// A statement that may run again, or whose transaction is rolled back with
+// its connection, isn't waited for longer than answers usually take. A write
+// on its own and a commit are: nobody else can tell what became of them.
+Millis SessionPipeline::patience(const SessionJob &Job, bool IsAlone) const {
+  if (!Job.IsSent)
+    return OpeningPatience;
+  const bool Settles =
+      Job.What.Kind == StatementKind::Commit || (IsAlone && Job.Writes);
+  const Millis Rest = Job.DeadlineAt - Job.SentAt;
+  if (Settles || (IsAlone && Outside.Time.now() >= Job.WaitUntil))
+    return Rest;
+  return std::min(Rest, std::max(AnswerPatience, Job.Route.Objective));
 }
 
 void SessionPipeline::endIdleTransactions(Millis Now) {
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -15,6 +15,7 @@
 #include "Common/Clock.h"
 #include "Pipeline/CallerSession.h"
 #include "Pipeline/FloorTable.h"
+#include "Pipeline/LeaderOutage.h"
 #include "Pipeline/TargetPool.h"
 
 #include <list>
@@ -88,11 +89,22 @@
     return RefusedSignal;
   }
 
+  /// Emitted when a try gave no result and another follows.
+  sigc::signal<void(const SessionJob &, const StatementRefusal &)> &
+  signalMoved() {
+    return Moved;
+  }
+  /// Emitted with each result of a target.
+  sigc::signal<void(const SessionJob &, const std::string &)> &signalServed() {
+    return Served;
+  }
+
 private:
   struct Group {
     std::map<std::string, TargetPool> Pools; ///< By target.
     std::string Primary;                     ///< Empty where none is known.
     std::list<SessionJobPtr> Waiting;
+    LeaderOutage Outage;
     bool IsPumping = false;
   };
 
@@ -158,7 +170,9 @@
   // Time.
   void tick();
   void keepTicking();
+  void giveUpWaiting(Group &In, Millis Now);
   void overdue(const SessionJobPtr &Job, Millis Now);
+  Millis patience(const SessionJob &Job, bool IsAlone) const;
   void closeIdleSessions(Millis Now);
   void endIdleTransactions(Millis Now);
 
@@ -180,6 +194,8 @@
   PipelineCounts Counts;
   sigc::signal<void(const TargetTrouble &)> Trouble;
   sigc::signal<void(const std::string &)> Reached;
+  sigc::signal<void(const SessionJob &, const StatementRefusal &)> Moved;
+  sigc::signal<void(const SessionJob &, const std::string &)> Served;
   sigc::signal<void(const CallerSession &, const Statement &,
                     const StatementRefusal &, const std::string &)>
       RefusedSignal;
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -150,6 +150,10 @@
     Job->Floor.reset();
     Choices = candidates(In, *Job);
   }
+  if (Choices.empty() ||
+      (Job->Where == Placement::Leader && Choices.front()->size() == 0 &&
+       Choices.front()->isAvoided(Now)))
+    In.Outage.noteMissing(Now);
   // The best target gets a connection even while another has one free;
   // otherwise callers would stay with the far target for good.
   if (!Choices.empty() && !Choices.front()->idle(Session->Values))
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -344,10 +344,12 @@
   Leading = Agreement.isSettledLeader();
   Followers.clear();
   Published = {};
-  if (Leading)
+  if (Leading) {
+    Directory.beginTerm(Agreement.term());
     Coordinator.begin();
-  else
+  } else {
     Coordinator.end();
+  }
   Leadership.emit(Leading);
 }
 
--- a/Utilities/loopback.sh
+++ b/Utilities/loopback.sh
@@ -86,7 +86,7 @@
 }
 
 start() { # name of settings
-  "$program" run "$folder/$1.toml" 2>>"$folder/$1.log" &
+  "$program" run "$folder/$1.toml" >>"$folder/$1.log" 2>&1 &
   processes+=($!)
   process_of[$1]=$!
 }
