Keep fewer connections warm, and let a new control leader wait before it acts

Silence counts from the beginning of the lead; "busy" is a sign of life. - A proxy that lost control asked one host after the other; it asks all.

--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -34,7 +34,8 @@
 }
 
 bool TargetPool::mayOpen(Millis Now) const {
-  return !isAvoided(Now) && All.size() < Limit.value_or(Share + Burst);
+  return !isAvoided(Now) && Now >= OpenAgainAt &&
+         All.size() < Limit.value_or(Share + Burst);
 }
 
 void TargetPool::remove(const TargetConnectionPtr &Gone) {
@@ -44,8 +45,7 @@
 void TargetPool::refusedConnection(Millis Now) {
   Limit = std::max<std::size_t>(1, All.size());
   LimitRaisedAt = Now;
-  if (All.empty())
-    AvoidUntil = Now + FirstAvoid;
+  OpenAgainAt = Now + RefusedPause;
 }
 
 void TargetPool::unreachable(Millis Now) {
@@ -67,14 +67,15 @@
   }
   const bool ServesOn =
       Record.IsLeaving ? Record.IsPrimary && mayTakeWork(Now) : !Record.IsGone;
-  const std::size_t Kept = ServesOn ? Share : 0;
+  const std::size_t Kept =
+      ServesOn ? std::max<std::size_t>(1, Share / WarmPart) : 0;
   const std::vector<TargetConnectionPtr> Before = All;
   for (const TargetConnectionPtr &Each : Before) {
     if (All.size() <= Kept)
       return;
     if (Each->stage() != TargetConnection::Stage::Idle)
       continue;
-    if (Kept > 0 && Now - Each->idleSince() < IdleBeyondShare)
+    if (Kept > 0 && Now - Each->idleSince() < IdleBeyondWarm)
       continue;
     Each->close();
     remove(Each);
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -64,11 +64,17 @@
   /// well below that, and longer than a planned change of primary takes.
   static constexpr Millis LeavingUse = Millis(4000);
   /// Above the share by this many, while nobody else needs them.
-  static constexpr std::size_t Burst = 4;
-  /// Idle connections beyond the share are closed after this long: longer
+  static constexpr std::size_t Burst = 2;
+  /// Part of the share that is kept warm. After a loss of power the target
+  /// counts the former connections for seconds; there must be room for new
+  /// ones beside them.
+  static constexpr std::size_t WarmPart = 2;
+  /// Idle connections beyond the warm ones are closed after this long: longer
   /// than the gaps between statements of one caller, shorter than a burst
   /// elsewhere waits.
-  static constexpr Millis IdleBeyondShare = Millis(1500);
+  static constexpr Millis IdleBeyondWarm = Millis(1000);
+  /// After a refused connection the next is tried this much later.
+  static constexpr Millis RefusedPause = Millis(50);
   /// The limit is raised by one this often after a refusal.
   static constexpr Millis LimitRecovery = Millis(1000);
   static constexpr Millis FirstAvoid = Millis(50);
@@ -83,6 +89,7 @@
   std::vector<TargetConnectionPtr> All;
   std::optional<std::size_t> Limit; ///< Learned from a refusal.
   Millis LimitRaisedAt;
+  Millis OpenAgainAt; ///< After a refused connection.
   Millis AvoidUntil;
   Millis LastAvoid;
   Millis NotLeadingUntil;
--- a/Source/Steering/ControlFeed.cpp
+++ b/Source/Steering/ControlFeed.cpp
@@ -12,7 +12,7 @@
 /// How often a proxy speaks to control: a lost datagram delays a plan by
 /// this, well below the seconds in which it must be in force.
 constexpr Millis AskInterval(500);
-/// Until a plan is known, and while another leader is looked for.
+/// Until a plan is known, and while the leader is looked for at all hosts.
 constexpr Millis AskIntervalWhenLost(150);
 /// Sightings of failed targets go out at most this often.
 constexpr Millis ReportInterval(40);
@@ -47,11 +47,8 @@
   const bool IsLost = Now - LastAnswer > Patience;
   const Millis Interval =
       IsLost || !IsProven ? AskIntervalWhenLost : AskInterval;
-  if (Now - LastAsked >= Interval) {
-    if (IsLost && LastAsked > Millis(0))
-      nextHost();
-    ask();
-  }
+  if (Now - LastAsked >= Interval)
+    ask(IsLost);
   if (HasContact && Now - LastAnswer > LostAfter) {
     HasContact = false;
     ContactChanged.emit(false);
@@ -59,17 +56,7 @@
   Timers.after(Interval / 2, [this] { tick(); });
 }
 
-void ControlFeed::nextHost() {
-  if (Hosts.empty())
-    return;
-  const auto Now = std::find(Hosts.begin(), Hosts.end(), Asked);
-  const auto Next = Now == Hosts.end() ? Hosts.begin() : std::next(Now);
-  Asked = Next == Hosts.end() ? Hosts.front() : *Next;
-}
-
-void ControlFeed::ask() {
-  if (Asked.empty())
-    return;
+void ControlFeed::ask(bool Everyone) {
   LastAsked = Time.now();
   FollowRequest Request{Options.Self, ++Sequence, Plan.Version,
                         Seen,         !IsProven,  {}};
@@ -77,7 +64,11 @@
     Request.Sightings.push_back({Each, true});
   for (const std::string &Each : std::exchange(FailedTargets, {}))
     Request.Sightings.push_back({Each, false});
-  Peers.send({Asked, Options.PeerPort}, Delivery::Datagram, std::move(Request));
+  // Those that don't lead tell who does, where they know.
+  const std::vector<std::string> To =
+      Everyone ? Hosts : std::vector<std::string>{Asked};
+  for (const std::string &Each : To)
+    Peers.send({Each, Options.PeerPort}, Delivery::Datagram, Request);
 }
 
 void ControlFeed::noteReached(const std::string &Target) {
@@ -90,7 +81,7 @@
   if (IsNews)
     Timers.after(ReportInterval, [this] {
       if (!FailedTargets.empty())
-        ask();
+        ask(false);
     });
 }
 
@@ -121,8 +112,7 @@
   if (Body.Leader.empty() || Body.Leader == Asked)
     return;
   Asked = Body.Leader;
-  LastAnswer = Time.now();
-  ask();
+  ask(false);
 }
 
 void ControlFeed::on(const PlanUpdate &Body, const Envelope &) {
@@ -132,7 +122,7 @@
   Plan = Body.Plan;
   IsProven = IsProven || (ProvenVersion > 0 && Plan.Version >= ProvenVersion);
   PlanChanged.emit();
-  ask();
+  ask(false);
 }
 
 void ControlFeed::on(const DirectoryUpdate &Body, const Envelope &) {
--- a/Source/Steering/ControlFeed.h
+++ b/Source/Steering/ControlFeed.h
@@ -47,14 +47,13 @@
 
 private:
   void tick();
-  void ask();
+  void ask(bool Everyone);
   void receive(const Envelope &Arrived);
   void on(const FollowReply &Body, const Envelope &From);
   void on(const FollowElsewhere &Body, const Envelope &From);
   void on(const PlanUpdate &Body, const Envelope &From);
   void on(const DirectoryUpdate &Body, const Envelope &From);
   template <class Other> void on(const Other &, const Envelope &) {}
-  void nextHost();
 
   FeedOptions Options;
   Clock &Time;
--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -144,9 +144,9 @@
   const std::size_t Reached = reporting(Primary->Id, false);
   const bool Reported = Failed >= std::min(LeastReports, Proxies) &&
                         Failed > 0 && Failed > Reached;
-  const bool IsSilent =
-      Now - Directory.lastHeard(Primary->Id) > Times.SuspectAfter &&
-      Reached == 0;
+  // What was heard before this host began to lead went to another.
+  const Millis HeardAt = std::max(Directory.lastHeard(Primary->Id), BeganAt);
+  const bool IsSilent = Now - HeardAt > Times.SuspectAfter && Reached == 0;
   if (!Reported && !IsSilent)
     return;
   In.BeganAt = Now;
@@ -223,6 +223,7 @@
     In.Goal.reset();
   In.Read.clear();
   In.Answered = 0;
+  In.IsIncomplete = false;
   std::vector<TargetRecord> Choices;
   for (const TargetRecord &Each : Directory.ofGroup(Name))
     if (Each.Id != In.Old && !Each.IsLeaving && In.Excluded.count(Each.Id) == 0)
@@ -243,6 +244,8 @@
                  ++In.Answered;
                  if (Answer)
                    In.Read[Id] = *Answer;
+                 In.IsIncomplete |=
+                     !Answer && Answer.error().Code == ErrorCode::Conflict;
                  if (In.Answered == In.Asked)
                    decide(Name);
                });
@@ -259,6 +262,9 @@
     return back(In, AttemptPause);
   }
   const Millis Waited = Time.now() - In.BeganAt;
+  // One that is too busy to tell its position may have the most.
+  if (In.IsIncomplete && Waited < Times.CatchUpPatience)
+    return read(Name);
   if (In.Goal && Best->second.Received < *In.Goal &&
       Waited < Times.CatchUpPatience)
     return read(Name);
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -99,6 +99,7 @@
     std::map<std::string, TargetStatus> Read;
     std::size_t Asked = 0;
     std::size_t Answered = 0;
+    bool IsIncomplete = false;      ///< One was too busy to tell.
     std::set<std::string> Excluded; ///< StatementRefusal or failed this time.
     Millis RetryAt;
   };
