Pack long messages between processes, and open a second connection late

Messages of 1 KiB or more are packed (zlib) before they're sealed, and the document stays with control.

A statement waits 10 ms for a connection in use before a second one is opened: most answers come sooner, and targets count connections of dead proxies for seconds after a loss of power.

--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -38,7 +38,8 @@
   /// True once the caller's own text went out on the present try.
   bool IsSent = false;
   Millis SentAt;
-  Millis RetryAt; ///< Waits until then after a refusal.
+  Millis QueuedAt; ///< When it began to wait for a connection.
+  Millis RetryAt;  ///< Waits until then after a refusal.
   TargetConnectionPtr Connection;
   bool Writes = false;
 };
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -360,6 +360,7 @@
 
 void SessionPipeline::enqueue(const SessionJobPtr &Job) {
   Job->At = SessionJob::Stage::Waiting;
+  Job->QueuedAt = Outside.Time.now();
   Group &In = Groups[Job->Route.Group];
   // In the order of priority, then of arrival.
   auto Place = In.Waiting.end();
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -131,7 +131,8 @@
   std::vector<TargetPool *> candidates(Group &In, const SessionJob &Job);
   double cost(const Group &In, const TargetPool &Pool,
               const SessionJob &Job) const;
-  bool openIfAllowed(const std::string &GroupName, TargetPool &Pool);
+  bool openIfAllowed(const std::string &GroupName, TargetPool &Pool,
+                     Millis Waited);
   void openConnection(const std::string &GroupName, TargetPool &Pool);
   void opened(const std::string &GroupName, const TargetConnectionPtr &Made);
   void closed(const std::string &GroupName, const TargetConnectionPtr &Gone,
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -18,10 +18,13 @@
 /// What a statement costs more in another failure domain, in units of one
 /// statement that runs there already: the way there and back costs time and
 /// bytes between failure domains.
-constexpr double DistanceCost = 1.5;
+constexpr double DistanceCost = 3;
 /// A replica that hadn't reached the floor when it last answered would
 /// refuse the read, which costs one way there and back.
 constexpr double BehindCost = 3;
+/// How long a statement waits for a connection in use before another is
+/// opened: most statements end sooner.
+constexpr Millis WaitBeforeBurst(10);
 /// The primary is left to those that need it.
 constexpr double PrimaryCost = 1;
 /// Milliseconds of a target's mean answer time that weigh as much as one
@@ -156,8 +159,9 @@
     In.Outage.noteMissing(Now);
   // The best target gets a connection even while another has one free;
   // otherwise callers would stay with the far target for good.
+  const Millis Waited = Now - Job->QueuedAt;
   if (!Choices.empty() && !Choices.front()->idle(Session->Values))
-    openIfAllowed(Job->Route.Group, *Choices.front());
+    openIfAllowed(Job->Route.Group, *Choices.front(), Waited);
   for (TargetPool *Pool : Choices) {
     if (const TargetConnectionPtr Free = Pool->idle(Session->Values)) {
       Free->setBusy(true, Now);
@@ -167,13 +171,17 @@
   }
   // One connection on its way for all that wait: each costs the target a slot.
   for (TargetPool *Pool : Choices)
-    if (Pool->opening() > 0 || openIfAllowed(Job->Route.Group, *Pool))
+    if (Pool->opening() > 0 || openIfAllowed(Job->Route.Group, *Pool, Waited))
       break;
   return false;
 }
 
 bool SessionPipeline::openIfAllowed(const std::string &GroupName,
-                                    TargetPool &Pool) {
+                                    TargetPool &Pool, Millis Waited) {
+  // A connection costs the target as much as a statement, and one of the few
+  // that it takes from everybody; the next statement to end may free one.
+  if (Pool.size() > 0 && Waited < WaitBeforeBurst)
+    return false;
   if (Pool.opening() > 0 || !Pool.mayOpen(Outside.Time.now()))
     return false;
   openConnection(GroupName, Pool);
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -128,7 +128,10 @@
   if (To.PlanVersion < State.plan().Version &&
       Now - To.PlanSentAt >= SendAgainAfter) {
     To.PlanSentAt = Now;
-    Ports.Peers.send(To.Address, Delivery::Stream, PlanUpdate{State.plan()});
+    // The operator's document is for operators alone.
+    PlanUpdate Update{State.plan()};
+    Update.Plan.Document.clear();
+    Ports.Peers.send(To.Address, Delivery::Stream, std::move(Update));
   }
   if (To.Directory != directoryVersion() &&
       Now - To.DirectorySentAt >= SendAgainAfter) {
--- a/Source/Transport/Envelope.cpp
+++ b/Source/Transport/Envelope.cpp
@@ -4,12 +4,13 @@
 #include "Transport/Envelope.h"
 
 #include "Common/Codec.h"
+#include "Common/Compression.h"
 #include "Common/KeyedDigest.h"
 
 namespace corianderdyke {
 
 std::string seal(const Envelope &Message, const std::string &Key) {
-  std::string Bytes = encode(Message);
+  const std::string Bytes = pack(encode(Message));
   return keyedDigest(Key, Bytes) + Bytes;
 }
 
@@ -19,7 +20,10 @@
   const std::string Content = Bytes.substr(KeyedDigestBytes);
   if (!sameDigest(Bytes.substr(0, KeyedDigestBytes), keyedDigest(Key, Content)))
     return fail(ErrorCode::BadInput, "sealed with another key");
-  auto Out = decode<Envelope>(Content);
+  const auto Unpacked = unpack(Content, MaxMessageBytes);
+  if (!Unpacked)
+    return tl::unexpected(Unpacked.error());
+  auto Out = decode<Envelope>(*Unpacked);
   if (Out && Out->Version != Envelope::CurrentVersion)
     return fail(ErrorCode::BadInput, "version " + std::to_string(Out->Version) +
                                          " of the protocol isn't known");
--- a/Source/Transport/Envelope.h
+++ b/Source/Transport/Envelope.h
@@ -22,6 +22,9 @@
                  RightsRequest, RightsGrant, FollowRequest, FollowReply,
                  FollowElsewhere, PlanUpdate, DirectoryUpdate>;
 
+/// The longest message before it's packed.
+constexpr std::size_t MaxMessageBytes = 64U << 20U;
+
 struct Envelope {
   static constexpr std::uint32_t CurrentVersion = 1;
 
--- a/Tests/Unit/DecoderTest.cpp
+++ b/Tests/Unit/DecoderTest.cpp
@@ -2,6 +2,7 @@
 /// Inputs that fuzzing found: each decoder answers with a clear error.
 
 #include "Common/Codec.h"
+#include "Common/Compression.h"
 #include "FakeCluster.h"
 #include "Manifest/ManifestFile.h"
 #include "Proxy/StatementRequest.h"
@@ -61,3 +62,23 @@
   REQUIRE(Read);
   CHECK(Read->Deadline == Current.kind("lookup")->Deadline);
 }
+
+TEST_CASE("Long messages are packed, and a false length is an error",
+          "[decoder]") {
+  std::string Long;
+  for (int Each = 0; Each < 500; ++Each)
+    Long += "route " + std::to_string(Each) + " of the same group\n";
+  const std::string Packed = pack(Long);
+  CHECK(Packed.size() < Long.size() / 3);
+  CHECK(unpack(Packed, Long.size()) == Long);
+  CHECK(unpack(pack("short"), 100) == std::string("short"));
+  // A length that would fill the memory, one that isn't the content's, and
+  // bytes that are no packing at all.
+  CHECK_FALSE(unpack(Packed, Long.size() - 1));
+  std::string Other = Packed;
+  Other[1] = static_cast<char>(Other[1] + 1);
+  CHECK_FALSE(unpack(Other, Long.size() * 2));
+  CHECK_FALSE(unpack("", 100));
+  CHECK_FALSE(unpack("?", 100));
+  CHECK_FALSE(unpack("z", 100));
+}
--- a/Utilities/install-dependencies.sh
+++ b/Utilities/install-dependencies.sh
@@ -6,7 +6,7 @@
   clang-format clang-tidy clang libclang-rt-14-dev
   libsigc++-3.0-dev libevent-dev libcereal-dev prometheus-cpp-dev
   libcli11-dev libspdlog-dev libexpected-dev catch2 libtomlplusplus-dev
-  nlohmann-json3-dev libxxhash-dev libssl-dev libbenchmark-dev
+  nlohmann-json3-dev libxxhash-dev libssl-dev zlib1g-dev libbenchmark-dev
   librapidcheck-dev spin gnuplot-nox curl jq)
 
 missing=()
