Sharpen four tests that passed without their safeguard

Removing the safeguard left these green, because another one or the stand-in's own strictness stepped in: an emptied disk that founds (late heartbeats of the former leader came in), a statement behind a refused opening (the stand-in refused it too), a new leader's silence (the primary was busy as well). Each now meets its fault alone.

--- a/Tests/Support/FakeGroup.cpp
+++ b/Tests/Support/FakeGroup.cpp
@@ -146,6 +146,10 @@
       Prepared[Command.Name] = Command.Text;
       return {};
     case Kind::Begin:
+      if (server().RefuseOpenings > 0) {
+        --server().RefuseOpenings;
+        return refuse(RefusalCode::Busy);
+      }
       if (!server().IsPrimary)
         return refuse(RefusalCode::ReadOnly);
       InTransaction = true;
--- a/Tests/Unit/OpenGroupTest.cpp
+++ b/Tests/Unit/OpenGroupTest.cpp
@@ -50,6 +50,10 @@
   for (const char *Seed : {"control-1", "control-2", "control-3"}) {
     Group.crash(Seed);
     Group.loseDisk(Seed);
+  }
+  // What the former leader had sent them is gone too.
+  Group.run(Millis(50));
+  for (const char *Seed : {"control-1", "control-2", "control-3"}) {
     Group.start(Seed);
     for (const char *Other : {"control-4", "control-5"}) {
       Group.Cuts.insert({Seed, Other});
--- a/Tests/Unit/PipelineTruthTest.cpp
+++ b/Tests/Unit/PipelineTruthTest.cpp
@@ -291,18 +291,19 @@
 
 TEST_CASE("A first statement never runs outside its transaction",
           "[pipeline]") {
-  // The target has lost the lead when the transaction is to be opened. A
-  // write that went out behind the refused opening would be committed alone.
+  // The target refuses to open the transaction, once. A write that went out
+  // behind the refused opening would be committed alone, though its caller
+  // may roll back.
   Setup On;
   const auto Session = On.Proxy.connect("primary");
   REQUIRE_FALSE(On.Proxy.ask(Session, Kind::Read, "r0", "FETCH x").Refusal);
-  On.Group.promote("b");
-  On.Group.promote("a");
-  On.Group.Servers["a"].IsPrimary = false;
+  On.Group.Servers["a"].RefuseOpenings = 1;
   On.Proxy.ask(Session, Kind::Begin);
-  const auto Answer = On.Proxy.ask(Session, Kind::Write, "w1", "STORE x 1");
-  CHECK(Answer.Refusal);
-  CHECK(On.Group.runs("w1") == 0);
+  REQUIRE_FALSE(On.Proxy.ask(Session, Kind::Write, "w1", "STORE x 1").Refusal);
+  CHECK(On.Group.run("w1")->InTransaction);
+  On.Proxy.ask(Session, Kind::Rollback);
+  On.Loop.runFor(Millis(100));
+  CHECK(On.Group.Committed.empty());
 }
 
 TEST_CASE("A plan never goes back", "[pipeline]") {
--- a/Tests/Unit/SteeringTest.cpp
+++ b/Tests/Unit/SteeringTest.cpp
@@ -23,6 +23,7 @@
   struct Target {
     bool IsUp = true;
     bool IsBusy = false;
+    bool IsCutFromControl = false; ///< But its heartbeats come through.
     bool IsPrimary = false;
     LogPosition Received{1, 10};
   };
@@ -32,7 +33,7 @@
   void ask(const TargetAddress &To, TargetCommand::Kind What, std::uint64_t,
            Millis Timeout, OnStatus Handler) override {
     Target &At = Targets[To.Id];
-    if (!At.IsUp) {
+    if (!At.IsUp || At.IsCutFromControl) {
       Loop.at(Loop.now() + Timeout,
               [Handler] { Handler(fail(ErrorCode::Unavailable, "silent")); });
       return;
@@ -339,13 +340,13 @@
 }
 
 TEST_CASE("A new leader takes no former silence for a failure", "[steering]") {
-  // The leader dies. Its successor heard nobody yet; the primary is well and
-  // too busy to be asked. It must not be replaced.
+  // The leader dies. Its successor heard nobody yet and can't ask the primary,
+  // which is well. It must not be replaced.
   ReadySetup Setup;
   Fleet &On = Setup.On;
   On.runBeating(Millis(6000));
   On.killControl(On.leader()->leader());
-  On.Targets.Targets["a"].IsBusy = true;
+  On.Targets.Targets["a"].IsCutFromControl = true;
   REQUIRE(On.Loop.runUntilTrue([&] { return On.leader() != nullptr; },
                                Millis(5000)));
   On.Loop.runFor(Millis(1000));
