Serve metrics where targets enforce leadership; judge lag by fresh evidence

A replica whose position wasn't known, or had been seen long ago, counted as behind the floor, and reads went to the primary while it was idle. Found by a test that survived without its safeguard: no read ever went to a replica in it. Position counts for 150 ms now.

--- a/Source/App/StatementLogs.cpp
+++ b/Source/App/StatementLogs.cpp
@@ -17,7 +17,21 @@
                   : "";
 }
 
-const char *text(RefusalCode Code) {
+/// What decided where a statement goes.
+LogFields fieldsOf(const SessionJob &Job, Millis Now) {
+  return {{"id", Job.What.Id},
+          {"route", Job.Route.Name},
+          {"group", Job.Route.Group},
+          {"place", Job.Where == Placement::Leader ? "leader" : "replica"},
+          {"floor", text(Job.Floor)},
+          {"tries", std::to_string(Job.Tries)},
+          {"since_ms", text(Now - Job.ArrivedAt)},
+          {"left_ms", text(Job.DeadlineAt - Now)}};
+}
+
+} // namespace
+
+const char *refusalWord(RefusalCode Code) {
   switch (Code) {
   case RefusalCode::Busy:
     return "busy";
@@ -47,20 +61,6 @@
   return "unknown";
 }
 
-/// What decided where a statement goes.
-LogFields fieldsOf(const SessionJob &Job, Millis Now) {
-  return {{"id", Job.What.Id},
-          {"route", Job.Route.Name},
-          {"group", Job.Route.Group},
-          {"place", Job.Where == Placement::Leader ? "leader" : "replica"},
-          {"floor", text(Job.Floor)},
-          {"tries", std::to_string(Job.Tries)},
-          {"since_ms", text(Now - Job.ArrivedAt)},
-          {"left_ms", text(Job.DeadlineAt - Now)}};
-}
-
-} // namespace
-
 void logStatements(SessionPipeline &Of, const Clock &Time) {
   Of.signalRefused().connect(
       [&Of](const CallerSession &Session, const Statement &What,
@@ -71,7 +71,7 @@
                     {"database", Session.Database},
                     {"session", std::to_string(Session.Id)},
                     {"plan", std::to_string(Of.plan().Version)},
-                    {"code", text(Why.Code)},
+                    {"code", refusalWord(Why.Code)},
                     {"why", Why.Why},
                     {"grounds", Grounds}});
       });
@@ -80,7 +80,7 @@
         if (!wantsEvent(EventId::StatementMoved))
           return;
         LogFields Fields = fieldsOf(Job, Time.now());
-        Fields.emplace_back("code", text(Why.Code));
+        Fields.emplace_back("code", refusalWord(Why.Code));
         Fields.emplace_back("why", Why.Why);
         logEvent(EventId::StatementMoved, Fields);
       });
--- a/Source/App/StatementLogs.h
+++ b/Source/App/StatementLogs.h
@@ -8,6 +8,9 @@
 
 namespace corianderdyke {
 
+/// A refusal's code as logs and metrics have it.
+const char *refusalWord(RefusalCode Code);
+
 /// Writes a line with the caller's id for each refusal, move and result that
 /// \p Of tells, within the bounds of the catalogue.
 void logStatements(SessionPipeline &Of, const Clock &Time);
--- /dev/null
+++ b/Source/App/SteeringMetrics.cpp
@@ -0,0 +1,122 @@
+/// \file
+/// Metrics of a process where targets enforce their leadership themselves.
+
+#include "App/SteeringMetrics.h"
+
+#include "App/StatementLogs.h"
+#include "Common/Version.h"
+
+namespace corianderdyke {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+
+const char *outcomeOf(const SessionJob &Job) {
+  if (Job.What.Kind == StatementKind::Commit)
+    return "commit";
+  return Job.Writes ? "write" : "read";
+}
+
+} // namespace
+
+SteeringMetrics::SteeringMetrics(SteeringSources Given)
+    : From(std::move(Given)) {
+  if (From.Pipeline != nullptr) {
+    From.Pipeline->signalServed().connect(
+        [this](const SessionJob &Job, const std::string &) {
+          Durations[outcomeOf(Job)].observe(From.Time.now() - Job.QueuedAt);
+        });
+    From.Pipeline->signalRefused().connect(
+        [this](const CallerSession &, const Statement &,
+               const StatementRefusal &Why,
+               const std::string &) { ++Refusals[refusalWord(Why.Code)]; });
+  }
+  if (From.Control != nullptr)
+    From.Control->promotions().signalStep().connect(
+        [this](const std::string &, const std::string &What,
+               const std::string &) { ++Steps[What]; });
+}
+
+void SteeringMetrics::handle(const HttpRequest &Request,
+                             std::shared_ptr<HttpExchange> Exchange) {
+  if (Request.Path != "/metrics")
+    return Exchange->respond({StatusNotFound, {}, "no such path\n"});
+  Exchange->respond(
+      {StatusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, text()});
+}
+
+std::string SteeringMetrics::text() const {
+  MetricSet Out;
+  Out.add("corianderdyke_build_info", 1, {{"version", ProgramVersion}});
+  const PeerTraffic Traffic = From.Peers.traffic();
+  Out.add("corianderdyke_peer_sent_bytes_total",
+          static_cast<double>(Traffic.SentBytes));
+  Out.add("corianderdyke_peer_received_bytes_total",
+          static_cast<double>(Traffic.ReceivedBytes));
+  Out.add("corianderdyke_peer_rejected_total",
+          static_cast<double>(Traffic.Rejected));
+  if (From.Pipeline != nullptr)
+    addProxy(Out);
+  if (From.Control != nullptr)
+    addControl(Out);
+  return Out.text();
+}
+
+void SteeringMetrics::addProxy(MetricSet &To) const {
+  const PipelineCounts &Counts = From.Pipeline->counts();
+  const auto Count = [&To](const char *Name, const char *Label,
+                           const std::string &Value, std::uint64_t Of) {
+    To.add(Name, static_cast<double>(Of), {{Label, Value}});
+  };
+  Count("corianderdyke_reads_total", "served_by", "replica",
+        Counts.ReadsByReplica);
+  Count("corianderdyke_reads_total", "served_by", "primary",
+        Counts.ReadsByLeader);
+  Count("corianderdyke_statements_total", "outcome", "not-run", Counts.NotRun);
+  Count("corianderdyke_statements_total", "outcome", "unknown", Counts.Unknown);
+  Count("corianderdyke_statements_total", "outcome", "failed", Counts.Failed);
+  Count("corianderdyke_statements_total", "outcome", "write-done",
+        Counts.Writes);
+  Count("corianderdyke_statements_total", "outcome", "commit-done",
+        Counts.Commits);
+  for (const auto &[Outcome, Each] : Durations)
+    To.add("corianderdyke_statement_seconds", Each, {{"outcome", Outcome}});
+  for (const auto &[Code, Each] : Refusals)
+    Count("corianderdyke_statement_refusals_total", "code", Code, Each);
+  To.add("corianderdyke_read_retries_total",
+         static_cast<double>(Counts.Retries));
+  To.add("corianderdyke_sessions",
+         static_cast<double>(From.Pipeline->sessions()));
+  To.add("corianderdyke_target_connections_opened_total",
+         static_cast<double>(Counts.Opened));
+  for (const PoolReport &Each : From.Pipeline->pools()) {
+    To.add("corianderdyke_target_connections",
+           static_cast<double>(Each.Connections), {{"target", Each.Target}});
+    To.add("corianderdyke_target_connections_busy",
+           static_cast<double>(Each.Busy), {{"target", Each.Target}});
+  }
+  To.add("corianderdyke_ready", From.IsReady() ? 1 : 0);
+  To.add("corianderdyke_plan_version",
+         static_cast<double>(From.Pipeline->plan().Version));
+}
+
+void SteeringMetrics::addControl(MetricSet &To) const {
+  const Consensus &Agreement = From.Control->consensus();
+  To.add("corianderdyke_control_leader", From.Control->leads() ? 1 : 0);
+  To.add("corianderdyke_control_term", static_cast<double>(Agreement.term()));
+  To.add("corianderdyke_control_revision",
+         static_cast<double>(Agreement.commitIndex()));
+  To.add("corianderdyke_control_voters",
+         static_cast<double>(Agreement.voters().size()));
+  To.add("corianderdyke_proxies",
+         static_cast<double>(From.Control->followers()));
+  To.add("corianderdyke_plan_version",
+         static_cast<double>(From.Control->state().plan().Version));
+  for (const auto &[Step, Each] : Steps)
+    To.add("corianderdyke_promotion_steps_total", static_cast<double>(Each),
+           {{"step", Step}});
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/App/SteeringMetrics.h
@@ -0,0 +1,50 @@
+/// \file
+/// Metrics of a process where targets enforce their leadership themselves.
+
+#ifndef CORIANDERDYKE_APP_STEERINGMETRICS_H
+#define CORIANDERDYKE_APP_STEERINGMETRICS_H
+
+#include "Common/DurationHistogram.h"
+#include "Http/HttpServer.h"
+#include "Operators/MetricSet.h"
+#include "Steering/ControlFeed.h"
+#include "Steering/Edge.h"
+#include "Steering/SteeringNode.h"
+
+namespace corianderdyke {
+
+/// What the process consists of; null where it hasn't the role.
+struct SteeringSources {
+  const Clock &Time;
+  const Transport &Peers;
+  SessionPipeline *Pipeline = nullptr;
+  const ControlFeed *Feed = nullptr;
+  SteeringNode *Control = nullptr;
+  std::function<bool()> IsReady;
+};
+
+/// Serves "/metrics" in the Prometheus text format.
+class SteeringMetrics final : public HttpService, public sigc::trackable {
+public:
+  explicit SteeringMetrics(SteeringSources From);
+
+  void handle(const HttpRequest &Request,
+              std::shared_ptr<HttpExchange> Exchange) override;
+
+  /// The metrics as they are now.
+  std::string text() const;
+
+private:
+  void addProxy(MetricSet &To) const;
+  void addControl(MetricSet &To) const;
+
+  SteeringSources From;
+  /// Time to the answer by outcome: "read", "write", "commit", "refused".
+  std::map<std::string, DurationHistogram> Durations;
+  std::map<std::string, std::uint64_t> Refusals; ///< By code.
+  std::map<std::string, std::uint64_t> Steps;    ///< Of changes of primary.
+};
+
+} // namespace corianderdyke
+
+#endif
--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -28,6 +28,7 @@
 
 std::vector<std::string> addressesOf(const std::vector<Endpoint> &All) {
   std::vector<std::string> Out;
+  Out.reserve(All.size());
   for (const Endpoint &Each : All)
     Out.push_back(Each.Address);
   return Out;
@@ -55,7 +56,28 @@
   if (Options.IsControl)
     if (auto Done = openControl(); !Done)
       return Done;
-  return Options.IsProxy ? openProxy() : Expected<void>();
+  if (Options.IsProxy)
+    if (auto Done = openProxy(); !Done)
+      return Done;
+  return openMetrics();
+}
+
+Expected<void> SteeringProcess::openMetrics() {
+  Metrics = std::make_unique<SteeringMetrics>(
+      SteeringSources{Time, *Peers, Pipeline.get(), Feed.get(), Control.get(),
+                      [this] { return isReady(); }});
+  if (Options.Operators.Port == 0)
+    return {};
+  auto Opened = listen(Options.Operators, *Metrics);
+  if (!Opened)
+    return tl::unexpected(Opened.error());
+  MetricsPort = std::move(*Opened);
+  return {};
+}
+
+bool SteeringProcess::isReady() const {
+  return Pipeline && !Stopping && Feed->isCurrent() &&
+         Pipeline->plan().Version > 0;
 }
 
 Expected<std::unique_ptr<EventHttpServer>>
@@ -105,9 +127,7 @@
   if (!Callers)
     return tl::unexpected(Callers.error());
   CallerPort = std::move(*Callers);
-  ReadinessCalls = Outer->readiness([this] {
-    return !Stopping && Feed->isCurrent() && Pipeline->plan().Version > 0;
-  });
+  ReadinessCalls = Outer->readiness([this] { return isReady(); });
   auto Opened = listen(Options.Readiness, *ReadinessCalls);
   if (!Opened)
     return tl::unexpected(Opened.error());
--- a/Source/App/SteeringProcess.h
+++ b/Source/App/SteeringProcess.h
@@ -5,6 +5,7 @@
 #ifndef CORIANDERDYKE_APP_STEERINGPROCESS_H
 #define CORIANDERDYKE_APP_STEERINGPROCESS_H
 
+#include "App/SteeringMetrics.h"
 #include "Common/SystemClock.h"
 #include "Http/EventHttpConnector.h"
 #include "Http/EventHttpServer.h"
@@ -36,6 +37,8 @@
   Expected<void> open();
   Expected<void> openControl();
   Expected<void> openProxy();
+  Expected<void> openMetrics();
+  bool isReady() const;
   Expected<std::unique_ptr<EventHttpServer>> listen(const Endpoint &At,
                                                     HttpService &Service);
   void connectControl();
@@ -67,6 +70,8 @@
   std::unique_ptr<CallerListener> CallerPort;
   std::unique_ptr<HttpService> ReadinessCalls;
   std::unique_ptr<EventHttpServer> ReadinessPort;
+  std::unique_ptr<SteeringMetrics> Metrics;
+  std::unique_ptr<EventHttpServer> MetricsPort;
   bool Stopping = false;
   int ExitCode = 0;
 };
--- a/Source/Logs/LogEvents.h
+++ b/Source/Logs/LogEvents.h
@@ -68,7 +68,7 @@
 using LogFields = std::vector<std::pair<std::string, std::string>>;
 
 /// Writes an event with its fields; empty fields are left out.
-void logEvent(EventId Id, const LogFields &Fields);
+void logEvent(EventId Id, const LogFields &Given);
 
 } // namespace corianderdyke
 
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -384,7 +384,7 @@
       Reached.emit(Pool->record().Id);
     Pool->noteLatency(Outside.Time.now() - Job->SentAt);
     if (Answer.Position)
-      Pool->notePosition(*Answer.Position);
+      Pool->notePosition(*Answer.Position, Outside.Time.now());
     if (Answer.Refusal && Answer.Refusal->Code == RefusalCode::ReadOnly)
       Pool->noteNotLeading(Outside.Time.now());
   }
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -39,6 +39,15 @@
   auto operator<=>(const PipelineCounts &) const = default;
 };
 
+/// One target's connections, for metrics.
+struct PoolReport {
+  std::string Target;
+  std::size_t Connections = 0;
+  std::size_t Busy = 0;
+
+  auto operator<=>(const PoolReport &) const = default;
+};
+
 /// A target that couldn't be used, as seen here.
 struct TargetTrouble {
   std::string Id;
@@ -61,8 +70,8 @@
   /// Callers.
   std::uint64_t open(const std::string &Database,
                      std::shared_ptr<CallerLink> Link);
-  void receive(std::uint64_t Session, Statement What);
-  void disconnected(std::uint64_t Session);
+  void receive(std::uint64_t Id, Statement What);
+  void disconnected(std::uint64_t Id);
 
   /// What control said.
   void adopt(const RoutePlan &New);
@@ -71,12 +80,13 @@
 
   /// A planned stop. Sessions between statements are closed a few at a time,
   /// so that they don't all come back at once elsewhere.
-  void beginStop(Millis TransactionsUntil, Millis SessionsUntil);
+  void beginStop(Millis TransactionsBy, Millis SessionsBy);
   bool isQuiet() const { return Sessions.empty(); }
   std::size_t sessions() const { return Sessions.size(); }
 
   const RoutePlan &plan() const { return Plan; }
   const PipelineCounts &counts() const { return Counts; }
+  std::vector<PoolReport> pools() const;
 
   /// Emitted when a target couldn't be reached.
   sigc::signal<void(const TargetTrouble &)> &signalTrouble() { return Trouble; }
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -85,6 +85,14 @@
     pump(Name);
 }
 
+std::vector<PoolReport> SessionPipeline::pools() const {
+  std::vector<PoolReport> Out;
+  for (const auto &[Name, Each] : Groups)
+    for (const auto &[Id, Pool] : Each.Pools)
+      Out.push_back({Id, Pool.size(), Pool.busy()});
+  return Out;
+}
+
 void SessionPipeline::pump(const std::string &Name) {
   Group &In = Groups[Name];
   if (In.IsPumping)
@@ -134,7 +142,7 @@
   double Out = static_cast<double>(Pool.busy()) + Pool.latency() / LatencyUnit;
   if (Pool.record().FailureDomain != Where.FailureDomain)
     Out += DistanceCost;
-  if (Job.Floor && Pool.position() < *Job.Floor)
+  if (Job.Floor && Pool.isBehind(*Job.Floor, Outside.Time.now()))
     Out += BehindCost;
   if (Pool.record().Id == In.Primary)
     Out += PrimaryCost;
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -51,8 +51,16 @@
   /// Time from sending to a whole answer.
   void noteLatency(Millis Taken);
   double latency() const { return Latency; }
-  void notePosition(LogPosition Seen) { Position = std::max(Position, Seen); }
-  LogPosition position() const { return Position; }
+  /// An answer showed where its log stands.
+  void notePosition(LogPosition Seen, Millis Now) {
+    Position = Seen;
+    PositionAt = Now;
+  }
+  /// True where it's likely to refuse a read that asks for \p Floor. What an
+  /// answer showed some time ago says nothing: it has received since.
+  bool isBehind(LogPosition Floor, Millis Now) const {
+    return Position < Floor && Now - PositionAt < PositionKept;
+  }
   /// It said that it doesn't lead.
   void noteNotLeading(Millis Now) { NotLeadingUntil = Now + LeadRecheck; }
   bool mayLead(Millis Now) const { return Now >= NotLeadingUntil; }
@@ -79,6 +87,8 @@
   static constexpr Millis LimitRecovery = Millis(1000);
   static constexpr Millis FirstAvoid = Millis(50);
   static constexpr Millis LongestAvoid = Millis(800);
+  /// Replicas that are well catch up in a fraction of this.
+  static constexpr Millis PositionKept = Millis(150);
   /// A target that doesn't lead is asked again after this long, in case the
   /// word of its promotion is late.
   static constexpr Millis LeadRecheck = Millis(60);
@@ -95,6 +105,7 @@
   Millis NotLeadingUntil;
   double Latency = 5;
   LogPosition Position;
+  Millis PositionAt = Millis(-1000000);
 };
 
 } // namespace corianderdyke
--- a/Source/Settings/Settings.cpp
+++ b/Source/Settings/Settings.cpp
@@ -204,6 +204,8 @@
   Out.Readiness = Listen.endpoint("readiness");
   Out.Directory = Listen.endpoint("directory");
   Out.Peers = Listen.endpoint("peers");
+  if (Listen.has("operators"))
+    Out.Operators = Listen.endpoint("operators");
   const auto Need = [](TomlReader &In, const char *Key, bool IsMissing) {
     if (IsMissing)
       In.report(Key, std::string("'") + Key + "' is missing",
--- a/Source/Settings/TomlReader.h
+++ b/Source/Settings/TomlReader.h
@@ -24,6 +24,10 @@
   TomlReader(std::string File, const KeyTable &Keys, const toml::table &Root,
              Findings &Found);
 
+  /// True where the file has the key.
+  bool has(const std::string &Key) const {
+    return Table != nullptr && Table->contains(Key);
+  }
   /// A string; \p Otherwise where it's missing and may be.
   std::string text(const std::string &Key, const std::string &Otherwise = "");
   std::int64_t number(const std::string &Key);
--- a/Tests/Support/FakeGroup.h
+++ b/Tests/Support/FakeGroup.h
@@ -36,12 +36,12 @@
   struct Server {
     bool IsPrimary = false;
     bool IsUp = true;
-    bool IsSilent = false;       ///< Takes everything and answers nothing.
-    bool IsBusy = false;         ///< Refuses statements as busy.
-    bool Receives = true;        ///< Gets what its primary commits.
-    std::size_t LoseAnswers = 0; ///< Runs so many more and tells nobody.
+    bool IsSilent = false;          ///< Takes everything and answers nothing.
+    bool IsBusy = false;            ///< Refuses statements as busy.
+    bool Receives = true;           ///< Gets what its primary commits.
+    std::size_t LoseAnswers = 0;    ///< Runs so many more and tells nobody.
     std::size_t RefuseOpenings = 0; ///< Opens so many transactions fewer.
-    std::size_t CutAnswers = 0;  ///< Closes in place of so many answers.
+    std::size_t CutAnswers = 0;     ///< Closes in place of so many answers.
     std::size_t MaxConnections = 16;
     LogPosition Log{1, 1};
     std::size_t Open = 0;
