Take a lost answer for what it is, test the adapter on sockets, split files

A proxy reports a target only where a new connection to it fails, or where nothing at all came from it since the statement was sent.

A stand-in of the platform's targets on real sockets, whose answers leave a few bytes at a time; sessions, garbage, a reused address, orders, heartbeats and plans run through the adapter.

--- /dev/null
+++ b/Source/Consensus/ConsensusMembership.cpp
@@ -0,0 +1,200 @@
+/// \file
+/// How the voters of a control group change.
+
+#include "Consensus/Consensus.h"
+
+#include "Common/Codec.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+namespace {
+
+const Member *findByName(const Members &All, const std::string &Name) {
+  for (const Member &Each : All)
+    if (Each.Name == Name)
+      return &Each;
+  return nullptr;
+}
+
+} // namespace
+
+// Membership. One change at a time, so that any majority before it meets any
+// majority after it.
+
+Consensus::Peer Consensus::newPeer(const Member &Host, bool Voter,
+                                   Millis Now) const {
+  return Peer{Host, Log.lastIndex() + 1, 0, 0, Now, NeverSent, Voter};
+}
+
+void Consensus::admitLearner(const Member &Host, Millis Now) {
+  const auto Known = Peers.find(Host.Name);
+  if (Known != Peers.end() && Known->second.Identity == Host)
+    return;
+  if (Options.Membership == GroupPolicyKind::Listed &&
+      findByName(Voters, Host.Name) == nullptr &&
+      std::find(Options.Hosts.begin(), Options.Hosts.end(), Host.Name) ==
+          Options.Hosts.end())
+    return;
+  // Its former self won't answer any more; it stays in Voters, and so in the
+  // size of the majority, until the change is committed.
+  Peers[Host.Name] = newPeer(Host, false, Now);
+  replicate(Peers[Host.Name], true);
+}
+
+bool Consensus::changeUnderWay() const {
+  return Log.votersIndex() > CommitIndex;
+}
+
+Expected<std::uint64_t> Consensus::appendVoters(Members Next, Millis Now) {
+  std::sort(Next.begin(), Next.end());
+  const std::uint64_t Index = Log.lastIndex() + 1;
+  if (!check(Log.append(
+          {Entry{Index, Log.term(), EntryKind::Membership, encode(Next)}})))
+    return tl::unexpected(*Failure);
+  reloadVoters();
+  for (auto &[Name, Each] : Peers)
+    Each.Voter = isVoter(Each.Identity);
+  startRound(Now);
+  advanceCommit();
+  return Index;
+}
+
+// A host that comes back with an empty disk is fed first and counted only once
+// committed changes have put it in the place of its former self: the seat of
+// the lost disk becomes vacant, then the new disk takes it. A swap in one step
+// would let {old, B} and {A, new} both decide if the lost disk came back.
+void Consensus::replaceCaughtUpLearners(Millis Now) {
+  if (!isSettledLeader() || changeUnderWay())
+    return;
+  for (const auto &[Name, Each] : Peers) {
+    if (Each.Voter || Each.Match < CommitIndex)
+      continue;
+    const Member *Seat = findByName(Voters, Name);
+    // Without a seat it waits for the operator's command, but in an open
+    // group.
+    if (Seat == nullptr && Options.Membership == GroupPolicyKind::Listed)
+      continue;
+    Members Next = Voters;
+    if (Seat == nullptr) {
+      Next.push_back(Each.Identity);
+    } else {
+      const Member Taken =
+          Seat->isVacant() ? Each.Identity : Member{Name, VacantDisk};
+      std::replace(Next.begin(), Next.end(), *Seat, Taken);
+    }
+    static_cast<void>(appendVoters(std::move(Next), Now));
+    return;
+  }
+}
+
+// A host that is gone for good counts in the size of the majority until it's
+// taken out. With an even number of voters its seat is worth nothing: the
+// majority of one voter less is one smaller, so as many others may fail, and
+// no fewer disks hold what is committed than one more than half of the rest.
+// With an odd number it stays: it may only be cut off.
+void Consensus::removeSilentVoter(Millis Now) {
+  if (Options.Membership != GroupPolicyKind::Open || !isSettledLeader() ||
+      changeUnderWay() || Voters.size() % 2 != 0)
+    return;
+  for (const Member &Each : Voters) {
+    if (Each == self())
+      continue;
+    const auto Known = Peers.find(Each.Name);
+    const bool IsSilent = Known == Peers.end() ||
+                          Known->second.Identity != Each ||
+                          Now - Known->second.LastReply > SilenceBorne;
+    if (!IsSilent)
+      continue;
+    Members Next = Voters;
+    Next.erase(std::find(Next.begin(), Next.end(), Each));
+    static_cast<void>(changeVoters(std::move(Next), Now));
+    return;
+  }
+}
+
+std::size_t Consensus::disksHolding(std::uint64_t Index) const {
+  std::size_t Out = Log.lastIndex() >= Index ? 1 : 0;
+  for (const auto &[Name, Each] : Peers)
+    if (Each.Match >= Index)
+      ++Out;
+  return Out;
+}
+
+bool Consensus::outlives(std::uint64_t Index, std::size_t LostDisks) const {
+  return Index <= CommitIndex && !changeUnderWay() &&
+         Voters.size() > 2 * LostDisks && disksHolding(Index) > LostDisks;
+}
+
+Expected<std::uint64_t> Consensus::addVoter(const std::string &Name,
+                                            Millis Now) {
+  if (auto Ready = checkChange(Now); !Ready)
+    return tl::unexpected(Ready.error());
+  if (findByName(Voters, Name) != nullptr)
+    return fail(ErrorCode::Conflict, Name + " is in the control group");
+  const auto Known = Peers.find(Name);
+  if (Known == Peers.end())
+    return fail(ErrorCode::NotFound,
+                Name + " hasn't been heard: start it with the control hosts "
+                       "in its settings and name it in theirs, then add it");
+  if (Known->second.Match < CommitIndex)
+    return fail(ErrorCode::Unavailable,
+                Name + " is still catching up: it has entry " +
+                    std::to_string(Known->second.Match) + " of " +
+                    std::to_string(CommitIndex));
+  Members Next = Voters;
+  Next.push_back(Known->second.Identity);
+  return changeVoters(std::move(Next), Now);
+}
+
+Expected<std::uint64_t> Consensus::removeVoter(const std::string &Name,
+                                               Millis Now) {
+  if (auto Ready = checkChange(Now); !Ready)
+    return tl::unexpected(Ready.error());
+  Members Next;
+  for (const Member &Each : Voters)
+    if (Each.Name != Name)
+      Next.push_back(Each);
+  if (Next.size() == Voters.size())
+    return fail(ErrorCode::NotFound, Name + " isn't in the control group");
+  return changeVoters(std::move(Next), Now);
+}
+
+Expected<void> Consensus::checkChange(Millis Now) const {
+  if (!isSettledLeader() || Failure)
+    return fail(ErrorCode::Unavailable, notLeading(Now));
+  if (changeUnderWay())
+    return fail(ErrorCode::Conflict,
+                "another change of the control group is under way: entry " +
+                    std::to_string(Log.votersIndex()) + " isn't committed yet");
+  return {};
+}
+
+Expected<std::uint64_t> Consensus::changeVoters(Members Next, Millis Now) {
+  // A group that can't commit the change that made it could never undo it.
+  std::size_t Heard = 0;
+  for (const Member &Each : Next) {
+    const auto Known = Peers.find(Each.Name);
+    if (Each == self() ||
+        (Known != Peers.end() && Known->second.Identity == Each &&
+         Now - Known->second.LastReply < Options.ElectionTimeout))
+      ++Heard;
+  }
+  if (Heard < Next.size() / 2 + 1)
+    return fail(ErrorCode::Conflict,
+                "the group would stand still: of " +
+                    std::to_string(Next.size()) + " control hosts only " +
+                    std::to_string(Heard) + " would answer");
+  return appendVoters(std::move(Next), Now);
+}
+
+void Consensus::stepDownIfRemoved(Millis Now) {
+  if (isVoter(self()) || changeUnderWay())
+    return;
+  // The others learn that the change is committed, then one of them leads.
+  startRound(Now);
+  becomeFollower(Log.term(), "", Now);
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -0,0 +1,171 @@
+/// \file
+/// What ends with time: waits, statements, idle transactions, and sessions
+/// before a planned stop.
+
+#include "Pipeline/SessionPipeline.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+namespace {
+
+/// How often waits and bounds are looked at while there are any.
+constexpr Millis TickInterval(20);
+/// A statement without an answer for this long, or for its objective where
+/// that is longer, counts as lost where it may be sent again or taken back.
+constexpr Millis AnswerPatience(250);
+/// Opening a transaction takes a target no work.
+constexpr Millis OpeningPatience(200);
+
+} // namespace
+
+void SessionPipeline::keepTicking() {
+  if (Ticking == 0)
+    Ticking = Outside.Timers.after(TickInterval, [this] {
+      Ticking = 0;
+      tick();
+    });
+}
+
+void SessionPipeline::tick() {
+  const Millis Now = Outside.Time.now();
+  bool IsNeeded = IsStopping;
+  for (auto &[Name, Each] : Groups) {
+    giveUpWaiting(Each, Now);
+    if (!Each.Waiting.empty()) {
+      pump(Name);
+      IsNeeded = true;
+    }
+    for (auto &[Id, Pool] : Each.Pools) {
+      Pool.tend(Now);
+      const auto Open = Pool.connections();
+      for (const TargetConnectionPtr &Connection : Open)
+        if (Connection->stage() == TargetConnection::Stage::Opening) {
+          IsNeeded = true;
+          constexpr Millis OpenPatience(400);
+          if (Now - Connection->openedAt() > OpenPatience) {
+            Connection->close();
+            closed(Name, Connection, std::nullopt);
+          }
+        }
+    }
+  }
+  const std::set<SessionJobPtr> Watched = Running;
+  for (const SessionJobPtr &Job : Watched)
+    if (Running.count(Job) != 0)
+      overdue(Job, Now);
+  endIdleTransactions(Now);
+  closeIdleSessions(Now);
+  if (IsNeeded || !Running.empty() || !Sessions.empty())
+    keepTicking();
+}
+
+void SessionPipeline::giveUpWaiting(Group &In, Millis Now) {
+  const std::list<SessionJobPtr> Waiting = In.Waiting;
+  for (const SessionJobPtr &Job : Waiting) {
+    const bool IsHopeless = Job->Where == Placement::Leader &&
+                            !In.Outage.isWorthWaiting(Now, Job->WaitUntil);
+    if (!IsHopeless && Now < Job->WaitUntil)
+      continue;
+    In.Waiting.remove(Job);
+    std::string Why = "no connection came free";
+    if (IsHopeless)
+      Why = "no target leads; come back after " +
+            std::to_string(In.Outage.comeBackAfter(Now).count()) + " ms";
+    finishRefused(Job, {RefusalCode::Busy, std::move(Why)},
+                  IsHopeless ? "no leader within its time"
+                             : "waited for a connection");
+  }
+}
+
+void SessionPipeline::overdue(const SessionJobPtr &Job, Millis Now) {
+  const bool IsAlone = [&] {
+    const CallerSessionPtr Session = Job->Of.lock();
+    return Session && !Session->Transaction;
+  }();
+  if (Now < Job->SentAt + patience(*Job, IsAlone))
+    return;
+  const TargetConnectionPtr Used = Job->Connection;
+  // An answer that got lost is no sign that the target is in trouble while
+  // others come from it; a change of primary would cost more than it mends.
+  const TargetPool *Pool = poolOf(Used);
+  if (Pool == nullptr || Pool->lastAnswer() < Job->SentAt)
+    noteSilent(Used, Now);
+  discard(Used);
+  if (IsAlone && !Job->Writes && Job->IsSent && Now >= Job->WaitUntil)
+    return finishRefused(Job,
+                         {RefusalCode::Timeout, "no answer before the timeout"},
+                         "no answer before the timeout");
+  lost(Job, "no answer within " + std::to_string((Now - Job->SentAt).count()) +
+                " ms");
+}
+
+void SessionPipeline::noteSilent(const TargetConnectionPtr &Used, Millis Now) {
+  if (!Used)
+    return;
+  if (TargetPool *Pool = poolOf(Used))
+    Pool->unreachable(Now);
+  Trouble.emit({Used->to().Id, false});
+}
+
+// A statement that may run again, or whose transaction is rolled back with
+// its connection, isn't waited for longer than answers usually take. A write
+// on its own and a commit are: nobody else can tell what became of them.
+Millis SessionPipeline::patience(const SessionJob &Job, bool IsAlone) const {
+  if (!Job.IsSent)
+    return OpeningPatience;
+  const bool Settles =
+      Job.What.Kind == StatementKind::Commit || (IsAlone && Job.Writes);
+  const Millis Rest = Job.DeadlineAt - Job.SentAt;
+  if (Settles || (IsAlone && Outside.Time.now() >= Job.WaitUntil))
+    return Rest;
+  return std::min(Rest, std::max(AnswerPatience, Job.Route.Objective));
+}
+
+void SessionPipeline::endIdleTransactions(Millis Now) {
+  const auto All = Sessions;
+  for (const auto &[Id, Each] : All) {
+    if (!Each->Transaction || Each->Current)
+      continue;
+    const bool TooLong =
+        Now - Each->Transaction->LastUsed > Plan.TransactionIdle;
+    const bool Stops = IsStopping && Now >= TransactionsUntil;
+    if (!TooLong && !Stops)
+      continue;
+    endTransaction(std::move(*Each->Transaction));
+    Each->Transaction.reset();
+    Each->Phase = SessionPhase::Failed;
+  }
+}
+
+void SessionPipeline::beginStop(Millis TransactionsBy, Millis SessionsBy) {
+  IsStopping = true;
+  StopBeganAt = Outside.Time.now();
+  TransactionsUntil = TransactionsBy;
+  SessionsUntil = SessionsBy;
+  SessionsAtStop = Sessions.size();
+  keepTicking();
+}
+
+void SessionPipeline::closeIdleSessions(Millis Now) {
+  if (!IsStopping)
+    return;
+  // An even pace from the beginning to the bound.
+  const auto Span =
+      std::max<std::int64_t>(1, (SessionsUntil - StopBeganAt).count());
+  const auto Passed = std::min<std::int64_t>(Span, (Now - StopBeganAt).count());
+  const std::size_t MayRemain =
+      SessionsAtStop - SessionsAtStop * static_cast<std::size_t>(Passed) /
+                           static_cast<std::size_t>(Span);
+  const auto All = Sessions;
+  for (const auto &[Id, Each] : All) {
+    if (Sessions.size() <= MayRemain)
+      return;
+    if (!Each->Current && Each->Unstarted.empty() &&
+        Each->Phase == SessionPhase::Idle)
+      closeSession(Each);
+  }
+}
+
+} // namespace corianderdyke
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -183,6 +183,7 @@
   void keepTicking();
   void giveUpWaiting(Group &In, Millis Now);
   void overdue(const SessionJobPtr &Job, Millis Now);
+  void noteSilent(const TargetConnectionPtr &Used, Millis Now);
   Millis patience(const SessionJob &Job, bool IsAlone) const;
   void closeIdleSessions(Millis Now);
   void endIdleTransactions(Millis Now);
--- /dev/null
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -0,0 +1,249 @@
+/// \file
+/// What targets' answers, and their absence, mean for callers.
+
+#include "Pipeline/SessionPipeline.h"
+
+namespace corianderdyke {
+
+namespace {
+
+/// Targets that one statement is tried at.
+constexpr unsigned MaxTries = 6;
+/// A busy target is asked again after this long: about one statement's work.
+constexpr Millis BusyPause(10);
+
+StatementRefusal refused(RefusalCode Code, std::string Why) {
+  return {Code, std::move(Why)};
+}
+
+} // namespace
+
+void SessionPipeline::noteAnswer(const SessionJobPtr &Job,
+                                 const StatementAnswer &Answer,
+                                 bool ProvesLead) {
+  TargetPool *Pool = poolOf(Job->Connection);
+  if (Pool != nullptr) {
+    Pool->reached(Outside.Time.now());
+    if (Pool->record().IsPrimary)
+      Reached.emit(Pool->record().Id);
+    Pool->noteLatency(Outside.Time.now() - Job->SentAt);
+    if (Answer.Position)
+      Pool->notePosition(*Answer.Position, Outside.Time.now());
+    if (Answer.Refusal && Answer.Refusal->Code == RefusalCode::ReadOnly)
+      Pool->noteNotLeading(Outside.Time.now());
+  }
+  if (!ProvesLead || Answer.Refusal)
+    return;
+  Groups[Job->Route.Group].Outage.noteLeading(Outside.Time.now());
+  if (Answer.Position)
+    Floors.note(Job->Route.Group, *Answer.Position, Job->SentAt);
+}
+
+void SessionPipeline::answered(const SessionJobPtr &Job,
+                               const StatementAnswer &Answer) {
+  if (Job->At != SessionJob::Stage::Running)
+    return;
+  Running.erase(Job);
+  const CallerSessionPtr Session = Job->Of.lock();
+  if (!Session) {
+    discard(Job->Connection);
+    return;
+  }
+  if (Session->Transaction)
+    answeredInTransaction(Job, Session, Answer);
+  else
+    answeredAlone(Job, Session, Answer);
+}
+
+void SessionPipeline::answeredInTransaction(const SessionJobPtr &Job,
+                                            const CallerSessionPtr &Session,
+                                            const StatementAnswer &Answer) {
+  SessionTransaction &Within = *Session->Transaction;
+  Within.LastUsed = Outside.Time.now();
+  const bool Commits = Job->What.Kind == StatementKind::Commit;
+  // The commit of a transaction that wrote nothing proves no lead.
+  noteAnswer(Job, Answer, Within.AtLeader && (!Commits || Within.HasWritten));
+  if (Answer.Refusal && Answer.Refusal->Code == RefusalCode::Busy &&
+      Answer.Phase == SessionPhase::InTransaction && Job->Tries < MaxTries &&
+      Outside.Time.now() < Job->WaitUntil) {
+    ++Job->Tries;
+    ++Counts.Retries;
+    Job->RetryAt = Outside.Time.now() + BusyPause;
+    Running.insert(Job);
+    Outside.Timers.after(BusyPause, [this, Weak = std::weak_ptr(Job)] {
+      const SessionJobPtr Again = Weak.lock();
+      if (Again && Again->At == SessionJob::Stage::Running &&
+          Running.count(Again) != 0)
+        runStatement(Again, false);
+    });
+    return;
+  }
+  if (!Answer.Refusal && !Commits &&
+      Answer.Phase != SessionPhase::InTransaction) {
+    // The target doesn't hold the transaction any more.
+    discard(Within.Connection);
+    return lost(Job, "the target had ended the transaction");
+  }
+  Job->At = SessionJob::Stage::Done;
+  Session->Current.reset();
+  if (Answer.Refusal) {
+    const TargetConnectionPtr Used = Within.Connection;
+    if (Commits) {
+      endTransaction(std::move(Within));
+      Session->Transaction.reset();
+      Session->Phase = SessionPhase::Idle;
+    }
+    replyRefused(Session, Job->What, *Answer.Refusal,
+                 "target " + Used->to().Id);
+  } else {
+    if (Job->Writes) {
+      Within.HasWritten = true;
+      ++Counts.Writes;
+    }
+    if (Commits) {
+      ++Counts.Commits;
+      if (Answer.Position && Within.HasWritten)
+        Session->LastCommit[Job->Route.Group] = *Answer.Position;
+      const TargetConnectionPtr Used = std::move(Within.Connection);
+      if (Within.HasSetValues)
+        Used->forgetValues();
+      Session->Transaction.reset();
+      Session->Phase = SessionPhase::Idle;
+      if (Answer.Phase == SessionPhase::Idle)
+        release(Used);
+      else
+        discard(Used);
+    }
+    if (Job->Connection)
+      Served.emit(*Job, Job->Connection->to().Id);
+    StatementAnswer Out = Answer;
+    Out.Phase = Session->Phase;
+    reply(Session, Out);
+  }
+  if (Session->IsGone)
+    rollBack(Session);
+  startNext(Session);
+}
+
+void SessionPipeline::answeredAlone(const SessionJobPtr &Job,
+                                    const CallerSessionPtr &Session,
+                                    const StatementAnswer &Answer) {
+  const bool AtLeader = Job->Where == Placement::Leader;
+  noteAnswer(Job, Answer, AtLeader);
+  const TargetConnectionPtr Used = std::move(Job->Connection);
+  const std::string Target = Used->to().Id;
+  // A read at the leader is followed by the end of its transaction.
+  if (AtLeader && !Job->Writes) {
+    // The connection is released by the rollback's answer.
+  } else if (Answer.Phase == SessionPhase::Idle) {
+    release(Used);
+  } else {
+    discard(Used);
+  }
+  if (Answer.Refusal) {
+    switch (Answer.Refusal->Code) {
+    case RefusalCode::Busy:
+      return tryAgain(Job, *Answer.Refusal, BusyPause);
+    case RefusalCode::ReadOnly:
+      return tryAgain(Job, *Answer.Refusal, Millis(0));
+    case RefusalCode::Lagging:
+      ++Job->Lagged;
+      Job->Avoid.insert(Target);
+      return tryAgain(Job, *Answer.Refusal, Millis(0));
+    case RefusalCode::NoStatement:
+      // What the target holds for this connection isn't what is noted here.
+      discard(Used);
+      return tryAgain(Job, *Answer.Refusal, Millis(0));
+    default:
+      return finishRefused(Job, *Answer.Refusal, "target " + Target);
+    }
+  }
+  Job->At = SessionJob::Stage::Done;
+  Session->Current.reset();
+  if (Job->Writes) {
+    ++Counts.Writes;
+    if (Answer.Position)
+      Session->LastCommit[Job->Route.Group] = *Answer.Position;
+  } else if (AtLeader) {
+    ++Counts.ReadsByLeader;
+  } else {
+    ++Counts.ReadsByReplica;
+  }
+  Served.emit(*Job, Target);
+  StatementAnswer Out = Answer;
+  Out.Phase = Session->Phase;
+  reply(Session, Out);
+  startNext(Session);
+}
+
+void SessionPipeline::tryAgain(const SessionJobPtr &Job,
+                               const StatementRefusal &Why, Millis After) {
+  Job->IsSent = false;
+  Job->Connection.reset();
+  const Millis Now = Outside.Time.now();
+  if (++Job->Tries > MaxTries &&
+      (Why.Code != RefusalCode::ReadOnly && Why.Code != RefusalCode::Busy))
+    return finishRefused(Job, Why, "tried at several targets");
+  if (Now >= Job->WaitUntil)
+    return finishRefused(Job, Why, "no time for another try");
+  ++Counts.Retries;
+  Moved.emit(*Job, Why);
+  Job->RetryAt = Now + After;
+  if (const CallerSessionPtr Session = Job->Of.lock())
+    place(*Session, *Job);
+  enqueue(Job);
+}
+
+// The connection is gone or its answer overdue. What the caller may be told
+// depends on what had been sent: a promise that nothing is kept must be true
+// whatever the target did with it.
+void SessionPipeline::lost(const SessionJobPtr &Job,
+                           const std::string &Grounds) {
+  Running.erase(Job);
+  const CallerSessionPtr Session = Job->Of.lock();
+  if (!Session)
+    return;
+  if (Session->Transaction && Session->Transaction->Connection) {
+    SessionTransaction &Within = *Session->Transaction;
+    const bool MayBeKept = Job->What.Kind == StatementKind::Commit &&
+                           Job->IsSent && Within.HasWritten;
+    Job->At = SessionJob::Stage::Done;
+    Session->Current.reset();
+    const bool Commits = Job->What.Kind == StatementKind::Commit;
+    if (Commits) {
+      Session->Transaction.reset();
+      Session->Phase = SessionPhase::Idle;
+    }
+    replyRefused(Session, Job->What,
+                 MayBeKept ? refused(RefusalCode::Unknown,
+                                     "the answer to the commit was lost")
+                           : refused(RefusalCode::Aborted,
+                                     "the transaction's connection was lost"),
+                 Grounds);
+    if (Session->IsGone)
+      rollBack(Session);
+    return startNext(Session);
+  }
+  if (Job->Writes && Job->IsSent)
+    return finishRefused(
+        Job, refused(RefusalCode::Unknown, "the answer to the write was lost"),
+        Grounds);
+  if (Job->Connection)
+    Job->Avoid.insert(Job->Connection->to().Id);
+  tryAgain(Job, refused(RefusalCode::Busy, Grounds), Millis(0));
+}
+
+void SessionPipeline::finishRefused(const SessionJobPtr &Job,
+                                    StatementRefusal Why,
+                                    const std::string &Grounds) {
+  Running.erase(Job);
+  Job->At = SessionJob::Stage::Done;
+  const CallerSessionPtr Session = Job->Of.lock();
+  if (!Session)
+    return;
+  Session->Current.reset();
+  replyRefused(Session, Job->What, std::move(Why), Grounds);
+  startNext(Session);
+}
+
+} // namespace corianderdyke
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -223,7 +223,7 @@
                              const TargetConnectionPtr &Made) {
   Made->setBusy(false, Outside.Time.now());
   if (TargetPool *Pool = poolOf(Made))
-    Pool->reached();
+    Pool->reached(Outside.Time.now());
   pump(GroupName);
 }
 
@@ -236,9 +236,11 @@
     Pool->remove(Gone);
     if (Why && Why->Code == RefusalCode::ConnectionLimit)
       Pool->refusedConnection(Now);
-    else
+    else if (!Gone->hasOpened())
       Pool->unreachable(Now);
-    if (!Why || Why->Code == RefusalCode::Misrouted)
+    // One connection that ends is no sign that the target did: whoever needs
+    // it next opens another, and learns in a moment whether it can.
+    if (!Gone->hasOpened() && (!Why || Why->Code == RefusalCode::Misrouted))
       Trouble.emit({Gone->to().Id, true});
   }
   // Whoever waits for an answer on it learns so now.
--- a/Source/Pipeline/TargetConnection.cpp
+++ b/Source/Pipeline/TargetConnection.cpp
@@ -15,6 +15,7 @@
       To,
       {[this] {
          At = Stage::Idle;
+         HasOpened = true;
          const auto Handler = this->Handlers.OnOpen;
          Handler();
        },
--- a/Source/Pipeline/TargetConnection.h
+++ b/Source/Pipeline/TargetConnection.h
@@ -62,8 +62,8 @@
   void setBusy(bool Busy, Millis Now);
   Millis idleSince() const { return IdleSince; }
   Millis openedAt() const { return OpenedAt; }
-  /// True while answers are outstanding.
-  bool awaitsAnswers() const { return !Awaited.empty(); }
+  /// True once the target has taken the connection.
+  bool hasOpened() const { return HasOpened; }
 
 private:
   void answered(const StatementAnswer &Answer);
@@ -78,6 +78,7 @@
   /// Names at the target by shape; lost with a reset.
   std::map<PreparedShape, std::string> Prepared;
   std::uint64_t NextName = 1;
+  bool HasOpened = false;
   std::deque<OnAnswer> Awaited;
   Millis IdleSince;
   Millis OpenedAt;
--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -54,7 +54,8 @@
   AvoidUntil = Now + LastAvoid;
 }
 
-void TargetPool::reached() {
+void TargetPool::reached(Millis Now) {
+  LastAnswer = Now;
   LastAvoid = Millis();
   AvoidUntil = Millis();
 }
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -38,7 +38,8 @@
   void refusedConnection(Millis Now);
   /// It can't be reached: try later, later each time.
   void unreachable(Millis Now);
-  void reached();
+  void reached(Millis Now);
+  Millis lastAnswer() const { return LastAnswer; }
   /// False once a leaving target must get nothing new.
   bool mayTakeWork(Millis Now) const {
     return !Record.IsGone &&
@@ -102,6 +103,7 @@
   Millis OpenAgainAt; ///< After a refused connection.
   Millis AvoidUntil;
   Millis LastAvoid;
+  Millis LastAnswer = Millis(-1000000);
   Millis NotLeadingUntil;
   double Latency = 5;
   LogPosition Position;
--- a/Source/Transport/Envelope.cpp
+++ b/Source/Transport/Envelope.cpp
@@ -20,7 +20,7 @@
   const std::string Content = Bytes.substr(KeyedDigestBytes);
   if (!sameDigest(Bytes.substr(0, KeyedDigestBytes), keyedDigest(Key, Content)))
     return fail(ErrorCode::BadInput, "sealed with another key");
-  const auto Unpacked = unpack(Content, MaxMessageBytes);
+  const auto Unpacked = unpack(Content, MaxUnpackedBytes);
   if (!Unpacked)
     return tl::unexpected(Unpacked.error());
   auto Out = decode<Envelope>(*Unpacked);
--- a/Source/Transport/Envelope.h
+++ b/Source/Transport/Envelope.h
@@ -23,7 +23,7 @@
                  FollowElsewhere, PlanUpdate, DirectoryUpdate>;
 
 /// The longest message before it's packed.
-constexpr std::size_t MaxMessageBytes = 64U << 20U;
+constexpr std::size_t MaxUnpackedBytes = 64U << 20U;
 
 struct Envelope {
   static constexpr std::uint32_t CurrentVersion = 1;
--- a/Tests/Unit/PipelineTruthTest.cpp
+++ b/Tests/Unit/PipelineTruthTest.cpp
@@ -206,6 +206,33 @@
   CHECK_FALSE(On.Proxy.ask(Session, Kind::Read, "r2", "FETCH x").Refusal);
 }
 
+TEST_CASE("Lost answers are no trouble while others come", "[pipeline]") {
+  // The primary loses some answers and cuts some connections, and serves
+  // everything else. Proxies that called it unusable would have it replaced,
+  // and nobody could write for a second or more.
+  Setup On;
+  std::size_t Troubles = 0;
+  On.Proxy.Pipeline.signalTrouble().connect(
+      [&](const TargetTrouble &) { ++Troubles; });
+  std::vector<FakePipeline::Session> Sessions;
+  for (int Each = 0; Each < 4; ++Each)
+    Sessions.push_back(On.Proxy.connect("primary"));
+  for (int Round = 0; Round < 200; ++Round) {
+    if (Round % 10 == 0)
+      On.Group.Servers["a"].LoseAnswers = 1;
+    if (Round % 10 == 5)
+      On.Group.Servers["a"].CutAnswers = 1;
+    On.Proxy.send(Sessions[Round % 4], Kind::Read, "r" + std::to_string(Round),
+                  "FETCH x");
+    On.Loop.runFor(Millis(30));
+  }
+  CHECK(Troubles == 0);
+  On.Group.Servers["a"].IsSilent = true;
+  On.Proxy.send(Sessions[0], Kind::Read, "last", "FETCH x");
+  On.Loop.runFor(Millis(1500));
+  CHECK(Troubles > 0);
+}
+
 TEST_CASE("A connection carries its session's values and nobody else's",
           "[pipeline]") {
   // Two sessions take turns on the same few connections, with values of one
--- /dev/null
+++ b/Tests/Unit/PlatformSocketTest.cpp
@@ -0,0 +1,338 @@
+/// \file
+/// The adapter on real sockets on loopback: callers' sessions through the
+/// pipeline to stand-ins of the platform's targets, heartbeats and plans over
+/// HTTP. Each test waits for a condition; the bound only ends a hopeless one.
+
+#include "CallerPort.h"
+#include "Common/SystemClock.h"
+#include "DirectoryService.h"
+#include "FakeDisk.h"
+#include "FakeGroup.h"
+#include "Http/EventHttpConnector.h"
+#include "Http/EventHttpServer.h"
+#include "LineProtocol.h"
+#include "LineTarget.h"
+#include "PromotionCalls.h"
+#include "TargetPort.h"
+#include "Transport/SocketOptions.h"
+#include "Transport/SocketTransport.h"
+
+#include <catch2/catch.hpp>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+using namespace corianderdyke;
+using namespace corianderdyke::platform;
+
+namespace {
+
+constexpr Millis Hopeless(10000);
+
+bool runUntil(EventLoop &Loop, const std::function<bool()> &Condition) {
+  const SystemClock Time;
+  const Millis Last = Time.now() + Hopeless;
+  while (!Condition() && Time.now() < Last) {
+    Loop.after(Millis(1), [&Loop] { Loop.stop(); });
+    Loop.run();
+  }
+  return Condition();
+}
+
+/// A port that nothing listens on at the moment.
+Endpoint freePort() {
+  const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in At = socketAddress({"127.0.0.1", 0});
+  ::bind(Socket, reinterpret_cast<sockaddr *>(&At), sizeof(At));
+  socklen_t Size = sizeof(At);
+  getsockname(Socket, reinterpret_cast<sockaddr *>(&At), &Size);
+  ::close(Socket);
+  return {"127.0.0.1", ntohs(At.sin_port)};
+}
+
+/// A caller that sends bytes as it likes.
+class RawCaller {
+public:
+  RawCaller(EventLoop &Loop, const Endpoint &To) : Loop(Loop) {
+    Buffer = bufferevent_socket_new(Loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(
+        Buffer, nullptr, nullptr,
+        [](bufferevent *, short Events, void *Self) {
+          if ((Events & BEV_EVENT_CONNECTED) == 0)
+            static_cast<RawCaller *>(Self)->IsClosed = true;
+        },
+        this);
+    bufferevent_enable(Buffer, EV_READ | EV_WRITE);
+    const sockaddr_in At = socketAddress(To);
+    bufferevent_socket_connect(Buffer, reinterpret_cast<const sockaddr *>(&At),
+                               sizeof(At));
+  }
+  ~RawCaller() { bufferevent_free(Buffer); }
+  RawCaller(const RawCaller &) = delete;
+  RawCaller &operator=(const RawCaller &) = delete;
+
+  void send(const std::string &Bytes) {
+    bufferevent_write(Buffer, Bytes.data(), Bytes.size());
+  }
+
+  /// What came so far once it ends with \p End.
+  std::string receive(const std::string &End) {
+    std::string Out;
+    runUntil(Loop, [&] {
+      evbuffer *In = bufferevent_get_input(Buffer);
+      Out.resize(evbuffer_get_length(In));
+      evbuffer_copyout(In, Out.data(), Out.size());
+      return IsClosed ||
+             (Out.size() >= End.size() &&
+              Out.compare(Out.size() - End.size(), End.size(), End) == 0);
+    });
+    evbuffer *In = bufferevent_get_input(Buffer);
+    evbuffer_drain(In, evbuffer_get_length(In));
+    return Out;
+  }
+
+  bool IsClosed = false;
+
+private:
+  EventLoop &Loop;
+  bufferevent *Buffer;
+};
+
+/// A proxy's edge before two stand-ins.
+struct SocketSetup {
+  SocketSetup()
+      : First(Loop, "ledger", "i-1", true),
+        Second(Loop, "ledger", "i-2", false), Targets(Loop),
+        Pipeline({Time, Loop, Targets}, {"region", "here", "proxy"}),
+        At(freePort()) {
+    auto Opened = LineCallerListener::listen(Loop, At, Pipeline);
+    REQUIRE(Opened);
+    Listener = std::move(*Opened);
+    Pipeline.adopt(planOfThreeRoutes());
+    learn(First, "i-1", true);
+    learn(Second, "i-2", false);
+  }
+
+  void learn(const LineTarget &Of, const std::string &Id, bool IsPrimary) {
+    TargetRecord Said;
+    Said.Id = Id;
+    Said.Group = "ledger";
+    Said.Address = Of.endpoint();
+    Said.FailureDomain = "here";
+    Said.Sequence = ++Sequence;
+    Said.IsPrimary = IsPrimary;
+    Known.hear(Said, Time.now());
+    Pipeline.update(Known);
+  }
+
+  SystemClock Time;
+  EventLoop Loop;
+  LineTarget First;
+  LineTarget Second;
+  LineTargetConnector Targets;
+  SessionPipeline Pipeline;
+  Endpoint At;
+  std::unique_ptr<CallerListener> Listener;
+  TargetDirectory Known;
+  std::uint64_t Sequence = 0;
+};
+
+} // namespace
+
+TEST_CASE("A session runs through real sockets, split at any byte",
+          "[platform-socket]") {
+  SocketSetup On;
+  On.First.PieceBytes = 1;
+  RawCaller Caller(On.Loop, On.At);
+  for (const char Each : std::string("STARTUP primary me\r\n"))
+    Caller.send(std::string(1, Each));
+  CHECK(Caller.receive("\r\n") == "READY I -\r\n");
+  Caller.send("QUERY r1 FETCH x\r\n");
+  CHECK(Caller.receive("READY I 1.1\r\n") ==
+        "ROW value of x\r\nCOMPLETE proof\r\nREADY I 1.1\r\n");
+  Caller.send("QUERY w1 STORE x 1\r\n");
+  CHECK(Caller.receive("READY I 1.2\r\n") ==
+        "COMPLETE proof\r\nREADY I 1.2\r\n");
+  Caller.send("QUERY t1 BEGIN\r\n");
+  CHECK(Caller.receive("READY T -\r\n") == "COMPLETE -\r\nREADY T -\r\n");
+  Caller.send("QUERY t2 STORE x 2\r\n");
+  CHECK(Caller.receive("READY T 1.2\r\n").find("COMPLETE") == 0);
+  Caller.send("QUERY t3 COMMIT\r\n");
+  CHECK(Caller.receive("READY I 1.3\r\n").find("COMPLETE proof") == 0);
+  Caller.send("TERMINATE\r\n");
+  CHECK(runUntil(On.Loop, [&] { return On.Pipeline.isQuiet(); }));
+}
+
+TEST_CASE("Garbage costs its own connection alone", "[platform-socket]") {
+  SocketSetup On;
+  RawCaller Good(On.Loop, On.At);
+  Good.send("STARTUP primary me\r\n");
+  REQUIRE(Good.receive("\r\n") == "READY I -\r\n");
+  for (const std::string &Garbage :
+       {std::string("GET / HTTP/1.1\r\n\r\n"), std::string("\r\n"),
+        std::string("QUERY r1 FETCH x\r\n"),
+        std::string(MaxMessageBytes + 10, 'x')}) {
+    RawCaller Bad(On.Loop, On.At);
+    Bad.send(Garbage);
+    CHECK(Bad.receive("never").find("ERROR MALFORMED") == 0);
+    CHECK(Bad.IsClosed);
+  }
+  Good.send("QUERY r1 FETCH x\r\n");
+  CHECK(Good.receive("READY I 1.1\r\n").find("ROW") == 0);
+}
+
+TEST_CASE("Unknown names are told and closed", "[platform-socket]") {
+  SocketSetup On;
+  RawCaller Caller(On.Loop, On.At);
+  Caller.send("STARTUP nothing me\r\n");
+  CHECK(Caller.receive("never").find("ERROR NODB") == 0);
+  CHECK(Caller.IsClosed);
+}
+
+TEST_CASE("Another server at a target's address gets no statement",
+          "[platform-socket]") {
+  // The address was given to another life, which refuses the expected id.
+  SocketSetup On;
+  On.learn(On.Second, "i-9", true);
+  RawCaller Caller(On.Loop, On.At);
+  Caller.send("STARTUP primary me\r\n");
+  Caller.receive("\r\n");
+  Caller.send("QUERY w1 STORE x 1\r\n");
+  CHECK(Caller.receive("READY I -\r\n").find("ERROR BUSY") == 0);
+  for (const std::string &Line : On.Second.Received)
+    CHECK(Line.find("STORE") == std::string::npos);
+}
+
+TEST_CASE("Targets are asked and ordered over their own connections",
+          "[platform-socket]") {
+  SocketSetup On;
+  LineTargetOrders Orders(On.Loop, On.Targets);
+  std::optional<Expected<TargetStatus>> Answer;
+  const auto Ask = [&](const std::string &Id, TargetCommand::Kind What) {
+    Answer.reset();
+    Orders.ask({"ledger", Id, On.First.endpoint()}, What, 2, Millis(2000),
+               [&](const Expected<TargetStatus> &Got) { Answer = Got; });
+    REQUIRE(runUntil(On.Loop, [&] { return Answer.has_value(); }));
+  };
+  Ask("i-1", TargetCommand::Kind::Status);
+  CHECK(**Answer == TargetStatus{true, 1, {1, 1}});
+  Ask("i-1", TargetCommand::Kind::StepDown);
+  CHECK_FALSE((*Answer)->IsPrimary);
+  Ask("i-7", TargetCommand::Kind::Status);
+  CHECK_FALSE(*Answer);
+}
+
+TEST_CASE("A stream that isn't read is given up, and opened anew",
+          "[platform-socket]") {
+  // A peer accepts a connection and then reads nothing, as behind a cut. The
+  // messages of later seconds must not wait behind those that it holds up.
+  EventLoop Loop;
+  const SystemClock Time;
+  const int Silent = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const Endpoint Peer = freePort();
+  const sockaddr_in At = socketAddress(Peer);
+  const int Small = 4096;
+  setsockopt(Silent, SOL_SOCKET, SO_RCVBUF, &Small, sizeof(Small));
+  REQUIRE(::bind(Silent, reinterpret_cast<const sockaddr *>(&At), sizeof(At)) ==
+          0);
+  REQUIRE(::listen(Silent, 8) == 0);
+  auto Opened =
+      SocketTransport::listen(Loop, freePort(), "one", "a key for the test");
+  REQUIRE(Opened);
+  std::mt19937 Random(1);
+  const auto Send = [&] {
+    // Random bytes, since long messages are packed.
+    RoutePlan Plan;
+    Plan.Version = 1;
+    for (int Each = 0; Each < 400000; ++Each)
+      Plan.Document.push_back(static_cast<char>(Random()));
+    (*Opened)->send(Peer, Delivery::Stream, PlanUpdate{Plan});
+  };
+  std::size_t Accepted = 0;
+  const Millis Began = Time.now();
+  Millis LastSent = Began - Millis(1000);
+  std::vector<int> Held;
+  REQUIRE(::fcntl(Silent, F_SETFL, O_NONBLOCK) == 0);
+  CHECK(runUntil(Loop, [&] {
+    if (Time.now() - LastSent >= Millis(200)) {
+      LastSent = Time.now();
+      Send();
+    }
+    const int Taken = ::accept(Silent, nullptr, nullptr);
+    if (Taken >= 0) {
+      Held.push_back(Taken);
+      ++Accepted;
+    }
+    return Accepted >= 2;
+  }));
+  for (const int Each : Held)
+    ::close(Each);
+  ::close(Silent);
+}
+
+TEST_CASE("Heartbeats and plans reach a control host over HTTP",
+          "[platform-socket]") {
+  EventLoop Loop;
+  SystemClock Time;
+  FakeDisk Disk;
+  Journal Records(Disk);
+  ReplicatedLog Log(Records);
+  REQUIRE(Log.load("disk-1"));
+  const Endpoint PeerAt = freePort();
+  auto Peers = SocketTransport::listen(Loop, PeerAt, "control", "a key for it");
+  REQUIRE(Peers);
+  LineTargetConnector Targets(Loop);
+  LineTargetOrders Orders(Loop, Targets);
+  EventHttpConnector Connector(Loop);
+  PromotionCalls Promotions(Loop, Connector, {freePort(), "control"});
+  SteeringOptions Options;
+  Options.Name = PeerAt.Address;
+  Options.Process = "control";
+  Options.PeerPort = PeerAt.Port;
+  Options.Seeds = {PeerAt.Address};
+  Options.MayFound = true;
+  Options.LostDisksBorne = 0;
+  SteeringNode Node(Options, {Time, Loop, **Peers, Orders, Promotions}, Log, 1);
+  Node.start();
+  const Endpoint At = freePort();
+  DirectoryService Service(Node, At);
+  auto Server = EventHttpServer::listen(Loop, At, Service);
+  REQUIRE(Server);
+  const auto Call = [&](HttpMethod Method, const std::string &Path,
+                        const std::string &Body) {
+    const auto Connection = Connector.connect(At);
+    std::optional<HttpResponse> Answer;
+    HttpRequest Request;
+    Request.Method = Method;
+    Request.Path = Path;
+    Request.Body = Body;
+    Connection->request(Request, Millis(5000),
+                        [&](const Expected<HttpResponse> &Got) {
+                          Answer = Got.value_or(HttpResponse{0, {}, ""});
+                        });
+    runUntil(Loop, [&] { return Answer.has_value(); });
+    return Answer.value_or(HttpResponse{0, {}, ""});
+  };
+  const std::string Plan =
+      R"({"version":3,"routes":[],"services":[{"name":"ledger"}]})";
+  CHECK(Call(HttpMethod::Get, "/-/Config.Describe", "").Status == 503);
+  REQUIRE(runUntil(Loop, [&] { return Node.leads(); }));
+  CHECK(Call(HttpMethod::Get, "/-/Config.Describe", "").Status == 503);
+  CHECK(Call(HttpMethod::Post, "/-/Config.Replace", Plan).Status == 200);
+  CHECK(Call(HttpMethod::Get, "/-/Config.Describe", "").Body == Plan);
+  CHECK(Call(HttpMethod::Post, "/-/Config.Replace", "{\"version\":4").Status ==
+        400);
+  CHECK(Call(HttpMethod::Post, "/-/Instances.Heartbeat/i-1",
+             R"({"service":"ledger","address":"127.0.0.1:1","zone":"here",)"
+             R"("state":"ready","db_role":"primary","sequence":4})")
+            .Status == 200);
+  CHECK(Node.directory().primaryOf("ledger")->Id == "i-1");
+  CHECK(Call(HttpMethod::Post, "/-/Instances.Heartbeat/i-2", "{}").Status ==
+        400);
+  CHECK(Call(HttpMethod::Post, "/-/Instances.Deregister/i-1", "").Status ==
+        200);
+  CHECK(Node.directory().ofGroup("ledger").empty());
+  CHECK(Call(HttpMethod::Get, "/elsewhere", "").Status == 404);
+}
