Keep commits that a replica vouched for through a change of primary

Where commits are acknowledged once a replica holds them, the furthest replica that answered could lack one: the holder was silent, or the old primary went on, cut off from control alone, after the positions were read. Replicas stop receiving before they tell their positions; a promotion waits until so many have answered that one of them holds every acknowledged commit; and whoever was stopped for nothing receives again, also under the next control leader. Positions are asked again after a pause in place of at once.

Tests of all three failed before.

--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -32,12 +32,19 @@
   BeganAt = Time.now();
   for (auto &[Name, Each] : Groups)
     back(Each, Millis(0));
+  MayBeStopped.clear();
+  for (const TargetRecord &Each : Directory.all())
+    if (!Each.IsGone && !Each.IsPrimary)
+      MayBeStopped.insert(Each.Id);
 }
 
 void PromotionCoordinator::end() {
+  // Its successor decides on what was begun, and lets replicas receive again.
   IsActive = false;
-  for (auto &[Name, Each] : Groups)
+  for (auto &[Name, Each] : Groups) {
+    Each.Stopped.clear();
     back(Each, Millis(0));
+  }
 }
 
 void PromotionCoordinator::noteSightings(
@@ -71,7 +78,16 @@
   ++In.Round;
 }
 
+void PromotionCoordinator::readLater(Group &In) {
+  In.ReadAgainAt = Time.now() + Times.AskPause;
+}
+
 void PromotionCoordinator::back(Group &In, Millis Pause) {
+  // Replicas that were left without their primary's log would fall behind
+  // for good.
+  if (IsActive)
+    receiveAgain(In);
+  In.ReadAgainAt.reset();
   enter(In, Stage::Watching);
   In.RetryAt = Time.now() + Pause;
 }
@@ -89,7 +105,10 @@
     return;
   for (const GroupPolicy &Each : Plan.Groups) {
     Group &In = Groups[Each.Name];
-    if (In.At == Stage::Watching)
+    In.SyncReplicas = Each.SyncReplicas;
+    if (In.ReadAgainAt && Time.now() >= *In.ReadAgainAt)
+      read(Each.Name);
+    else if (In.At == Stage::Watching)
       watch(Each.Name, In, Proxies);
     else
       settle(Each.Name, In);
@@ -134,6 +153,13 @@
     return read(Name);
   }
   In.Old = Primary->Id;
+  // A former leader may have died between stopping replicas and promoting.
+  if (In.SyncReplicas > 0)
+    for (const TargetRecord &Each : Directory.ofGroup(Name))
+      if (MayBeStopped.erase(Each.Id) != 0)
+        In.Stopped.insert(Each.Id);
+  if (In.At == Stage::Watching)
+    receiveAgain(In);
   if (Primary->IsLeaving) {
     In.IsPlanned = true;
     In.Reason = "the primary is leaving";
@@ -218,28 +244,66 @@
              Times.AskTimeout, OnStatus);
 }
 
+std::vector<TargetRecord>
+PromotionCoordinator::choices(const std::string &Name) const {
+  const Group &In = Groups.at(Name);
+  std::vector<TargetRecord> Out;
+  for (const TargetRecord &Each : Directory.ofGroup(Name)) {
+    if (Each.Id == In.Old || In.Excluded.count(Each.Id) != 0)
+      continue;
+    // A leaving replica counts for what was acknowledged until it ends.
+    if (!Each.IsLeaving || In.SyncReplicas > 0)
+      Out.push_back(Each);
+  }
+  return Out;
+}
+
 void PromotionCoordinator::read(const std::string &Name) {
   Group &In = Groups[Name];
   enter(In, Stage::Reading);
   if (!In.IsPlanned)
     In.Goal.reset();
-  In.Read.clear();
-  In.Answered = 0;
-  In.IsIncomplete = false;
-  std::vector<TargetRecord> Choices;
-  for (const TargetRecord &Each : Directory.ofGroup(Name))
-    if (Each.Id != In.Old && !Each.IsLeaving && In.Excluded.count(Each.Id) == 0)
-      Choices.push_back(Each);
-  In.Asked = Choices.size();
-  if (Choices.empty()) {
+  In.ReadAgainAt.reset();
+  const std::vector<TargetRecord> All = choices(Name);
+  if (All.empty()) {
     In.Excluded.clear();
     return back(In, AttemptPause);
   }
-  for (const TargetRecord &Each : Choices)
-    Orders.ask(addressOf(Each), TargetCommand::Kind::Status, 0,
-               Times.AskTimeout,
-               [this, Name, Round = In.Round,
-                Id = Each.Id](const Expected<TargetStatus> &Answer) {
+  askAll(Name, All, TargetCommand::Kind::Status, 0);
+}
+
+// Where commits are acknowledged on the strength of a replica's copy, the old
+// primary may go on while it's only cut off from control: a commit that it
+// acknowledges after the replicas were read would be missing from the winner.
+// So they stop receiving first, and tell their positions then.
+void PromotionCoordinator::stopReceiving(const std::string &Name) {
+  Group &In = Groups[Name];
+  std::uint64_t Newest = 0;
+  std::vector<TargetRecord> All;
+  for (const auto &[Id, Each] : In.Read) {
+    Newest = std::max(Newest, Each.Term);
+    if (const TargetRecord *Known = Directory.find(Id))
+      All.push_back(*Known);
+    In.Stopped.insert(Id);
+  }
+  askAll(Name, All, TargetCommand::Kind::StopReceiving, Newest + 1);
+}
+
+void PromotionCoordinator::askAll(const std::string &Name,
+                                  const std::vector<TargetRecord> &All,
+                                  TargetCommand::Kind What,
+                                  std::uint64_t Term) {
+  Group &In = Groups[Name];
+  In.Read.clear();
+  In.Asked = All.size();
+  In.Answered = 0;
+  In.IsIncomplete = false;
+  const bool IsLast =
+      In.SyncReplicas == 0 || What == TargetCommand::Kind::StopReceiving;
+  for (const TargetRecord &Each : All)
+    Orders.ask(addressOf(Each), What, Term, Times.AskTimeout,
+               [this, Name, Round = In.Round, Id = Each.Id,
+                IsLast](const Expected<TargetStatus> &Answer) {
                  if (!isCurrent(Name, Round, Stage::Reading))
                    return;
                  Group &In = Groups[Name];
@@ -248,11 +312,22 @@
                    In.Read[Id] = *Answer;
                  In.IsIncomplete |=
                      !Answer && Answer.error().Code == ErrorCode::Conflict;
-                 if (In.Answered == In.Asked)
+                 if (In.Answered < In.Asked)
+                   return;
+                 if (IsLast || In.Read.empty())
                    decide(Name);
+                 else
+                   stopReceiving(Name);
                });
 }
 
+void PromotionCoordinator::receiveAgain(Group &In) {
+  for (const std::string &Id : std::exchange(In.Stopped, {}))
+    if (const TargetRecord *Known = Directory.find(Id))
+      Orders.ask(addressOf(*Known), TargetCommand::Kind::ReceiveAgain, 0,
+                 Times.AskTimeout, [](const Expected<TargetStatus> &) {});
+}
+
 void PromotionCoordinator::decide(const std::string &Name) {
   Group &In = Groups[Name];
   const auto Best = std::max_element(
@@ -263,13 +338,22 @@
     Step.emit(Name, "attempt-ended", "no replica answers");
     return back(In, AttemptPause);
   }
+  // Any commit that was acknowledged is on so many replicas: among one more
+  // than the others there's one that has it.
+  const std::size_t All = choices(Name).size();
+  if (In.SyncReplicas > 0 && In.Read.size() + In.SyncReplicas <= All) {
+    Step.emit(Name, "attempt-ended",
+              std::to_string(In.Read.size()) + " of " + std::to_string(All) +
+                  " replicas answer; the others may hold more");
+    return back(In, AttemptPause);
+  }
   const Millis Waited = Time.now() - In.BeganAt;
   // One that is too busy to tell its position may have the most.
   if (In.IsIncomplete && Waited < Times.CatchUpPatience)
-    return read(Name);
+    return readLater(In);
   if (In.Goal && Best->second.Received < *In.Goal &&
       Waited < Times.CatchUpPatience)
-    return read(Name);
+    return readLater(In);
   order(Name, Best->first);
 }
 
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -100,7 +100,11 @@
     std::size_t Asked = 0;
     std::size_t Answered = 0;
     bool IsIncomplete = false;      ///< One was too busy to tell.
-    std::set<std::string> Excluded; ///< StatementRefusal or failed this time.
+    std::set<std::string> Excluded; ///< Refused or failed this time.
+    /// Replicas that hold a commit before its answer, as the plan has it.
+    std::uint32_t SyncReplicas = 0;
+    std::set<std::string> Stopped; ///< Told to stop receiving.
+    std::optional<Millis> ReadAgainAt;
     Millis RetryAt;
   };
 
@@ -114,7 +118,14 @@
   void probe(const std::string &Name, const TargetRecord &Primary,
              bool MostProxiesFail);
   void stepDown(const std::string &Name, const TargetRecord &Primary);
+  /// Targets whose positions count for a promotion.
+  std::vector<TargetRecord> choices(const std::string &Name) const;
   void read(const std::string &Name);
+  void readLater(Group &In);
+  void stopReceiving(const std::string &Name);
+  void receiveAgain(Group &In);
+  void askAll(const std::string &Name, const std::vector<TargetRecord> &All,
+              TargetCommand::Kind What, std::uint64_t Term);
   void decide(const std::string &Name);
   void order(const std::string &Name, const std::string &Target);
   void carryOut(const std::string &Name, const std::string &Target,
@@ -137,6 +148,8 @@
   PromotionTimes Times;
   bool IsActive = false;
   Millis BeganAt;
+  /// Replicas that a former leader may have stopped.
+  std::set<std::string> MayBeStopped;
   std::map<std::string, Group> Groups;
   std::map<std::string, std::map<ProcessId, Sighting>> Sightings;
   sigc::signal<void(const std::string &, const std::string &,
--- a/Tests/Unit/SteeringTest.cpp
+++ b/Tests/Unit/SteeringTest.cpp
@@ -23,6 +23,7 @@
   struct Target {
     bool IsUp = true;
     bool IsBusy = false;
+    bool Receives = true;
     bool IsCutFromControl = false; ///< But its heartbeats come through.
     bool IsPrimary = false;
     LogPosition Received{1, 10};
@@ -41,6 +42,10 @@
     Loop.at(Loop.now() + Millis(2), [this, &At, What, Handler] {
       if (At.IsBusy)
         return Handler(fail(ErrorCode::Conflict, "busy"));
+      if (What == TargetCommand::Kind::StopReceiving)
+        At.Receives = false;
+      if (What == TargetCommand::Kind::ReceiveAgain)
+        At.Receives = true;
       if (What == TargetCommand::Kind::StepDown) {
         At.IsPrimary = false;
         ++StepDowns;
@@ -199,10 +204,10 @@
     }
   }
 
-  bool accept(std::uint64_t Version) {
+  bool accept(std::uint64_t Version, std::uint32_t SyncReplicas = 0) {
     RoutePlan Plan;
     Plan.Version = Version;
-    Plan.Groups = {{"ledger", 16, 0}};
+    Plan.Groups = {{"ledger", 16, SyncReplicas}};
     Plan.Document = "document " + std::to_string(Version);
     auto Done = std::make_shared<std::optional<bool>>();
     leader()->accept(Plan, [Done](const Expected<void> &Result) {
@@ -447,3 +452,66 @@
   CHECK(On.Loop.runUntilTrue(
       [&] { return On.Proxies["10.0.1.9"].Feed->isCurrent(); }, Millis(3000)));
 }
+
+TEST_CASE("A commit that a replica vouched for is in the winner's log",
+          "[steering]") {
+  // Commits are acknowledged once one replica has them. The primary dies, and
+  // the replica with the last commit doesn't answer. The other must not lead
+  // without it; once it answers it leads.
+  ReadySetup Setup;
+  Fleet &On = Setup.On;
+  REQUIRE(On.accept(2, 1));
+  On.Targets.Targets["c"].Received = {1, 12};
+  On.Targets.Targets["c"].IsCutFromControl = true;
+  On.Targets.Targets["a"].IsUp = false;
+  On.Targets.Targets["a"].IsPrimary = false;
+  On.report("a", 3);
+  On.runBeating(Millis(3000));
+  CHECK(On.Targets.Orders.empty());
+  // Whoever was told to stop receiving while nothing came of it goes on.
+  CHECK(On.Targets.Targets["b"].Receives);
+  On.Targets.Targets["c"].IsCutFromControl = false;
+  On.runBeating(Millis(3000));
+  REQUIRE(On.Targets.Orders.size() == 1);
+  CHECK(On.Targets.Orders[0].Target == "c");
+  On.runBeating(Millis(1000));
+  CHECK(On.Targets.Targets["b"].Receives);
+}
+
+TEST_CASE("Replicas stop receiving before their positions decide",
+          "[steering]") {
+  // The primary is cut off from control and most proxies, and goes on with
+  // the rest. What it acknowledges after the positions were read would be
+  // missing from the winner's log.
+  ReadySetup Setup;
+  Fleet &On = Setup.On;
+  REQUIRE(On.accept(2, 1));
+  On.Targets.Targets["a"].IsCutFromControl = true;
+  bool StoppedFirst = false;
+  On.leader()->promotions().signalStep().connect(
+      [&](const std::string &, const std::string &What, const std::string &) {
+        if (What == "promotion-ordered")
+          StoppedFirst = !On.Targets.Targets["b"].Receives &&
+                         !On.Targets.Targets["c"].Receives;
+      });
+  On.report("a", 3);
+  On.runBeating(Millis(1600));
+  REQUIRE(On.Targets.Orders.size() == 1);
+  CHECK(StoppedFirst);
+}
+
+TEST_CASE("Replicas that a dead leader stopped receive again", "[steering]") {
+  // A control leader dies after it told the replicas to stop receiving. They
+  // would fall behind for good, with a primary that is well.
+  ReadySetup Setup;
+  Fleet &On = Setup.On;
+  REQUIRE(On.accept(2, 1));
+  On.Targets.Targets["b"].Receives = false;
+  On.Targets.Targets["c"].Receives = false;
+  On.killControl(On.leader()->leader());
+  On.Loop.runFor(Millis(2000));
+  On.runBeating(Millis(2000));
+  CHECK(On.Targets.Targets["b"].Receives);
+  CHECK(On.Targets.Targets["c"].Receives);
+  CHECK(On.Targets.Orders.empty());
+}
