Let control's own refused connection settle that a primary has ended

Two reports and a refused connection of control itself are enough now; silence still needs the majority.

--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -189,8 +189,13 @@
   Feed->signalContact().connect([](bool HasContact) {
     logEvent(HasContact ? EventId::ControlFound : EventId::ControlLost, {});
   });
-  Pipeline->signalTrouble().connect(
-      [this](const TargetTrouble &Seen) { Feed->noteFailed(Seen.Id); });
+  Pipeline->signalTrouble().connect([this](const TargetTrouble &Seen) {
+    if (wantsEvent(EventId::TargetUnusable))
+      logEvent(EventId::TargetUnusable,
+               {{"target", Seen.Id},
+                {"how", Seen.IsRefused ? "refused" : "silent"}});
+    Feed->noteFailed(Seen.Id);
+  });
   Pipeline->signalReached().connect(
       [this](const std::string &Id) { Feed->noteReached(Id); });
   logStatements(*Pipeline, Time);
--- a/Source/Steering/Ports.h
+++ b/Source/Steering/Ports.h
@@ -26,8 +26,9 @@
   virtual ~TargetOrderPort() = default;
 
   /// Sends a Status, StopReceiving, ReceiveAgain or StepDown. Conflict where
-  /// the target lives but has no slot or connection free. Any other error says
-  /// only that no answer came in time; an order may be carried out later.
+  /// the target lives but has no slot or connection free, NotFound where
+  /// nothing listens there. Any other error says only that no answer came in
+  /// time; an order may be carried out later.
   virtual void ask(const TargetAddress &To, TargetCommand::Kind What,
                    std::uint64_t Term, Millis Timeout, OnStatus Handler) = 0;
 };
--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -168,8 +168,7 @@
   }
   const std::size_t Failed = reporting(Primary->Id, true);
   const std::size_t Reached = reporting(Primary->Id, false);
-  const bool Reported = Failed >= std::min(LeastReports, Proxies) &&
-                        Failed > 0 && Failed > Reached;
+  const bool Reported = Failed > 0 && Failed >= std::min(LeastReports, Proxies);
   // What was heard before this host began to lead went to another.
   const Millis HeardAt = std::max(Directory.lastHeard(Primary->Id), BeganAt);
   const bool IsSilent = Now - HeardAt > Times.SuspectAfter && Reached == 0;
@@ -179,24 +178,32 @@
   In.Reason = Reported ? std::to_string(Failed) + " proxies can't use it, " +
                              std::to_string(Reached) + " can"
                        : "no heartbeat";
-  probe(Name, *Primary, Reported && Failed * 2 > Proxies);
+  probe(Name, *Primary, {Failed, Reached, Proxies});
 }
 
+// What control itself meets decides. A primary that refuses connections has
+// ended, however lately some proxy was served. One that is only silent may be
+// cut off from control, so more proxies must miss it than were served lately.
 void PromotionCoordinator::probe(const std::string &Name,
-                                 const TargetRecord &Primary,
-                                 bool MostProxiesFail) {
+                                 const TargetRecord &Primary, Reports Seen) {
   Group &In = Groups[Name];
   enter(In, Stage::Probing);
   Orders.ask(addressOf(Primary), TargetCommand::Kind::Status, 0,
              Times.AskTimeout,
              [this, Name, Round = In.Round, Primary,
-              MostProxiesFail](const Expected<TargetStatus> &Answer) {
+              Seen](const Expected<TargetStatus> &Answer) {
                if (!isCurrent(Name, Round, Stage::Probing))
                  return;
                Group &In = Groups[Name];
                const bool IsBusy =
                    !Answer && Answer.error().Code == ErrorCode::Conflict;
-               if (IsBusy || (Answer && Answer->IsPrimary && !MostProxiesFail))
+               const bool IsGone =
+                   !Answer && Answer.error().Code == ErrorCode::NotFound;
+               const bool IsMissed =
+                   IsGone || Seen.Reached == 0 || Seen.Failed > Seen.Reached;
+               const bool WorksForMost = Answer && Answer->IsPrimary &&
+                                         Seen.Failed * 2 <= Seen.Proxies;
+               if (IsBusy || WorksForMost || !IsMissed)
                  return back(In, Times.AskTimeout);
                In.IsPlanned = Answer && Answer->IsPrimary;
                if (In.IsPlanned) {
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -108,6 +108,13 @@
     Millis RetryAt;
   };
 
+  /// What proxies say of one target.
+  struct Reports {
+    std::size_t Failed = 0;
+    std::size_t Reached = 0;
+    std::size_t Proxies = 0; ///< All that follow.
+  };
+
   struct Sighting {
     Millis FailedAt = Millis(-1000000);
     Millis ReachedAt = Millis(-1000000);
@@ -116,7 +123,7 @@
   void watch(const std::string &Name, Group &In, std::size_t Proxies);
   std::size_t reporting(const std::string &Target, bool Failed) const;
   void probe(const std::string &Name, const TargetRecord &Primary,
-             bool MostProxiesFail);
+             Reports Seen);
   void stepDown(const std::string &Name, const TargetRecord &Primary);
   /// Targets whose positions count for a promotion.
   std::vector<TargetRecord> choices(const std::string &Name) const;
--- a/Tests/Unit/SteeringTest.cpp
+++ b/Tests/Unit/SteeringTest.cpp
@@ -24,6 +24,7 @@
     bool IsUp = true;
     bool IsBusy = false;
     bool Receives = true;
+    bool IsRefusing = false;       ///< Nothing listens there any more.
     bool IsCutFromControl = false; ///< But its heartbeats come through.
     bool IsPrimary = false;
     LogPosition Received{1, 10};
@@ -42,6 +43,8 @@
     Loop.at(Loop.now() + Millis(2), [this, &At, What, Handler] {
       if (At.IsBusy)
         return Handler(fail(ErrorCode::Conflict, "busy"));
+      if (At.IsRefusing)
+        return Handler(fail(ErrorCode::NotFound, "refused"));
       if (What == TargetCommand::Kind::StopReceiving)
         At.Receives = false;
       if (What == TargetCommand::Kind::ReceiveAgain)
@@ -359,6 +362,23 @@
   CHECK(On.Targets.Orders.empty());
 }
 
+TEST_CASE("A primary that refuses connections is replaced at once",
+          "[steering]") {
+  // The primary's process ends. Two proxies have noticed, the other six were
+  // served a moment ago. Control's own connection is refused, and it doesn't
+  // wait for the six to notice.
+  ReadySetup Setup(5, 8);
+  Fleet &On = Setup.On;
+  for (auto &[Name, Each] : On.Proxies)
+    Each.Feed->noteReached("a");
+  On.runBeating(Millis(600));
+  On.Targets.Targets["a"].IsRefusing = true;
+  On.Targets.Targets["a"].IsPrimary = false;
+  On.report("a", 2);
+  On.Loop.runFor(Millis(300));
+  CHECK(On.Targets.Orders.size() == 1);
+}
+
 TEST_CASE("A leaving primary steps down before its successor leads",
           "[steering]") {
   ReadySetup Setup;
