--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -79,9 +79,9 @@
   /// ones beside them.
   static constexpr std::size_t WarmPart = 2;
   /// Idle connections beyond the warm ones are closed after this long: longer
-  /// than the gaps between statements of one caller, shorter than a burst
-  /// elsewhere waits.
-  static constexpr Millis IdleBeyondWarm = Millis(1000);
+  /// than most gaps within a burst. Four times as long leaves so many open at
+  /// a loss of power that callers find none for two seconds after it.
+  static constexpr Millis IdleBeyondWarm = Millis(250);
   /// After a refused connection the next is tried this much later.
   static constexpr Millis RefusedPause = Millis(50);
   /// The limit is raised by one this often after a refusal.
