--- a/Source/App/SteeringMetrics.h
+++ b/Source/App/SteeringMetrics.h
@@ -26,7 +26,7 @@
 /// Serves "/metrics" in the Prometheus text format.
 class SteeringMetrics final : public HttpService, public sigc::trackable {
 public:
-  explicit SteeringMetrics(SteeringSources From);
+  explicit SteeringMetrics(SteeringSources Given);
 
   void handle(const HttpRequest &Request,
               std::shared_ptr<HttpExchange> Exchange) override;
--- a/Source/Steering/ControlFeed.h
+++ b/Source/Steering/ControlFeed.h
@@ -22,7 +22,7 @@
 /// none answers. What it has learned stays in force while control is away.
 class ControlFeed : public sigc::trackable {
 public:
-  ControlFeed(FeedOptions Options, Clock &Time, Scheduler &Timers,
+  ControlFeed(FeedOptions Given, Clock &Time, Scheduler &Timers,
               Transport &Peers);
 
   void start();
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -38,7 +38,7 @@
   /// Nothing, or Unavailable where the leader must be asked.
   using DoneHandler = std::function<void(Expected<void>)>;
 
-  SteeringNode(SteeringOptions Options, SteeringPorts Ports, ReplicatedLog &Log,
+  SteeringNode(SteeringOptions Given, SteeringPorts Ports, ReplicatedLog &Log,
                std::uint64_t Seed);
 
   void start();
--- a/Tests/StandIn/LineTarget.cpp
+++ b/Tests/StandIn/LineTarget.cpp
@@ -118,7 +118,7 @@
 
 std::string LineTarget::run(Connection &To, std::string Text) {
   const std::string Done = "COMPLETE -\r\n";
-  const std::string NotLeading = "ERROR READONLY " + Id + "\r\n";
+  std::string NotLeading = "ERROR READONLY " + Id + "\r\n";
   if (Text.rfind("AFTER ", 0) == 0) {
     std::istringstream In(Text.substr(6));
     LogPosition Wanted;
--- a/Tests/Unit/OpenGroupTest.cpp
+++ b/Tests/Unit/OpenGroupTest.cpp
@@ -104,7 +104,7 @@
   const bool OthersToo = GENERATE(true, false);
   CAPTURE(Seed, OthersToo);
   auto Group = openGroup(Seed);
-  Group.run(Millis(50 * (Seed % 30)));
+  Group.run(Millis(50) * (Seed % 30));
   const auto Index = Group.acknowledge("kept", LostDisks);
   REQUIRE(Index != 0);
   std::vector<std::string> Victims = Group.Names;
@@ -163,7 +163,7 @@
     const std::string Text = "change " + std::to_string(Round);
     if (const auto Index = Group.acknowledge(Text, LostDisks))
       Kept.emplace_back(Index, Text);
-    Group.run(Millis(Group.Random() % 1500));
+    Group.run(Millis(static_cast<std::int64_t>(Group.Random() % 1500)));
     Group.Disks[Name]->FailSyncs = false;
     Group.checkLogs();
   }
@@ -223,7 +223,7 @@
     if (Consensus *Leader = Group.leader(); Leader != nullptr)
       static_cast<void>(
           Leader->propose("round " + std::to_string(Round), Group.Now));
-    Group.run(Millis(Group.Random() % 1200));
+    Group.run(Millis(static_cast<std::int64_t>(Group.Random() % 1200)));
     Group.checkLogs();
   }
   Group.Cuts.clear();
--- a/Tests/Unit/PipelineTruthTest.cpp
+++ b/Tests/Unit/PipelineTruthTest.cpp
@@ -215,6 +215,7 @@
   On.Proxy.Pipeline.signalTrouble().connect(
       [&](const TargetTrouble &) { ++Troubles; });
   std::vector<FakePipeline::Session> Sessions;
+  Sessions.reserve(6);
   for (int Each = 0; Each < 4; ++Each)
     Sessions.push_back(On.Proxy.connect("primary"));
   for (int Round = 0; Round < 200; ++Round) {
@@ -356,6 +357,7 @@
   };
   const std::vector<std::string> Names = {"a", "b", "c"};
   std::vector<FakePipeline::Session> Sessions;
+  Sessions.reserve(6);
   for (int Each = 0; Each < 6; ++Each)
     Sessions.push_back(On.Proxy.connect(
         std::vector<std::string>{"primary", "bounded", "own"}[Each % 3]));
@@ -391,7 +393,7 @@
                Answer.Refusal->Code == RefusalCode::Aborted) {
       Promised.insert(Id);
     }
-    On.Loop.runFor(Millis(Random() % 30));
+    On.Loop.runFor(Millis(static_cast<std::int64_t>(Random() % 30)));
   }
   On.Loop.runFor(Millis(3000));
   for (const std::string &Id : Promised)
--- a/Tests/Unit/PlatformSocketTest.cpp
+++ b/Tests/Unit/PlatformSocketTest.cpp
@@ -45,7 +45,7 @@
 Endpoint freePort() {
   const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in At = socketAddress({"127.0.0.1", 0});
-  ::bind(Socket, reinterpret_cast<sockaddr *>(&At), sizeof(At));
+  REQUIRE(::bind(Socket, reinterpret_cast<sockaddr *>(&At), sizeof(At)) == 0);
   socklen_t Size = sizeof(At);
   getsockname(Socket, reinterpret_cast<sockaddr *>(&At), &Size);
   ::close(Socket);
