Send the golden session's garbage in one write

Cause: the shell's printf writes a line at a time (shown: a reader that polls gets two pieces, 6 of 6 times), so the second line may reach a port that has answered and closed, and the reset overtakes the answer. Ruled out: the listeners, which are unchanged; one write is answered as before. Nothing is checked less.

12 runs alone and 6 beside eight busy processes pass.

--- a/Tests/Golden/refusal/steps.sh
+++ b/Tests/Golden/refusal/steps.sh
@@ -45,9 +45,12 @@
 audit --subject manifest --json | jq -c '.[] | [.action, .from[0:9], .to[0:9]]'
 
 say "Garbage on each port is answered with an error or closed"
+# In one write: the shell writes a line at a time, and a line that comes after
+# the port was closed would be met with a reset in place of the answer.
+printf '\xff\xff\xff\xffgarbage\r\n\r\n' >garbage
 garbage() { # port
   exec 9<>"/dev/tcp/127.0.0.1/$1"
-  printf '\xff\xff\xff\xffgarbage\r\n\r\n' >&9
+  cat garbage >&9
   timeout "$patience" cat <&9 | head -c 12
   echo "closed ${PIPESTATUS[0]}"
   exec 9>&-
