Join what stood twice in the new slices, and drop state that nobody reads

One source of random numbers for both processes, one way to end a read barrier, one pause for busy targets; the coordinator's kept token and term and a retry time that only waiting statements use are gone. No behaviour changes.

--- a/Source/App/Process.cpp
+++ b/Source/App/Process.cpp
@@ -4,10 +4,10 @@
 #include "App/Process.h"
 
 #include "App/ReadFile.h"
+#include "Common/RandomNumber.h"
 #include "Logs/LogEvents.h"
 
 #include <csignal>
-#include <random>
 
 namespace corianderdyke {
 
@@ -15,11 +15,6 @@
 
 constexpr Millis StopCheckInterval(10);
 
-std::uint64_t randomNumber() {
-  std::random_device Device;
-  return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
-}
-
 std::string freshDiskId() { return std::to_string(randomNumber()); }
 
 } // namespace
--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -5,10 +5,10 @@
 
 #include "App/ReadFile.h"
 #include "App/StatementLogs.h"
+#include "Common/RandomNumber.h"
 #include "Logs/LogEvents.h"
 
 #include <csignal>
-#include <random>
 
 namespace corianderdyke {
 
@@ -21,11 +21,6 @@
 constexpr std::int64_t TransactionsEndBy = 3;
 constexpr std::int64_t StopParts = 6;
 
-std::uint64_t randomNumber() {
-  std::random_device Device;
-  return (static_cast<std::uint64_t>(Device()) << 32U) | Device();
-}
-
 std::vector<std::string> addressesOf(const std::vector<Endpoint> &All) {
   std::vector<std::string> Out;
   Out.reserve(All.size());
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -110,6 +110,9 @@
   }
 
 private:
+  /// A busy target is asked again after this long: about one statement's work.
+  static constexpr Millis BusyPause = Millis(10);
+
   struct Group {
     std::map<std::string, TargetPool> Pools; ///< By target.
     std::string Primary;                     ///< Empty where none is known.
--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -9,8 +9,6 @@
 
 /// Targets that one statement is tried at.
 constexpr unsigned MaxTries = 6;
-/// A busy target is asked again after this long: about one statement's work.
-constexpr Millis BusyPause(10);
 
 StatementRefusal refused(RefusalCode Code, std::string Why) {
   return {Code, std::move(Why)};
@@ -68,7 +66,6 @@
       Outside.Time.now() < Job->WaitUntil) {
     ++Job->Tries;
     ++Counts.Retries;
-    Job->RetryAt = Outside.Time.now() + BusyPause;
     Running.insert(Job);
     Outside.Timers.after(BusyPause, [this, Weak = std::weak_ptr(Job)] {
       const SessionJobPtr Again = Weak.lock();
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -30,8 +30,6 @@
 /// Milliseconds of a target's mean answer time that weigh as much as one
 /// statement that runs there.
 constexpr double LatencyUnit = 15;
-/// A target that opened no transaction is asked again after this long.
-constexpr Millis BusyPause(10);
 
 } // namespace
 
--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -235,7 +235,6 @@
       return;
     if (!Answer)
       return read(Name);
-    Groups[Name].Term = Answer->Term;
     Orders.ask(addressOf(Primary), TargetCommand::Kind::StepDown,
                Answer->Term + 1, Times.AskTimeout,
                [this, Name, Round](const Expected<TargetStatus> &Last) {
@@ -391,7 +390,6 @@
                                     const std::string &Target,
                                     std::uint64_t Token) {
   Group &In = Groups[Name];
-  In.Token = Token;
   enter(In, Stage::Awaiting);
   Promotions.promote(
       Name, Target, Token,
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -93,8 +93,6 @@
     std::string Reason;
     std::string Old;
     std::string Chosen;
-    std::uint64_t Token = 0;
-    std::uint64_t Term = 0;          ///< The newest that any target told.
     std::optional<LogPosition> Goal; ///< That the successor must reach.
     std::map<std::string, TargetStatus> Read;
     std::size_t Asked = 0;
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -294,27 +294,25 @@
   }
   for (const Entry &Each : Outputs.Committed)
     apply(Each);
-  for (const std::uint64_t Ticket : Outputs.FailedReads) {
-    const auto Waiting = Barriers.find(Ticket);
-    if (Waiting == Barriers.end())
-      continue;
-    const DoneHandler OnDone = std::move(Waiting->second);
-    Barriers.erase(Waiting);
-    OnDone(notLeading());
-  }
-  for (const ConfirmedRead &Each : Outputs.Reads) {
-    const auto Waiting = Barriers.find(Each.Ticket);
-    if (Waiting == Barriers.end())
-      continue;
-    const DoneHandler OnDone = std::move(Waiting->second);
-    Barriers.erase(Waiting);
-    OnDone({});
-  }
+  for (const std::uint64_t Ticket : Outputs.FailedReads)
+    endBarrier(Ticket, notLeading());
+  for (const ConfirmedRead &Each : Outputs.Reads)
+    endBarrier(Each.Ticket, {});
   for (OutgoingConsensus &Each : Outputs.Messages)
     Ports.Peers.send({Each.To, Options.PeerPort}, Delivery::Stream,
                      std::move(Each.Message));
 }
 
+void SteeringNode::endBarrier(std::uint64_t Ticket,
+                              const Expected<void> &Result) {
+  const auto Waiting = Barriers.find(Ticket);
+  if (Waiting == Barriers.end())
+    return;
+  const DoneHandler OnDone = std::move(Waiting->second);
+  Barriers.erase(Waiting);
+  OnDone(Result);
+}
+
 void SteeringNode::apply(const Entry &Done) {
   AppliedIndex = Done.Index;
   if (Done.Kind == EntryKind::Command) {
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -112,6 +112,7 @@
   void noticeLeadership();
   void noticeStanding();
   void barrier(DoneHandler OnDone);
+  void endBarrier(std::uint64_t Ticket, const Expected<void> &Result);
   void answer(const Endpoint &To, const FollowRequest &Request, bool Proven);
   void bringUpToDate(Follower &To);
   void publish();
