--- a/Source/App/StatementLogs.cpp
+++ b/Source/App/StatementLogs.cpp
@@ -35,6 +35,8 @@
   switch (Code) {
   case RefusalCode::Busy:
     return "busy";
+  case RefusalCode::Unreachable:
+    return "unreachable";
   case RefusalCode::Aborted:
     return "aborted";
   case RefusalCode::Lagging:
--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -110,14 +110,32 @@
   return {};
 }
 
+Expected<void> SteeringProcess::openRelay() {
+  auto Opened = SocketPeerStreams::listen(Loop, Options.Relay, Options.PeerKey);
+  if (!Opened)
+    return tl::unexpected(Opened.error());
+  Streams = std::move(*Opened);
+  Broker = std::make_unique<TargetBroker>(Time, Loop, *Targets);
+  Shared = std::make_unique<SharedConnector>(
+      SharedConnector::Ports{Time, Loop, *Targets, *Broker, *Streams},
+      Options.Name);
+  Relay = std::make_unique<RelayHost>(*Streams, *Broker);
+  return {};
+}
+
 Expected<void> SteeringProcess::openProxy() {
+  if (Options.Relay.Port != 0)
+    if (auto Done = openRelay(); !Done)
+      return Done;
+  TargetConnector &Connections = Shared ? *Shared : *Targets;
   Pipeline = std::make_unique<SessionPipeline>(
-      SessionPipeline::Ports{Time, Loop, *Targets}, Options.Where);
-  Feed =
-      std::make_unique<ControlFeed>(FeedOptions{{Options.Name, randomNumber()},
-                                                Options.Peers.Port,
-                                                addressesOf(Options.Seeds)},
-                                    Time, Loop, *Peers);
+      SessionPipeline::Ports{Time, Loop, Connections}, Options.Where);
+  Feed = std::make_unique<ControlFeed>(
+      FeedOptions{{Options.Name, randomNumber()},
+                  Options.Peers.Port,
+                  addressesOf(Options.Seeds),
+                  {Options.Name, Options.Relay, Options.Where.FailureDomain}},
+      Time, Loop, *Peers);
   auto Callers = Outer->listenForCallers(Loop, Options.Sessions, *Pipeline);
   if (!Callers)
     return tl::unexpected(Callers.error());
@@ -174,28 +192,50 @@
     logEvent(EventId::PlanInForce,
              {{"version", std::to_string(Feed->plan().Version)},
               {"before", std::to_string(Pipeline->plan().Version)}});
+    if (Shared)
+      Shared->adopt(Feed->plan());
     Pipeline->adopt(Feed->plan());
     Pipeline->update(Feed->directory());
   });
-  Feed->signalDirectory().connect(
-      [this] { Pipeline->update(Feed->directory()); });
+  Feed->signalDirectory().connect([this] {
+    if (Shared)
+      Shared->update(Feed->directory());
+    Pipeline->update(Feed->directory());
+  });
   Feed->signalProxies().connect(
       [this](std::size_t Count) { Pipeline->setProxyCount(Count); });
+  if (Shared)
+    connectRelay();
   Feed->signalContact().connect([](bool HasContact) {
     logEvent(HasContact ? EventId::ControlFound : EventId::ControlLost, {});
   });
-  Pipeline->signalTrouble().connect([this](const TargetTrouble &Seen) {
-    if (wantsEvent(EventId::TargetUnusable))
-      logEvent(EventId::TargetUnusable,
-               {{"target", Seen.Id},
-                {"how", Seen.IsRefused ? "refused" : "silent"}});
-    Feed->noteFailed(Seen.Id);
-  });
+  Pipeline->signalTrouble().connect(
+      sigc::mem_fun(*this, &SteeringProcess::noteTrouble));
   Pipeline->signalReached().connect(
       [this](const std::string &Id) { Feed->noteReached(Id); });
   logStatements(*Pipeline, Time);
 }
 
+void SteeringProcess::connectRelay() {
+  Feed->signalProxyList().connect([this](const std::vector<ProxyRecord> &All) {
+    logEvent(EventId::ProxiesKnown, {{"proxies", std::to_string(All.size())}});
+    Shared->setProxies(All);
+    Pipeline->setProxyCount(All.size());
+  });
+  Broker->signalTrouble().connect(
+      sigc::mem_fun(*this, &SteeringProcess::noteTrouble));
+  Broker->signalReached().connect(
+      [this](const std::string &Id) { Feed->noteReached(Id); });
+}
+
+void SteeringProcess::noteTrouble(const TargetTrouble &Seen) {
+  if (wantsEvent(EventId::TargetUnusable))
+    logEvent(
+        EventId::TargetUnusable,
+        {{"target", Seen.Id}, {"how", Seen.IsRefused ? "refused" : "silent"}});
+  Feed->noteFailed(Seen.Id);
+}
+
 int SteeringProcess::run() {
   std::signal(SIGPIPE, SIG_IGN);
   for (const int Signal : {SIGTERM, SIGINT})
@@ -223,6 +263,9 @@
     Loop.stop();
     return;
   }
+  Feed->announceStop();
+  if (Relay)
+    Relay->beginStop();
   const Millis Now = Time.now();
   const Millis Part = Options.StopBound / StopParts;
   Pipeline->beginStop(Now + Part * TransactionsEndBy,
@@ -237,8 +280,9 @@
                         Options.StopBound / StopParts * (StopParts - 1) +
                         Options.StopNotice;
   const Millis Now = Time.now();
-  if ((Pipeline->isQuiet() && Now >= Notice) || Now >= Until) {
-    if (!Pipeline->isQuiet())
+  const bool IsQuiet = Pipeline->isQuiet() && (!Broker || !Broker->isBusy());
+  if ((IsQuiet && Now >= Notice) || Now >= Until) {
+    if (!IsQuiet)
       logEvent(EventId::StopBoundReached,
                {{"unfinished", std::to_string(Pipeline->sessions())}});
     Loop.stop();
--- a/Source/App/SteeringProcess.h
+++ b/Source/App/SteeringProcess.h
@@ -9,10 +9,13 @@
 #include "Common/SystemClock.h"
 #include "Http/EventHttpConnector.h"
 #include "Http/EventHttpServer.h"
+#include "Relay/RelayHost.h"
+#include "Relay/SharedConnector.h"
 #include "Settings/Settings.h"
 #include "Steering/ControlFeed.h"
 #include "Steering/Edge.h"
 #include "Storage/FileDisk.h"
+#include "Transport/SocketPeerStreams.h"
 #include "Transport/SocketTransport.h"
 
 #include <optional>
@@ -20,7 +23,7 @@
 namespace corianderdyke {
 
 /// Puts the slices together. Only this layer and the edge know sockets.
-class SteeringProcess {
+class SteeringProcess : public sigc::trackable {
 public:
   /// Opens the data folder and the ports; the first that fails is the error.
   static Expected<std::unique_ptr<SteeringProcess>>
@@ -37,12 +40,15 @@
   Expected<void> open();
   Expected<void> openControl();
   Expected<void> openProxy();
+  Expected<void> openRelay();
   Expected<void> openMetrics();
   bool isReady() const;
   Expected<std::unique_ptr<EventHttpServer>> listen(const Endpoint &At,
                                                     HttpService &Service);
   void connectControl();
   void connectProxy();
+  void connectRelay();
+  void noteTrouble(const TargetTrouble &Seen);
   void beginStop();
   void stopWhenQuiet(Millis Until);
   void reload();
@@ -65,6 +71,10 @@
   std::unique_ptr<HttpService> DirectoryCalls;
   std::unique_ptr<EventHttpServer> DirectoryPort;
   // Proxy.
+  std::unique_ptr<SocketPeerStreams> Streams;
+  std::unique_ptr<TargetBroker> Broker;
+  std::unique_ptr<SharedConnector> Shared;
+  std::unique_ptr<RelayHost> Relay;
   std::unique_ptr<SessionPipeline> Pipeline;
   std::unique_ptr<ControlFeed> Feed;
   std::unique_ptr<CallerListener> CallerPort;
--- a/Source/Logs/LogEvents.cpp
+++ b/Source/Logs/LogEvents.cpp
@@ -147,6 +147,9 @@
        10},
       {EventId::TargetUnusable, Severity::Warning, "target-unusable",
        "A target couldn't be reached, or gave no answer in time.", 20},
+      {EventId::ProxiesKnown, Severity::Info, "proxies-known",
+       "The list of proxies changed, and with it who holds targets' "
+       "connections."},
   };
   return All;
 }
--- a/Source/Logs/LogEvents.h
+++ b/Source/Logs/LogEvents.h
@@ -37,6 +37,7 @@
   StatementMoved = 405,
   StatementServed = 406,
   TargetUnusable = 407,
+  ProxiesKnown = 408,
   PromotionStep = 404,
 };
 
--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -38,6 +38,8 @@
   /// True once the caller's own text went out on the present try.
   bool IsSent = false;
   Millis SentAt;
+  /// What went out may wait this long for a shared connection before it runs.
+  Millis MayWait;
   Millis QueuedAt; ///< When it began to wait for a connection.
   Millis RetryAt;  ///< Waits until then after a refusal.
   TargetConnectionPtr Connection;
--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -102,7 +102,9 @@
 }
 
 void SessionPipeline::noteSilent(const TargetConnectionPtr &Used, Millis Now) {
-  if (!Used)
+  // Behind a shared connection the gateway may be the silent one; it reports
+  // its targets itself.
+  if (!Used || Used->isShared())
     return;
   if (TargetPool *Pool = poolOf(Used))
     Pool->unreachable(Now);
@@ -114,13 +116,14 @@
 // on its own and a commit are: nobody else can tell what became of them.
 Millis SessionPipeline::patience(const SessionJob &Job, bool IsAlone) const {
   if (!Job.IsSent)
-    return OpeningPatience;
+    return OpeningPatience + Job.MayWait;
   const bool Settles =
       Job.What.Kind == StatementKind::Commit || (IsAlone && Job.Writes);
   const Millis Rest = Job.DeadlineAt - Job.SentAt;
   if (Settles || (IsAlone && Outside.Time.now() >= Job.WaitUntil))
     return Rest;
-  return std::min(Rest, std::max(AnswerPatience, Job.Route.Objective));
+  return std::min(Rest,
+                  std::max(AnswerPatience, Job.Route.Objective) + Job.MayWait);
 }
 
 void SessionPipeline::endIdleTransactions(Millis Now) {
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -29,6 +29,7 @@
 bool promisesNothingKept(RefusalCode Code) {
   switch (Code) {
   case RefusalCode::Busy:
+  case RefusalCode::Unreachable:
   case RefusalCode::Aborted:
   case RefusalCode::Lagging:
   case RefusalCode::ReadOnly:
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -48,14 +48,6 @@
   auto operator<=>(const PoolReport &) const = default;
 };
 
-/// A target that couldn't be used, as seen here.
-struct TargetTrouble {
-  std::string Id;
-  bool IsRefused = false; ///< StatementRefusal or reset; else silent.
-
-  auto operator<=>(const TargetTrouble &) const = default;
-};
-
 class SessionPipeline : public sigc::trackable {
 public:
   struct Ports {
@@ -159,6 +151,8 @@
   void openTransaction(const SessionJobPtr &Job, bool AtLeader);
   void runAtLeader(const SessionJobPtr &Job);
   void runStatement(const SessionJobPtr &Job, bool RollBackAfter);
+  /// How long a statement may wait for one of the shared connections.
+  Millis queueTime(const SessionJob &Job) const;
   TargetCommand commandOf(const SessionJobPtr &Job,
                           std::vector<TargetConnection::Step> &Before);
   /// Ends what is open on a connection, which is free with the answer.
@@ -173,6 +167,9 @@
                              const StatementAnswer &Answer);
   void answeredAlone(const SessionJobPtr &Job, const CallerSessionPtr &Session,
                      const StatementAnswer &Answer);
+  /// No gateway reaches the target: others are asked meanwhile.
+  void noGateway(const SessionJobPtr &Job, const TargetConnectionPtr &Used,
+                 const StatementRefusal &Why);
   void lost(const SessionJobPtr &Job, const std::string &Grounds);
   void tryAgain(const SessionJobPtr &Job, const StatementRefusal &Why,
                 Millis After);
--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -22,7 +22,7 @@
   TargetPool *Pool = poolOf(Job->Connection);
   if (Pool != nullptr) {
     Pool->reached(Outside.Time.now());
-    if (Pool->record().IsPrimary)
+    if (Pool->record().IsPrimary && !Pool->isShared())
       Reached.emit(Pool->record().Id);
     Pool->noteLatency(Outside.Time.now() - Job->SentAt);
     if (Answer.Position)
@@ -139,6 +139,8 @@
   }
   if (Answer.Refusal) {
     switch (Answer.Refusal->Code) {
+    case RefusalCode::Unreachable:
+      return noGateway(Job, Used, *Answer.Refusal);
     case RefusalCode::Busy:
       return tryAgain(Job, *Answer.Refusal, BusyPause);
     case RefusalCode::ReadOnly:
@@ -178,8 +180,8 @@
   Job->IsSent = false;
   Job->Connection.reset();
   const Millis Now = Outside.Time.now();
-  if (++Job->Tries > MaxTries &&
-      (Why.Code != RefusalCode::ReadOnly && Why.Code != RefusalCode::Busy))
+  if (++Job->Tries > MaxTries && Why.Code != RefusalCode::ReadOnly &&
+      Why.Code != RefusalCode::Busy && Why.Code != RefusalCode::Unreachable)
     return finishRefused(Job, Why, "tried at several targets");
   if (Now >= Job->WaitUntil)
     return finishRefused(Job, Why, "no time for another try");
@@ -191,6 +193,15 @@
   enqueue(Job);
 }
 
+void SessionPipeline::noGateway(const SessionJobPtr &Job,
+                                const TargetConnectionPtr &Used,
+                                const StatementRefusal &Why) {
+  if (TargetPool *Pool = poolOf(Used))
+    Pool->unreachable(Outside.Time.now());
+  Job->Avoid.insert(Used->to().Id);
+  tryAgain(Job, Why, Millis(0));
+}
+
 // The connection is gone or its answer overdue. What the caller may be told
 // depends on what had been sent: a promise that nothing is kept must be true
 // whatever the target did with it.
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -50,8 +50,11 @@
     const std::size_t All =
         std::max<std::size_t>(Policy->MaxConnections, SpareConnections + 1) -
         SpareConnections;
-    for (auto &[Id, Pool] : Each.Pools)
+    const bool IsShared = Outside.Targets.sharesConnections(Name);
+    for (auto &[Id, Pool] : Each.Pools) {
       Pool.setShare(std::max(LeastShare, All / Proxies));
+      Pool.setShared(IsShared, Outside.Time.now());
+    }
   }
 }
 
@@ -118,6 +121,9 @@
     const TargetRecord &Record = Pool.record();
     if (Record.IsGone)
       continue;
+    // No gateway reaches it at the moment.
+    if (Pool.isShared() && Pool.isAvoided(Now))
+      continue;
     // A leaving primary serves on until another has taken its place, or until
     // the time that it was promised is nearly over.
     if (Job.Where == Placement::Leader &&
@@ -186,6 +192,14 @@
                                     TargetPool &Pool, Millis Waited) {
   // A connection costs the target as much as a statement, and one of the few
   // that it takes from everybody; the next statement to end may free one.
+  // A link to shared ones costs nothing: as many as statements wait.
+  if (Pool.isShared()) {
+    if (Pool.opening() >= Groups[GroupName].Waiting.size() ||
+        !Pool.mayOpen(Outside.Time.now()))
+      return false;
+    openConnection(GroupName, Pool);
+    return true;
+  }
   if (Pool.size() > 0 && Waited < WaitBeforeBurst)
     return false;
   if (Pool.opening() > 0 || !Pool.mayOpen(Outside.Time.now()))
@@ -238,7 +252,8 @@
       Pool->unreachable(Now);
     // One connection that ends is no sign that the target did: whoever needs
     // it next opens another, and learns in a moment whether it can.
-    if (!Gone->hasOpened() && (!Why || Why->Code == RefusalCode::Misrouted))
+    if (!Gone->isShared() && !Gone->hasOpened() &&
+        (!Why || Why->Code == RefusalCode::Misrouted))
       Trouble.emit({Gone->to().Id, true});
   }
   // Whoever waits for an answer on it learns so now.
@@ -268,7 +283,8 @@
   const std::string GroupName = Used->to().Group;
   Used->setBusy(false, Outside.Time.now());
   if (TargetPool *Pool = poolOf(Used);
-      Pool != nullptr && Pool->record().IsLeaving)
+      Pool != nullptr &&
+      (Pool->record().IsLeaving || Pool->isShared() != Used->isShared()))
     Pool->tend(Outside.Time.now());
   pump(GroupName);
 }
@@ -311,9 +327,12 @@
   const CallerSessionPtr Session = Job->Of.lock();
   std::vector<TargetConnection::Step> Steps;
   Job->Connection->adjust(Session->Values, Steps);
+  Job->MayWait = queueTime(*Job);
   Steps.push_back({{.What = AtLeader ? TargetCommand::Kind::Begin
                                      : TargetCommand::Kind::BeginRead,
-                    .After = AtLeader ? std::nullopt : Job->Floor},
+                    .After = AtLeader ? std::nullopt : Job->Floor,
+                    .Priority = Job->Route.Priority,
+                    .MayWait = Job->MayWait},
                    [this, Job, AtLeader](const StatementAnswer &Answer) {
                      transactionOpened(Job, AtLeader, Answer);
                    }});
@@ -340,6 +359,7 @@
   }
   Session->Transaction->Connection = Job->Connection;
   Session->Transaction->AtLeader = AtLeader;
+  Job->MayWait = Millis(0);
   runStatement(Job, false);
 }
 
@@ -358,6 +378,8 @@
     Job->Avoid.insert(On->to().Id);
     return tryAgain(Job, Why, Millis(0));
   }
+  if (Why.Code == RefusalCode::Unreachable)
+    return noGateway(Job, On, Why);
   tryAgain(Job, Why, BusyPause);
 }
 
@@ -368,7 +390,10 @@
   const CallerSessionPtr Session = Job->Of.lock();
   std::vector<TargetConnection::Step> Steps;
   Job->Connection->adjust(Session->Values, Steps);
-  Steps.push_back({{.What = TargetCommand::Kind::Begin},
+  Job->MayWait = queueTime(*Job);
+  Steps.push_back({{.What = TargetCommand::Kind::Begin,
+                    .Priority = Job->Route.Priority,
+                    .MayWait = Job->MayWait},
                    [this, Job](const StatementAnswer &Answer) {
                      leaderOpened(Job, Answer);
                    }});
@@ -379,12 +404,18 @@
                                    const StatementAnswer &Answer) {
   if (Job->At != SessionJob::Stage::Running)
     return;
-  if (!Answer.Refusal && Answer.Phase == SessionPhase::InTransaction)
+  if (!Answer.Refusal && Answer.Phase == SessionPhase::InTransaction) {
+    Job->MayWait = Millis(0);
     return runStatement(Job, true);
+  }
   noteAnswer(Job, Answer, false);
   openingRefused(Job, Answer);
 }
 
+Millis SessionPipeline::queueTime(const SessionJob &Job) const {
+  return std::max(Job.WaitUntil - Outside.Time.now(), Millis(0));
+}
+
 TargetCommand
 SessionPipeline::commandOf(const SessionJobPtr &Job,
                            std::vector<TargetConnection::Step> &Before) {
@@ -395,6 +426,11 @@
   const bool IsAlone = Session && !Session->Transaction;
   if (IsAlone && Job->Where == Placement::Replica)
     Out.After = Job->Floor;
+  if (IsAlone && (Job->Writes || Job->Where == Placement::Replica)) {
+    Job->MayWait = queueTime(*Job);
+    Out.Priority = Job->Route.Priority;
+    Out.MayWait = Job->MayWait;
+  }
   if (Job->What.Kind == StatementKind::Execute && Session) {
     Out.What = TargetCommand::Kind::Execute;
     Out.Name =
--- a/Source/Pipeline/TargetConnection.cpp
+++ b/Source/Pipeline/TargetConnection.cpp
@@ -21,6 +21,7 @@
        },
        [this](const StatementAnswer &Answer) { answered(Answer); },
        [this](const std::optional<StatementRefusal> &Why) { closed(Why); }});
+  IsShared = Link->isShared();
 }
 
 void TargetConnection::adjust(const SessionValues &Wanted,
--- a/Source/Pipeline/TargetConnection.h
+++ b/Source/Pipeline/TargetConnection.h
@@ -58,6 +58,7 @@
   }
 
   const TargetAddress &to() const { return To; }
+  bool isShared() const { return IsShared; }
   Stage stage() const { return At; }
   void setBusy(bool Busy, Millis Now);
   Millis idleSince() const { return IdleSince; }
@@ -70,6 +71,7 @@
   void closed(const std::optional<StatementRefusal> &Why);
 
   TargetAddress To;
+  bool IsShared = false;
   Events Handlers;
   std::unique_ptr<TargetLink> Link;
   Stage At = Stage::Opening;
--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -4,6 +4,7 @@
 #include "Pipeline/TargetPool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace corianderdyke {
 
@@ -33,7 +34,14 @@
   return Best;
 }
 
+void TargetPool::setShared(bool New, Millis Now) {
+  if (std::exchange(IsShared, New) != New)
+    tend(Now);
+}
+
 bool TargetPool::mayOpen(Millis Now) const {
+  if (IsShared)
+    return !isAvoided(Now) && All.size() < MaxLinks;
   return !isAvoided(Now) && Now >= OpenAgainAt &&
          All.size() < Limit.value_or(Share + Burst);
 }
@@ -72,8 +80,13 @@
       ServesOn ? std::max<std::size_t>(1, Share / WarmPart) : 0;
   const std::vector<TargetConnectionPtr> Before = All;
   for (const TargetConnectionPtr &Each : Before) {
-    if (All.size() <= Kept)
-      return;
+    if (Each->isShared() != IsShared &&
+        Each->stage() == TargetConnection::Stage::Idle) {
+      Each->close();
+      remove(Each);
+    }
+    if (All.size() <= Kept || (IsShared && ServesOn))
+      continue;
     if (Each->stage() != TargetConnection::Stage::Idle)
       continue;
     if (Kept > 0 && Now - Each->idleSince() < IdleBeyondWarm)
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -9,6 +9,14 @@
 
 namespace corianderdyke {
 
+/// A target that couldn't be used, as seen here.
+struct TargetTrouble {
+  std::string Id;
+  bool IsRefused = false; ///< Refused or reset; else silent.
+
+  auto operator<=>(const TargetTrouble &) const = default;
+};
+
 /// Keeps few connections warm. The target counts connections of all proxies
 /// together, and a new one costs it a slot, so each proxy keeps its share
 /// and goes beyond it only while the target takes more.
@@ -21,6 +29,10 @@
   const TargetRecord &record() const { return Record; }
   void update(const TargetRecord &New, Millis Now);
   void setShare(std::size_t New) { Share = New; }
+  /// From now on connections are links to those that all proxies share, or
+  /// no longer; the ones of the other kind are closed as they come free.
+  void setShared(bool New, Millis Now);
+  bool isShared() const { return IsShared; }
 
   /// An idle connection, one that carries these values where there is one.
   TargetConnectionPtr idle(const SessionValues &Wanted) const;
@@ -72,6 +84,9 @@
   /// A leaving target is promised no new work after some seconds; this is
   /// well below that, and longer than a planned change of primary takes.
   static constexpr Millis LeavingUse = Millis(4000);
+  /// Links that one proxy has at most; they cost the target nothing, so this
+  /// only bounds the memory.
+  static constexpr std::size_t MaxLinks = 256;
   /// Above the share by this many, while nobody else needs them.
   static constexpr std::size_t Burst = 2;
   /// Part of the share that is kept warm. After a loss of power the target
@@ -96,6 +111,7 @@
 
   TargetRecord Record;
   std::size_t Share;
+  bool IsShared = false;
   Millis LeavingSince; ///< Where the record says that it leaves.
   std::vector<TargetConnectionPtr> All;
   std::optional<std::size_t> Limit; ///< Learned from a refusal.
--- /dev/null
+++ b/Source/Relay/RelayHost.cpp
@@ -0,0 +1,109 @@
+/// \file
+/// Takes statements of other proxies for the targets that this one is a
+/// gateway of.
+
+#include "Relay/RelayHost.h"
+
+#include "Common/Codec.h"
+
+namespace corianderdyke {
+
+struct RelayHost::Peer : std::enable_shared_from_this<Peer> {
+  std::shared_ptr<PeerStream> Stream;
+  std::map<std::uint32_t, std::unique_ptr<TargetLink>> Links;
+
+  void send(const RelayMessage &Body) const {
+    if (Stream)
+      Stream->send(encode(Body));
+  }
+};
+
+RelayHost::RelayHost(PeerStreams &Streams, TargetConnector &Targets)
+    : Targets(Targets) {
+  Streams.accept([this](const std::shared_ptr<PeerStream> &Stream) {
+    return accepted(Stream);
+  });
+}
+
+RelayHost::~RelayHost() = default;
+
+PeerStreamEvents
+RelayHost::accepted(const std::shared_ptr<PeerStream> &Stream) {
+  auto Made = std::make_shared<Peer>();
+  Made->Stream = Stream;
+  Peers.insert(Made);
+  if (IsStopping)
+    Made->send(RelayLeaving{});
+  const std::weak_ptr<Peer> Weak = Made;
+  return {[this, Weak](const std::string &Frame) {
+            if (const auto Held = Weak.lock())
+              receive(*Held, Frame);
+          },
+          [this, Weak] {
+            if (const auto Held = Weak.lock())
+              drop(*Held);
+          }};
+}
+
+void RelayHost::receive(Peer &From, const std::string &Frame) {
+  const auto Message = decode<RelayMessage>(Frame);
+  if (!Message) {
+    ++Rejected;
+    return drop(From);
+  }
+  std::visit([&](const auto &Body) { on(From, Body); }, *Message);
+}
+
+void RelayHost::on(Peer &From, const RelayOpen &Body) {
+  const std::uint32_t Number = Body.Link;
+  const std::weak_ptr<Peer> Weak = From.shared_from_this();
+  From.Links[Number] = Targets.open(
+      Body.To, {[] {},
+                [Weak, Number](const StatementAnswer &Answer) {
+                  if (const auto Held = Weak.lock())
+                    Held->send(RelayAnswer{Number, Answer});
+                },
+                [Weak, Number](const std::optional<StatementRefusal> &) {
+                  const auto Held = Weak.lock();
+                  if (!Held || Held->Links.erase(Number) == 0)
+                    return;
+                  Held->send(RelayClose{Number});
+                }});
+}
+
+void RelayHost::on(Peer &From, const RelayCommands &Body) {
+  const auto Found = From.Links.find(Body.Link);
+  // It ended here while the commands were on their way; the other side has
+  // been told.
+  if (Found == From.Links.end() || !Found->second)
+    return;
+  Found->second->send(Body.Commands);
+}
+
+void RelayHost::on(Peer &From, const RelayClose &Body) {
+  From.Links.erase(Body.Link);
+}
+
+void RelayHost::on(Peer &From, const RelayPing &) { From.send(RelayPong{}); }
+
+void RelayHost::drop(Peer &Gone) {
+  const auto Held = Gone.shared_from_this();
+  Held->Stream.reset();
+  Held->Links.clear();
+  Peers.erase(Held);
+}
+
+void RelayHost::beginStop() {
+  IsStopping = true;
+  for (const auto &Each : Peers)
+    Each->send(RelayLeaving{});
+}
+
+std::size_t RelayHost::links() const {
+  std::size_t Out = 0;
+  for (const auto &Each : Peers)
+    Out += Each->Links.size();
+  return Out;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Relay/RelayHost.h
@@ -0,0 +1,51 @@
+/// \file
+/// Takes statements of other proxies for the targets that this one is a
+/// gateway of.
+
+#ifndef CORIANDERDYKE_RELAY_RELAYHOST_H
+#define CORIANDERDYKE_RELAY_RELAYHOST_H
+
+#include "Relay/Messages.h"
+#include "Transport/PeerStreams.h"
+
+#include <map>
+#include <set>
+
+namespace corianderdyke {
+
+/// Every link of a stream ends with it: what another proxy left open is
+/// rolled back as soon as its process is gone.
+class RelayHost {
+public:
+  RelayHost(PeerStreams &Streams, TargetConnector &Targets);
+  ~RelayHost();
+  RelayHost(const RelayHost &) = delete;
+  RelayHost &operator=(const RelayHost &) = delete;
+
+  /// Tells the others to send nothing new here.
+  void beginStop();
+  std::size_t links() const;
+  /// Frames that couldn't be read; each closed its stream.
+  std::uint64_t rejected() const { return Rejected; }
+
+private:
+  struct Peer;
+
+  PeerStreamEvents accepted(const std::shared_ptr<PeerStream> &Stream);
+  void receive(Peer &From, const std::string &Frame);
+  void on(Peer &From, const RelayOpen &Body);
+  void on(Peer &From, const RelayCommands &Body);
+  void on(Peer &From, const RelayClose &Body);
+  void on(Peer &From, const RelayPing &Body);
+  template <class Other> void on(Peer &, const Other &) {}
+  void drop(Peer &Gone);
+
+  TargetConnector &Targets;
+  std::set<std::shared_ptr<Peer>> Peers;
+  bool IsStopping = false;
+  std::uint64_t Rejected = 0;
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Relay/RelayPeer.cpp
@@ -0,0 +1,176 @@
+/// \file
+/// Sends statements through one other proxy.
+
+#include "Relay/RelayPeer.h"
+
+#include "Common/Codec.h"
+
+namespace corianderdyke {
+
+namespace {
+
+/// A gateway that owes answers and was silent for this long is asked for a
+/// sign of life; most statements are answered sooner.
+constexpr Millis PingAfter(100);
+/// Silent for this long, it's given up: a frozen or cut off gateway would
+/// else hold what it has until callers' times are over. It's a few times the
+/// longest that a live one on a slow host takes to answer a ping.
+constexpr Millis GiveUpAfter(400);
+constexpr Millis WatchInterval(50);
+/// After it couldn't be reached others are asked for this long: restarts take
+/// about that, and each try costs its caller a few milliseconds.
+constexpr Millis AvoidFor(300);
+
+} // namespace
+
+class RelayPeer::Link final : public TargetLink {
+public:
+  Link(RelayPeer &Owner, std::uint32_t Number, Events Handlers)
+      : Owner(Owner), Number(Number), Handlers(std::move(Handlers)) {
+    Owner.Links[Number] = this;
+  }
+
+  ~Link() override {
+    if (!IsClosed && Owner.Links.erase(Number) != 0)
+      Owner.send(RelayClose{Number});
+  }
+
+  void send(const std::vector<TargetCommand> &Commands) override {
+    if (IsClosed)
+      return;
+    Awaited += Commands.size();
+    Owner.send(RelayCommands{Number, Commands});
+    Owner.keepWatching();
+  }
+  bool isShared() const override { return true; }
+
+  bool awaitsAnswers() const { return Awaited > 0; }
+
+  void answered(const StatementAnswer &Answer) {
+    if (Awaited > 0)
+      --Awaited;
+    const auto Handler = Handlers.OnAnswer;
+    Handler(Answer);
+  }
+
+  void closed() {
+    IsClosed = true;
+    const auto Handler = Handlers.OnClose;
+    Handler(std::nullopt);
+  }
+
+private:
+  RelayPeer &Owner;
+  std::uint32_t Number;
+  Events Handlers;
+  std::size_t Awaited = 0;
+  bool IsClosed = false;
+};
+
+RelayPeer::RelayPeer(Clock &Time, Scheduler &Timers, PeerStreams &Streams,
+                     Endpoint At)
+    : Time(Time), Timers(Timers), Streams(Streams), At(std::move(At)) {}
+
+RelayPeer::~RelayPeer() {
+  if (Watching != 0)
+    Timers.cancel(Watching);
+}
+
+std::unique_ptr<TargetLink> RelayPeer::open(const TargetAddress &To,
+                                            TargetLink::Events Events) {
+  if (!Stream)
+    connect();
+  const std::uint32_t Number = NextLink++;
+  auto Made = std::make_unique<Link>(*this, Number, std::move(Events));
+  send(RelayOpen{Number, To});
+  return Made;
+}
+
+bool RelayPeer::takesWork() const {
+  return !IsLeaving && Time.now() >= AvoidUntil;
+}
+
+void RelayPeer::connect() {
+  IsLeaving = false;
+  LastHeard = Time.now();
+  Stream =
+      Streams.connect(At, {[this](const std::string &Frame) { receive(Frame); },
+                           [this] { ended(); }});
+}
+
+void RelayPeer::send(const RelayMessage &Body) {
+  if (Stream)
+    Stream->send(encode(Body));
+}
+
+void RelayPeer::receive(const std::string &Frame) {
+  LastHeard = Time.now();
+  const auto Message = decode<RelayMessage>(Frame);
+  // The order of answers can't be trusted behind one that can't be read.
+  if (!Message)
+    return ended();
+  std::visit([&](const auto &Body) { on(Body); }, *Message);
+}
+
+void RelayPeer::on(const RelayAnswer &Body) {
+  const auto Found = Links.find(Body.Link);
+  if (Found != Links.end())
+    Found->second->answered(Body.Answer);
+}
+
+void RelayPeer::on(const RelayClose &Body) {
+  const auto Found = Links.find(Body.Link);
+  if (Found == Links.end())
+    return;
+  Link *Closed = Found->second;
+  Links.erase(Found);
+  Closed->closed();
+}
+
+void RelayPeer::on(const RelayLeaving &) { IsLeaving = true; }
+
+void RelayPeer::ended() {
+  // The process that listens there next is another one.
+  IsLeaving = false;
+  AvoidUntil = Time.now() + AvoidFor;
+  Stream.reset();
+  // Handlers may destroy any of the links.
+  while (!Links.empty()) {
+    Link *Lost = Links.begin()->second;
+    Links.erase(Links.begin());
+    Lost->closed();
+  }
+}
+
+bool RelayPeer::awaitsAnswers() const {
+  for (const auto &[Number, Each] : Links)
+    if (Each->awaitsAnswers())
+      return true;
+  return false;
+}
+
+void RelayPeer::keepWatching() {
+  if (Watching != 0)
+    return;
+  LastHeard = Time.now();
+  Watching = Timers.after(WatchInterval, [this] {
+    Watching = 0;
+    watch();
+  });
+}
+
+void RelayPeer::watch() {
+  if (!Stream || !awaitsAnswers())
+    return;
+  const Millis Silent = Time.now() - LastHeard;
+  if (Silent >= GiveUpAfter)
+    return ended();
+  if (Silent >= PingAfter)
+    send(RelayPing{});
+  Watching = Timers.after(WatchInterval, [this] {
+    Watching = 0;
+    watch();
+  });
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Relay/SharedConnector.cpp
@@ -0,0 +1,260 @@
+/// \file
+/// Decides through which gateway a statement goes.
+
+#include "Relay/SharedConnector.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace corianderdyke {
+
+namespace {
+
+/// Of a target's connections, left for control and for those that the target
+/// hasn't noticed to be closed.
+constexpr std::size_t SpareConnections = 2;
+/// Fewer connections of its own to a target than this, in parts of ten, and
+/// a proxy shares: it would have none free while another's stand idle.
+constexpr std::size_t ShareBelow = 15;
+/// More than this, and it stops to share. Far above the former, so that a few
+/// restarts don't move every connection of the system there and back.
+constexpr std::size_t OwnAbove = 30;
+constexpr std::size_t Parts = 10;
+/// A gateway that doesn't reach a target isn't asked again for this long.
+constexpr Millis AvoidFor(400);
+
+std::size_t usableConnections(const GroupPolicy &Of) {
+  return std::max<std::size_t>(Of.MaxConnections, SpareConnections + 1) -
+         SpareConnections;
+}
+
+} // namespace
+
+/// A link that is bound to a gateway only while something is open on it, and
+/// takes its state along when it goes to another.
+class SharedConnector::Link final : public TargetLink {
+public:
+  Link(SharedConnector &Owner, TargetAddress To, Events Given)
+      : Owner(Owner), To(std::move(To)), Handlers(std::move(Given)) {
+    Owner.Outside.Timers.after(Millis(0), [this, Still = Alive] {
+      if (!*Still)
+        return;
+      const auto Handler = Handlers.OnOpen;
+      Handler();
+    });
+  }
+
+  ~Link() override { *Alive = false; }
+
+  bool isShared() const override { return true; }
+
+  void send(const std::vector<TargetCommand> &Commands) override {
+    const bool BeginsUnit = Unanswered.empty() && Phase == SessionPhase::Idle;
+    if (BeginsUnit && !rebind())
+      return refuseAll(Commands);
+    if (!Inner) {
+      // What was open ended with its gateway; the user of the link is told.
+      return;
+    }
+    for (const TargetCommand &Each : Commands) {
+      Unanswered.push_back(Each.What);
+      noteState(Each);
+    }
+    Inner->send(Commands);
+  }
+
+private:
+  /// Binds to a gateway that is believed to reach the target.
+  bool rebind() {
+    if (Inner && Owner.isUsable(Bound, To.Id))
+      return true;
+    Inner.reset();
+    const auto Chosen = Owner.choose(To);
+    if (!Chosen)
+      return false;
+    Bound = *Chosen;
+    Inner = Bound.Connector->open(
+        To, {[] {}, [this](const StatementAnswer &Answer) { answered(Answer); },
+             [this](const std::optional<StatementRefusal> &) { closed(); }});
+    if (!State.empty()) {
+      Replayed = State.size();
+      Inner->send(State);
+    }
+    return true;
+  }
+
+  /// Remembers what the next gateway must know.
+  void noteState(const TargetCommand &What) {
+    if (What.What == TargetCommand::Kind::Reset)
+      State.clear();
+    if (changesOnlyState(What.What))
+      State.push_back(What);
+  }
+
+  void answered(const StatementAnswer &Answer) {
+    if (Replayed > 0) {
+      --Replayed;
+      return;
+    }
+    if (Unanswered.empty())
+      return;
+    Unanswered.pop_front();
+    Phase = Answer.Phase;
+    StatementAnswer Out = Answer;
+    if (Answer.Refusal && Answer.Refusal->Code == RefusalCode::Unreachable) {
+      Owner.avoid(Bound.Name, To.Id);
+      // Another gateway may reach it.
+      if (Owner.choose(To))
+        Out.Refusal->Code = RefusalCode::Busy;
+    }
+    const auto Handler = Handlers.OnAnswer;
+    Handler(Out);
+  }
+
+  void closed() {
+    const bool IsIdle = Unanswered.empty() && Phase == SessionPhase::Idle;
+    // The gateway's side may be on the stack still.
+    Owner.Outside.Timers.after(
+        Millis(0), [Gone = std::shared_ptr<TargetLink>(std::move(Inner))] {});
+    Replayed = 0;
+    if (IsIdle)
+      return;
+    const auto Handler = Handlers.OnClose;
+    Handler(std::nullopt);
+  }
+
+  /// Nothing was sent, so nothing ran.
+  void refuseAll(const std::vector<TargetCommand> &Commands) {
+    for (const TargetCommand &Each : Commands)
+      noteState(Each);
+    Owner.Outside.Timers.after(Millis(0), [this, Still = Alive, Commands] {
+      for (const TargetCommand &Each : Commands) {
+        if (!*Still)
+          return;
+        StatementAnswer Out;
+        if (!changesOnlyState(Each.What))
+          Out.Refusal = StatementRefusal{RefusalCode::Unreachable,
+                                         "no gateway reaches the target"};
+        const auto Handler = Handlers.OnAnswer;
+        Handler(Out);
+      }
+    });
+  }
+
+  SharedConnector &Owner;
+  TargetAddress To;
+  Events Handlers;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  std::unique_ptr<TargetLink> Inner;
+  Gateway Bound;
+  std::vector<TargetCommand> State; ///< Since the last reset.
+  std::size_t Replayed = 0;         ///< Answers due to what was replayed.
+  std::deque<TargetCommand::Kind> Unanswered;
+  SessionPhase Phase = SessionPhase::Idle;
+};
+
+SharedConnector::SharedConnector(Ports Outside, std::string Self)
+    : Outside(Outside), Self(std::move(Self)),
+      NextTurn(XXH64(this->Self.data(), this->Self.size(), 0)) {}
+
+SharedConnector::~SharedConnector() = default;
+
+std::unique_ptr<TargetLink> SharedConnector::open(const TargetAddress &To,
+                                                  TargetLink::Events Events) {
+  if (!sharesConnections(To.Group))
+    return Outside.Direct.open(To, std::move(Events));
+  return std::make_unique<Link>(*this, To, std::move(Events));
+}
+
+bool SharedConnector::sharesConnections(const std::string &Group) const {
+  return Gateways.count(Group) != 0;
+}
+
+void SharedConnector::adopt(const RoutePlan &New) {
+  Plan = New;
+  decide();
+}
+
+void SharedConnector::setProxies(std::vector<ProxyRecord> All) {
+  Proxies = std::move(All);
+  decide();
+}
+
+void SharedConnector::update(const TargetDirectory &Known) {
+  Targets = Known.all();
+  Outside.Broker.update(Known);
+  rebuild();
+}
+
+void SharedConnector::decide() {
+  for (const GroupPolicy &Each : Plan.Groups) {
+    const std::size_t Usable = usableConnections(Each);
+    const std::size_t Bound =
+        sharesConnections(Each.Name) ? OwnAbove : ShareBelow;
+    if (Usable * Parts >= Bound * Proxies.size()) {
+      Gateways.erase(Each.Name);
+      continue;
+    }
+    const std::size_t Count = gatewaysFor(Usable);
+    Gateways[Each.Name] = Count;
+    Outside.Broker.setShare(Each.Name,
+                            std::max<std::size_t>(1, Usable / Count));
+  }
+  rebuild();
+}
+
+void SharedConnector::rebuild() {
+  Table = GatewayTable(Proxies, Targets, Gateways);
+}
+
+SharedConnector::Gateway SharedConnector::gatewayOf(const ProxyRecord &Which) {
+  if (Which.Name == Self)
+    return {&Outside.Broker, nullptr, Self};
+  std::unique_ptr<RelayPeer> &Peer = Peers[Which.Relay];
+  if (!Peer)
+    Peer = std::make_unique<RelayPeer>(Outside.Time, Outside.Timers,
+                                       Outside.Streams, Which.Relay);
+  return {Peer.get(), Peer.get(), Which.Name};
+}
+
+bool SharedConnector::isUsable(const Gateway &Which,
+                               const std::string &Target) const {
+  if (Which.Peer != nullptr && !Which.Peer->takesWork())
+    return false;
+  const auto Until = AvoidUntil.find({Which.Name, Target});
+  if (Until != AvoidUntil.end() && Outside.Time.now() < Until->second)
+    return false;
+  // Connections move with the gateways.
+  const std::vector<ProxyRecord> &Known = Table.of(Target);
+  return std::any_of(Known.begin(), Known.end(), [&](const ProxyRecord &Each) {
+    return Each.Name == Which.Name;
+  });
+}
+
+std::optional<SharedConnector::Gateway>
+SharedConnector::choose(const TargetAddress &To) {
+  const std::vector<ProxyRecord> &Known = Table.of(To.Id);
+  const auto Count = Gateways.find(To.Group);
+  const std::size_t First =
+      std::min(Known.size(), Count == Gateways.end() ? 0 : Count->second);
+  // Each proxy begins at another one, so that all carry the same.
+  const std::size_t Turn = NextTurn++;
+  for (std::size_t Each = 0; Each < First; ++Each) {
+    const Gateway Next = gatewayOf(Known[(Turn + Each) % First]);
+    if (isUsable(Next, To.Id))
+      return Next;
+  }
+  for (std::size_t Each = First; Each < Known.size(); ++Each) {
+    const Gateway Next = gatewayOf(Known[Each]);
+    if (isUsable(Next, To.Id))
+      return Next;
+  }
+  return std::nullopt;
+}
+
+void SharedConnector::avoid(const std::string &Gateway,
+                            const std::string &Target) {
+  AvoidUntil[{Gateway, Target}] = Outside.Time.now() + AvoidFor;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Relay/SharedConnector.h
@@ -0,0 +1,77 @@
+/// \file
+/// Decides for each database group whether this proxy holds connections of
+/// its own to the targets or shares them with other proxies, and through
+/// which gateway a statement goes.
+
+#ifndef CORIANDERDYKE_RELAY_SHAREDCONNECTOR_H
+#define CORIANDERDYKE_RELAY_SHAREDCONNECTOR_H
+
+#include "Plan/RoutePlan.h"
+#include "Relay/GatewayTable.h"
+#include "Relay/RelayPeer.h"
+#include "Relay/TargetBroker.h"
+
+namespace corianderdyke {
+
+class SharedConnector final : public TargetConnector {
+public:
+  struct Ports {
+    Clock &Time;
+    Scheduler &Timers;
+    TargetConnector &Direct;
+    TargetBroker &Broker;
+    PeerStreams &Streams;
+  };
+
+  /// \p Self is this proxy's name in the list of proxies.
+  SharedConnector(Ports Outside, std::string Self);
+  ~SharedConnector() override;
+
+  std::unique_ptr<TargetLink> open(const TargetAddress &To,
+                                   TargetLink::Events Events) override;
+  bool sharesConnections(const std::string &Group) const override;
+
+  /// What control said.
+  void adopt(const RoutePlan &New);
+  void update(const TargetDirectory &Known);
+  void setProxies(std::vector<ProxyRecord> All);
+
+private:
+  class Link;
+  friend class Link;
+
+  /// A gateway of one target; Peer is null for this process itself.
+  struct Gateway {
+    TargetConnector *Connector = nullptr;
+    RelayPeer *Peer = nullptr;
+    std::string Name;
+
+    bool operator==(const Gateway &) const = default;
+  };
+
+  /// The gateway that should carry the next statement of a link; nothing
+  /// where none is believed to reach the target.
+  std::optional<Gateway> choose(const TargetAddress &To);
+  bool isUsable(const Gateway &Which, const std::string &Target) const;
+  /// The gateway said that it doesn't reach the target.
+  void avoid(const std::string &Gateway, const std::string &Target);
+  Gateway gatewayOf(const ProxyRecord &Which);
+  void decide();
+  void rebuild();
+
+  Ports Outside;
+  std::string Self;
+  RoutePlan Plan;
+  std::vector<TargetRecord> Targets;
+  std::vector<ProxyRecord> Proxies;
+  GatewayTable Table;
+  std::map<std::string, std::size_t> Gateways; ///< Of groups that share.
+  std::map<Endpoint, std::unique_ptr<RelayPeer>> Peers;
+  /// By gateway and target.
+  std::map<std::pair<std::string, std::string>, Millis> AvoidUntil;
+  std::size_t NextTurn; ///< Begins elsewhere at each proxy.
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Relay/TargetBroker.cpp
@@ -0,0 +1,473 @@
+/// \file
+/// Shares few connections to a target among many links.
+
+#include "Relay/TargetBroker.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+namespace {
+
+/// How often waits and bounds are looked at while there are any.
+constexpr Millis TickInterval(20);
+/// An opening that takes longer than this isn't answered any more.
+constexpr Millis OpenPatience(400);
+/// A target from which nothing comes for this long, while answers are due, is
+/// reported as silent: ten times what most statements take.
+constexpr Millis SilenceNoticed(250);
+/// How long the first in the queue waits before another connection is opened:
+/// most statements end sooner, and a new connection costs the target a slot.
+constexpr Millis WaitBeforeOpening(10);
+constexpr std::size_t DefaultShare = 1;
+
+StatementAnswer refusal(RefusalCode Code, std::string Why) {
+  StatementAnswer Out;
+  Out.Refusal = StatementRefusal{Code, std::move(Why)};
+  return Out;
+}
+
+} // namespace
+
+/// One link: its state, and the connection that it holds for the moment.
+class TargetBroker::Link final : public TargetLink {
+public:
+  Link(TargetBroker &Owner, const TargetAddress &To, Events Handlers)
+      : Owner(Owner), To(To), Handlers(std::move(Handlers)) {
+    Owner.Links.insert(this);
+  }
+
+  ~Link() override {
+    *Alive = false;
+    Owner.Links.erase(this);
+    stopWaiting();
+    giveUpConnection();
+  }
+
+  void send(const std::vector<TargetCommand> &Commands) override;
+  bool isShared() const override { return true; }
+
+  const TargetAddress &to() const { return To; }
+  const SessionValues &values() const { return Values; }
+  std::uint32_t priority() const { return Pending.front().Priority; }
+  Millis queuedAt() const { return QueuedAt; }
+  Millis giveUpAt() const { return GiveUpAt; }
+  bool holdsConnection() const { return Bound != nullptr; }
+  bool holds(const TargetConnectionPtr &Which) const { return Bound == Which; }
+  /// Since when an answer is due; nothing where none is.
+  std::optional<Millis> awaitingSince() const {
+    return Bound && Awaited > 0 ? std::optional(SentAt) : std::nullopt;
+  }
+
+  /// A connection came free.
+  void run(const TargetConnectionPtr &On);
+  /// Nothing that waits was sent: answers it all.
+  void refuse(RefusalCode Code, const std::string &Why);
+  /// The connection that it holds has ended.
+  void lost();
+
+private:
+  void sendPending();
+  void answered(const StatementAnswer &Answer);
+  void deliver(const StatementAnswer &Answer);
+  void answerStateChanges();
+  void stopWaiting();
+  void giveUpConnection();
+
+  TargetBroker &Owner;
+  TargetAddress To;
+  Events Handlers;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  SessionValues Values;
+  std::map<std::string, PreparedShape> Prepared; ///< By the link's name.
+  std::deque<TargetCommand> Pending; ///< Statements that weren't sent yet.
+  std::deque<bool> Unanswered;       ///< In order; true for a change of state.
+  TargetConnectionPtr Bound;
+  std::size_t Awaited = 0; ///< Answers due from the connection.
+  /// Values changed inside a transaction may return with its rollback.
+  bool HasSetValues = false;
+  Millis SentAt;
+  Millis QueuedAt;
+  Millis GiveUpAt;
+};
+
+void TargetBroker::Link::send(const std::vector<TargetCommand> &Commands) {
+  for (const TargetCommand &Each : Commands) {
+    Unanswered.push_back(changesOnlyState(Each.What));
+    switch (Each.What) {
+    case TargetCommand::Kind::Reset:
+      Values.clear();
+      Prepared.clear();
+      break;
+    case TargetCommand::Kind::SetValue:
+      Values[Each.Name] = Each.Text;
+      HasSetValues = HasSetValues || Bound != nullptr;
+      break;
+    case TargetCommand::Kind::Prepare:
+      Prepared[Each.Name] = {Each.Text, false};
+      break;
+    default:
+      Pending.push_back(Each);
+    }
+  }
+  if (Pending.empty())
+    return;
+  if (Bound)
+    return sendPending();
+  QueuedAt = Owner.Time.now();
+  GiveUpAt = QueuedAt + Pending.front().MayWait;
+  Owner.enqueue(*this);
+}
+
+void TargetBroker::Link::run(const TargetConnectionPtr &On) {
+  Bound = On;
+  sendPending();
+}
+
+void TargetBroker::Link::sendPending() {
+  std::vector<TargetConnection::Step> Steps;
+  Bound->adjust(Values, Steps);
+  for (TargetCommand &Each : Pending) {
+    if (Each.What == TargetCommand::Kind::Execute)
+      Each.Name = Bound->prepare(Prepared[Each.Name], Steps);
+    Steps.push_back(
+        {std::move(Each), [this, Still = Alive](const StatementAnswer &Answer) {
+           if (*Still)
+             answered(Answer);
+         }});
+    ++Awaited;
+  }
+  Pending.clear();
+  SentAt = Owner.Time.now();
+  Bound->send(std::move(Steps));
+}
+
+void TargetBroker::Link::answered(const StatementAnswer &Answer) {
+  --Awaited;
+  Owner.noteAnswer(Bound);
+  TargetConnectionPtr Free;
+  if (Awaited == 0 && Answer.Phase == SessionPhase::Idle) {
+    Free = std::exchange(Bound, nullptr);
+    if (std::exchange(HasSetValues, false))
+      Free->forgetValues();
+  }
+  const std::shared_ptr<bool> Still = Alive;
+  TargetBroker &Broker = Owner;
+  deliver(Answer);
+  if (Free)
+    Broker.giveBack(Free);
+}
+
+void TargetBroker::Link::answerStateChanges() {
+  while (!Unanswered.empty() && Unanswered.front()) {
+    Unanswered.pop_front();
+    const auto Handler = Handlers.OnAnswer;
+    const std::shared_ptr<bool> Still = Alive;
+    Handler({});
+    if (!*Still)
+      return;
+  }
+}
+
+void TargetBroker::Link::deliver(const StatementAnswer &Answer) {
+  const std::shared_ptr<bool> Still = Alive;
+  answerStateChanges();
+  if (!*Still || Unanswered.empty())
+    return;
+  Unanswered.pop_front();
+  const auto Handler = Handlers.OnAnswer;
+  Handler(Answer);
+}
+
+void TargetBroker::Link::refuse(RefusalCode Code, const std::string &Why) {
+  const std::shared_ptr<bool> Still = Alive;
+  const std::size_t Count = std::exchange(Pending, {}).size();
+  for (std::size_t Each = 0; Each < Count && *Still; ++Each)
+    deliver(refusal(Code, Why));
+}
+
+void TargetBroker::Link::lost() {
+  Bound.reset();
+  Awaited = 0;
+  const auto Handler = Handlers.OnClose;
+  if (Handler)
+    Handler(std::nullopt);
+}
+
+void TargetBroker::Link::stopWaiting() {
+  if (const auto At = Owner.Targets.find(To.Id); At != Owner.Targets.end())
+    At->second.Waiting.remove(this);
+}
+
+// Whoever used the link has left in the middle of something.
+void TargetBroker::Link::giveUpConnection() {
+  if (!Bound)
+    return;
+  const TargetConnectionPtr Used = std::exchange(Bound, nullptr);
+  // Answers that are still due may never come.
+  if (Awaited > 0)
+    return Owner.discard(Used);
+  if (HasSetValues)
+    Used->forgetValues();
+  TargetBroker &Broker = Owner;
+  Used->send({{{.What = TargetCommand::Kind::Rollback},
+               [&Broker, Used](const StatementAnswer &Answer) {
+                 if (Answer.Refusal || Answer.Phase != SessionPhase::Idle)
+                   Broker.discard(Used);
+                 else
+                   Broker.giveBack(Used);
+               }}});
+}
+
+TargetBroker::TargetBroker(Clock &Time, Scheduler &Timers,
+                           TargetConnector &Direct)
+    : Time(Time), Timers(Timers), Direct(Direct) {}
+
+TargetBroker::~TargetBroker() {
+  if (Ticking != 0)
+    Timers.cancel(Ticking);
+  for (auto &[Id, Each] : Targets)
+    for (const TargetConnectionPtr &Open : Each.Pool.connections())
+      Open->close();
+}
+
+std::unique_ptr<TargetLink> TargetBroker::open(const TargetAddress &To,
+                                               TargetLink::Events Events) {
+  return std::make_unique<Link>(*this, To, std::move(Events));
+}
+
+TargetBroker::Target &TargetBroker::targetOf(const TargetAddress &To) {
+  const auto Found = Targets.find(To.Id);
+  if (Found != Targets.end())
+    return Found->second;
+  TargetRecord Record;
+  Record.Id = To.Id;
+  Record.Group = To.Group;
+  Record.Address = To.Address;
+  const auto Share = Shares.find(To.Group);
+  return Targets
+      .emplace(To.Id, Target{TargetPool(Record,
+                                        Share == Shares.end() ? DefaultShare
+                                                              : Share->second,
+                                        Time.now()),
+                             {}})
+      .first->second;
+}
+
+void TargetBroker::update(const TargetDirectory &Known) {
+  const Millis Now = Time.now();
+  for (auto Each = Targets.begin(); Each != Targets.end();) {
+    TargetPool &Pool = Each->second.Pool;
+    if (const TargetRecord *Record = Known.find(Each->first))
+      Pool.update(*Record, Now);
+    Pool.tend(Now);
+    const bool Ended = Pool.record().IsGone && Pool.size() == 0 &&
+                       Each->second.Waiting.empty();
+    Each = Ended ? Targets.erase(Each) : std::next(Each);
+  }
+}
+
+void TargetBroker::setShare(const std::string &Group, std::size_t Connections) {
+  Shares[Group] = Connections;
+  for (auto &[Id, Each] : Targets)
+    if (Each.Pool.record().Group == Group)
+      Each.Pool.setShare(Connections);
+}
+
+bool TargetBroker::isBusy() const {
+  return std::any_of(Links.begin(), Links.end(),
+                     [](const Link *Each) { return Each->holdsConnection(); });
+}
+
+std::size_t TargetBroker::connections() const {
+  std::size_t Out = 0;
+  for (const auto &[Id, Each] : Targets)
+    Out += Each.Pool.size();
+  return Out;
+}
+
+std::size_t TargetBroker::waiting() const {
+  std::size_t Out = 0;
+  for (const auto &[Id, Each] : Targets)
+    Out += Each.Waiting.size();
+  return Out;
+}
+
+void TargetBroker::enqueue(Link &New) {
+  Target &At = targetOf(New.to());
+  auto Place = At.Waiting.end();
+  while (Place != At.Waiting.begin() &&
+         (*std::prev(Place))->priority() > New.priority())
+    --Place;
+  At.Waiting.insert(Place, &New);
+  keepTicking();
+  pump(At);
+}
+
+void TargetBroker::pump(Target &At) {
+  if (std::exchange(At.IsPumping, true))
+    return;
+  const Millis Now = Time.now();
+  while (!At.Waiting.empty()) {
+    Link *First = At.Waiting.front();
+    const TargetConnectionPtr Free = At.Pool.idle(First->values());
+    if (!Free)
+      break;
+    Free->setBusy(true, Now);
+    At.Waiting.pop_front();
+    First->run(Free);
+  }
+  At.IsPumping = false;
+  if (At.Waiting.empty())
+    return;
+  if (At.Pool.size() == 0 && At.Pool.isAvoided(Now))
+    return refuseAll(At, RefusalCode::Unreachable,
+                     "the target can't be reached");
+  openIfAllowed(At);
+}
+
+void TargetBroker::openIfAllowed(Target &At) {
+  const Millis Now = Time.now();
+  if (At.Pool.size() > 0 &&
+      Now - At.Waiting.front()->queuedAt() < WaitBeforeOpening)
+    return;
+  if (At.Pool.opening() == 0 && At.Pool.mayOpen(Now))
+    openConnection(At);
+}
+
+void TargetBroker::openConnection(Target &At) {
+  const TargetRecord &To = At.Pool.record();
+  ++Opened;
+  // The handlers run on the loop, after this has returned.
+  auto Weak = std::make_shared<std::weak_ptr<TargetConnection>>();
+  auto Made = std::make_shared<TargetConnection>(
+      Direct, TargetAddress{To.Group, To.Id, To.Address}, Time.now(),
+      TargetConnection::Events{
+          [this, Weak] {
+            const TargetConnectionPtr Open = Weak->lock();
+            if (!Open)
+              return;
+            Open->setBusy(false, Time.now());
+            Target &Of = targetOf(Open->to());
+            Of.Pool.reached(Time.now());
+            pump(Of);
+          },
+          [this, Id = To.Id, Weak](const std::optional<StatementRefusal> &Why) {
+            if (const TargetConnectionPtr Gone = Weak->lock())
+              closed(Id, Gone, Why);
+          }});
+  *Weak = Made;
+  At.Pool.add(Made);
+  keepTicking();
+}
+
+void TargetBroker::closed(const std::string &Id,
+                          const TargetConnectionPtr &Gone,
+                          const std::optional<StatementRefusal> &Why) {
+  const auto Found = Targets.find(Id);
+  if (Found == Targets.end())
+    return;
+  Target &At = Found->second;
+  At.Pool.remove(Gone);
+  if (Why && Why->Code == RefusalCode::ConnectionLimit)
+    At.Pool.refusedConnection(Time.now());
+  else if (!Gone->hasOpened())
+    At.Pool.unreachable(Time.now());
+  if (!Gone->hasOpened() && (!Why || Why->Code == RefusalCode::Misrouted))
+    Trouble.emit({Id, true});
+  const std::set<Link *> Before = Links;
+  for (Link *Each : Before)
+    if (Links.count(Each) != 0 && Each->holds(Gone))
+      Each->lost();
+  pump(At);
+}
+
+void TargetBroker::giveBack(const TargetConnectionPtr &Used) {
+  if (Used->stage() == TargetConnection::Stage::Closed)
+    return;
+  Used->setBusy(false, Time.now());
+  Target &At = targetOf(Used->to());
+  if (At.Pool.record().IsLeaving)
+    At.Pool.tend(Time.now());
+  pump(At);
+}
+
+void TargetBroker::discard(const TargetConnectionPtr &Used) {
+  targetOf(Used->to()).Pool.remove(Used);
+  Used->close();
+}
+
+void TargetBroker::noteAnswer(const TargetConnectionPtr &From) {
+  TargetPool &Pool = targetOf(From->to()).Pool;
+  Pool.reached(Time.now());
+  if (Pool.record().IsPrimary)
+    Reached.emit(Pool.record().Id);
+}
+
+void TargetBroker::refuseAll(Target &At, RefusalCode Code,
+                             const std::string &Why) {
+  for (Link *Each : std::exchange(At.Waiting, {}))
+    if (Links.count(Each) != 0)
+      Each->refuse(Code, Why);
+}
+
+void TargetBroker::keepTicking() {
+  if (Ticking == 0)
+    Ticking = Timers.after(TickInterval, [this] {
+      Ticking = 0;
+      tick();
+    });
+}
+
+void TargetBroker::tick() {
+  const Millis Now = Time.now();
+  bool IsNeeded = isBusy();
+  for (auto &[Id, Each] : Targets) {
+    giveUpWaiting(Each);
+    noticeSilence(Each);
+    Each.Pool.tend(Now);
+    const auto Open = Each.Pool.connections();
+    for (const TargetConnectionPtr &Connection : Open) {
+      if (Connection->stage() != TargetConnection::Stage::Opening)
+        continue;
+      IsNeeded = true;
+      if (Now - Connection->openedAt() <= OpenPatience)
+        continue;
+      Connection->close();
+      Trouble.emit({Id, false});
+      closed(Id, Connection, std::nullopt);
+    }
+    if (!Each.Waiting.empty()) {
+      IsNeeded = true;
+      pump(Each);
+    }
+  }
+  if (IsNeeded || connections() > 0)
+    keepTicking();
+}
+
+void TargetBroker::giveUpWaiting(Target &At) {
+  const Millis Now = Time.now();
+  const std::list<Link *> Before = At.Waiting;
+  for (Link *Each : Before) {
+    if (Links.count(Each) == 0 || Now < Each->giveUpAt())
+      continue;
+    At.Waiting.remove(Each);
+    Each->refuse(RefusalCode::Busy, "no connection came free");
+  }
+}
+
+void TargetBroker::noticeSilence(Target &At) {
+  const Millis Now = Time.now();
+  for (const Link *Each : Links) {
+    const auto Since = Each->awaitingSince();
+    if (Each->to().Id != At.Pool.record().Id || !Since ||
+        Now - *Since < SilenceNoticed || At.Pool.lastAnswer() >= *Since)
+      continue;
+    if (!At.Pool.isAvoided(Now))
+      At.Pool.unreachable(Now);
+    return Trouble.emit({Each->to().Id, false});
+  }
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Relay/TargetBroker.h
@@ -0,0 +1,91 @@
+/// \file
+/// Shares few connections to a target among many links.
+
+#ifndef CORIANDERDYKE_RELAY_TARGETBROKER_H
+#define CORIANDERDYKE_RELAY_TARGETBROKER_H
+
+#include "Common/Clock.h"
+#include "Loop/Scheduler.h"
+#include "Pipeline/TargetPool.h"
+
+#include <list>
+#include <sigc++/sigc++.h>
+
+namespace corianderdyke {
+
+/// Runs at a gateway. A link takes a connection with its first statement and
+/// gives it back when nothing is open on it any more, so that statements of
+/// two links never mix. What a link has set or prepared is remembered here and
+/// given to whichever connection runs its next statement.
+///
+/// Load pattern: more links have work than connections stand. They wait by
+/// priority, then arrival. One whose time to wait is over is refused as busy,
+/// truly not run, so that its proxy can answer its caller in time. Without
+/// the bound it would be sent after its caller has given up.
+class TargetBroker final : public TargetConnector, public sigc::trackable {
+public:
+  TargetBroker(Clock &Time, Scheduler &Timers, TargetConnector &Direct);
+  ~TargetBroker() override;
+
+  /// A link is open at once; commands that only change its state are
+  /// answered together with its next statement.
+  std::unique_ptr<TargetLink> open(const TargetAddress &To,
+                                   TargetLink::Events Events) override;
+
+  /// What control said of the targets.
+  void update(const TargetDirectory &Known);
+  /// Connections that this proxy may hold to each target of a group.
+  void setShare(const std::string &Group, std::size_t Connections);
+
+  /// True while a transaction or statement of any link is under way.
+  bool isBusy() const;
+  std::uint64_t opened() const { return Opened; }
+  std::size_t connections() const;
+  std::size_t waiting() const;
+
+  /// Emitted when a target couldn't be reached, and when a primary answered.
+  sigc::signal<void(const TargetTrouble &)> &signalTrouble() { return Trouble; }
+  sigc::signal<void(const std::string &)> &signalReached() { return Reached; }
+
+private:
+  class Link;
+  friend class Link;
+
+  /// A target with its connections and those that wait for one.
+  struct Target {
+    TargetPool Pool;
+    std::list<Link *> Waiting; ///< By priority, then arrival.
+    bool IsPumping = false;
+  };
+
+  Target &targetOf(const TargetAddress &To);
+  void enqueue(Link &New);
+  void pump(Target &At);
+  void openIfAllowed(Target &At);
+  void openConnection(Target &At);
+  void closed(const std::string &Id, const TargetConnectionPtr &Gone,
+              const std::optional<StatementRefusal> &Why);
+  void giveBack(const TargetConnectionPtr &Used);
+  void discard(const TargetConnectionPtr &Used);
+  void noteAnswer(const TargetConnectionPtr &From);
+  void refuseAll(Target &At, RefusalCode Code, const std::string &Why);
+  void tick();
+  void keepTicking();
+  void giveUpWaiting(Target &At);
+  void noticeSilence(Target &At);
+
+  Clock &Time;
+  Scheduler &Timers;
+  TargetConnector &Direct;
+  std::map<std::string, Target> Targets; ///< By identity.
+  std::map<std::string, std::size_t> Shares;
+  std::set<Link *> Links;
+  Scheduler::TimerId Ticking = 0;
+  std::uint64_t Opened = 0;
+  sigc::signal<void(const TargetTrouble &)> Trouble;
+  sigc::signal<void(const std::string &)> Reached;
+};
+
+} // namespace corianderdyke
+
+#endif
--- a/Source/Settings/Settings.cpp
+++ b/Source/Settings/Settings.cpp
@@ -94,6 +94,12 @@
        .Default = "none",
        .Meaning = "The balancer's check; proxies need it where leadership is "
                   "\"targets\"."},
+      {.Table = "[listen]",
+       .Key = "relay",
+       .Type = Type::Address,
+       .Default = "none",
+       .Meaning = "Statements of other proxies, where they share targets' "
+                  "connections; needs leadership \"targets\"."},
       {.Table = "[listen]",
        .Key = "directory",
        .Type = Type::Address,
@@ -202,6 +208,7 @@
 void readSteering(TomlReader Listen, TomlReader Group, Settings &Out) {
   Out.Sessions = Listen.endpoint("sessions");
   Out.Readiness = Listen.endpoint("readiness");
+  Out.Relay = Listen.endpoint("relay");
   Out.Directory = Listen.endpoint("directory");
   Out.Peers = Listen.endpoint("peers");
   if (Listen.has("operators"))
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -41,6 +41,7 @@
   Endpoint Callers;       ///< Proxy only: where callers and targets connect.
   Endpoint Operators;     ///< Status, metrics and the manifest.
   Endpoint Peers;         ///< UDP and TCP among the system's own processes.
+  Endpoint Relay;         ///< Statements of other proxies; without a port none.
   std::vector<ControlHost> Controls;
   std::string PeerKey;     ///< Seals messages between the processes.
   std::string SessionKey;  ///< Seals session tokens.
--- a/Source/Statements/Links.h
+++ b/Source/Statements/Links.h
@@ -6,6 +6,7 @@
 #define CORIANDERDYKE_STATEMENTS_LINKS_H
 
 #include "Common/Identity.h"
+#include "Common/Millis.h"
 #include "Statements/Statement.h"
 
 #include <functional>
@@ -52,10 +53,24 @@
   /// The target refuses unless its log holds this position.
   std::optional<LogPosition> After = {};
   std::uint64_t Term = 0; ///< For orders about the lead.
+  /// Where connections are shared: whose turn is first, 0 the highest, and
+  /// how long this may wait for its turn before it's refused as not run.
+  std::uint32_t Priority = 0;
+  Millis MayWait = {};
 
   bool operator==(const TargetCommand &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(What, Id, Text, Name, After, Term, Priority, MayWait);
+  }
 };
 
+/// True for commands that only change what the target holds for a connection.
+inline bool changesOnlyState(TargetCommand::Kind What) {
+  return What == TargetCommand::Kind::Reset ||
+         What == TargetCommand::Kind::SetValue ||
+         What == TargetCommand::Kind::Prepare;
+}
+
 /// One connection to a target. Answers come in the order of the commands.
 class TargetLink {
 public:
@@ -72,6 +87,9 @@
 
   /// Sends commands in one write.
   virtual void send(const std::vector<TargetCommand> &Commands) = 0;
+  /// True where it's no connection of its own: it takes one of those that
+  /// all proxies share, for one transaction or statement at a time.
+  virtual bool isShared() const { return false; }
 };
 
 /// Where a target is and whom to expect there.
@@ -81,6 +99,9 @@
   Endpoint Address;
 
   auto operator<=>(const TargetAddress &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Group, Id, Address);
+  }
 };
 
 class TargetConnector {
@@ -91,6 +112,13 @@
   /// the link closes it without further events.
   virtual std::unique_ptr<TargetLink> open(const TargetAddress &To,
                                            TargetLink::Events Events) = 0;
+
+  /// True where links to a group's targets are shared ones: one more costs
+  /// the target nothing.
+  virtual bool sharesConnections(const std::string &Group) const {
+    (void)Group;
+    return false;
+  }
 };
 
 } // namespace corianderdyke
--- a/Source/Statements/Statement.h
+++ b/Source/Statements/Statement.h
@@ -53,6 +53,7 @@
 /// Why a statement has no result.
 enum class RefusalCode : std::uint8_t {
   Busy,            ///< Didn't run: no capacity.
+  Unreachable,     ///< Didn't run: nobody asked reaches the target.
   Aborted,         ///< Nothing of the transaction is kept.
   Lagging,         ///< Didn't run: the log lacks the position asked for.
   ReadOnly,        ///< Didn't run: the target doesn't lead.
@@ -71,6 +72,7 @@
   std::string Why;
 
   bool operator==(const StatementRefusal &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Code, Why); }
 };
 
 /// Where a session stands after an answer.
@@ -85,6 +87,9 @@
   std::optional<LogPosition> Position; ///< Where the target's log stood.
 
   bool operator==(const StatementAnswer &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Rows, Proof, Refusal, Phase, Position);
+  }
 };
 
 /// Session values by name.
--- a/Source/Steering/ControlFeed.cpp
+++ b/Source/Steering/ControlFeed.cpp
@@ -58,8 +58,9 @@
 
 void ControlFeed::ask(bool Everyone) {
   LastAsked = Time.now();
-  FollowRequest Request{Options.Self, ++Sequence, Plan.Version,
-                        Seen,         !IsProven,  {}};
+  FollowRequest Request{Options.Self, ++Sequence, Plan.Version,      Seen,
+                        !IsProven,    {},         Options.AsGateway, IsLeaving,
+                        ProxiesSeen};
   for (const std::string &Each : std::exchange(Reached, {}))
     Request.Sightings.push_back({Each, true});
   for (const std::string &Each : std::exchange(FailedTargets, {}))
@@ -105,7 +106,13 @@
     ProvenVersion = std::max(ProvenVersion, Body.PlanVersion);
     IsProven = Plan.Version >= ProvenVersion;
   }
-  ProxiesChanged.emit(Body.Proxies);
+  if (Body.Proxies > 0)
+    ProxiesChanged.emit(Body.Proxies);
+}
+
+void ControlFeed::announceStop() {
+  IsLeaving = true;
+  ask(false);
 }
 
 void ControlFeed::on(const FollowElsewhere &Body, const Envelope &) {
@@ -131,4 +138,11 @@
     DirectoryChanged.emit();
 }
 
+void ControlFeed::on(const ProxyListUpdate &Body, const Envelope &) {
+  if (Body.Version <= ProxiesSeen)
+    return;
+  ProxiesSeen = Body.Version;
+  ProxyListChanged.emit(Body.Proxies);
+}
+
 } // namespace corianderdyke
--- a/Source/Steering/ControlFeed.h
+++ b/Source/Steering/ControlFeed.h
@@ -16,6 +16,7 @@
   ProcessId Self;
   std::uint16_t PeerPort = 0;     ///< The same on all hosts.
   std::vector<std::string> Seeds; ///< Addresses of control hosts.
+  ProxyRecord AsGateway = {}; ///< For other proxies; without an address for none.
 };
 
 /// Asks the leading control host again and again, and looks for another where
@@ -34,6 +35,9 @@
   void noteReached(const std::string &Target);
   void noteFailed(const std::string &Target);
 
+  /// This proxy stops: no other should send anything through it.
+  void announceStop();
+
   /// True once a quorum has confirmed the plan that this process holds.
   bool isCurrent() const { return IsProven; }
   const RoutePlan &plan() const { return Plan; }
@@ -42,6 +46,10 @@
   sigc::signal<void()> &signalPlan() { return PlanChanged; }
   sigc::signal<void()> &signalDirectory() { return DirectoryChanged; }
   sigc::signal<void(std::size_t)> &signalProxies() { return ProxiesChanged; }
+  /// Emitted with the list of proxies when it changes.
+  sigc::signal<void(const std::vector<ProxyRecord> &)> &signalProxyList() {
+    return ProxyListChanged;
+  }
   /// Emitted when control is lost or found again.
   sigc::signal<void(bool)> &signalContact() { return ContactChanged; }
 
@@ -53,6 +61,7 @@
   void on(const FollowElsewhere &Body, const Envelope &From);
   void on(const PlanUpdate &Body, const Envelope &From);
   void on(const DirectoryUpdate &Body, const Envelope &From);
+  void on(const ProxyListUpdate &Body, const Envelope &From);
   template <class Other> void on(const Other &, const Envelope &) {}
 
   FeedOptions Options;
@@ -74,7 +83,10 @@
   std::set<std::string> FailedTargets;
   sigc::signal<void()> PlanChanged;
   sigc::signal<void()> DirectoryChanged;
+  DirectoryVersion ProxiesSeen;
+  bool IsLeaving = false;
   sigc::signal<void(std::size_t)> ProxiesChanged;
+  sigc::signal<void(const std::vector<ProxyRecord> &)> ProxyListChanged;
   sigc::signal<void(bool)> ContactChanged;
 };
 
--- a/Source/Steering/Messages.h
+++ b/Source/Steering/Messages.h
@@ -7,10 +7,12 @@
 
 #include "Directory/TargetDirectory.h"
 #include "Plan/RoutePlan.h"
+#include "Relay/GatewayTable.h"
 
 namespace corianderdyke {
 
-/// A state of the directory at one leading control host.
+/// A state of the directory, or of the list of proxies, at one leading control
+/// host.
 struct DirectoryVersion {
   std::uint64_t Term = 0; ///< The control leader's.
   std::uint64_t Revision = 0;
@@ -38,10 +40,16 @@
   /// started must not begin with a plan that another has replaced.
   bool NeedsProof = false;
   std::vector<PrimarySighting> Sightings;
+  /// Itself, for the list of proxies; without an address where it takes no
+  /// statements of others.
+  ProxyRecord Self;
+  bool IsLeaving = false;
+  DirectoryVersion Proxies; ///< Of the list that it has.
 
   bool operator==(const FollowRequest &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Proxy, Sequence, PlanVersion, Directory, NeedsProof, Sightings);
+    Ar(Proxy, Sequence, PlanVersion, Directory, NeedsProof, Sightings, Self,
+       IsLeaving, Proxies);
   }
 };
 
@@ -51,7 +59,8 @@
   bool IsProven = false;
   std::uint64_t PlanVersion = 0;
   std::vector<std::string> ControlHosts; ///< Addresses of the group's members.
-  std::uint32_t Proxies = 0;             ///< That follow at the moment.
+  /// That follow at the moment; 0 while a new leader gets to know them.
+  std::uint32_t Proxies = 0;
 
   bool operator==(const FollowReply &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
@@ -82,6 +91,15 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(Version, Targets); }
 };
 
+/// The proxies that may carry each other's statements.
+struct ProxyListUpdate {
+  DirectoryVersion Version;
+  std::vector<ProxyRecord> Proxies;
+
+  bool operator==(const ProxyListUpdate &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Version, Proxies); }
+};
+
 } // namespace corianderdyke
 
 #endif
--- /dev/null
+++ b/Source/Steering/ProxyList.cpp
@@ -0,0 +1,60 @@
+/// \file
+/// The proxies that follow a leading control host, for each other.
+
+#include "Steering/ProxyList.h"
+
+namespace corianderdyke {
+
+namespace {
+
+/// Without news for this long all are known: proxies ask every half second,
+/// and those that look for a leader three times as often.
+constexpr Millis QuietBefore(400);
+/// Known or not, the list is told after this long.
+constexpr Millis LongestWait(1500);
+
+} // namespace
+
+void ProxyList::begin(Millis Now) {
+  ByName.clear();
+  Revision = 0;
+  BeganAt = Now;
+  LastNewAt = Now;
+}
+
+void ProxyList::hear(const ProxyRecord &Said, bool IsLeaving, Millis Now) {
+  if (Said.Relay.Port == 0)
+    return;
+  const auto Before = ByName.find(Said.Name);
+  const bool IsNews = Before == ByName.end()
+                          ? !IsLeaving
+                          : Before->second.Record != Said ||
+                                Before->second.IsLeaving != IsLeaving;
+  ByName[Said.Name] = {Said, Now, IsLeaving};
+  if (!IsNews)
+    return;
+  ++Revision;
+  LastNewAt = Now;
+}
+
+void ProxyList::dropSilent(Millis Now, Millis Kept) {
+  const std::size_t Gone = std::erase_if(ByName, [&](const auto &Each) {
+    return Now - Each.second.LastHeard > Kept;
+  });
+  if (Gone > 0)
+    ++Revision;
+}
+
+bool ProxyList::isSettled(Millis Now) const {
+  return Now - LastNewAt >= QuietBefore || Now - BeganAt >= LongestWait;
+}
+
+std::vector<ProxyRecord> ProxyList::all() const {
+  std::vector<ProxyRecord> Out;
+  for (const auto &[Name, Each] : ByName)
+    if (!Each.IsLeaving)
+      Out.push_back(Each.Record);
+  return Out;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Steering/ProxyList.h
@@ -0,0 +1,48 @@
+/// \file
+/// The proxies that follow a leading control host, for each other.
+
+#ifndef CORIANDERDYKE_STEERING_PROXYLIST_H
+#define CORIANDERDYKE_STEERING_PROXYLIST_H
+
+#include "Common/Millis.h"
+#include "Relay/GatewayTable.h"
+
+namespace corianderdyke {
+
+/// Proxies choose gateways from this list, and each change of it moves some
+/// of their connections. A new leader that told what it has heard so far would
+/// move nearly all of them, twice within a second; so it says nothing until
+/// it knows the others.
+class ProxyList {
+public:
+  /// A term as leader begins: nobody is known.
+  void begin(Millis Now);
+
+  /// A proxy's own word. One that leaves is off the list at once.
+  void hear(const ProxyRecord &Said, bool IsLeaving, Millis Now);
+  /// A restarted proxy is back within less, under the same name.
+  void dropSilent(Millis Now, Millis Kept);
+
+  /// False while a new leader gets to know the proxies.
+  bool isSettled(Millis Now) const;
+
+  std::vector<ProxyRecord> all() const;
+  /// Raised with each change.
+  std::uint64_t revision() const { return Revision; }
+
+private:
+  struct Known {
+    ProxyRecord Record;
+    Millis LastHeard;
+    bool IsLeaving = false;
+  };
+
+  std::map<std::string, Known> ByName;
+  std::uint64_t Revision = 0;
+  Millis BeganAt;
+  Millis LastNewAt;
+};
+
+} // namespace corianderdyke
+
+#endif
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -93,11 +93,17 @@
                      FollowElsewhere{leader() == Options.Name ? "" : leader()});
     return;
   }
+  // A restarted proxy counts once.
+  std::erase_if(Followers, [&Body](const auto &Each) {
+    return Each.first.Name == Body.Proxy.Name && Each.first != Body.Proxy;
+  });
   Follower &Known = Followers[Body.Proxy];
   Known.Address = From.ReplyTo;
   Known.LastHeard = Ports.Time.now();
   Known.PlanVersion = Body.PlanVersion;
   Known.Directory = Body.Directory;
+  Known.Proxies = Body.Proxies;
+  Proxies.hear(Body.Self, Body.IsLeaving, Ports.Time.now());
   Coordinator.noteSightings(Body.Proxy, Body.Sightings);
   bringUpToDate(Known);
   if (!Body.NeedsProof)
@@ -110,10 +116,12 @@
 
 void SteeringNode::answer(const Endpoint &To, const FollowRequest &Request,
                           bool Proven) {
-  Ports.Peers.send(To, Delivery::Datagram,
-                   FollowReply{Request.Sequence, Proven, State.plan().Version,
-                               members(),
-                               static_cast<std::uint32_t>(Followers.size())});
+  Ports.Peers.send(
+      To, Delivery::Datagram,
+      FollowReply{Request.Sequence, Proven, State.plan().Version, members(),
+                  Proxies.isSettled(Ports.Time.now())
+                      ? static_cast<std::uint32_t>(Followers.size())
+                      : 0});
 }
 
 std::vector<std::string> SteeringNode::members() const {
@@ -139,6 +147,12 @@
     Ports.Peers.send(To.Address, Delivery::Datagram,
                      DirectoryUpdate{directoryVersion(), Directory.all()});
   }
+  if (Proxies.isSettled(Now) && To.Proxies != proxiesVersion() &&
+      Now - To.ProxiesSentAt >= SendAgainAfter) {
+    To.ProxiesSentAt = Now;
+    Ports.Peers.send(To.Address, Delivery::Stream,
+                     ProxyListUpdate{proxiesVersion(), Proxies.all()});
+  }
 }
 
 void SteeringNode::publish() {
@@ -166,6 +180,7 @@
       Each = Followers.erase(Each);
     else
       ++Each;
+  Proxies.dropSilent(Ports.Time.now(), FollowerKept);
 }
 
 // Operators and targets.
@@ -387,6 +402,7 @@
   Leading = Agreement.isSettledLeader();
   LeadingSince = Ports.Time.now();
   Followers.clear();
+  Proxies.begin(LeadingSince);
   Published = {};
   if (Leading) {
     std::vector<TargetRecord> Known;
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -9,6 +9,7 @@
 #include "Consensus/Consensus.h"
 #include "Loop/Scheduler.h"
 #include "Steering/PromotionCoordinator.h"
+#include "Steering/ProxyList.h"
 #include "Transport/Transport.h"
 
 namespace corianderdyke {
@@ -85,8 +86,10 @@
     Millis LastHeard;
     std::uint64_t PlanVersion = 0;
     DirectoryVersion Directory;
+    DirectoryVersion Proxies;
     Millis PlanSentAt;
     Millis DirectorySentAt;
+    Millis ProxiesSentAt;
   };
 
   struct WaitingFollow {
@@ -122,6 +125,9 @@
   DirectoryVersion directoryVersion() const {
     return {Agreement.term(), Directory.revision()};
   }
+  DirectoryVersion proxiesVersion() const {
+    return {Agreement.term(), Proxies.revision()};
+  }
   std::vector<std::string> members() const;
   /// True where the change at an index may be acknowledged.
   bool isKept(std::uint64_t Index) const;
@@ -140,6 +146,7 @@
   std::map<std::uint64_t, WaitingChange> Changes;
   std::map<std::uint64_t, DoneHandler> Barriers;
   std::map<ProcessId, Follower> Followers;
+  ProxyList Proxies;
   Millis LastWatch;
   Millis LeadingSince;
   bool DiskRefuses = false;
--- a/Source/Transport/Envelope.h
+++ b/Source/Transport/Envelope.h
@@ -20,7 +20,7 @@
     std::variant<ConsensusMessage, LeaseRequest, LeaseGrant, NotLeader,
                  ViewUpdate, ViewApplied, ForwardedAnnouncement, ViewDelta,
                  RightsRequest, RightsGrant, FollowRequest, FollowReply,
-                 FollowElsewhere, PlanUpdate, DirectoryUpdate>;
+                 FollowElsewhere, PlanUpdate, DirectoryUpdate, ProxyListUpdate>;
 
 /// The longest message before it's packed.
 constexpr std::size_t MaxUnpackedBytes = 64U << 20U;
--- /dev/null
+++ b/Source/Transport/SocketPeerStreams.cpp
@@ -0,0 +1,205 @@
+/// \file
+/// Streams of frames between processes on TCP through libevent.
+
+#include "Transport/SocketPeerStreams.h"
+
+#include "Common/KeyedDigest.h"
+#include "Loop/EventLoop.h"
+#include "Transport/SocketOptions.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+namespace corianderdyke {
+
+namespace {
+
+constexpr std::size_t LengthBytes = 4;
+/// A peer that reads nothing is cut before its frames fill the memory.
+constexpr std::size_t MaxQueuedBytes = 8U << 20U;
+/// Bytes that a peer hasn't confirmed for this long will hardly arrive in a
+/// caller's time; well above the way there and back between regions.
+constexpr Millis SilenceBorne(800);
+/// Proxies that may connect at the same moment, after all have restarted.
+constexpr int Backlog = 512;
+
+/// What the callbacks of one stream work on. It outlives the stream while a
+/// callback runs, since handlers may destroy the stream.
+struct StreamState {
+  bufferevent *Buffer = nullptr;
+  PeerStreamEvents Handlers;
+  std::string Key;
+  bool IsEnded = false; ///< No handler runs any more.
+
+  ~StreamState() {
+    if (Buffer != nullptr)
+      bufferevent_free(Buffer);
+  }
+
+  void end() {
+    if (std::exchange(IsEnded, true))
+      return;
+    bufferevent_disable(Buffer, EV_READ | EV_WRITE);
+    const auto Handler = std::exchange(Handlers, {}).OnClose;
+    if (Handler)
+      Handler();
+  }
+
+  /// False where no whole frame is there yet.
+  bool takeFrame() {
+    evbuffer *In = bufferevent_get_input(Buffer);
+    if (evbuffer_get_length(In) < LengthBytes)
+      return false;
+    std::uint32_t Length = 0;
+    evbuffer_copyout(In, &Length, LengthBytes);
+    Length = ntohl(Length);
+    if (Length < KeyedDigestBytes ||
+        Length > SocketPeerStreams::MaxFrameBytes) {
+      end();
+      return false;
+    }
+    if (evbuffer_get_length(In) < LengthBytes + Length)
+      return false;
+    std::string Digest(KeyedDigestBytes, '\0');
+    std::string Frame(Length - KeyedDigestBytes, '\0');
+    evbuffer_drain(In, LengthBytes);
+    evbuffer_remove(In, Digest.data(), Digest.size());
+    evbuffer_remove(In, Frame.data(), Frame.size());
+    if (!sameDigest(Digest, keyedDigest(Key, Frame))) {
+      end();
+      return false;
+    }
+    const auto Handler = Handlers.OnFrame;
+    if (Handler)
+      Handler(Frame);
+    return true;
+  }
+
+  void read() {
+    while (!IsEnded && takeFrame()) {
+    }
+  }
+};
+
+using StreamStatePtr = std::shared_ptr<StreamState>;
+
+class SocketPeerStream final : public PeerStream {
+public:
+  SocketPeerStream(EventLoop &Loop, int Socket, std::string Key)
+      : Loop(Loop), State(std::make_shared<StreamState>()),
+        Argument(std::make_shared<StreamStatePtr>(State)) {
+    State->Key = std::move(Key);
+    State->Buffer =
+        bufferevent_socket_new(Loop.base(), Socket, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(State->Buffer, &onRead, nullptr, &onEvent,
+                      Argument.get());
+  }
+
+  ~SocketPeerStream() override {
+    State->IsEnded = true;
+    bufferevent_setcb(State->Buffer, nullptr, nullptr, nullptr, nullptr);
+    bufferevent_disable(State->Buffer, EV_READ);
+    // It may be destroyed inside its own callback.
+    Loop.defer([Held = State, Kept = Argument] { Kept->reset(); });
+  }
+
+  void start(PeerStreamEvents Events) {
+    State->Handlers = std::move(Events);
+    bufferevent_enable(State->Buffer, EV_READ | EV_WRITE);
+  }
+
+  void connect(const Endpoint &To) {
+    const sockaddr_in Address = socketAddress(To);
+    if (bufferevent_socket_connect(State->Buffer,
+                                   reinterpret_cast<const sockaddr *>(&Address),
+                                   sizeof(Address)) != 0)
+      Loop.defer([Held = State] { Held->end(); });
+  }
+
+  void send(const std::string &Frame) override {
+    if (State->IsEnded)
+      return;
+    evbuffer *Queue = bufferevent_get_output(State->Buffer);
+    if (evbuffer_get_length(Queue) > MaxQueuedBytes) {
+      Loop.defer([Held = State] { Held->end(); });
+      return;
+    }
+    const std::uint32_t Length =
+        htonl(static_cast<std::uint32_t>(KeyedDigestBytes + Frame.size()));
+    const std::string Digest = keyedDigest(State->Key, Frame);
+    evbuffer_add(Queue, &Length, LengthBytes);
+    evbuffer_add(Queue, Digest.data(), Digest.size());
+    evbuffer_add(Queue, Frame.data(), Frame.size());
+  }
+
+private:
+  static void onRead(bufferevent *, void *Raw) {
+    const StreamStatePtr Held = *static_cast<StreamStatePtr *>(Raw);
+    Held->read();
+  }
+
+  static void onEvent(bufferevent *, short Events, void *Raw) {
+    if ((Events & BEV_EVENT_CONNECTED) != 0)
+      return;
+    const StreamStatePtr Held = *static_cast<StreamStatePtr *>(Raw);
+    // What the peer sent before it closed may still be in the buffer.
+    Held->read();
+    Held->end();
+  }
+
+  EventLoop &Loop;
+  StreamStatePtr State;
+  /// The argument of libevent's callbacks: keeps the state while one runs.
+  std::shared_ptr<StreamStatePtr> Argument;
+};
+
+} // namespace
+
+Expected<std::unique_ptr<SocketPeerStreams>>
+SocketPeerStreams::listen(EventLoop &Loop, const Endpoint &At,
+                          std::string Key) {
+  std::unique_ptr<SocketPeerStreams> Made(
+      new SocketPeerStreams(Loop, std::move(Key)));
+  const sockaddr_in Address = socketAddress(At);
+  Made->Listener = evconnlistener_new_bind(
+      Loop.base(),
+      [](evconnlistener *, evutil_socket_t Socket, sockaddr *, int,
+         void *Self) {
+        static_cast<SocketPeerStreams *>(Self)->accepted(Socket);
+      },
+      Made.get(),
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      Backlog, reinterpret_cast<const sockaddr *>(&Address), sizeof(Address));
+  if (Made->Listener == nullptr)
+    return fail(ErrorCode::System,
+                "can't listen on " + At.text() + ": " + std::strerror(errno));
+  return Made;
+}
+
+SocketPeerStreams::~SocketPeerStreams() {
+  if (Listener != nullptr)
+    evconnlistener_free(Listener);
+}
+
+std::shared_ptr<PeerStream>
+SocketPeerStreams::connect(const Endpoint &To, PeerStreamEvents Events) {
+  auto Made = std::make_shared<SocketPeerStream>(
+      Loop, makeTunedSocket(SilenceBorne), Key);
+  Made->start(std::move(Events));
+  Made->connect(To);
+  return Made;
+}
+
+void SocketPeerStreams::accepted(int Socket) {
+  tuneSocket(Socket, SilenceBorne);
+  auto Made = std::make_shared<SocketPeerStream>(Loop, Socket, Key);
+  if (Accepting)
+    Made->start(Accepting(Made));
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Tests/Support/FakeRelay.cpp
@@ -0,0 +1,274 @@
+/// \file
+/// Streams between proxies in memory, and a system of proxies.
+
+#include "FakeRelay.h"
+
+#include <stdexcept>
+
+namespace corianderdyke {
+
+/// What both ends of a stream share.
+struct FakeStreams::Pipe {
+  struct Side {
+    FakeHost *Host = nullptr;
+    PeerStreamEvents Events;
+    bool IsOpen = true;
+  };
+  Side Sides[2];
+};
+
+class FakeStreams::Stream final : public PeerStream {
+public:
+  Stream(FakeStreams &Net, std::shared_ptr<Pipe> Of, int Self)
+      : Net(Net), Of(std::move(Of)), Self(Self) {}
+
+  ~Stream() override { close(Net, Of, Self); }
+
+  void send(const std::string &Frame) override {
+    if (!Of->Sides[Self].IsOpen)
+      return;
+    toOther([Frame](Pipe::Side &To) {
+      const auto Handler = To.Events.OnFrame;
+      if (Handler)
+        Handler(Frame);
+    });
+  }
+
+  /// One side is gone: the other learns after the latency.
+  static void close(FakeStreams &Net, const std::shared_ptr<Pipe> &Of,
+                    int Which) {
+    if (!std::exchange(Of->Sides[Which].IsOpen, false))
+      return;
+    Of->Sides[Which].Events = {};
+    const int Other = 1 - Which;
+    Net.Loop.at(Net.Loop.now() + Net.Latency, [Of, Other] {
+      Pipe::Side &To = Of->Sides[Other];
+      if (To.Host != nullptr && To.IsOpen)
+        To.Host->run([Of, Other] {
+          Pipe::Side &To = Of->Sides[Other];
+          if (!std::exchange(To.IsOpen, false))
+            return;
+          const auto Handler = std::exchange(To.Events, {}).OnClose;
+          if (Handler)
+            Handler();
+        });
+    });
+  }
+
+private:
+  void toOther(std::function<void(Pipe::Side &)> Action) {
+    const int Other = 1 - Self;
+    Net.Loop.at(Net.Loop.now() + Net.Latency,
+                [Of = Of, Other, Action = std::move(Action)] {
+                  FakeHost *Host = Of->Sides[Other].Host;
+                  if (Host == nullptr)
+                    return;
+                  Host->run([Of, Other, Action] {
+                    if (Of->Sides[Other].IsOpen)
+                      Action(Of->Sides[Other]);
+                  });
+                });
+  }
+
+  FakeStreams &Net;
+  std::shared_ptr<Pipe> Of;
+  int Self;
+};
+
+class FakeStreams::End final : public PeerStreams {
+public:
+  End(FakeStreams &Net, FakeHost &Host, Endpoint At)
+      : Net(Net), Host(Host), At(std::move(At)) {
+    Net.Listening[this->At] = this;
+    Host.atDeath([this] {
+      this->Net.Listening.erase(this->At);
+      for (const auto &[Each, Side] : Pipes)
+        Stream::close(this->Net, Each, Side);
+    });
+  }
+
+  std::shared_ptr<PeerStream> connect(const Endpoint &To,
+                                      PeerStreamEvents Events) override {
+    auto Made = std::make_shared<Pipe>();
+    Made->Sides[0].Host = &Host;
+    Made->Sides[0].Events = std::move(Events);
+    Pipes.emplace_back(Made, 0);
+    Net.Loop.at(Net.Loop.now() + Net.Latency, [&Net = Net, Made, To] {
+      const auto Other = Net.Listening.find(To);
+      if (Other == Net.Listening.end()) {
+        Made->Sides[1].IsOpen = true;
+        return Stream::close(Net, Made, 1);
+      }
+      Made->Sides[1].Host = &Other->second->Host;
+      Other->second->take(Made);
+    });
+    return std::make_shared<Stream>(Net, Made, 0);
+  }
+
+  void accept(OnAccept Handler) override { Accepting = std::move(Handler); }
+
+private:
+  void take(const std::shared_ptr<Pipe> &Made) {
+    Pipes.emplace_back(Made, 1);
+    Host.run([this, Made] {
+      Made->Sides[1].Events = Accepting(std::make_shared<Stream>(Net, Made, 1));
+    });
+  }
+
+  FakeStreams &Net;
+  FakeHost &Host;
+  Endpoint At;
+  OnAccept Accepting;
+  std::vector<std::pair<std::shared_ptr<Pipe>, int>> Pipes;
+};
+
+std::unique_ptr<PeerStreams> FakeStreams::attach(FakeHost &Host,
+                                                 const Endpoint &At) {
+  return std::make_unique<End>(*this, Host, At);
+}
+
+namespace {
+
+constexpr std::uint16_t RelayPort = 7000;
+
+} // namespace
+
+std::unique_ptr<TargetLink> FakeAccess::open(const TargetAddress &To,
+                                             TargetLink::Events Events) {
+  class Refused final : public TargetLink {
+  public:
+    void send(const std::vector<TargetCommand> &) override {}
+    std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+    ~Refused() override { *Alive = false; }
+  };
+  if (Cut.count(To.Id) == 0)
+    return Targets.open(To, std::move(Events));
+  auto Made = std::make_unique<Refused>();
+  Loop.at(Loop.now() + Millis(1),
+          [Still = Made->Alive, Handler = Events.OnClose] {
+            if (*Still)
+              Handler(std::nullopt);
+          });
+  return Made;
+}
+
+FakeProxy::FakeProxy(FakeLoop &Loop, FakeStreams &Net, TargetConnector &Targets,
+                     const std::string &Name)
+    : Host(Loop, Name), Access(Loop, Targets),
+      Streams(Net.attach(Host, {Name, RelayPort})), Broker(Host, Host, Access),
+      Shared({Host, Host, Access, Broker, *Streams}, Name),
+      Relay(*Streams, Broker),
+      Pipeline({Host, Host, Shared}, {"region", "here", Name}) {}
+
+FakeRelaySystem::FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group,
+                                 std::size_t Count,
+                                 std::uint32_t MaxConnections)
+    : Loop(Loop), Group(Group), Net(Loop), Plan(planOfThreeRoutes()) {
+  for (GroupPolicy &Each : Plan.Groups)
+    Each.MaxConnections = MaxConnections;
+  for (auto &[Name, Each] : Group.Servers)
+    Each.MaxConnections = MaxConnections;
+  for (std::size_t Each = 0; Each < Count; ++Each) {
+    Listed.push_back(Each);
+    Proxies.push_back(std::make_unique<FakeProxy>(Loop, Net, Group,
+                                                  "p" + std::to_string(Each)));
+  }
+  for (auto &Each : Proxies) {
+    Each->Shared.adopt(Plan);
+    Each->Pipeline.adopt(Plan);
+  }
+  list(Listed);
+  learn();
+}
+
+FakeRelaySystem::~FakeRelaySystem() { Loop.clear(); }
+
+ProxyRecord FakeRelaySystem::recordOf(std::size_t Index) const {
+  const std::string &Name = Proxies[Index]->Host.name();
+  return {Name, {Name, RelayPort}, "here"};
+}
+
+void FakeRelaySystem::list(const std::vector<std::size_t> &Present) {
+  Listed = Present;
+  std::vector<ProxyRecord> All;
+  for (const std::size_t Each : Present)
+    All.push_back(recordOf(Each));
+  for (auto &Each : Proxies) {
+    if (Each->Host.isDead())
+      continue;
+    Each->Shared.setProxies(All);
+    Each->Pipeline.setProxyCount(All.size());
+  }
+}
+
+void FakeRelaySystem::learn() {
+  for (auto &Each : Proxies) {
+    if (Each->Host.isDead())
+      continue;
+    Each->Shared.update(Group.directory());
+    Each->Pipeline.update(Group.directory());
+  }
+}
+
+FakeRelaySystem::Session FakeRelaySystem::connect(std::size_t Proxy,
+                                                  const std::string &Database) {
+  Session Out;
+  Out.At = Proxies[Proxy].get();
+  Out.Caller = std::make_shared<FakeCaller>();
+  Out.Id = Out.At->Pipeline.open(Database, Out.Caller);
+  return Out;
+}
+
+void FakeRelaySystem::send(const Session &On, StatementKind Kind,
+                           const std::string &Id, const std::string &Text) {
+  Statement What;
+  What.Kind = Kind;
+  What.Id = Id;
+  What.Text = Kind == StatementKind::Commit ? "COMMIT" : Text;
+  On.At->Pipeline.receive(On.Id, What);
+}
+
+StatementAnswer FakeRelaySystem::ask(const Session &On, StatementKind Kind,
+                                     const std::string &Id,
+                                     const std::string &Text) {
+  const std::size_t Before = On.Caller->Answers.size();
+  send(On, Kind, Id, Text);
+  const bool Arrived = Loop.runUntilTrue(
+      [&] { return On.Caller->Answers.size() > Before; }, Millis(5000));
+  if (!Arrived)
+    throw std::runtime_error("a statement was never answered");
+  return On.Caller->last();
+}
+
+std::vector<std::size_t> FakeRelaySystem::holders() const {
+  std::vector<std::size_t> Out;
+  for (std::size_t Each = 0; Each < Proxies.size(); ++Each)
+    if (Proxies[Each]->Broker.connections() > 0)
+      Out.push_back(Each);
+  return Out;
+}
+
+std::vector<std::size_t>
+FakeRelaySystem::gateways(const std::string &Target) const {
+  std::vector<ProxyRecord> All;
+  for (const std::size_t Each : Listed)
+    All.push_back(recordOf(Each));
+  const std::size_t Count = gatewaysFor(Plan.Groups.front().MaxConnections - 2);
+  const GatewayTable Table(All, Group.directory().all(),
+                           {{Plan.Groups.front().Name, Count}});
+  std::vector<std::size_t> Out;
+  for (const ProxyRecord &Each : Table.of(Target))
+    if (Out.size() < Count)
+      Out.push_back(static_cast<std::size_t>(std::stoi(Each.Name.substr(1))));
+  return Out;
+}
+
+std::size_t FakeRelaySystem::outsider(const std::string &Target) const {
+  const std::vector<std::size_t> Inside = gateways(Target);
+  for (const std::size_t Each : Listed)
+    if (std::find(Inside.begin(), Inside.end(), Each) == Inside.end())
+      return Each;
+  return 0;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Tests/Support/FakeRelay.h
@@ -0,0 +1,106 @@
+/// \file
+/// Streams between proxies in memory, and a system of proxies before one group
+/// that takes fewer connections than there are proxies.
+
+#ifndef CORIANDERDYKE_TESTS_SUPPORT_FAKERELAY_H
+#define CORIANDERDYKE_TESTS_SUPPORT_FAKERELAY_H
+
+#include "FakeGroup.h"
+#include "Relay/RelayHost.h"
+#include "Relay/SharedConnector.h"
+
+namespace corianderdyke {
+
+/// Streams of frames with a latency. A killed host's streams close, a frozen
+/// host's stay open and silent.
+class FakeStreams {
+public:
+  explicit FakeStreams(FakeLoop &Loop) : Loop(Loop) {}
+
+  /// A host's end; it stays good after the host's death.
+  std::unique_ptr<PeerStreams> attach(FakeHost &Host, const Endpoint &At);
+
+  Millis Latency = Millis(1);
+
+private:
+  class End;
+  class Stream;
+  struct Pipe;
+
+  FakeLoop &Loop;
+  std::map<Endpoint, End *> Listening;
+};
+
+/// One proxy's way to the targets: those in Cut refuse it.
+class FakeAccess final : public TargetConnector {
+public:
+  FakeAccess(FakeLoop &Loop, TargetConnector &Targets)
+      : Loop(Loop), Targets(Targets) {}
+
+  std::unique_ptr<TargetLink> open(const TargetAddress &To,
+                                   TargetLink::Events Events) override;
+
+  std::set<std::string> Cut;
+
+private:
+  FakeLoop &Loop;
+  TargetConnector &Targets;
+};
+
+/// One proxy with everything that shares connections.
+struct FakeProxy {
+  FakeHost Host;
+  FakeAccess Access;
+  std::unique_ptr<PeerStreams> Streams;
+  TargetBroker Broker;
+  SharedConnector Shared;
+  RelayHost Relay;
+  SessionPipeline Pipeline;
+
+  FakeProxy(FakeLoop &Loop, FakeStreams &Net, TargetConnector &Targets,
+            const std::string &Name);
+};
+
+/// Proxies "p0", "p1" and so on before one group.
+class FakeRelaySystem {
+public:
+  FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group, std::size_t Proxies,
+                  std::uint32_t MaxConnections);
+  ~FakeRelaySystem();
+
+  struct Session {
+    FakeProxy *At = nullptr;
+    std::uint64_t Id = 0;
+    std::shared_ptr<FakeCaller> Caller;
+  };
+
+  Session connect(std::size_t Proxy, const std::string &Database);
+  void send(const Session &On, StatementKind Kind, const std::string &Id = "",
+            const std::string &Text = "");
+  StatementAnswer ask(const Session &On, StatementKind Kind,
+                      const std::string &Id = "", const std::string &Text = "");
+  /// All learn what targets say of themselves now.
+  void learn();
+  /// All learn that only these proxies are there.
+  void list(const std::vector<std::size_t> &Present);
+  FakeProxy &proxy(std::size_t Index) { return *Proxies[Index]; }
+  /// Proxies that hold a connection to any target.
+  std::vector<std::size_t> holders() const;
+  /// A proxy that isn't a gateway of the target, and those that are.
+  std::size_t outsider(const std::string &Target) const;
+  std::vector<std::size_t> gateways(const std::string &Target) const;
+
+private:
+  ProxyRecord recordOf(std::size_t Index) const;
+
+  FakeLoop &Loop;
+  FakeGroup &Group;
+  FakeStreams Net;
+  RoutePlan Plan;
+  std::vector<std::size_t> Listed;
+  std::vector<std::unique_ptr<FakeProxy>> Proxies;
+};
+
+} // namespace corianderdyke
+
+#endif
--- a/Tests/Unit/PlatformSocketTest.cpp
+++ b/Tests/Unit/PlatformSocketTest.cpp
@@ -15,6 +15,7 @@
 #include "PromotionCalls.h"
 #include "TargetPort.h"
 #include "Transport/SocketOptions.h"
+#include "Transport/SocketPeerStreams.h"
 #include "Transport/SocketTransport.h"
 
 #include <catch2/catch.hpp>
@@ -336,3 +337,66 @@
   CHECK(Node.directory().ofGroup("ledger").empty());
   CHECK(Call(HttpMethod::Get, "/elsewhere", "").Status == 404);
 }
+
+TEST_CASE("Frames between proxies arrive whole, in order, both ways",
+          "[relay-socket]") {
+  EventLoop Loop;
+  const Endpoint At = freePort();
+  const std::string Key = "a key for the peers";
+  auto Host = SocketPeerStreams::listen(Loop, At, Key);
+  REQUIRE(Host);
+  std::vector<std::shared_ptr<PeerStream>> Taken;
+  (*Host)->accept([&](std::shared_ptr<PeerStream> Stream) {
+    Taken.push_back(Stream);
+    return PeerStreamEvents{
+        [Weak = std::weak_ptr(Stream)](const std::string &Frame) {
+          if (const auto Held = Weak.lock())
+            Held->send("back " + Frame);
+        },
+        [] {}};
+  });
+  std::vector<std::string> Frames;
+  bool IsClosed = false;
+  const auto Stream = (*Host)->connect(
+      At, {[&](const std::string &Frame) { Frames.push_back(Frame); },
+           [&] { IsClosed = true; }});
+  const std::string Long(2U << 20U, 'x');
+  Stream->send("one");
+  Stream->send(Long);
+  Stream->send("");
+  REQUIRE(runUntil(Loop, [&] { return Frames.size() == 3; }));
+  CHECK(Frames ==
+        std::vector<std::string>{"back one", "back " + Long, "back "});
+  Taken.clear();
+  CHECK(runUntil(Loop, [&] { return IsClosed; }));
+}
+
+TEST_CASE("Streams with another key, or to nobody, close", "[relay-socket]") {
+  EventLoop Loop;
+  const Endpoint At = freePort();
+  auto Host = SocketPeerStreams::listen(Loop, At, "a key for the peers");
+  auto Stranger =
+      SocketPeerStreams::listen(Loop, freePort(), "another key for peers");
+  REQUIRE(Host);
+  REQUIRE(Stranger);
+  std::vector<std::shared_ptr<PeerStream>> Taken;
+  std::size_t Frames = 0;
+  std::size_t Closed = 0;
+  (*Host)->accept([&](std::shared_ptr<PeerStream> Stream) {
+    Taken.push_back(Stream);
+    return PeerStreamEvents{[&](const std::string &) { ++Frames; },
+                            [&] {
+                              ++Closed;
+                              Taken.clear();
+                            }};
+  });
+  std::size_t Refused = 0;
+  const auto Bad = (*Stranger)->connect(
+      At, {[](const std::string &) {}, [&] { ++Refused; }});
+  Bad->send("a statement");
+  CHECK(runUntil(Loop, [&] { return Closed == 1 && Refused == 1; }));
+  CHECK(Frames == 0);
+  const auto Lost = (*Stranger)->connect(
+      freePort(), {[](const std::string &) {}, [&] { ++Refused; }});
+  CHECK(runUntil(Loop, [&] { return Refused == 2; }));
+}
