--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -117,9 +117,10 @@
   Streams = std::move(*Opened);
   Broker = std::make_unique<TargetBroker>(Time, Loop, *Targets);
   Shared = std::make_unique<SharedConnector>(
-      SharedConnector::Ports{Time, Loop, *Targets, *Broker, *Streams},
+      SharedConnector::Ports{Time, Loop, *Targets, *Broker, *Streams,
+                             Floors},
       Options.Name);
-  Relay = std::make_unique<RelayHost>(*Streams, *Broker);
+  Relay = std::make_unique<RelayHost>(Time, *Streams, *Broker, Floors);
   return {};
 }
 
@@ -129,7 +130,7 @@
       return Done;
   TargetConnector &Connections = Shared ? *Shared : *Targets;
   Pipeline = std::make_unique<SessionPipeline>(
-      SessionPipeline::Ports{Time, Loop, Connections}, Options.Where);
+      SessionPipeline::Ports{Time, Loop, Connections, Floors}, Options.Where);
   Feed = std::make_unique<ControlFeed>(
       FeedOptions{{Options.Name, randomNumber()},
                   Options.Peers.Port,
--- a/Source/App/SteeringProcess.h
+++ b/Source/App/SteeringProcess.h
@@ -71,6 +71,7 @@
   std::unique_ptr<HttpService> DirectoryCalls;
   std::unique_ptr<EventHttpServer> DirectoryPort;
   // Proxy.
+  FloorTable Floors;
   std::unique_ptr<SocketPeerStreams> Streams;
   std::unique_ptr<TargetBroker> Broker;
   std::unique_ptr<SharedConnector> Shared;
--- a/Source/Directory/TargetDirectory.h
+++ b/Source/Directory/TargetDirectory.h
@@ -27,6 +27,8 @@
   /// Counts the times that any target of the group became primary, as the
   /// leading control host saw them; the highest is believed.
   std::uint64_t PrimarySince = 0;
+  /// Statements that it works on at a time; 0 where it didn't say.
+  std::uint32_t Slots = 0;
 
   /// True where only the sequence differs.
   bool saysTheSame(TargetRecord Other) const {
@@ -37,7 +39,7 @@
   auto operator<=>(const TargetRecord &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Id, Group, Address, FailureDomain, Sequence, IsPrimary, IsLeaving,
-       IsGone, PrimarySince);
+       IsGone, PrimarySince, Slots);
   }
 };
 
--- a/Source/Pipeline/FloorTable.cpp
+++ b/Source/Pipeline/FloorTable.cpp
@@ -38,4 +38,12 @@
   return std::nullopt;
 }
 
+std::optional<FloorTable::Proof>
+FloorTable::youngest(const std::string &Group) const {
+  const auto Found = Groups.find(Group);
+  if (Found == Groups.end() || Found->second.empty())
+    return std::nullopt;
+  return Found->second.back();
+}
+
 } // namespace corianderdyke
--- a/Source/Pipeline/FloorTable.h
+++ b/Source/Pipeline/FloorTable.h
@@ -25,6 +25,14 @@
 
 class FloorTable {
 public:
+  /// A position that a leader showed, and when it was asked for it.
+  struct Proof {
+    LogPosition Shown;
+    Millis SentAt;
+
+    auto operator<=>(const Proof &) const = default;
+  };
+
   /// A target that proved its lead showed \p Shown in an answer to something
   /// that was sent at \p SentAt.
   void note(const std::string &Group, LogPosition Shown, Millis SentAt);
@@ -35,12 +43,10 @@
   std::optional<LogPosition> floor(const std::string &Group, Millis ArrivedAt,
                                    Millis AcceptedAge) const;
 
-private:
-  struct Proof {
-    LogPosition Shown;
-    Millis SentAt;
-  };
+  /// The youngest proof, to be told to other proxies.
+  std::optional<Proof> youngest(const std::string &Group) const;
 
+private:
   /// Longest accepted age that is supported; older proofs are dropped.
   static constexpr Millis Kept = Millis(60000);
   /// Proofs this close together are worth one; bounds the table.
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -336,7 +336,8 @@
     return;
   // What a transaction must not miss is counted from its own first byte.
   const Millis From = Within ? Within->StartedAt : Job.ArrivedAt;
-  auto Floor = Floors.floor(Job.Route.Group, From, Job.Route.AcceptedAge);
+  auto Floor =
+      Outside.Floors.floor(Job.Route.Group, From, Job.Route.AcceptedAge);
   if (!Floor)
     return;
   if (Job.Route.Reads == Freshness::ReadYourWrites) {
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -54,6 +54,8 @@
     Clock &Time;
     Scheduler &Timers;
     TargetConnector &Targets;
+    /// Shared with whatever else of this process learns floors.
+    FloorTable &Floors;
   };
 
   SessionPipeline(Ports Outside, Place Where);
@@ -192,7 +194,6 @@
   Place Where;
   RoutePlan Plan;
   std::map<std::string, Group> Groups;
-  FloorTable Floors;
   std::map<std::uint64_t, CallerSessionPtr> Sessions;
   std::set<SessionJobPtr> Running;
   std::uint64_t NextSession = 1;
--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -34,7 +34,7 @@
     return;
   Groups[Job->Route.Group].Outage.noteLeading(Outside.Time.now());
   if (Answer.Position)
-    Floors.note(Job->Route.Group, *Answer.Position, Job->SentAt);
+    Outside.Floors.note(Job->Route.Group, *Answer.Position, Job->SentAt);
 }
 
 void SessionPipeline::answered(const SessionJobPtr &Job,
--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -76,8 +76,7 @@
   }
   const bool ServesOn =
       Record.IsLeaving ? Record.IsPrimary && mayTakeWork(Now) : !Record.IsGone;
-  const std::size_t Kept =
-      ServesOn ? std::max<std::size_t>(1, Share / WarmPart) : 0;
+  const std::size_t Kept = ServesOn ? kept() : 0;
   const std::vector<TargetConnectionPtr> Before = All;
   for (const TargetConnectionPtr &Each : Before) {
     if (Each->isShared() != IsShared &&
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -7,6 +7,8 @@
 #include "Directory/TargetDirectory.h"
 #include "Pipeline/TargetConnection.h"
 
+#include <algorithm>
+
 namespace corianderdyke {
 
 /// A target that couldn't be used, as seen here.
@@ -58,6 +60,8 @@
            (!Record.IsLeaving || Now - LeavingSince < LeavingUse);
   }
   bool isAvoided(Millis Now) const { return Now < AvoidUntil; }
+  /// True while fewer connections stand than are kept warm.
+  bool wantsWarm() const { return !Record.IsGone && All.size() < kept(); }
   /// Lets the limit grow again, and closes what stands idle beyond the share.
   void tend(Millis Now);
 
@@ -79,6 +83,9 @@
   bool mayLead(Millis Now) const { return Now >= NotLeadingUntil; }
 
 private:
+  std::size_t kept() const {
+    return std::max<std::size_t>(1, Share / WarmPart);
+  }
   std::size_t count(TargetConnection::Stage Which) const;
 
   /// A leaving target is promised no new work after some seconds; this is
--- a/Source/Relay/Messages.h
+++ b/Source/Relay/Messages.h
@@ -28,13 +28,27 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(Link, Commands); }
 };
 
+/// A floor that the gateway knows for the answer's group.
+struct RelayFloor {
+  LogPosition Shown;
+  /// From asking the leader to sending this. Ages travel, never times: clocks
+  /// of two hosts have nothing in common.
+  Millis Age;
+
+  auto operator<=>(const RelayFloor &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Shown, Age); }
+};
+
 /// The answer to a link's oldest unanswered command.
 struct RelayAnswer {
   std::uint32_t Link = 0;
   StatementAnswer Answer;
+  std::optional<RelayFloor> Floor; ///< Where it's news for this proxy.
 
   bool operator==(const RelayAnswer &) const = default;
-  template <class Archive> void serialize(Archive &Ar) { Ar(Link, Answer); }
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Link, Answer, Floor);
+  }
 };
 
 /// From the gateway: no answer will come any more. To it: none is wanted, and
--- a/Source/Relay/RelayHost.cpp
+++ b/Source/Relay/RelayHost.cpp
@@ -8,9 +8,18 @@
 
 namespace corianderdyke {
 
+namespace {
+
+/// A floor that is younger than the last one told by less isn't worth its
+/// bytes: callers accept ages of a second and more.
+constexpr Millis FloorSpacing(150);
+
+} // namespace
+
 struct RelayHost::Peer : std::enable_shared_from_this<Peer> {
   std::shared_ptr<PeerStream> Stream;
   std::map<std::uint32_t, std::unique_ptr<TargetLink>> Links;
+  std::map<std::string, Millis> FloorTold; ///< By group: when it was proven.
 
   void send(const RelayMessage &Body) const {
     if (Stream)
@@ -18,8 +27,9 @@
   }
 };
 
-RelayHost::RelayHost(PeerStreams &Streams, TargetConnector &Targets)
-    : Targets(Targets) {
+RelayHost::RelayHost(Clock &Time, PeerStreams &Streams,
+                     TargetConnector &Targets, const FloorTable &Floors)
+    : Time(Time), Targets(Targets), Floors(Floors) {
   Streams.accept([this](const std::shared_ptr<PeerStream> &Stream) {
     return accepted(Stream);
   });
@@ -58,17 +68,33 @@
   const std::uint32_t Number = Body.Link;
   const std::weak_ptr<Peer> Weak = From.shared_from_this();
   From.Links[Number] = Targets.open(
-      Body.To, {[] {},
-                [Weak, Number](const StatementAnswer &Answer) {
-                  if (const auto Held = Weak.lock())
-                    Held->send(RelayAnswer{Number, Answer});
-                },
-                [Weak, Number](const std::optional<StatementRefusal> &) {
-                  const auto Held = Weak.lock();
-                  if (!Held || Held->Links.erase(Number) == 0)
-                    return;
-                  Held->send(RelayClose{Number});
-                }});
+      Body.To,
+      {[] {},
+       [this, Weak, Number,
+        Group = Body.To.Group](const StatementAnswer &Answer) {
+         if (const auto Held = Weak.lock())
+           Held->send(RelayAnswer{Number, Answer, newsFor(*Held, Group)});
+       },
+       [Weak, Number](const std::optional<StatementRefusal> &) {
+         const auto Held = Weak.lock();
+         if (!Held || Held->Links.erase(Number) == 0)
+           return;
+         Held->send(RelayClose{Number});
+       }});
+}
+
+// A proxy alone sees few answers of a group's leader, and without a young
+// floor each of its reads would have to go there.
+std::optional<RelayFloor> RelayHost::newsFor(Peer &To,
+                                             const std::string &Group) const {
+  const auto Known = Floors.youngest(Group);
+  if (!Known)
+    return std::nullopt;
+  const auto Told = To.FloorTold.find(Group);
+  if (Told != To.FloorTold.end() && Known->SentAt - Told->second < FloorSpacing)
+    return std::nullopt;
+  To.FloorTold[Group] = Known->SentAt;
+  return RelayFloor{Known->Shown, Time.now() - Known->SentAt};
 }
 
 void RelayHost::on(Peer &From, const RelayCommands &Body) {
--- a/Source/Relay/RelayHost.h
+++ b/Source/Relay/RelayHost.h
@@ -5,6 +5,8 @@
 #ifndef CORIANDERDYKE_RELAY_RELAYHOST_H
 #define CORIANDERDYKE_RELAY_RELAYHOST_H
 
+#include "Common/Clock.h"
+#include "Pipeline/FloorTable.h"
 #include "Relay/Messages.h"
 #include "Transport/PeerStreams.h"
 
@@ -17,7 +19,8 @@
 /// rolled back as soon as its process is gone.
 class RelayHost {
 public:
-  RelayHost(PeerStreams &Streams, TargetConnector &Targets);
+  RelayHost(Clock &Time, PeerStreams &Streams, TargetConnector &Targets,
+            const FloorTable &Floors);
   ~RelayHost();
   RelayHost(const RelayHost &) = delete;
   RelayHost &operator=(const RelayHost &) = delete;
@@ -40,7 +43,11 @@
   template <class Other> void on(Peer &, const Other &) {}
   void drop(Peer &Gone);
 
+  std::optional<RelayFloor> newsFor(Peer &To, const std::string &Group) const;
+
+  Clock &Time;
   TargetConnector &Targets;
+  const FloorTable &Floors;
   std::set<std::shared_ptr<Peer>> Peers;
   bool IsStopping = false;
   std::uint64_t Rejected = 0;
--- a/Source/Relay/RelayPeer.cpp
+++ b/Source/Relay/RelayPeer.cpp
@@ -25,8 +25,10 @@
 
 class RelayPeer::Link final : public TargetLink {
 public:
-  Link(RelayPeer &Owner, std::uint32_t Number, Events Handlers)
-      : Owner(Owner), Number(Number), Handlers(std::move(Handlers)) {
+  Link(RelayPeer &Owner, std::uint32_t Number, std::string Group,
+       Events Handlers)
+      : Owner(Owner), Number(Number), Group(std::move(Group)),
+        Handlers(std::move(Handlers)) {
     Owner.Links[Number] = this;
   }
 
@@ -38,19 +40,25 @@
   void send(const std::vector<TargetCommand> &Commands) override {
     if (IsClosed)
       return;
-    Awaited += Commands.size();
+    SentAt.insert(SentAt.end(), Commands.size(), Owner.Time.now());
     Owner.send(RelayCommands{Number, Commands});
     Owner.keepWatching();
   }
   bool isShared() const override { return true; }
 
-  bool awaitsAnswers() const { return Awaited > 0; }
+  bool awaitsAnswers() const { return !SentAt.empty(); }
 
-  void answered(const StatementAnswer &Answer) {
-    if (Awaited > 0)
-      --Awaited;
+  void answered(const RelayAnswer &Body) {
+    if (SentAt.empty())
+      return;
+    // The gateway answered after this was sent, and asked the leader by the
+    // floor's age before that.
+    if (Body.Floor)
+      Owner.Floors.note(Group, Body.Floor->Shown,
+                        SentAt.front() - Body.Floor->Age);
+    SentAt.pop_front();
     const auto Handler = Handlers.OnAnswer;
-    Handler(Answer);
+    Handler(Body.Answer);
   }
 
   void closed() {
@@ -62,14 +70,16 @@
 private:
   RelayPeer &Owner;
   std::uint32_t Number;
+  std::string Group;
   Events Handlers;
-  std::size_t Awaited = 0;
+  std::deque<Millis> SentAt; ///< Of commands without an answer.
   bool IsClosed = false;
 };
 
 RelayPeer::RelayPeer(Clock &Time, Scheduler &Timers, PeerStreams &Streams,
-                     Endpoint At)
-    : Time(Time), Timers(Timers), Streams(Streams), At(std::move(At)) {}
+                     FloorTable &Floors, Endpoint At)
+    : Time(Time), Timers(Timers), Streams(Streams), Floors(Floors),
+      At(std::move(At)) {}
 
 RelayPeer::~RelayPeer() {
   if (Watching != 0)
@@ -81,7 +91,8 @@
   if (!Stream)
     connect();
   const std::uint32_t Number = NextLink++;
-  auto Made = std::make_unique<Link>(*this, Number, std::move(Events));
+  auto Made =
+      std::make_unique<Link>(*this, Number, To.Group, std::move(Events));
   send(RelayOpen{Number, To});
   return Made;
 }
@@ -115,7 +126,7 @@
 void RelayPeer::on(const RelayAnswer &Body) {
   const auto Found = Links.find(Body.Link);
   if (Found != Links.end())
-    Found->second->answered(Body.Answer);
+    Found->second->answered(Body);
 }
 
 void RelayPeer::on(const RelayClose &Body) {
--- a/Source/Relay/RelayPeer.h
+++ b/Source/Relay/RelayPeer.h
@@ -6,9 +6,11 @@
 
 #include "Common/Clock.h"
 #include "Loop/Scheduler.h"
+#include "Pipeline/FloorTable.h"
 #include "Relay/Messages.h"
 #include "Transport/PeerStreams.h"
 
+#include <deque>
 #include <map>
 
 namespace corianderdyke {
@@ -17,7 +19,8 @@
 /// has ended. Its links close when it ends: what was on its way may have run.
 class RelayPeer final : public TargetConnector {
 public:
-  RelayPeer(Clock &Time, Scheduler &Timers, PeerStreams &Streams, Endpoint At);
+  RelayPeer(Clock &Time, Scheduler &Timers, PeerStreams &Streams,
+            FloorTable &Floors, Endpoint At);
   ~RelayPeer() override;
   RelayPeer(const RelayPeer &) = delete;
   RelayPeer &operator=(const RelayPeer &) = delete;
@@ -47,6 +50,7 @@
   Clock &Time;
   Scheduler &Timers;
   PeerStreams &Streams;
+  FloorTable &Floors;
   Endpoint At;
   std::shared_ptr<PeerStream> Stream; ///< Null while there is none.
   std::map<std::uint32_t, Link *> Links;
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -182,8 +182,8 @@
 
 void SharedConnector::update(const TargetDirectory &Known) {
   Targets = Known.all();
-  Outside.Broker.update(Known);
   rebuild();
+  Outside.Broker.update(Known);
 }
 
 void SharedConnector::decide() {
@@ -197,14 +197,26 @@
     }
     const std::size_t Count = gatewaysFor(Usable);
     Gateways[Each.Name] = Count;
-    Outside.Broker.setShare(Each.Name,
-                            std::max<std::size_t>(1, Usable / Count));
+    Outside.Broker.setShare(Each.Name, std::max<std::size_t>(1, Usable / Count),
+                            Count);
   }
   rebuild();
 }
 
 void SharedConnector::rebuild() {
   Table = GatewayTable(Proxies, Targets, Gateways);
+  std::set<std::string> Own;
+  for (const TargetRecord &Each : Targets) {
+    const auto Count = Gateways.find(Each.Group);
+    if (Count == Gateways.end() || Each.IsGone)
+      continue;
+    const std::vector<ProxyRecord> &Known = Table.of(Each.Id);
+    for (std::size_t Rank = 0; Rank < std::min(Known.size(), Count->second);
+         ++Rank)
+      if (Known[Rank].Name == Self)
+        Own.insert(Each.Id);
+  }
+  Outside.Broker.setOwn(std::move(Own));
 }
 
 SharedConnector::Gateway SharedConnector::gatewayOf(const ProxyRecord &Which) {
@@ -213,7 +225,8 @@
   std::unique_ptr<RelayPeer> &Peer = Peers[Which.Relay];
   if (!Peer)
     Peer = std::make_unique<RelayPeer>(Outside.Time, Outside.Timers,
-                                       Outside.Streams, Which.Relay);
+                                       Outside.Streams, Outside.Floors,
+                                       Which.Relay);
   return {Peer.get(), Peer.get(), Which.Name};
 }
 
--- a/Source/Relay/SharedConnector.h
+++ b/Source/Relay/SharedConnector.h
@@ -21,6 +21,7 @@
     TargetConnector &Direct;
     TargetBroker &Broker;
     PeerStreams &Streams;
+    FloorTable &Floors;
   };
 
   /// \p Self is this proxy's name in the list of proxies.
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -19,7 +19,17 @@
 /// How long the first in the queue waits before another connection is opened:
 /// most statements end sooner, and a new connection costs the target a slot.
 constexpr Millis WaitBeforeOpening(10);
-constexpr std::size_t DefaultShare = 1;
+/// Statements that all gateways together send to a target beyond what it
+/// works on, in parts of that: enough that a slot which comes free finds the
+/// next one there, though each gateway counts only its own.
+constexpr std::size_t SentBeyondSlots = 2;
+/// Slots of a target that didn't say how many it has.
+constexpr std::size_t UsualSlots = 2;
+
+bool takesSlot(TargetCommand::Kind What) {
+  return What == TargetCommand::Kind::Run ||
+         What == TargetCommand::Kind::Execute;
+}
 
 StatementAnswer refusal(RefusalCode Code, std::string Why) {
   StatementAnswer Out;
@@ -49,30 +59,38 @@
 
   const TargetAddress &to() const { return To; }
   const SessionValues &values() const { return Values; }
-  std::uint32_t priority() const { return Pending.front().Priority; }
+  std::uint32_t priority() const { return Priority; }
+  /// True where what waits takes one of the target's slots.
+  bool needsSlot() const {
+    return std::any_of(
+        Pending.begin(), Pending.end(),
+        [](const TargetCommand &Each) { return takesSlot(Each.What); });
+  }
   Millis queuedAt() const { return QueuedAt; }
   Millis giveUpAt() const { return GiveUpAt; }
   bool holdsConnection() const { return Bound != nullptr; }
   bool holds(const TargetConnectionPtr &Which) const { return Bound == Which; }
   /// Since when an answer is due; nothing where none is.
   std::optional<Millis> awaitingSince() const {
-    return Bound && Awaited > 0 ? std::optional(SentAt) : std::nullopt;
+    return Bound && !Awaited.empty() ? std::optional(SentAt) : std::nullopt;
   }
 
   /// A connection came free.
   void run(const TargetConnectionPtr &On);
+  /// Its turn has come on the connection that it holds.
+  void sendPending();
   /// Nothing that waits was sent: answers it all.
   void refuse(RefusalCode Code, const std::string &Why);
   /// The connection that it holds has ended.
   void lost();
 
 private:
-  void sendPending();
   void answered(const StatementAnswer &Answer);
   void deliver(const StatementAnswer &Answer);
   void answerStateChanges();
   void stopWaiting();
   void giveUpConnection();
+  void endStatements();
 
   TargetBroker &Owner;
   TargetAddress To;
@@ -83,7 +101,9 @@
   std::deque<TargetCommand> Pending; ///< Statements that weren't sent yet.
   std::deque<bool> Unanswered;       ///< In order; true for a change of state.
   TargetConnectionPtr Bound;
-  std::size_t Awaited = 0; ///< Answers due from the connection.
+  /// Answers due from the connection; true for one that takes a slot.
+  std::deque<bool> Awaited;
+  std::uint32_t Priority = 0; ///< Of the transaction or statement under way.
   /// Values changed inside a transaction may return with its rollback.
   bool HasSetValues = false;
   Millis SentAt;
@@ -112,11 +132,17 @@
   }
   if (Pending.empty())
     return;
-  if (Bound)
-    return sendPending();
   QueuedAt = Owner.Time.now();
+  if (Bound) {
+    if (needsSlot())
+      Owner.waitForTurn(*this);
+    else
+      sendPending();
+    return;
+  }
+  Priority = Pending.front().Priority;
   GiveUpAt = QueuedAt + Pending.front().MayWait;
-  Owner.enqueue(*this);
+  Owner.waitForConnection(*this);
 }
 
 void TargetBroker::Link::run(const TargetConnectionPtr &On) {
@@ -128,6 +154,7 @@
   std::vector<TargetConnection::Step> Steps;
   Bound->adjust(Values, Steps);
   for (TargetCommand &Each : Pending) {
+    const bool TakesSlot = takesSlot(Each.What);
     if (Each.What == TargetCommand::Kind::Execute)
       Each.Name = Bound->prepare(Prepared[Each.Name], Steps);
     Steps.push_back(
@@ -135,7 +162,9 @@
            if (*Still)
              answered(Answer);
          }});
-    ++Awaited;
+    Awaited.push_back(TakesSlot);
+    if (TakesSlot)
+      ++Owner.targetOf(To).AtWork;
   }
   Pending.clear();
   SentAt = Owner.Time.now();
@@ -143,19 +172,25 @@
 }
 
 void TargetBroker::Link::answered(const StatementAnswer &Answer) {
-  --Awaited;
+  if (Awaited.front())
+    --Owner.targetOf(To).AtWork;
+  Awaited.pop_front();
   Owner.noteAnswer(Bound);
   TargetConnectionPtr Free;
-  if (Awaited == 0 && Answer.Phase == SessionPhase::Idle) {
+  if (Awaited.empty() && Pending.empty() &&
+      Answer.Phase == SessionPhase::Idle) {
     Free = std::exchange(Bound, nullptr);
     if (std::exchange(HasSetValues, false))
       Free->forgetValues();
   }
   const std::shared_ptr<bool> Still = Alive;
   TargetBroker &Broker = Owner;
+  const std::string Id = To.Id;
   deliver(Answer);
   if (Free)
     Broker.giveBack(Free);
+  else if (Target *At = Broker.find(Id))
+    Broker.pump(*At);
 }
 
 void TargetBroker::Link::answerStateChanges() {
@@ -186,17 +221,28 @@
     deliver(refusal(Code, Why));
 }
 
+void TargetBroker::Link::endStatements() {
+  if (Target *At = Owner.find(To.Id))
+    At->AtWork -= static_cast<std::size_t>(
+        std::count(Awaited.begin(), Awaited.end(), true));
+  Awaited.clear();
+}
+
 void TargetBroker::Link::lost() {
+  stopWaiting();
   Bound.reset();
-  Awaited = 0;
+  Pending.clear();
+  endStatements();
   const auto Handler = Handlers.OnClose;
   if (Handler)
     Handler(std::nullopt);
 }
 
 void TargetBroker::Link::stopWaiting() {
-  if (const auto At = Owner.Targets.find(To.Id); At != Owner.Targets.end())
-    At->second.Waiting.remove(this);
+  if (Target *At = Owner.find(To.Id)) {
+    At->Waiting.remove(this);
+    At->Ready.remove(this);
+  }
 }
 
 // Whoever used the link has left in the middle of something.
@@ -205,8 +251,10 @@
     return;
   const TargetConnectionPtr Used = std::exchange(Bound, nullptr);
   // Answers that are still due may never come.
-  if (Awaited > 0)
+  if (!Awaited.empty()) {
+    endStatements();
     return Owner.discard(Used);
+  }
   if (HasSetValues)
     Used->forgetValues();
   TargetBroker &Broker = Owner;
@@ -244,16 +292,27 @@
   Record.Id = To.Id;
   Record.Group = To.Group;
   Record.Address = To.Address;
-  const auto Share = Shares.find(To.Group);
   return Targets
-      .emplace(To.Id, Target{TargetPool(Record,
-                                        Share == Shares.end() ? DefaultShare
-                                                              : Share->second,
-                                        Time.now()),
-                             {}})
+      .emplace(To.Id, Target{TargetPool(Record, Divisions[To.Group].Connections,
+                                        Time.now())})
       .first->second;
 }
 
+TargetBroker::Target *TargetBroker::find(const std::string &Id) {
+  const auto Found = Targets.find(Id);
+  return Found == Targets.end() ? nullptr : &Found->second;
+}
+
+std::size_t TargetBroker::mostAtWork(const Target &At) const {
+  const TargetRecord &Of = At.Pool.record();
+  const std::size_t Slots = Of.Slots > 0 ? Of.Slots : UsualSlots;
+  const auto Among = Divisions.find(Of.Group);
+  const std::size_t Gateways =
+      Among == Divisions.end() ? 1 : Among->second.Gateways;
+  return std::max<std::size_t>(
+      1, (Slots * (1 + SentBeyondSlots) + Gateways - 1) / Gateways);
+}
+
 void TargetBroker::update(const TargetDirectory &Known) {
   const Millis Now = Time.now();
   for (auto Each = Targets.begin(); Each != Targets.end();) {
@@ -265,10 +324,20 @@
                        Each->second.Waiting.empty();
     Each = Ended ? Targets.erase(Each) : std::next(Each);
   }
+  for (const std::string &Id : Own)
+    if (const TargetRecord *Record = Known.find(Id))
+      targetOf({Record->Group, Record->Id, Record->Address})
+          .Pool.update(*Record, Now);
+  keepTicking();
+}
+
+void TargetBroker::setOwn(std::set<std::string> Targets) {
+  Own = std::move(Targets);
 }
 
-void TargetBroker::setShare(const std::string &Group, std::size_t Connections) {
-  Shares[Group] = Connections;
+void TargetBroker::setShare(const std::string &Group, std::size_t Connections,
+                            std::size_t Gateways) {
+  Divisions[Group] = {Connections, Gateways};
   for (auto &[Id, Each] : Targets)
     if (Each.Pool.record().Group == Group)
       Each.Pool.setShare(Connections);
@@ -293,29 +362,56 @@
   return Out;
 }
 
-void TargetBroker::enqueue(Link &New) {
-  Target &At = targetOf(New.to());
-  auto Place = At.Waiting.end();
-  while (Place != At.Waiting.begin() &&
+void TargetBroker::enqueue(Link &New, std::list<Link *> &In) {
+  auto Place = In.end();
+  while (Place != In.begin() &&
          (*std::prev(Place))->priority() > New.priority())
     --Place;
-  At.Waiting.insert(Place, &New);
+  In.insert(Place, &New);
   keepTicking();
+}
+
+void TargetBroker::waitForConnection(Link &New) {
+  Target &At = targetOf(New.to());
+  enqueue(New, At.Waiting);
+  pump(At);
+}
+
+void TargetBroker::waitForTurn(Link &New) {
+  Target &At = targetOf(New.to());
+  enqueue(New, At.Ready);
   pump(At);
 }
 
+// One that holds a connection goes first among equals: others wait for it.
+bool TargetBroker::runNext(Target &At) {
+  const bool MayWork = At.AtWork < mostAtWork(At);
+  Link *Inside = MayWork && !At.Ready.empty() ? At.Ready.front() : nullptr;
+  for (Link *Next : At.Waiting) {
+    if (Inside != nullptr && Inside->priority() <= Next->priority())
+      break;
+    if (!MayWork && Next->needsSlot())
+      continue;
+    const TargetConnectionPtr Free = At.Pool.idle(Next->values());
+    if (!Free)
+      break;
+    Free->setBusy(true, Time.now());
+    At.Waiting.remove(Next);
+    Next->run(Free);
+    return true;
+  }
+  if (Inside == nullptr)
+    return false;
+  At.Ready.pop_front();
+  Inside->sendPending();
+  return true;
+}
+
 void TargetBroker::pump(Target &At) {
   if (std::exchange(At.IsPumping, true))
     return;
   const Millis Now = Time.now();
-  while (!At.Waiting.empty()) {
-    Link *First = At.Waiting.front();
-    const TargetConnectionPtr Free = At.Pool.idle(First->values());
-    if (!Free)
-      break;
-    Free->setBusy(true, Now);
-    At.Waiting.pop_front();
-    First->run(Free);
+  while (runNext(At)) {
   }
   At.IsPumping = false;
   if (At.Waiting.empty())
@@ -328,8 +424,9 @@
 
 void TargetBroker::openIfAllowed(Target &At) {
   const Millis Now = Time.now();
-  if (At.Pool.size() > 0 &&
-      Now - At.Waiting.front()->queuedAt() < WaitBeforeOpening)
+  const std::size_t Idle = At.Pool.size() - At.Pool.busy() - At.Pool.opening();
+  if (Idle > 0 || (At.Pool.size() > 0 &&
+                   Now - At.Waiting.front()->queuedAt() < WaitBeforeOpening))
     return;
   if (At.Pool.opening() == 0 && At.Pool.mayOpen(Now))
     openConnection(At);
@@ -426,6 +523,11 @@
     giveUpWaiting(Each);
     noticeSilence(Each);
     Each.Pool.tend(Now);
+    if (Own.count(Id) != 0 && Each.Pool.wantsWarm() &&
+        Each.Pool.opening() == 0 && Each.Pool.mayOpen(Now)) {
+      openConnection(Each);
+      IsNeeded = true;
+    }
     const auto Open = Each.Pool.connections();
     for (const TargetConnectionPtr &Connection : Open) {
       if (Connection->stage() != TargetConnection::Stage::Opening)
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -22,6 +22,12 @@
 /// priority, then arrival. One whose time to wait is over is refused as busy,
 /// truly not run, so that its proxy can answer its caller in time. Without
 /// the bound it would be sent after its caller has given up.
+///
+/// Load pattern: links hold connections and all have a statement. A target
+/// works on few at a time and takes them as they come, so what is urgent would
+/// wait behind what isn't, and beyond its short queue all would be refused.
+/// Only a little more than it works on is sent; the rest waits here, where a
+/// statement inside a transaction goes before one that would begin.
 class TargetBroker final : public TargetConnector, public sigc::trackable {
 public:
   TargetBroker(Clock &Time, Scheduler &Timers, TargetConnector &Direct);
@@ -34,8 +40,12 @@
 
   /// What control said of the targets.
   void update(const TargetDirectory &Known);
-  /// Connections that this proxy may hold to each target of a group.
-  void setShare(const std::string &Group, std::size_t Connections);
+  /// Connections that this proxy may hold to each target of a group that it
+  /// is one of \p Gateways gateways of.
+  void setShare(const std::string &Group, std::size_t Connections,
+                std::size_t Gateways);
+  /// Keeps some connections to these open, and to no others.
+  void setOwn(std::set<std::string> Targets);
 
   /// True while a transaction or statement of any link is under way.
   bool isBusy() const;
@@ -51,15 +61,29 @@
   class Link;
   friend class Link;
 
+  /// How a group's targets are divided among gateways.
+  struct Division {
+    std::size_t Connections = 1;
+    std::size_t Gateways = 1;
+  };
+
   /// A target with its connections and those that wait for one.
   struct Target {
     TargetPool Pool;
-    std::list<Link *> Waiting; ///< By priority, then arrival.
+    std::list<Link *> Waiting = {}; ///< By priority, then arrival.
+    /// Links inside transactions that wait for their statement's turn.
+    std::list<Link *> Ready = {};
+    std::size_t AtWork = 0; ///< Statements that were sent and not answered.
     bool IsPumping = false;
   };
 
   Target &targetOf(const TargetAddress &To);
-  void enqueue(Link &New);
+  Target *find(const std::string &Id);
+  std::size_t mostAtWork(const Target &At) const;
+  void enqueue(Link &New, std::list<Link *> &In);
+  void waitForConnection(Link &New);
+  void waitForTurn(Link &New);
+  bool runNext(Target &At);
   void pump(Target &At);
   void openIfAllowed(Target &At);
   void openConnection(Target &At);
@@ -77,8 +101,9 @@
   Clock &Time;
   Scheduler &Timers;
   TargetConnector &Direct;
-  std::map<std::string, Target> Targets; ///< By identity.
-  std::map<std::string, std::size_t> Shares;
+  std::map<std::string, Target> Targets;     ///< By identity.
+  std::map<std::string, Division> Divisions; ///< By group.
+  std::set<std::string> Own;
   std::set<Link *> Links;
   Scheduler::TimerId Ticking = 0;
   std::uint64_t Opened = 0;
--- a/Tests/Support/FakeGroup.cpp
+++ b/Tests/Support/FakeGroup.cpp
@@ -280,7 +280,7 @@
 
 FakePipeline::FakePipeline(FakeLoop &Loop, FakeGroup &Group)
     : Loop(Loop), Group(Group), Host(Loop, "proxy"),
-      Pipeline({Host, Host, Group}, {"region", "here", "proxy"}) {
+      Pipeline({Host, Host, Group, Floors}, {"region", "here", "proxy"}) {
   Pipeline.adopt(planOfThreeRoutes());
   learn();
 }
--- a/Tests/Support/FakeGroup.h
+++ b/Tests/Support/FakeGroup.h
@@ -120,6 +120,7 @@
   FakeLoop &Loop;
   FakeGroup &Group;
   FakeHost Host;
+  FloorTable Floors;
   SessionPipeline Pipeline;
 };
 
--- a/Tests/Support/FakeRelay.cpp
+++ b/Tests/Support/FakeRelay.cpp
@@ -156,9 +156,9 @@
                      const std::string &Name)
     : Host(Loop, Name), Access(Loop, Targets),
       Streams(Net.attach(Host, {Name, RelayPort})), Broker(Host, Host, Access),
-      Shared({Host, Host, Access, Broker, *Streams}, Name),
-      Relay(*Streams, Broker),
-      Pipeline({Host, Host, Shared}, {"region", "here", Name}) {}
+      Shared({Host, Host, Access, Broker, *Streams, Floors}, Name),
+      Relay(Host, *Streams, Broker, Floors),
+      Pipeline({Host, Host, Shared, Floors}, {"region", "here", Name}) {}
 
 FakeRelaySystem::FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group,
                                  std::size_t Count,
--- a/Tests/Support/FakeRelay.h
+++ b/Tests/Support/FakeRelay.h
@@ -51,6 +51,7 @@
 struct FakeProxy {
   FakeHost Host;
   FakeAccess Access;
+  FloorTable Floors;
   std::unique_ptr<PeerStreams> Streams;
   TargetBroker Broker;
   SharedConnector Shared;
--- a/Tests/Unit/PlatformSocketTest.cpp
+++ b/Tests/Unit/PlatformSocketTest.cpp
@@ -106,7 +106,7 @@
   SocketSetup()
       : First(Loop, "ledger", "i-1", true),
         Second(Loop, "ledger", "i-2", false), Targets(Loop),
-        Pipeline({Time, Loop, Targets}, {"region", "here", "proxy"}),
+        Pipeline({Time, Loop, Targets, Floors}, {"region", "here", "proxy"}),
         At(freePort()) {
     auto Opened = LineCallerListener::listen(Loop, At, Pipeline);
     REQUIRE(Opened);
@@ -133,6 +133,7 @@
   LineTarget First;
   LineTarget Second;
   LineTargetConnector Targets;
+  FloorTable Floors;
   SessionPipeline Pipeline;
   Endpoint At;
   std::unique_ptr<CallerListener> Listener;
@@ -400,3 +401,20 @@
       freePort(), {[](const std::string &) {}, [&] { ++Refused; }});
   CHECK(runUntil(Loop, [&] { return Refused == 2; }));
 }
+
+TEST_CASE("A caller that ends while its proxy stops harms nobody",
+          "[platform-socket]") {
+  // The end of a caller's connection was noticed in the loop's last pass, and
+  // what it held was to be given back in the next. The process destroyed its
+  // pipeline first, and the loop's own end then ran into what was gone.
+  for (int Round = 0; Round < 5; ++Round) {
+    SocketSetup On;
+    {
+      RawCaller Caller(On.Loop, On.At);
+      Caller.send("STARTUP primary me\r\n");
+      REQUIRE(Caller.receive("\r\n") == "READY I -\r\n");
+    }
+    event_base_loop(On.Loop.base(), EVLOOP_ONCE);
+    CHECK(On.Pipeline.sessions() == 1);
+  }
+}
