Ask the leader for a floor once for all reads, and begin only what may be sent

They now ask for a floor with an opening and its rollback, which take no slot, once for all reads that wait. Cause of late transactions under load: a gateway opened further transactions while the statements of open ones waited for their turns; all of them got late together.

--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -34,6 +34,7 @@
   std::optional<LogPosition> Floor;
   std::set<std::string> Avoid; ///< Targets that refused it.
   unsigned Lagged = 0;
+  bool HasAskedForFloor = false; ///< Once a try is enough.
   unsigned Tries = 0;
   /// True once the caller's own text went out on the present try.
   bool IsSent = false;
--- /dev/null
+++ b/Source/Pipeline/FloorProbes.cpp
@@ -0,0 +1,102 @@
+/// \file
+/// Asks leaders for floors that reads wait for.
+///
+/// Load pattern: many proxies, each with little to do for a group, or all of
+/// them just started. None has seen the leader lately, so none knows a floor
+/// that is young enough, and every bounded read would run at the leader, where
+/// the writes are. An opening and its rollback take none of the target's
+/// slots and show the same position, once for all reads that wait.
+
+#include "Pipeline/SessionPipeline.h"
+
+namespace corianderdyke {
+
+namespace {
+
+/// A probe that isn't answered by then leaves its reads to the leader: the
+/// way there and back takes a few milliseconds.
+constexpr Millis ProbePatience(60);
+
+} // namespace
+
+void SessionPipeline::waitForFloor(const SessionJobPtr &Job) {
+  Job->At = SessionJob::Stage::Waiting;
+  Job->QueuedAt = Outside.Time.now();
+  Job->HasAskedForFloor = true;
+  const std::string &Name = Job->Route.Group;
+  Groups[Name].WantFloor.push_back(Job);
+  if (!Groups[Name].Probe.On)
+    askForFloor(Name);
+  tickWithin(WaitingInterval);
+}
+
+void SessionPipeline::askForFloor(const std::string &Name) {
+  Group &In = Groups[Name];
+  const Millis Now = Outside.Time.now();
+  const auto Leader = In.Pools.find(In.Primary);
+  if (Leader == In.Pools.end())
+    return endProbe(Name);
+  TargetPool &Pool = Leader->second;
+  if (Pool.isAvoided(Now) || !Pool.mayLead(Now) || !Pool.mayTakeWork(Now))
+    return endProbe(Name);
+  const TargetConnectionPtr On = Pool.idle({});
+  if (!On) {
+    // A link is open within a moment; a connection of its own takes the
+    // target a slot, which the read may as well have itself.
+    if (!Pool.isShared() || !Pool.mayOpen(Now))
+      return endProbe(Name);
+    if (Pool.opening() == 0)
+      openConnection(Name, Pool);
+    return;
+  }
+  On->setBusy(true, Now);
+  In.Probe = {On, Now};
+  std::vector<TargetConnection::Step> Steps;
+  Steps.push_back(
+      {{.What = TargetCommand::Kind::Begin, .MayWait = ProbePatience},
+       [this, Name, On](const StatementAnswer &Answer) {
+         floorAnswered(Name, On, Answer);
+       }});
+  Steps.push_back({{.What = TargetCommand::Kind::Rollback},
+                   [this, On](const StatementAnswer &Answer) {
+                     if (Answer.Phase == SessionPhase::Idle)
+                       release(On);
+                     else
+                       discard(On);
+                   }});
+  On->send(std::move(Steps));
+}
+
+void SessionPipeline::floorAnswered(const std::string &Name,
+                                    const TargetConnectionPtr &On,
+                                    const StatementAnswer &Answer) {
+  Group &In = Groups[Name];
+  if (!Answer.Refusal && Answer.Position)
+    Outside.Floors.note(Name, *Answer.Position, In.Probe.SentAt);
+  if (In.Probe.On == On)
+    endProbe(Name);
+}
+
+void SessionPipeline::endProbe(const std::string &Name) {
+  Group &In = Groups[Name];
+  In.Probe.On.reset();
+  for (const SessionJobPtr &Job : std::exchange(In.WantFloor, {})) {
+    const CallerSessionPtr Session = Job->Of.lock();
+    if (!Session || Job->At != SessionJob::Stage::Waiting)
+      continue;
+    place(*Session, *Job);
+    enqueue(Job);
+  }
+}
+
+void SessionPipeline::giveUpProbe(const std::string &Name, Group &In,
+                                  Millis Now) {
+  if (In.WantFloor.empty() ||
+      Now - In.WantFloor.front()->QueuedAt < ProbePatience)
+    return;
+  if (In.Probe.On)
+    discard(In.Probe.On);
+  endProbe(Name);
+}
+
+} // namespace corianderdyke
--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -35,6 +35,7 @@
   const Millis Now = Outside.Time.now();
   bool IsUrgent = IsStopping;
   for (auto &[Name, Each] : Groups) {
+    giveUpProbe(Name, Each, Now);
     giveUpWaiting(Each, Now);
     if (!Each.Waiting.empty()) {
       pump(Name);
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -248,6 +248,7 @@
   if (const SessionJobPtr Job = Session->Current) {
     if (Job->At == SessionJob::Stage::Waiting) {
       Groups[Job->Route.Group].Waiting.remove(Job);
+      Groups[Job->Route.Group].WantFloor.remove(Job);
       Job->At = SessionJob::Stage::Done;
       Session->Current.reset();
     } else {
@@ -297,7 +298,7 @@
   place(*Session, *Job);
   Session->Current = Job;
   if (!IsBound)
-    return enqueue(Job);
+    return wantsFloor(*Session, *Job) ? waitForFloor(Job) : enqueue(Job);
   SessionTransaction &Within = *Session->Transaction;
   Within.LastUsed = Job->ArrivedAt;
   Job->Connection = Within.Connection;
@@ -349,6 +350,15 @@
   Job.Where = Placement::Replica;
 }
 
+// A read that would go to the leader only for want of a young floor.
+bool SessionPipeline::wantsFloor(const CallerSession &Session,
+                                 const SessionJob &Job) {
+  const auto &Within = Session.Transaction;
+  const bool MayWrite = Job.Writes || (Within && !Within->OnlyReads);
+  return !MayWrite && Job.Route.Reads != Freshness::Primary &&
+         Job.Where == Placement::Leader && !Job.HasAskedForFloor;
+}
+
 void SessionPipeline::enqueue(const SessionJobPtr &Job) {
   Job->At = SessionJob::Stage::Waiting;
   Job->QueuedAt = Outside.Time.now();
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -114,10 +114,20 @@
   static constexpr Millis RunningInterval = Millis(50);
   static constexpr Millis IdleInterval = Millis(250);
 
+  /// One question to a group's leader for its position, on behalf of all
+  /// reads that wait for it.
+  struct FloorProbe {
+    TargetConnectionPtr On; ///< Null while none is under way.
+    Millis SentAt;
+  };
+
   struct Group {
     std::map<std::string, TargetPool> Pools; ///< By target.
     std::string Primary;                     ///< Empty where none is known.
     std::list<SessionJobPtr> Waiting;
+    /// Bounded reads that wait for a young floor.
+    std::list<SessionJobPtr> WantFloor;
+    FloorProbe Probe;
     LeaderOutage Outage;
     bool IsPumping = false;
   };
@@ -132,6 +142,7 @@
   void startJob(const CallerSessionPtr &Session, const Statement &What);
   bool resolveExecution(const CallerSessionPtr &Session, SessionJob &Job);
   void place(const CallerSession &Session, SessionJob &Job) const;
+  static bool wantsFloor(const CallerSession &Session, const SessionJob &Job);
   void reply(const CallerSessionPtr &Session, const StatementAnswer &Answer);
   void replyDone(const CallerSessionPtr &Session);
   void replyRefused(const CallerSessionPtr &Session, const Statement &What,
@@ -140,6 +151,13 @@
 
   // Assigning connections.
   void enqueue(const SessionJobPtr &Job);
+  // Asking the leader for a floor.
+  void waitForFloor(const SessionJobPtr &Job);
+  void askForFloor(const std::string &Name);
+  void floorAnswered(const std::string &Name, const TargetConnectionPtr &On,
+                     const StatementAnswer &Answer);
+  void endProbe(const std::string &Name);
+  void giveUpProbe(const std::string &Name, Group &In, Millis Now);
   void pump(const std::string &Name);
   bool assign(Group &In, const SessionJobPtr &Job);
   std::vector<TargetPool *> candidates(Group &In, const SessionJob &Job);
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -236,6 +236,9 @@
   Made->setBusy(false, Outside.Time.now());
   if (TargetPool *Pool = poolOf(Made))
     Pool->reached(Outside.Time.now());
+  const Group &In = Groups[GroupName];
+  if (!In.WantFloor.empty() && !In.Probe.On)
+    askForFloor(GroupName);
   pump(GroupName);
 }
 
@@ -256,6 +259,8 @@
         (!Why || Why->Code == RefusalCode::Misrouted))
       Trouble.emit({Gone->to().Id, true});
   }
+  if (In.Probe.On == Gone)
+    endProbe(GroupName);
   // Whoever waits for an answer on it learns so now.
   std::vector<SessionJobPtr> Lost;
   for (const SessionJobPtr &Job : Running)
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -63,6 +63,14 @@
   const TargetAddress &to() const { return To; }
   const SessionValues &values() const { return Values; }
   std::uint32_t priority() const { return Priority; }
+  /// True where anything that waits takes one of the target's slots. A
+  /// transaction that begins while those that hold connections wait for their
+  /// turns would only make all of them late.
+  bool beginsWork() const {
+    return std::any_of(
+        Pending.begin(), Pending.end(),
+        [](const TargetCommand &Each) { return takesSlot(Each.What); });
+  }
   /// True where what is sent next takes one of the target's slots.
   bool needsSlot() const {
     return std::any_of(
@@ -424,7 +432,7 @@
   for (Link *Next : At.Waiting) {
     if (Inside != nullptr && Inside->priority() <= Next->priority())
       break;
-    if (!MayWork && Next->needsSlot())
+    if (!MayWork && Next->beginsWork())
       continue;
     const TargetConnectionPtr Free = At.Pool.idle(Next->values());
     if (!Free)
--- a/Tests/Unit/RelayTest.cpp
+++ b/Tests/Unit/RelayTest.cpp
@@ -113,6 +113,47 @@
   CHECK(Served == Sent);
 }
 
+TEST_CASE("Bounded reads of proxies that just started leave the leader alone",
+          "[relay]") {
+  // No proxy has seen the leader yet, and all of them get reads at the same
+  // moment. Run at the leader, they would hold its slots while writes wait.
+  Setup On;
+  std::vector<FakeRelaySystem::Session> Sessions;
+  for (std::size_t Proxy = 0; Proxy < 12; ++Proxy)
+    for (int Each = 0; Each < 4; ++Each)
+      Sessions.push_back(
+          On.System.connect(Proxy, Each % 2 == 0 ? "bounded" : "own"));
+  for (std::size_t Each = 0; Each < Sessions.size(); ++Each)
+    On.System.send(Sessions[Each], Kind::Read, "r" + std::to_string(Each),
+                   "FETCH x");
+  On.Loop.runFor(Millis(300));
+  std::size_t AtLeader = 0;
+  for (const FakeRun &Run : On.Group.Runs)
+    AtLeader += Run.InTransaction ? 1 : 0;
+  CHECK(On.Group.Runs.size() == Sessions.size());
+  CHECK(AtLeader == 0);
+}
+
+TEST_CASE("A floor that another proxy showed is as good as an own one",
+          "[relay]") {
+  // A write is acknowledged at one proxy. A caller of another reads after the
+  // accepted age: its floor came by way of a gateway, and must hold the write
+  // though the replicas have stopped receiving.
+  Setup On;
+  const auto Writer = On.System.connect(On.System.outsider("a"), "primary");
+  On.Group.Servers["b"].Receives = false;
+  On.Group.Servers["c"].Receives = false;
+  REQUIRE_FALSE(On.System.ask(Writer, Kind::Write, "w1", "STORE x 1").Refusal);
+  On.Loop.runFor(Millis(1600));
+  for (std::size_t Proxy = 0; Proxy < 12; ++Proxy) {
+    const auto Reader = On.System.connect(Proxy, "bounded");
+    const std::string Id = "r" + std::to_string(Proxy);
+    const auto Answer = On.System.ask(Reader, Kind::Read, Id, "FETCH x");
+    if (!Answer.Refusal)
+      CHECK(On.Group.run(Id)->At >= On.Group.Committed.at("w1"));
+  }
+}
+
 TEST_CASE("A session's values and prepared names go along to any gateway",
           "[relay]") {
   Setup On;
