Keep the list of proxies in the agreed state, warm connections up, retry less often

Each proxy now opens what it keeps warm once it knows the plan. For that it must know how many proxies divide a target's connections: a control leader that starts after everything was down knew none of them, so the group notes them in its log, and the list reaches a proxy ahead of the plan. A new leader's same list moves nothing.

--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -43,6 +43,7 @@
     }
     for (auto &[Id, Pool] : Each.Pools) {
       Pool.tend(Now);
+      warmUp(Name, Pool, Now);
       const auto Open = Pool.connections();
       for (const TargetConnectionPtr &Connection : Open)
         if (Connection->stage() == TargetConnection::Stage::Opening) {
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -104,8 +104,15 @@
   }
 
 private:
-  /// A busy target is asked again after this long: about one statement's work.
+  /// A busy target is asked again after this long, about one statement's
+  /// work, and later each time up to about what its queue takes to drain. At
+  /// one pace, retries of many proxies fill the queue before anything new.
   static constexpr Millis BusyPause = Millis(10);
+  static constexpr Millis LongestBusyPause = Millis(40);
+  static Millis busyPause(const SessionJob &Job) {
+    return std::min(BusyPause * (std::int64_t(1) << std::min(Job.Tries, 4U)),
+                    LongestBusyPause);
+  }
 
   /// How often bounds are looked at: while statements wait or connections open,
   /// while statements run, and while sessions stand idle. Each look wakes the
@@ -163,6 +170,8 @@
   std::vector<TargetPool *> candidates(Group &In, const SessionJob &Job);
   double cost(const Group &In, const TargetPool &Pool,
               const SessionJob &Job) const;
+  /// Opens what a pool keeps warm, once, ahead of the first statements.
+  void warmUp(const std::string &GroupName, TargetPool &Pool, Millis Now);
   bool openIfAllowed(const std::string &GroupName, TargetPool &Pool,
                      Millis Waited);
   void openConnection(const std::string &GroupName, TargetPool &Pool);
--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -73,7 +73,7 @@
     ++Job->Tries;
     ++Counts.Retries;
     Running.insert(Job);
-    Outside.Timers.after(BusyPause, [this, Weak = std::weak_ptr(Job)] {
+    Outside.Timers.after(busyPause(*Job), [this, Weak = std::weak_ptr(Job)] {
       const SessionJobPtr Again = Weak.lock();
       if (Again && Again->At == SessionJob::Stage::Running &&
           Running.count(Again) != 0)
@@ -148,7 +148,7 @@
     case RefusalCode::Unreachable:
       return noGateway(Job, Used, *Answer.Refusal);
     case RefusalCode::Busy:
-      return tryAgain(Job, *Answer.Refusal, BusyPause);
+      return tryAgain(Job, *Answer.Refusal, busyPause(*Job));
     case RefusalCode::ReadOnly:
       return tryAgain(Job, *Answer.Refusal, Millis(0));
     case RefusalCode::Lagging:
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -73,6 +73,7 @@
     Each.Primary = Primary ? Primary->Id : "";
     for (auto Pool = Each.Pools.begin(); Pool != Each.Pools.end();) {
       Pool->second.tend(Now);
+      warmUp(Name, Pool->second, Now);
       const bool Ended =
           Pool->second.record().IsGone && Pool->second.size() == 0;
       Pool = Ended ? Each.Pools.erase(Pool) : std::next(Pool);
@@ -188,6 +189,17 @@
   return false;
 }
 
+// Callers come to all proxies at the same moment, and a new connection takes
+// longer than most statements.
+void SessionPipeline::warmUp(const std::string &GroupName, TargetPool &Pool,
+                             Millis Now) {
+  if (Plan.Version == 0 || Pool.isShared() || Pool.opening() > 0 ||
+      !Pool.mayTakeWork(Now) || !Pool.mayOpen(Now))
+    return;
+  if (Pool.wantsFirstConnections())
+    openConnection(GroupName, Pool);
+}
+
 bool SessionPipeline::openIfAllowed(const std::string &GroupName,
                                     TargetPool &Pool, Millis Waited) {
   // A connection costs the target as much as a statement, and one of the few
@@ -236,6 +248,8 @@
   Made->setBusy(false, Outside.Time.now());
   if (TargetPool *Pool = poolOf(Made))
     Pool->reached(Outside.Time.now());
+  if (TargetPool *Pool = poolOf(Made))
+    warmUp(GroupName, *Pool, Outside.Time.now());
   const Group &In = Groups[GroupName];
   if (!In.WantFloor.empty() && !In.Probe.On)
     askForFloor(GroupName);
@@ -436,7 +450,7 @@
   }
   if (Why.Code == RefusalCode::Unreachable)
     return noGateway(Job, On, Why);
-  tryAgain(Job, Why, BusyPause);
+  tryAgain(Job, Why, busyPause(*Job));
 }
 
 // A read that must miss nothing runs inside a transaction that only a leader
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -62,6 +62,12 @@
   bool isAvoided(Millis Now) const { return Now < AvoidUntil; }
   /// True while fewer connections stand than are kept warm.
   bool wantsWarm() const { return !Record.IsGone && All.size() < kept(); }
+  /// True until it had as many connections as are kept warm, so that those
+  /// which a target ends later aren't opened again without need.
+  bool wantsFirstConnections() {
+    IsWarmed = IsWarmed || All.size() >= kept();
+    return !IsWarmed;
+  }
   /// Lets the limit grow again, and closes what stands idle beyond the share.
   void tend(Millis Now);
 
@@ -128,6 +134,7 @@
   TargetRecord Record;
   std::size_t Share;
   bool IsShared = false;
+  bool IsWarmed = false;
   Millis LeavingSince; ///< Where the record says that it leaves.
   std::vector<TargetConnectionPtr> All;
   std::optional<std::size_t> Limit; ///< Learned from a refusal.
--- a/Source/Steering/AgreedState.cpp
+++ b/Source/Steering/AgreedState.cpp
@@ -49,6 +49,19 @@
   return !Body.Targets.empty();
 }
 
+bool AgreedState::on(const NoteProxies &Body, AuditRecord &Line) {
+  Line.Actor = "control";
+  Line.Action = "proxies-noted";
+  for (const ProxyRecord &Each : Body.Present)
+    Proxies[Each.Name] = Each;
+  for (const std::string &Each : Body.Gone)
+    Proxies.erase(Each);
+  Line.Subject = std::to_string(Body.Present.size()) + " present, " +
+                 std::to_string(Body.Gone.size()) + " gone";
+  Line.To = std::to_string(Proxies.size()) + " in all";
+  return !Body.Present.empty() || !Body.Gone.empty();
+}
+
 bool AgreedState::on(const OrderPromotion &Body, AuditRecord &Line) {
   Line.Actor = Body.Holder;
   Line.Action = "promotion-ordered";
--- a/Source/Steering/AgreedState.h
+++ b/Source/Steering/AgreedState.h
@@ -7,6 +7,7 @@
 
 #include "Directory/TargetDirectory.h"
 #include "Plan/RoutePlan.h"
+#include "Relay/GatewayTable.h"
 #include "State/ControlState.h"
 
 #include <map>
@@ -45,9 +46,20 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(Targets); }
 };
 
+/// Proxies that came or changed, and names of those that went. Without it a
+/// leader that starts after all processes were down would divide targets'
+/// connections among the few proxies that it has heard yet.
+struct NoteProxies {
+  std::vector<ProxyRecord> Present;
+  std::vector<std::string> Gone;
+
+  bool operator==(const NoteProxies &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Present, Gone); }
+};
+
 struct AgreedCommand {
   Millis WallTime; ///< For people only.
-  std::variant<AcceptPlan, OrderPromotion, NoteTargets> Body;
+  std::variant<AcceptPlan, OrderPromotion, NoteTargets, NoteProxies> Body;
 
   bool operator==(const AgreedCommand &) const = default;
   template <class Archive> void serialize(Archive &Ar) { Ar(WallTime, Body); }
@@ -61,24 +73,28 @@
   const RoutePlan &plan() const { return Plan; }
   /// Targets that haven't gone, as last noted.
   const std::map<std::string, TargetRecord> &targets() const { return Targets; }
+  /// Proxies by name, as last noted.
+  const std::map<std::string, ProxyRecord> &proxies() const { return Proxies; }
   /// Decisions, the oldest first; the oldest are dropped.
   const std::vector<AuditRecord> &audit() const { return Audit; }
 
   bool operator==(const AgreedState &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Plan, Targets, Audit);
+    Ar(Plan, Targets, Proxies, Audit);
   }
 
 private:
   bool on(const AcceptPlan &Body, AuditRecord &Line);
   bool on(const OrderPromotion &Body, AuditRecord &Line);
   bool on(const NoteTargets &Body, AuditRecord &Line);
+  bool on(const NoteProxies &Body, AuditRecord &Line);
 
   /// A month of primary changes and a day of plans at the target size.
   static constexpr std::size_t MaxAuditRecords = 1600;
 
   RoutePlan Plan;
   std::map<std::string, TargetRecord> Targets;
+  std::map<std::string, ProxyRecord> Proxies;
   std::vector<AuditRecord> Audit;
 };
 
--- a/Source/Steering/ControlFeed.cpp
+++ b/Source/Steering/ControlFeed.cpp
@@ -142,7 +142,11 @@
   if (Body.Version <= ProxiesSeen)
     return;
   ProxiesSeen = Body.Version;
-  ProxyListChanged.emit(Body.Proxies);
+  // A new leader's version of the same list moves nothing.
+  if (Body.Proxies == ProxyRecords)
+    return;
+  ProxyRecords = Body.Proxies;
+  ProxyListChanged.emit(ProxyRecords);
 }
 
 } // namespace corianderdyke
--- a/Source/Steering/ControlFeed.h
+++ b/Source/Steering/ControlFeed.h
@@ -16,7 +16,8 @@
   ProcessId Self;
   std::uint16_t PeerPort = 0;     ///< The same on all hosts.
   std::vector<std::string> Seeds; ///< Addresses of control hosts.
-  ProxyRecord AsGateway = {}; ///< For other proxies; without an address for none.
+  ProxyRecord AsGateway =
+      {}; ///< For other proxies; without an address for none.
 };
 
 /// Asks the leading control host again and again, and looks for another where
@@ -84,6 +85,7 @@
   sigc::signal<void()> PlanChanged;
   sigc::signal<void()> DirectoryChanged;
   DirectoryVersion ProxiesSeen;
+  std::vector<ProxyRecord> ProxyRecords;
   bool IsLeaving = false;
   sigc::signal<void(std::size_t)> ProxiesChanged;
   sigc::signal<void(const std::vector<ProxyRecord> &)> ProxyListChanged;
--- a/Source/Steering/ProxyList.cpp
+++ b/Source/Steering/ProxyList.cpp
@@ -15,9 +15,13 @@
 
 } // namespace
 
-void ProxyList::begin(Millis Now) {
+void ProxyList::begin(const std::map<std::string, ProxyRecord> &Noted,
+                      Millis Now) {
   ByName.clear();
-  Revision = 0;
+  for (const auto &[Name, Each] : Noted)
+    ByName[Name] = {Each, Now, false};
+  WasNoted = !Noted.empty();
+  Revision = 1;
   BeganAt = Now;
   LastNewAt = Now;
 }
@@ -46,7 +50,24 @@
 }
 
 bool ProxyList::isSettled(Millis Now) const {
-  return Now - LastNewAt >= QuietBefore || Now - BeganAt >= LongestWait;
+  return WasNoted || Now - LastNewAt >= QuietBefore ||
+         Now - BeganAt >= LongestWait;
+}
+
+NoteProxies
+ProxyList::news(const std::map<std::string, ProxyRecord> &Noted) const {
+  NoteProxies Out;
+  std::map<std::string, ProxyRecord> Present;
+  for (const ProxyRecord &Each : all()) {
+    Present[Each.Name] = Each;
+    const auto Before = Noted.find(Each.Name);
+    if (Before == Noted.end() || Before->second != Each)
+      Out.Present.push_back(Each);
+  }
+  for (const auto &[Name, Each] : Noted)
+    if (Present.count(Name) == 0)
+      Out.Gone.push_back(Name);
+  return Out;
 }
 
 std::vector<ProxyRecord> ProxyList::all() const {
--- a/Source/Steering/ProxyList.h
+++ b/Source/Steering/ProxyList.h
@@ -5,18 +5,18 @@
 #define CORIANDERDYKE_STEERING_PROXYLIST_H
 
 #include "Common/Millis.h"
-#include "Relay/GatewayTable.h"
+#include "Steering/AgreedState.h"
 
 namespace corianderdyke {
 
 /// Proxies choose gateways from this list, and each change of it moves some
 /// of their connections. A new leader that told what it has heard so far would
-/// move nearly all of them, twice within a second; so it says nothing until
-/// it knows the others.
+/// move nearly all of them, twice within a second; so it begins with those
+/// that the group has noted, and says nothing before it knows any.
 class ProxyList {
 public:
-  /// A term as leader begins: nobody is known.
-  void begin(Millis Now);
+  /// A term as leader begins with those that were noted.
+  void begin(const std::map<std::string, ProxyRecord> &Noted, Millis Now);
 
   /// A proxy's own word. One that leaves is off the list at once.
   void hear(const ProxyRecord &Said, bool IsLeaving, Millis Now);
@@ -27,6 +27,9 @@
   bool isSettled(Millis Now) const;
 
   std::vector<ProxyRecord> all() const;
+  std::size_t size() const { return ByName.size(); }
+  /// What the group should note, given what it has; empty where nothing.
+  NoteProxies news(const std::map<std::string, ProxyRecord> &Noted) const;
   /// Raised with each change.
   std::uint64_t revision() const { return Revision; }
 
@@ -41,6 +44,7 @@
   std::uint64_t Revision = 0;
   Millis BeganAt;
   Millis LastNewAt;
+  bool WasNoted = false; ///< The term began with proxies.
 };
 
 } // namespace corianderdyke
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -70,6 +70,7 @@
     Directory.forgetGone(Now);
     dropSilentFollowers();
     noteTargets();
+    noteProxies();
     Coordinator.tick(State.plan(), Followers.size());
   }
   settle();
@@ -120,7 +121,8 @@
       To, Delivery::Datagram,
       FollowReply{Request.Sequence, Proven, State.plan().Version, members(),
                   Proxies.isSettled(Ports.Time.now())
-                      ? static_cast<std::uint32_t>(Followers.size())
+                      ? static_cast<std::uint32_t>(
+                            std::max(Followers.size(), Proxies.size()))
                       : 0});
 }
 
@@ -133,6 +135,14 @@
 
 void SteeringNode::bringUpToDate(Follower &To) {
   const Millis Now = Ports.Time.now();
+  // Ahead of the plan: with it a proxy begins to open connections, and must
+  // know how many others do.
+  if (Proxies.isSettled(Now) && To.Proxies != proxiesVersion() &&
+      Now - To.ProxiesSentAt >= SendAgainAfter) {
+    To.ProxiesSentAt = Now;
+    Ports.Peers.send(To.Address, Delivery::Stream,
+                     ProxyListUpdate{proxiesVersion(), Proxies.all()});
+  }
   if (To.PlanVersion < State.plan().Version &&
       Now - To.PlanSentAt >= SendAgainAfter) {
     To.PlanSentAt = Now;
@@ -147,12 +157,6 @@
     Ports.Peers.send(To.Address, Delivery::Datagram,
                      DirectoryUpdate{directoryVersion(), Directory.all()});
   }
-  if (Proxies.isSettled(Now) && To.Proxies != proxiesVersion() &&
-      Now - To.ProxiesSentAt >= SendAgainAfter) {
-    To.ProxiesSentAt = Now;
-    Ports.Peers.send(To.Address, Delivery::Stream,
-                     ProxyListUpdate{proxiesVersion(), Proxies.all()});
-  }
 }
 
 void SteeringNode::publish() {
@@ -263,6 +267,18 @@
           [this](std::optional<std::uint64_t>) { IsNoting = false; });
 }
 
+// Restarts in turn and whole failure domains come together in one entry.
+void SteeringNode::noteProxies() {
+  if (IsNotingProxies || !Proxies.isSettled(Ports.Time.now()))
+    return;
+  NoteProxies News = Proxies.news(State.proxies());
+  if (News.Present.empty() && News.Gone.empty())
+    return;
+  IsNotingProxies = true;
+  propose({Ports.Time.wallTime(), std::move(News)},
+          [this](std::optional<std::uint64_t>) { IsNotingProxies = false; });
+}
+
 // The agreement.
 
 void SteeringNode::propose(AgreedCommand Command, Committed OnDone) {
@@ -402,7 +418,7 @@
   Leading = Agreement.isSettledLeader();
   LeadingSince = Ports.Time.now();
   Followers.clear();
-  Proxies.begin(LeadingSince);
+  Proxies.begin(State.proxies(), LeadingSince);
   Published = {};
   if (Leading) {
     std::vector<TargetRecord> Known;
@@ -411,6 +427,7 @@
     Directory.merge(Known, Ports.Time.now());
     Directory.beginTerm(Agreement.term());
     IsNoting = false;
+    IsNotingProxies = false;
     Coordinator.begin();
   } else {
     Coordinator.end();
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -121,6 +121,7 @@
   void publish();
   void dropSilentFollowers();
   void noteTargets();
+  void noteProxies();
   void compactIfLong();
   DirectoryVersion directoryVersion() const {
     return {Agreement.term(), Directory.revision()};
@@ -143,6 +144,7 @@
   std::uint64_t AppliedIndex = 0;
   DirectoryVersion Published;
   bool IsNoting = false; ///< A note on targets is under way.
+  bool IsNotingProxies = false;
   std::map<std::uint64_t, WaitingChange> Changes;
   std::map<std::uint64_t, DoneHandler> Barriers;
   std::map<ProcessId, Follower> Followers;
