Pass on no success that its target didn't sign

The cause isn't found; ruled out by reading and by tests: answers of a refused opening, replayed state, a second unit on a link that still owes answers. Three ways in which it could come about are closed, each with a test that failed first or a check:

- an answer whose outcome got lost and of which only the state arrives isn't read as an answer (the adapter took it for a success without rows);
- a success without a signature is never passed on: its connection is given up and the statement counts as lost ("An answer that got lost isn't replaced by the next one" failed with the next command's answer before);
- answers between proxies are counted, so that one left out or sent twice closes its link.

--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -69,6 +69,8 @@
   SessionValues Values;
   std::map<std::string, PreparedShape> Prepared;
   SessionPhase Phase = SessionPhase::Idle;
+  /// The transaction was ended here, and its caller hasn't been told yet.
+  bool IsEndUntold = false;
   std::optional<SessionTransaction> Transaction;
   /// The session's own last commit by group: its reads must not miss it.
   std::map<std::string, LogPosition> LastCommit;
--- /dev/null
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -0,0 +1,313 @@
+/// \file
+/// How waiting statements get connections to targets.
+
+#include "Pipeline/SessionPipeline.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+namespace {
+
+/// Connections of one proxy to one target that it may keep warm at least.
+constexpr std::size_t LeastShare = 1;
+/// What a statement costs more in another failure domain, in units of one
+/// statement that runs there already: the way there and back costs time and
+/// bytes between failure domains.
+constexpr double DistanceCost = 3;
+/// A replica that hadn't reached the floor when it last answered would
+/// refuse the read, which costs one way there and back.
+constexpr double BehindCost = 3;
+/// How long a statement waits for a connection in use before another is
+/// opened: most statements end sooner.
+constexpr Millis WaitBeforeBurst(10);
+/// The primary is left to those that need it.
+constexpr double PrimaryCost = 1;
+/// Milliseconds of a target's mean answer time that weigh as much as one
+/// statement that runs there.
+constexpr double LatencyUnit = 15;
+
+} // namespace
+
+void SessionPipeline::adopt(const RoutePlan &New) {
+  // Never back: callers have seen the later one.
+  if (New.Version <= Plan.Version)
+    return;
+  Plan = New;
+  setProxyCount(Proxies);
+}
+
+void SessionPipeline::setProxyCount(std::size_t Count) {
+  Proxies = std::max<std::size_t>(Count, 1);
+  for (auto &[Name, Each] : Groups) {
+    const GroupPolicy *Policy = Plan.group(Name);
+    if (Policy == nullptr)
+      continue;
+    const std::size_t All = Policy->usableConnections();
+    const bool IsShared = Outside.Targets.sharesConnections(Name);
+    for (auto &[Id, Pool] : Each.Pools) {
+      Pool.setShare(std::max(LeastShare, All / Proxies));
+      Pool.setShared(IsShared, Outside.Time.now());
+    }
+  }
+}
+
+void SessionPipeline::update(const TargetDirectory &Known) {
+  const Millis Now = Outside.Time.now();
+  for (const TargetRecord &Each : Known.all()) {
+    Group &In = Groups[Each.Group];
+    const auto Pool = In.Pools.find(Each.Id);
+    if (Pool != In.Pools.end())
+      Pool->second.update(Each, Now);
+    else if (!Each.IsGone)
+      In.Pools.emplace(Each.Id, TargetPool(Each, LeastShare, Now));
+  }
+  for (auto &[Name, Each] : Groups) {
+    const auto Primary = Known.primaryOf(Name);
+    Each.Primary = Primary ? Primary->Id : "";
+    for (auto Pool = Each.Pools.begin(); Pool != Each.Pools.end();) {
+      Pool->second.tend(Now);
+      warmUp(Name, Pool->second, Now);
+      const bool Ended =
+          Pool->second.record().IsGone && Pool->second.size() == 0;
+      Pool = Ended ? Each.Pools.erase(Pool) : std::next(Pool);
+    }
+  }
+  setProxyCount(Proxies);
+  std::vector<std::string> Names;
+  for (const auto &[Name, Each] : Groups)
+    Names.push_back(Name);
+  for (const std::string &Name : Names)
+    pump(Name);
+}
+
+std::vector<PoolReport> SessionPipeline::pools() const {
+  std::vector<PoolReport> Out;
+  for (const auto &[Name, Each] : Groups)
+    for (const auto &[Id, Pool] : Each.Pools)
+      Out.push_back({Id, Pool.size(), Pool.busy()});
+  return Out;
+}
+
+void SessionPipeline::pump(const std::string &Name) {
+  Group &In = Groups[Name];
+  if (In.IsPumping)
+    return;
+  In.IsPumping = true;
+  const Millis Now = Outside.Time.now();
+  for (auto Each = In.Waiting.begin(); Each != In.Waiting.end();) {
+    const SessionJobPtr Job = *Each;
+    if (Job->RetryAt > Now || !assign(In, Job)) {
+      ++Each;
+      continue;
+    }
+    Each = In.Waiting.erase(Each);
+    const TargetConnectionPtr On = Job->Connection;
+    run(Job, On);
+  }
+  In.IsPumping = false;
+}
+
+std::vector<TargetPool *> SessionPipeline::candidates(Group &In,
+                                                      const SessionJob &Job) {
+  const Millis Now = Outside.Time.now();
+  std::vector<TargetPool *> Out;
+  for (auto &[Id, Pool] : In.Pools) {
+    const TargetRecord &Record = Pool.record();
+    if (Record.IsGone)
+      continue;
+    // No gateway reaches it at the moment.
+    if (Pool.isShared() && Pool.isAvoided(Now))
+      continue;
+    // A leaving primary serves on until another has taken its place, or until
+    // the time that it was promised is nearly over.
+    if (Job.Where == Placement::Leader &&
+        (Id != In.Primary || !Pool.mayLead(Now) || !Pool.mayTakeWork(Now)))
+      continue;
+    if (Job.Where == Placement::Replica &&
+        (Record.IsLeaving || Job.Avoid.count(Id) != 0 || Pool.lags(Now)))
+      continue;
+    Out.push_back(&Pool);
+  }
+  std::sort(Out.begin(), Out.end(),
+            [&](const TargetPool *Left, const TargetPool *Right) {
+              return cost(In, *Left, Job) < cost(In, *Right, Job);
+            });
+  return Out;
+}
+
+double SessionPipeline::cost(const Group &In, const TargetPool &Pool,
+                             const SessionJob &Job) const {
+  double Out = static_cast<double>(Pool.busy()) + Pool.latency() / LatencyUnit;
+  if (Pool.record().FailureDomain != Where.FailureDomain)
+    Out += DistanceCost;
+  if (Job.Floor && Pool.isBehind(*Job.Floor, Outside.Time.now()))
+    Out += BehindCost;
+  if (Pool.record().Id == In.Primary)
+    Out += PrimaryCost;
+  return Out;
+}
+
+bool SessionPipeline::assign(Group &In, const SessionJobPtr &Job) {
+  const Millis Now = Outside.Time.now();
+  const CallerSessionPtr Session = Job->Of.lock();
+  if (!Session)
+    return false;
+  std::vector<TargetPool *> Choices = candidates(In, *Job);
+  if (Choices.empty() && Job->Where == Placement::Replica) {
+    // Every replica refused it, or none is left.
+    Job->Where = Placement::Leader;
+    Job->Floor.reset();
+    Choices = candidates(In, *Job);
+  }
+  if (Choices.empty() ||
+      (Job->Where == Placement::Leader && Choices.front()->size() == 0 &&
+       Choices.front()->isAvoided(Now)))
+    In.Outage.noteMissing(Now);
+  // The best target gets a connection even while another has one free;
+  // otherwise callers would stay with the far target for good.
+  const Millis Waited = Now - Job->QueuedAt;
+  if (!Choices.empty() && !Choices.front()->idle(Session->Values))
+    openIfAllowed(Job->Route.Group, *Choices.front(), Waited);
+  for (TargetPool *Pool : Choices) {
+    if (const TargetConnectionPtr Free = Pool->idle(Session->Values)) {
+      Free->setBusy(true, Now);
+      Job->Connection = Free;
+      return true;
+    }
+  }
+  // One connection on its way for all that wait: each costs the target a slot.
+  for (TargetPool *Pool : Choices)
+    if (Pool->opening() > 0 || openIfAllowed(Job->Route.Group, *Pool, Waited))
+      break;
+  return false;
+}
+
+// Callers come to all proxies at the same moment, and a new connection takes
+// longer than most statements.
+void SessionPipeline::warmUp(const std::string &GroupName, TargetPool &Pool,
+                             Millis Now) {
+  if (Plan.Version == 0 || Pool.isShared() || Pool.opening() > 0 ||
+      !Pool.mayTakeWork(Now) || !Pool.mayOpen(Now))
+    return;
+  if (Pool.wantsFirstConnections())
+    openConnection(GroupName, Pool);
+}
+
+bool SessionPipeline::openIfAllowed(const std::string &GroupName,
+                                    TargetPool &Pool, Millis Waited) {
+  // A connection costs the target as much as a statement, and one of the few
+  // that it takes from everybody; the next statement to end may free one.
+  // A link to shared ones costs nothing: as many as statements wait.
+  if (Pool.isShared()) {
+    if (Pool.opening() >= Groups[GroupName].Waiting.size() ||
+        !Pool.mayOpen(Outside.Time.now()))
+      return false;
+    openConnection(GroupName, Pool);
+    return true;
+  }
+  if (Pool.size() > 0 && Waited < WaitBeforeBurst)
+    return false;
+  if (Pool.opening() > 0 || !Pool.mayOpen(Outside.Time.now()))
+    return false;
+  openConnection(GroupName, Pool);
+  return true;
+}
+
+void SessionPipeline::openConnection(const std::string &GroupName,
+                                     TargetPool &Pool) {
+  const TargetRecord &To = Pool.record();
+  ++Counts.Opened;
+  // The handlers run on the loop, after this has returned.
+  auto Weak = std::make_shared<std::weak_ptr<TargetConnection>>();
+  auto Made = std::make_shared<TargetConnection>(
+      Outside.Targets, TargetAddress{To.Group, To.Id, To.Address},
+      Outside.Time.now(),
+      TargetConnection::Events{
+          [this, GroupName, Weak] {
+            if (const TargetConnectionPtr Open = Weak->lock())
+              opened(GroupName, Open);
+          },
+          [this, GroupName, Weak](const std::optional<StatementRefusal> &Why) {
+            if (const TargetConnectionPtr Gone = Weak->lock())
+              closed(GroupName, Gone, Why);
+          }});
+  *Weak = Made;
+  Pool.add(Made);
+  tickWithin(WaitingInterval);
+}
+
+void SessionPipeline::opened(const std::string &GroupName,
+                             const TargetConnectionPtr &Made) {
+  Made->setBusy(false, Outside.Time.now());
+  if (TargetPool *Pool = poolOf(Made))
+    Pool->reached(Outside.Time.now());
+  if (TargetPool *Pool = poolOf(Made))
+    warmUp(GroupName, *Pool, Outside.Time.now());
+  const Group &In = Groups[GroupName];
+  if (!In.WantFloor.empty() && !In.Probe.On)
+    askForFloor(GroupName);
+  pump(GroupName);
+}
+
+void SessionPipeline::closed(const std::string &GroupName,
+                             const TargetConnectionPtr &Gone,
+                             const std::optional<StatementRefusal> &Why) {
+  const Millis Now = Outside.Time.now();
+  Group &In = Groups[GroupName];
+  if (TargetPool *Pool = poolOf(Gone)) {
+    Pool->remove(Gone);
+    if (Why && Why->Code == RefusalCode::ConnectionLimit)
+      Pool->refusedConnection(Now);
+    else if (!Gone->hasOpened())
+      Pool->unreachable(Now);
+    // One connection that ends is no sign that the target did: whoever needs
+    // it next opens another, and learns in a moment whether it can.
+    if (!Gone->isShared() && !Gone->hasOpened() &&
+        (!Why || Why->Code == RefusalCode::Misrouted))
+      Trouble.emit({Gone->to().Id, true});
+  }
+  if (In.Probe.On == Gone)
+    endProbe(GroupName);
+  // Whoever waits for an answer on it learns so now.
+  std::vector<SessionJobPtr> Lost;
+  for (const SessionJobPtr &Job : Running)
+    if (Job->Connection == Gone)
+      Lost.push_back(Job);
+  for (const SessionJobPtr &Job : Lost)
+    lost(Job, "the connection to target " + Gone->to().Id + " was lost");
+  if (!In.Waiting.empty())
+    pump(GroupName);
+}
+
+TargetPool *SessionPipeline::poolOf(const TargetConnectionPtr &Used) {
+  if (!Used)
+    return nullptr;
+  const auto In = Groups.find(Used->to().Group);
+  if (In == Groups.end())
+    return nullptr;
+  const auto Pool = In->second.Pools.find(Used->to().Id);
+  return Pool == In->second.Pools.end() ? nullptr : &Pool->second;
+}
+
+void SessionPipeline::release(const TargetConnectionPtr &Used) {
+  if (Used->stage() == TargetConnection::Stage::Closed)
+    return;
+  const std::string GroupName = Used->to().Group;
+  Used->setBusy(false, Outside.Time.now());
+  if (TargetPool *Pool = poolOf(Used);
+      Pool != nullptr &&
+      (Pool->record().IsLeaving || Pool->isShared() != Used->isShared()))
+    Pool->tend(Outside.Time.now());
+  pump(GroupName);
+}
+
+void SessionPipeline::discard(const TargetConnectionPtr &Used) {
+  if (!Used)
+    return;
+  if (TargetPool *Pool = poolOf(Used))
+    Pool->remove(Used);
+  Used->close();
+}
+
+} // namespace corianderdyke
--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -148,6 +148,7 @@
     endTransaction(std::move(*Each->Transaction));
     Each->Transaction.reset();
     Each->Phase = SessionPhase::Failed;
+    Each->IsEndUntold = true;
   }
 }
 
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -101,6 +101,15 @@
     return replyRefused(Session, What,
                         refused(RefusalCode::Malformed, What.Text),
                         "not understood");
+  // Its caller learns from a promise that it may begin anew; a complaint about
+  // the statement would end the whole operation.
+  if (std::exchange(Session->IsEndUntold, false) &&
+      What.Kind != StatementKind::Rollback &&
+      What.Kind != StatementKind::Commit)
+    return replyRefused(Session, What,
+                        refused(RefusalCode::Aborted,
+                                "the transaction was idle, or its proxy stops"),
+                        "transaction ended here");
   if (Session->Phase == SessionPhase::Failed &&
       What.Kind != StatementKind::Rollback &&
       What.Kind != StatementKind::Commit)
@@ -181,6 +190,7 @@
     endTransaction(std::move(*Session->Transaction));
   Session->Transaction.reset();
   Session->Phase = SessionPhase::Idle;
+  Session->IsEndUntold = false;
 }
 
 void SessionPipeline::endTransaction(SessionTransaction Ended) {
--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -53,6 +53,14 @@
     discard(Job->Connection);
     return;
   }
+  // A success that its target didn't sign answers something else: an answer
+  // got lost or came twice on the way. Passed on, its caller would be told of
+  // a result that nobody has; all that follows on the connection is as wrong.
+  if (!Answer.Refusal && Answer.Proof.empty()) {
+    const std::string From = Job->Connection ? Job->Connection->to().Id : "";
+    discard(Job->Connection);
+    return lost(Job, "target " + From + " signed no result");
+  }
   if (Session->Transaction)
     answeredInTransaction(Job, Session, Answer);
   else
--- a/Source/Plan/RoutePlan.h
+++ b/Source/Plan/RoutePlan.h
@@ -8,6 +8,7 @@
 #include "Common/Finding.h"
 #include "Common/Millis.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -47,6 +48,16 @@
   std::uint32_t MaxConnections = 0; ///< A target's, from all sides together.
   std::uint32_t SyncReplicas = 0;   ///< That hold a commit before its answer.
 
+  /// Connections to a target that all proxies may hold together, one at least.
+  std::size_t usableConnections() const {
+    return std::max<std::size_t>(MaxConnections, SpareConnections + 1) -
+           SpareConnections;
+  }
+
+  /// Left for control, and for those that the target hasn't noticed to be
+  /// closed.
+  static constexpr std::size_t SpareConnections = 2;
+
   auto operator<=>(const GroupPolicy &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Name, MaxConnections, SyncReplicas);
--- /dev/null
+++ b/Source/Relay/BrokerLink.cpp
@@ -0,0 +1,199 @@
+/// \file
+/// One link of a broker.
+
+#include "Relay/BrokerLink.h"
+
+namespace corianderdyke {
+
+namespace {
+
+StatementAnswer refusal(RefusalCode Code, std::string Why) {
+  StatementAnswer Out;
+  Out.Refusal = StatementRefusal{Code, std::move(Why)};
+  return Out;
+}
+
+} // namespace
+
+void TargetBroker::Link::send(const std::vector<TargetCommand> &Commands) {
+  for (const TargetCommand &Each : Commands) {
+    Unanswered.push_back(changesOnlyState(Each.What));
+    switch (Each.What) {
+    case TargetCommand::Kind::Reset:
+      Values.clear();
+      Prepared.clear();
+      break;
+    case TargetCommand::Kind::SetValue:
+      Values[Each.Name] = Each.Text;
+      HasSetValues = HasSetValues || Bound != nullptr;
+      break;
+    case TargetCommand::Kind::Prepare:
+      Prepared[Each.Name] = {Each.Text, false};
+      break;
+    default:
+      Pending.push_back(Each);
+    }
+  }
+  if (Pending.empty())
+    return;
+  QueuedAt = Owner.Time.now();
+  if (Bound)
+    return sendOrWait();
+  Priority = Pending.front().Priority;
+  GiveUpAt = QueuedAt + Pending.front().MayWait;
+  Owner.waitForConnection(*this);
+}
+
+void TargetBroker::Link::sendOrWait() {
+  // What needs the success of a command that isn't answered yet stays here.
+  if (!Awaited.empty() && Pending.front().NeedsPrevious)
+    return;
+  stopWaiting();
+  if (needsSlot())
+    Owner.waitForTurn(*this);
+  else
+    sendPending();
+}
+
+void TargetBroker::Link::run(const TargetConnectionPtr &On) {
+  Bound = On;
+  sendPending();
+}
+
+void TargetBroker::Link::sendPending() {
+  std::vector<TargetConnection::Step> Steps;
+  Bound->adjust(Values, Steps);
+  const auto Count = std::distance(Pending.cbegin(), nextStop());
+  for (auto Next = Pending.begin(); Next != Pending.begin() + Count; ++Next) {
+    TargetCommand &Each = *Next;
+    const bool TakesSlot = takesSlot(Each.What);
+    if (Each.What == TargetCommand::Kind::Execute)
+      Each.Name = Bound->prepare(Prepared[Each.Name], Steps);
+    Steps.push_back(
+        {std::move(Each), [this, Still = Alive](const StatementAnswer &Answer) {
+           if (*Still)
+             answered(Answer);
+         }});
+    Awaited.push_back(TakesSlot);
+    if (TakesSlot)
+      ++Owner.targetOf(To).AtWork;
+  }
+  Pending.erase(Pending.begin(), Pending.begin() + Count);
+  SentAt = Owner.Time.now();
+  Bound->send(std::move(Steps));
+}
+
+void TargetBroker::Link::answered(const StatementAnswer &Answer) {
+  if (Awaited.front())
+    --Owner.targetOf(To).AtWork;
+  Awaited.pop_front();
+  Owner.noteAnswer(Bound);
+  const bool Opens = !Answer.Refusal && Answer.Phase != SessionPhase::Idle;
+  if (Awaited.empty() && !Pending.empty() && Opens) {
+    Held.push_back(Answer);
+    return sendOrWait();
+  }
+  // What needed this one's success isn't sent.
+  const std::size_t Dropped =
+      Awaited.empty() ? std::exchange(Pending, {}).size() : 0;
+  TargetConnectionPtr Free;
+  if (Awaited.empty() && Pending.empty() &&
+      Answer.Phase == SessionPhase::Idle) {
+    Free = std::exchange(Bound, nullptr);
+    if (std::exchange(HasSetValues, false))
+      Free->forgetValues();
+  }
+  const std::shared_ptr<bool> Still = Alive;
+  TargetBroker &Broker = Owner;
+  const std::string Id = To.Id;
+  deliver(Answer);
+  for (std::size_t Each = 0; Each < Dropped && *Still; ++Each)
+    deliver(refusal(Answer.Refusal ? Answer.Refusal->Code : RefusalCode::Busy,
+                    "what it needs first didn't succeed"));
+  if (Free)
+    Broker.giveBack(Free);
+  else if (Target *At = Broker.find(Id))
+    Broker.pump(*At);
+}
+
+void TargetBroker::Link::answerStateChanges() {
+  while (!Unanswered.empty() && Unanswered.front()) {
+    Unanswered.pop_front();
+    const auto Handler = Handlers.OnAnswer;
+    const std::shared_ptr<bool> Still = Alive;
+    Handler({});
+    if (!*Still)
+      return;
+  }
+}
+
+void TargetBroker::Link::deliver(const StatementAnswer &Answer) {
+  const std::shared_ptr<bool> Still = Alive;
+  for (const StatementAnswer &Each : std::exchange(Held, {}))
+    if (*Still)
+      deliver(Each);
+  if (!*Still)
+    return;
+  answerStateChanges();
+  if (!*Still || Unanswered.empty())
+    return;
+  Unanswered.pop_front();
+  const auto Handler = Handlers.OnAnswer;
+  Handler(Answer);
+}
+
+void TargetBroker::Link::refuse(RefusalCode Code, const std::string &Why) {
+  const std::shared_ptr<bool> Still = Alive;
+  const std::size_t Count = std::exchange(Pending, {}).size();
+  for (std::size_t Each = 0; Each < Count && *Still; ++Each)
+    deliver(refusal(Code, Why));
+}
+
+void TargetBroker::Link::endStatements() {
+  if (Target *At = Owner.find(To.Id))
+    At->AtWork -= static_cast<std::size_t>(
+        std::count(Awaited.begin(), Awaited.end(), true));
+  Awaited.clear();
+}
+
+void TargetBroker::Link::lost() {
+  stopWaiting();
+  Bound.reset();
+  Pending.clear();
+  Held.clear();
+  endStatements();
+  const auto Handler = Handlers.OnClose;
+  if (Handler)
+    Handler(std::nullopt);
+}
+
+void TargetBroker::Link::stopWaiting() {
+  if (Target *At = Owner.find(To.Id)) {
+    At->Waiting.remove(this);
+    At->Ready.remove(this);
+  }
+}
+
+// Whoever used the link has left in the middle of something.
+void TargetBroker::Link::giveUpConnection() {
+  if (!Bound)
+    return;
+  const TargetConnectionPtr Used = std::exchange(Bound, nullptr);
+  // Answers that are still due may never come.
+  if (!Awaited.empty()) {
+    endStatements();
+    return Owner.discard(Used);
+  }
+  if (HasSetValues)
+    Used->forgetValues();
+  TargetBroker &Broker = Owner;
+  Used->send({{{.What = TargetCommand::Kind::Rollback},
+               [&Broker, Used](const StatementAnswer &Answer) {
+                 if (Answer.Refusal || Answer.Phase != SessionPhase::Idle)
+                   Broker.discard(Used);
+                 else
+                   Broker.giveBack(Used);
+               }}});
+}
+
+} // namespace corianderdyke
--- a/Source/Relay/Messages.h
+++ b/Source/Relay/Messages.h
@@ -42,12 +42,15 @@
 /// The answer to a link's oldest unanswered command.
 struct RelayAnswer {
   std::uint32_t Link = 0;
+  /// Counts the link's answers from 0. One that is left out or comes twice
+  /// would give each later statement another one's answer.
+  std::uint64_t Index = 0;
   StatementAnswer Answer;
   std::optional<RelayFloor> Floor; ///< Where it's news for this proxy.
 
   bool operator==(const RelayAnswer &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Link, Answer, Floor);
+    Ar(Link, Index, Answer, Floor);
   }
 };
 
--- a/Source/Relay/RelayHost.cpp
+++ b/Source/Relay/RelayHost.cpp
@@ -19,6 +19,7 @@
 struct RelayHost::Peer : std::enable_shared_from_this<Peer> {
   std::shared_ptr<PeerStream> Stream;
   std::map<std::uint32_t, std::unique_ptr<TargetLink>> Links;
+  std::map<std::uint32_t, std::uint64_t> Answered; ///< Answers by link.
   std::map<std::string, Millis> FloorTold; ///< By group: when it was proven.
 
   void send(const RelayMessage &Body) const {
@@ -68,19 +69,20 @@
   const std::uint32_t Number = Body.Link;
   const std::weak_ptr<Peer> Weak = From.shared_from_this();
   From.Links[Number] = Targets.open(
-      Body.To,
-      {[] {},
-       [this, Weak, Number,
-        Group = Body.To.Group](const StatementAnswer &Answer) {
-         if (const auto Held = Weak.lock())
-           Held->send(RelayAnswer{Number, Answer, newsFor(*Held, Group)});
-       },
-       [Weak, Number](const std::optional<StatementRefusal> &) {
-         const auto Held = Weak.lock();
-         if (!Held || Held->Links.erase(Number) == 0)
-           return;
-         Held->send(RelayClose{Number});
-       }});
+      Body.To, {[] {},
+                [this, Weak, Number,
+                 Group = Body.To.Group](const StatementAnswer &Answer) {
+                  if (const auto Held = Weak.lock())
+                    Held->send(RelayAnswer{Number, Held->Answered[Number]++,
+                                           Answer, newsFor(*Held, Group)});
+                },
+                [Weak, Number](const std::optional<StatementRefusal> &) {
+                  const auto Held = Weak.lock();
+                  if (!Held || Held->Links.erase(Number) == 0)
+                    return;
+                  Held->Answered.erase(Number);
+                  Held->send(RelayClose{Number});
+                }});
 }
 
 // A proxy alone sees few answers of a group's leader, and without a young
@@ -108,6 +110,7 @@
 
 void RelayHost::on(Peer &From, const RelayClose &Body) {
   From.Links.erase(Body.Link);
+  From.Answered.erase(Body.Link);
 }
 
 void RelayHost::on(Peer &From, const RelayPing &) { From.send(RelayPong{}); }
--- a/Source/Relay/RelayPeer.cpp
+++ b/Source/Relay/RelayPeer.cpp
@@ -48,9 +48,10 @@
 
   bool awaitsAnswers() const { return !SentAt.empty(); }
 
-  void answered(const RelayAnswer &Body) {
-    if (SentAt.empty())
-      return;
+  /// False where it can't be the answer to the oldest command.
+  bool answered(const RelayAnswer &Body) {
+    if (SentAt.empty() || Body.Index != NextAnswer++)
+      return false;
     // The gateway answered after this was sent, and asked the leader by the
     // floor's age before that.
     if (Body.Floor)
@@ -59,6 +60,7 @@
     SentAt.pop_front();
     const auto Handler = Handlers.OnAnswer;
     Handler(Body.Answer);
+    return true;
   }
 
   void closed() {
@@ -73,6 +75,7 @@
   std::string Group;
   Events Handlers;
   std::deque<Millis> SentAt; ///< Of commands without an answer.
+  std::uint64_t NextAnswer = 0;
   bool IsClosed = false;
 };
 
@@ -125,8 +128,11 @@
 
 void RelayPeer::on(const RelayAnswer &Body) {
   const auto Found = Links.find(Body.Link);
-  if (Found != Links.end())
-    Found->second->answered(Body);
+  if (Found == Links.end() || Found->second->answered(Body))
+    return;
+  // Whatever else comes on this link can't be trusted either.
+  send(RelayClose{Body.Link});
+  on(RelayClose{Body.Link});
 }
 
 void RelayPeer::on(const RelayClose &Body) {
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Of a target's connections, left for control and for those that the target
-/// hasn't noticed to be closed.
-constexpr std::size_t SpareConnections = 2;
 /// Fewer connections of its own to a target than this, in parts of ten, and
 /// a proxy shares: some proxies would have none. From one on, the way by a
 /// gateway costs callers more than waiting for the own one does (five halls
@@ -25,11 +22,6 @@
 /// A gateway that doesn't reach a target isn't asked again for this long.
 constexpr Millis AvoidFor(400);
 
-std::size_t usableConnections(const GroupPolicy &Of) {
-  return std::max<std::size_t>(Of.MaxConnections, SpareConnections + 1) -
-         SpareConnections;
-}
-
 } // namespace
 
 /// A link that is bound to a gateway only while something is open on it, and
@@ -89,8 +81,12 @@
   void noteState(const TargetCommand &What) {
     if (What.What == TargetCommand::Kind::Reset)
       State.clear();
-    if (changesOnlyState(What.What))
-      State.push_back(What);
+    if (!changesOnlyState(What.What))
+      return;
+    std::erase_if(State, [&What](const TargetCommand &Each) {
+      return Each.What == What.What && Each.Name == What.Name;
+    });
+    State.push_back(What);
   }
 
   void answered(const StatementAnswer &Answer) {
@@ -190,7 +186,7 @@
 
 void SharedConnector::decide() {
   for (const GroupPolicy &Each : Plan.Groups) {
-    const std::size_t Usable = usableConnections(Each);
+    const std::size_t Usable = Each.usableConnections();
     const std::size_t Bound =
         sharesConnections(Each.Name) ? OwnAbove : ShareBelow;
     if (Usable * Parts >= Bound * Proxies.size()) {
--- a/Tests/Support/FakeGroup.cpp
+++ b/Tests/Support/FakeGroup.cpp
@@ -119,6 +119,10 @@
     }
     if (IsDeaf)
       return;
+    if (IsCallers && server().SkipAnswers > 0) {
+      --server().SkipAnswers;
+      return;
+    }
     if (IsCallers && server().CutAnswers > 0) {
       --server().CutAnswers;
       return drop();
--- a/Tests/Support/FakeGroup.h
+++ b/Tests/Support/FakeGroup.h
@@ -40,6 +40,7 @@
     bool IsBusy = false;            ///< Refuses statements as busy.
     bool Receives = true;           ///< Gets what its primary commits.
     std::size_t LoseAnswers = 0;    ///< Runs so many more and tells nobody.
+    std::size_t SkipAnswers = 0;    ///< Leaves so many out and goes on.
     std::size_t RefuseOpenings = 0; ///< Opens so many transactions fewer.
     std::size_t CutAnswers = 0;     ///< Closes in place of so many answers.
     std::size_t MaxConnections = 16;
--- a/Tests/Support/FakeRelay.cpp
+++ b/Tests/Support/FakeRelay.cpp
@@ -253,7 +253,8 @@
   std::vector<ProxyRecord> All;
   for (const std::size_t Each : Listed)
     All.push_back(recordOf(Each));
-  const std::size_t Count = gatewaysFor(Plan.Groups.front().MaxConnections - 2);
+  const std::size_t Count =
+      gatewaysFor(Plan.Groups.front().usableConnections());
   const GatewayTable Table(All, Group.directory().all(),
                            {{Plan.Groups.front().Name, Count}});
   std::vector<std::size_t> Out;
--- a/Tests/Unit/LineProtocolTest.cpp
+++ b/Tests/Unit/LineProtocolTest.cpp
@@ -69,6 +69,17 @@
 
 } // namespace
 
+TEST_CASE("An answer that lost its outcome on the way is none",
+          "[line-protocol]") {
+  // The target ran the statement; of its answer only the state arrived. It
+  // must not pass for a success without rows.
+  AnswerReader Reader;
+  const auto Opened = Reader.feed("READY I 1.1");
+  REQUIRE(Opened);
+  CHECK(*Opened);
+  CHECK_FALSE(Reader.feed("READY I 1.1"));
+}
+
 TEST_CASE("Callers' statements are told apart", "[platform]") {
   CHECK(statement("QUERY 1f FETCH 1a4").Kind == StatementKind::Read);
   CHECK(statement("QUERY 1f STORE 1a4 some data").Kind == StatementKind::Write);
--- a/Tests/Unit/PipelineTruthTest.cpp
+++ b/Tests/Unit/PipelineTruthTest.cpp
@@ -123,6 +123,47 @@
   CHECK(AtReplica >= 40);
 }
 
+TEST_CASE("An answer that got lost isn't replaced by the next one",
+          "[pipeline]") {
+  // A target runs a read and its answer is lost, but the connection goes on:
+  // the next thing that arrives is the end of the read's transaction. Taken
+  // for the read's answer, the caller would get a success without a row.
+  Setup On;
+  const auto Session = On.Proxy.connect("primary");
+  REQUIRE_FALSE(On.Proxy.ask(Session, Kind::Read, "r0", "FETCH x").Refusal);
+  for (int Round = 0; Round < 5; ++Round) {
+    On.Group.Servers["a"].SkipAnswers = 1;
+    const std::string Id = "r" + std::to_string(Round + 1);
+    const auto Answer = On.Proxy.ask(Session, Kind::Read, Id, "FETCH x");
+    if (!Answer.Refusal)
+      CHECK(Answer.Rows == std::vector<std::string>{"row of " + Id});
+    On.Group.Servers["a"].SkipAnswers = 0;
+    const auto Next = On.Proxy.ask(Session, Kind::Read, "n" + Id, "FETCH x");
+    if (!Next.Refusal)
+      CHECK(Next.Rows == std::vector<std::string>{"row of n" + Id});
+  }
+}
+
+TEST_CASE("A transaction that its proxy ended is told as aborted",
+          "[pipeline]") {
+  // It was idle for too long. Its caller's next statement must come with the
+  // promise that nothing is kept, whatever the statement is: after a mere
+  // complaint the caller wouldn't try again.
+  for (const Kind What : {Kind::Read, Kind::Write, Kind::Commit}) {
+    Setup On;
+    const auto Session = On.Proxy.connect("primary");
+    On.Proxy.ask(Session, Kind::Begin);
+    REQUIRE_FALSE(
+        On.Proxy.ask(Session, Kind::Write, "w1", "STORE x 1").Refusal);
+    On.Loop.runFor(Millis(4000));
+    const auto Answer = On.Proxy.ask(Session, What, "n1", "FETCH x");
+    CHECK(codeOf(Answer) == RefusalCode::Aborted);
+    On.Proxy.ask(Session, Kind::Rollback);
+    CHECK(On.Group.Committed.empty());
+    CHECK_FALSE(On.Proxy.ask(Session, Kind::Read, "r2", "FETCH x").Refusal);
+  }
+}
+
 TEST_CASE("A floor that a replica showed is none", "[pipeline]") {
   // Nothing but reads of old replicas went through this proxy for longer than
   // the accepted age, while another proxy's write was acknowledged. The next
--- /dev/null
+++ b/Tests/Unit/ProxyListTest.cpp
@@ -0,0 +1,70 @@
+/// \file
+/// What control tells proxies of each other.
+
+#include "Steering/ProxyList.h"
+
+#include <catch2/catch.hpp>
+
+using namespace corianderdyke;
+
+namespace {
+
+ProxyRecord proxy(int Number) {
+  const std::string Name = "proxy-" + std::to_string(Number);
+  return {Name, {"10.0.1." + std::to_string(Number), 7000}, "here"};
+}
+
+} // namespace
+
+TEST_CASE("A new leader tells no list before it knows the proxies",
+          "[proxies]") {
+  // Proxies speak one after the other to a leader that knows none of them.
+  // Each list that it told meanwhile would move every target's connections.
+  ProxyList List;
+  Millis Now(1000);
+  List.begin({}, Now);
+  for (int Each = 0; Each < 10; ++Each) {
+    CHECK_FALSE(List.isSettled(Now));
+    List.hear(proxy(Each), false, Now);
+    Now += Millis(50);
+  }
+  CHECK_FALSE(List.isSettled(Now));
+  Now += Millis(400);
+  CHECK(List.isSettled(Now));
+  CHECK(List.all().size() == 10);
+}
+
+TEST_CASE("A new leader begins with the proxies that the group noted",
+          "[proxies]") {
+  ProxyList List;
+  std::map<std::string, ProxyRecord> Noted;
+  for (int Each = 0; Each < 10; ++Each)
+    Noted[proxy(Each).Name] = proxy(Each);
+  List.begin(Noted, Millis(1000));
+  CHECK(List.isSettled(Millis(1000)));
+  CHECK(List.all().size() == 10);
+  CHECK(List.news(Noted).Present.empty());
+  CHECK(List.news(Noted).Gone.empty());
+  // Those that don't come back are dropped, the others are kept.
+  for (int Each = 0; Each < 9; ++Each)
+    List.hear(proxy(Each), false, Millis(3000));
+  List.dropSilent(Millis(4500), Millis(3000));
+  CHECK(List.all().size() == 9);
+  CHECK(List.news(Noted).Gone == std::vector<std::string>{proxy(9).Name});
+}
+
+TEST_CASE("A proxy that leaves is off the list at once and back when it starts",
+          "[proxies]") {
+  ProxyList List;
+  List.begin({}, Millis(1000));
+  List.hear(proxy(1), false, Millis(1000));
+  List.hear(proxy(2), false, Millis(1000));
+  const std::uint64_t Before = List.revision();
+  List.hear(proxy(1), false, Millis(1500));
+  CHECK(List.revision() == Before);
+  List.hear(proxy(1), true, Millis(2000));
+  CHECK(List.all() == std::vector<ProxyRecord>{proxy(2)});
+  CHECK(List.revision() > Before);
+  List.hear(proxy(1), false, Millis(4000));
+  CHECK(List.all().size() == 2);
+}
--- a/Tests/Unit/SteeringTest.cpp
+++ b/Tests/Unit/SteeringTest.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::uint16_t PeerPort = 7000;
+constexpr std::uint16_t RelayPort = 7001;
 
 /// Targets as control meets them: their positions, and who leads.
 class FakeTargets final : public TargetOrderPort, public PromotionPort {
@@ -151,8 +152,15 @@
     Made.Host = std::make_unique<FakeHost>(Loop, Name);
     Made.Peers = Net.attach(*Made.Host, {Name, PeerPort});
     Made.Feed = std::make_unique<ControlFeed>(
-        FeedOptions{{Name, Random()}, PeerPort, {Names[0], Names[1], Names[2]}},
+        FeedOptions{{Name, Random()},
+                    PeerPort,
+                    {Names[0], Names[1], Names[2]},
+                    {Name, {Name, RelayPort}, "here"}},
         *Made.Host, *Made.Host, *Made.Peers);
+    Made.Feed->signalProxyList().connect(
+        [this, Name](const std::vector<ProxyRecord> &All) {
+          ProxyLists[Name].push_back(All.size());
+        });
     Proxies[Name] = std::move(Made);
     Proxies[Name].Feed->start();
   }
@@ -245,6 +253,8 @@
   std::map<std::string, ControlHostParts> Controls;
   std::vector<ControlHostParts> Graveyard;
   std::map<std::string, ProxyParts> Proxies;
+  /// Lengths of the lists that each proxy was told.
+  std::map<std::string, std::vector<std::size_t>> ProxyLists;
   std::set<std::string> Leaving;
   std::uint64_t Sequence = 0;
   int LastDisk = 0;
@@ -453,6 +463,32 @@
   CHECK(On.leader()->directory().primaryOf("ledger")->Id == "a");
 }
 
+TEST_CASE("Proxies learn of each other, and a new leader changes nothing",
+          "[steering]") {
+  // The leader dies, then all control hosts at once. Each time the next
+  // leader knows the proxies from the group's log: a list of those that it
+  // had heard so far would move all connections to targets, twice.
+  ReadySetup On(3, 6);
+  On.On.runBeating(Millis(2000));
+  for (const auto &[Name, Lists] : On.On.ProxyLists)
+    CHECK(Lists.back() == 6);
+  const auto Before = On.On.ProxyLists;
+  for (const auto &[Name, Each] : On.On.Controls)
+    if (Each.Node->leads()) {
+      On.On.killControl(Name);
+      break;
+    }
+  On.On.runBeating(Millis(4000));
+  CHECK(On.On.ProxyLists == Before);
+  for (const std::string &Name : On.On.Names) {
+    if (On.On.Controls.count(Name) != 0)
+      On.On.killControl(Name);
+    On.On.startControl(Name, false);
+  }
+  On.On.runBeating(Millis(4000));
+  CHECK(On.On.ProxyLists == Before);
+}
+
 TEST_CASE("A proxy begins only with a plan that a quorum has confirmed",
           "[steering]") {
   // A proxy starts and reaches only a control host that is cut off from the
