--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -234,7 +234,7 @@
           }});
   *Weak = Made;
   Pool.add(Made);
-  tickWithin(WaitingInterval);
+  Ticker.within(WaitingInterval);
 }
 
 void SessionPipeline::opened(const std::string &GroupName,
--- a/Source/Pipeline/FloorProbes.cpp
+++ b/Source/Pipeline/FloorProbes.cpp
@@ -27,7 +27,7 @@
   Groups[Name].WantFloor.push_back(Job);
   if (!Groups[Name].Probe.On)
     askForFloor(Name);
-  tickWithin(WaitingInterval);
+  Ticker.within(WaitingInterval);
 }
 
 void SessionPipeline::askForFloor(const std::string &Name) {
--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -18,19 +18,6 @@
 
 } // namespace
 
-void SessionPipeline::tickWithin(Millis Delay) {
-  const Millis At = Outside.Time.now() + Delay;
-  if (Ticking != 0 && TickAt <= At)
-    return;
-  if (Ticking != 0)
-    Outside.Timers.cancel(Ticking);
-  TickAt = At;
-  Ticking = Outside.Timers.after(Delay, [this] {
-    Ticking = 0;
-    tick();
-  });
-}
-
 void SessionPipeline::tick() {
   const Millis Now = Outside.Time.now();
   bool IsUrgent = IsStopping;
@@ -63,11 +50,11 @@
   endIdleTransactions(Now);
   closeIdleSessions(Now);
   if (IsUrgent)
-    tickWithin(WaitingInterval);
+    Ticker.within(WaitingInterval);
   else if (!Running.empty())
-    tickWithin(RunningInterval);
+    Ticker.within(RunningInterval);
   else if (!Sessions.empty())
-    tickWithin(IdleInterval);
+    Ticker.within(IdleInterval);
 }
 
 void SessionPipeline::giveUpWaiting(Group &In, Millis Now) {
@@ -158,7 +145,7 @@
   TransactionsUntil = TransactionsBy;
   SessionsUntil = SessionsBy;
   SessionsAtStop = Sessions.size();
-  tickWithin(WaitingInterval);
+  Ticker.within(WaitingInterval);
 }
 
 void SessionPipeline::closeIdleSessions(Millis Now) {
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -44,11 +44,10 @@
 } // namespace
 
 SessionPipeline::SessionPipeline(Ports Outside, Place Where)
-    : Outside(Outside), Where(std::move(Where)) {}
+    : Outside(Outside), Where(std::move(Where)),
+      Ticker(Outside.Time, Outside.Timers, [this] { tick(); }) {}
 
 SessionPipeline::~SessionPipeline() {
-  if (Ticking != 0)
-    Outside.Timers.cancel(Ticking);
   for (auto &[Name, Each] : Groups)
     for (auto &[Id, Pool] : Each.Pools)
       for (const TargetConnectionPtr &Open : Pool.connections())
@@ -181,7 +180,7 @@
   New.LastUsed = New.StartedAt;
   Session->Transaction = std::move(New);
   Session->Phase = SessionPhase::InTransaction;
-  tickWithin(IdleInterval);
+  Ticker.within(IdleInterval);
   replyDone(Session);
 }
 
@@ -318,7 +317,7 @@
   }
   Running.insert(Job);
   Job->At = SessionJob::Stage::Running;
-  tickWithin(RunningInterval);
+  Ticker.within(RunningInterval);
   runStatement(Job, false);
 }
 
@@ -382,7 +381,7 @@
   In.Waiting.insert(Place, Job);
   pump(Job->Route.Group);
   if (Job->At == SessionJob::Stage::Waiting)
-    tickWithin(WaitingInterval);
+    Ticker.within(WaitingInterval);
 }
 
 } // namespace corianderdyke
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -13,6 +13,7 @@
 #define CORIANDERDYKE_PIPELINE_SESSIONPIPELINE_H
 
 #include "Common/Clock.h"
+#include "Loop/SoonestTimer.h"
 #include "Pipeline/CallerSession.h"
 #include "Pipeline/FloorTable.h"
 #include "Pipeline/LeaderOutage.h"
@@ -217,8 +218,6 @@
 
   // Time.
   void tick();
-  /// Looks at waits and bounds within this time from now.
-  void tickWithin(Millis Delay);
   void giveUpWaiting(Group &In, Millis Now);
   void overdue(const SessionJobPtr &Job, Millis Now);
   void noteSilent(const TargetConnectionPtr &Used, Millis Now);
@@ -234,8 +233,7 @@
   std::set<SessionJobPtr> Running;
   std::uint64_t NextSession = 1;
   std::size_t Proxies = 8;
-  Scheduler::TimerId Ticking = 0;
-  Millis TickAt; ///< When that timer fires.
+  SoonestTimer Ticker;
   bool IsStopping = false;
   Millis StopBeganAt;
   Millis TransactionsUntil;
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -17,7 +17,7 @@
   Job->At = SessionJob::Stage::Running;
   Job->SentAt = Outside.Time.now();
   Running.insert(Job);
-  tickWithin(RunningInterval);
+  Ticker.within(RunningInterval);
   if (Session->Transaction) {
     openTransaction(Job, Job->Where == Placement::Leader);
     return;
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -33,11 +33,9 @@
 
 TargetBroker::TargetBroker(Clock &Time, Scheduler &Timers,
                            TargetConnector &Direct)
-    : Time(Time), Timers(Timers), Direct(Direct) {}
+    : Time(Time), Direct(Direct), Ticker(Time, Timers, [this] { tick(); }) {}
 
 TargetBroker::~TargetBroker() {
-  if (Ticking != 0)
-    Timers.cancel(Ticking);
   for (auto &[Id, Each] : Targets)
     for (const TargetConnectionPtr &Open : Each.Pool.connections())
       Open->close();
@@ -92,7 +90,7 @@
     if (const TargetRecord *Record = Known.find(Id))
       targetOf({Record->Group, Record->Id, Record->Address})
           .Pool.update(*Record, Now);
-  tickWithin(WaitingInterval);
+  Ticker.within(WaitingInterval);
 }
 
 void TargetBroker::setOwn(std::set<std::string> Targets) {
@@ -138,7 +136,7 @@
   Target &At = targetOf(New.to());
   enqueue(New, At.Waiting);
   pump(At);
-  tickWithin(At.Waiting.empty() ? RunningInterval : WaitingInterval);
+  Ticker.within(At.Waiting.empty() ? RunningInterval : WaitingInterval);
 }
 
 void TargetBroker::waitForTurn(Link &New) {
@@ -219,7 +217,7 @@
           }});
   *Weak = Made;
   At.Pool.add(Made);
-  tickWithin(WaitingInterval);
+  Ticker.within(WaitingInterval);
 }
 
 void TargetBroker::closed(const std::string &Id,
@@ -272,19 +270,6 @@
       Each->refuse(Code, Why);
 }
 
-void TargetBroker::tickWithin(Millis Delay) {
-  const Millis At = Time.now() + Delay;
-  if (Ticking != 0 && TickAt <= At)
-    return;
-  if (Ticking != 0)
-    Timers.cancel(Ticking);
-  TickAt = At;
-  Ticking = Timers.after(Delay, [this] {
-    Ticking = 0;
-    tick();
-  });
-}
-
 void TargetBroker::tick() {
   const Millis Now = Time.now();
   bool IsUrgent = false;
@@ -313,11 +298,11 @@
     }
   }
   if (IsUrgent)
-    tickWithin(WaitingInterval);
+    Ticker.within(WaitingInterval);
   else if (isBusy())
-    tickWithin(RunningInterval);
+    Ticker.within(RunningInterval);
   else if (connections() > 0 || !Own.empty())
-    tickWithin(IdleInterval);
+    Ticker.within(IdleInterval);
 }
 
 void TargetBroker::giveUpWaiting(Target &At) {
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -5,7 +5,7 @@
 #define CORIANDERDYKE_RELAY_TARGETBROKER_H
 
 #include "Common/Clock.h"
-#include "Loop/Scheduler.h"
+#include "Loop/SoonestTimer.h"
 #include "Pipeline/TargetPool.h"
 
 #include <list>
@@ -94,19 +94,16 @@
   void noteAnswer(const TargetConnectionPtr &From);
   void refuseAll(Target &At, RefusalCode Code, const std::string &Why);
   void tick();
-  void tickWithin(Millis Delay);
   void giveUpWaiting(Target &At);
   void noticeSilence(Target &At);
 
   Clock &Time;
-  Scheduler &Timers;
   TargetConnector &Direct;
   std::map<std::string, Target> Targets;     ///< By identity.
   std::map<std::string, Division> Divisions; ///< By group.
   std::set<std::string> Own;
   std::set<Link *> Links;
-  Scheduler::TimerId Ticking = 0;
-  Millis TickAt; ///< When that timer fires.
+  SoonestTimer Ticker;
   std::uint64_t Opened = 0;
   sigc::signal<void(const TargetTrouble &)> Trouble;
   sigc::signal<void(const std::string &)> Reached;
