--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -117,8 +117,7 @@
   Streams = std::move(*Opened);
   Broker = std::make_unique<TargetBroker>(Time, Loop, *Targets);
   Shared = std::make_unique<SharedConnector>(
-      SharedConnector::Ports{Time, Loop, *Targets, *Broker, *Streams,
-                             Floors},
+      SharedConnector::Ports{Time, Loop, *Targets, *Broker, *Streams, Floors},
       Options.Name);
   Relay = std::make_unique<RelayHost>(Time, *Streams, *Broker, Floors);
   return {};
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -55,7 +55,7 @@
                  const std::string &Proof);
   void fail(bool IsPromise);
   void lost();
-  void again(Millis Pause);
+  void again(Millis After);
   std::string newId();
 
   EventLoop &Loop;
@@ -94,7 +94,7 @@
 private:
   void replace();
   void describe();
-  std::string document(std::uint64_t Version) const;
+  std::string document(std::uint64_t Of) const;
   const Endpoint &anyControl();
 
   EventLoop &Loop;
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -122,7 +122,7 @@
 
 std::string Soak::writeSettings(const std::string &Name,
                                 const std::string &Text) {
-  const std::string File = Given.Folder + "/" + Name + ".toml";
+  std::string File = Given.Folder + "/" + Name + ".toml";
   std::ofstream(File) << Text;
   return File;
 }
--- a/Tests/Soak/Servers.cpp
+++ b/Tests/Soak/Servers.cpp
@@ -127,7 +127,7 @@
   }
 
   std::string run(const std::string &Id, std::string Text) {
-    const std::string Done = "COMPLETE -\r\n";
+    std::string Done = "COMPLETE -\r\n";
     if (lacks(Text))
       return refuse("LAGGING");
     std::istringstream In(Text);
@@ -204,7 +204,7 @@
     Made.Proof = "proof-" + std::to_string(nextNumber());
     if (!IsWrite && !IsCommit)
       Made.Rows = "row-" + std::to_string(nextNumber());
-    const std::string Answer =
+    std::string Answer =
         (Made.Rows.empty() ? "" : "ROW " + Made.Rows + "\r\n") + "COMPLETE " +
         Made.Proof + "\r\n";
     if (IsWrite)
--- a/Tests/Support/FakeRelay.cpp
+++ b/Tests/Support/FakeRelay.cpp
@@ -168,6 +168,8 @@
     Each.MaxConnections = MaxConnections;
   for (auto &[Name, Each] : Group.Servers)
     Each.MaxConnections = MaxConnections;
+  Listed.reserve(Count);
+  Proxies.reserve(Count);
   for (std::size_t Each = 0; Each < Count; ++Each) {
     Listed.push_back(Each);
     Proxies.push_back(std::make_unique<FakeProxy>(Loop, Net, Group,
@@ -191,6 +193,7 @@
 void FakeRelaySystem::list(const std::vector<std::size_t> &Present) {
   Listed = Present;
   std::vector<ProxyRecord> All;
+  All.reserve(Present.size());
   for (const std::size_t Each : Present)
     All.push_back(recordOf(Each));
   for (auto &Each : Proxies) {
@@ -251,6 +254,7 @@
 std::vector<std::size_t>
 FakeRelaySystem::gateways(const std::string &Target) const {
   std::vector<ProxyRecord> All;
+  All.reserve(Listed.size());
   for (const std::size_t Each : Listed)
     All.push_back(recordOf(Each));
   const std::size_t Count =
--- a/Tests/Support/FakeRelay.h
+++ b/Tests/Support/FakeRelay.h
@@ -65,7 +65,7 @@
 /// Proxies "p0", "p1" and so on before one group.
 class FakeRelaySystem {
 public:
-  FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group, std::size_t Proxies,
+  FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group, std::size_t Count,
                   std::uint32_t MaxConnections);
   ~FakeRelaySystem();
 
