Find a broker's links by number, never by an address that may be another's

A new link at the address of a destroyed one was refused in its place, also when it had its opening under way: it gave three refusals, then the target's own answers for statements that came later. Links have numbers now, and one that holds a connection is never refused.

Besides: a link that ended was held by a timer, which in a process that stops outlives the broker that the link refers to; the connector keeps it.

--- a/Source/Relay/BrokerLink.cpp
+++ b/Source/Relay/BrokerLink.cpp
@@ -143,6 +143,10 @@
 }
 
 void TargetBroker::Link::refuse(RefusalCode Code, const std::string &Why) {
+  // One that holds a connection has sent something, or is about to.
+  if (Bound)
+    return;
+  stopWaiting();
   const std::shared_ptr<bool> Still = Alive;
   const std::size_t Count = std::exchange(Pending, {}).size();
   for (std::size_t Each = 0; Each < Count && *Still; ++Each)
--- a/Source/Relay/BrokerLink.h
+++ b/Source/Relay/BrokerLink.h
@@ -22,13 +22,14 @@
 class TargetBroker::Link final : public TargetLink {
 public:
   Link(TargetBroker &Owner, const TargetAddress &To, Events Handlers)
-      : Owner(Owner), To(To), Handlers(std::move(Handlers)) {
-    Owner.Links.insert(this);
+      : Owner(Owner), Number(Owner.NextLink++), To(To),
+        Handlers(std::move(Handlers)) {
+    Owner.Links[Number] = this;
   }
 
   ~Link() override {
     *Alive = false;
-    Owner.Links.erase(this);
+    Owner.Links.erase(Number);
     stopWaiting();
     giveUpConnection();
   }
@@ -36,6 +37,7 @@
   void send(const std::vector<TargetCommand> &Commands) override;
   bool isShared() const override { return true; }
 
+  std::uint64_t number() const { return Number; }
   const TargetAddress &to() const { return To; }
   const SessionValues &values() const { return Values; }
   std::uint32_t priority() const { return Priority; }
@@ -90,6 +92,7 @@
   void endStatements();
 
   TargetBroker &Owner;
+  std::uint64_t Number;
   TargetAddress To;
   Events Handlers;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -111,9 +111,7 @@
 
   void closed() {
     const bool IsIdle = Unanswered.empty() && Phase == SessionPhase::Idle;
-    // The gateway's side may be on the stack still.
-    Owner.Outside.Timers.after(
-        Millis(0), [Gone = std::shared_ptr<TargetLink>(std::move(Inner))] {});
+    Owner.retire(std::move(Inner));
     Replayed = 0;
     if (IsIdle)
       return;
@@ -263,6 +261,12 @@
   return std::nullopt;
 }
 
+void SharedConnector::retire(std::unique_ptr<TargetLink> Ended) {
+  Retired.push_back(std::move(Ended));
+  if (Retired.size() == 1)
+    Outside.Timers.after(Millis(0), [this] { Retired.clear(); });
+}
+
 void SharedConnector::avoid(const std::string &Gateway,
                             const std::string &Target) {
   AvoidUntil[{Gateway, Target}] = Outside.Time.now() + AvoidFor;
--- a/Source/Relay/SharedConnector.h
+++ b/Source/Relay/SharedConnector.h
@@ -56,6 +56,10 @@
   bool isUsable(const Gateway &Which, const std::string &Target) const;
   /// The gateway said that it doesn't reach the target.
   void avoid(const std::string &Gateway, const std::string &Target);
+  /// Destroys a link that ended once its callbacks have returned. It's kept
+  /// here, since it refers to the broker or a peer: held by a timer it would
+  /// outlive them in a process that stops.
+  void retire(std::unique_ptr<TargetLink> Ended);
   Gateway gatewayOf(const ProxyRecord &Which);
   void decide();
   void rebuild();
@@ -70,6 +74,7 @@
   std::map<Endpoint, std::unique_ptr<RelayPeer>> Peers;
   /// By gateway and target.
   std::map<std::pair<std::string, std::string>, Millis> AvoidUntil;
+  std::vector<std::unique_ptr<TargetLink>> Retired; ///< After Peers.
   std::size_t NextTurn; ///< Begins elsewhere at each proxy.
 };
 
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -65,6 +65,11 @@
   return Found == Targets.end() ? nullptr : &Found->second;
 }
 
+TargetBroker::Link *TargetBroker::findLink(std::uint64_t Number) const {
+  const auto Found = Links.find(Number);
+  return Found == Links.end() ? nullptr : Found->second;
+}
+
 std::size_t TargetBroker::mostAtWork(const Target &At) const {
   const TargetRecord &Of = At.Pool.record();
   const std::size_t Slots = Of.Slots > 0 ? Of.Slots : UsualSlots;
@@ -106,8 +111,9 @@
 }
 
 bool TargetBroker::isBusy() const {
-  return std::any_of(Links.begin(), Links.end(),
-                     [](const Link *Each) { return Each->holdsConnection(); });
+  return std::any_of(Links.begin(), Links.end(), [](const auto &Each) {
+    return Each.second->holdsConnection();
+  });
 }
 
 std::size_t TargetBroker::connections() const {
@@ -234,9 +240,12 @@
     At.Pool.unreachable(Time.now());
   if (!Gone->hasOpened() && (!Why || Why->Code == RefusalCode::Misrouted))
     Trouble.emit({Id, true});
-  const std::set<Link *> Before = Links;
-  for (Link *Each : Before)
-    if (Links.count(Each) != 0 && Each->holds(Gone))
+  std::vector<std::uint64_t> Holders;
+  for (const auto &[Number, Each] : Links)
+    if (Each->holds(Gone))
+      Holders.push_back(Number);
+  for (const std::uint64_t Number : Holders)
+    if (Link *Each = findLink(Number))
       Each->lost();
   pump(At);
 }
@@ -265,8 +274,11 @@
 
 void TargetBroker::refuseAll(Target &At, RefusalCode Code,
                              const std::string &Why) {
-  for (Link *Each : std::exchange(At.Waiting, {}))
-    if (Links.count(Each) != 0)
+  std::vector<std::uint64_t> Refused;
+  for (const Link *Each : At.Waiting)
+    Refused.push_back(Each->number());
+  for (const std::uint64_t Number : Refused)
+    if (Link *Each = findLink(Number))
       Each->refuse(Code, Why);
 }
 
@@ -307,18 +319,18 @@
 
 void TargetBroker::giveUpWaiting(Target &At) {
   const Millis Now = Time.now();
-  const std::list<Link *> Before = At.Waiting;
-  for (Link *Each : Before) {
-    if (Links.count(Each) == 0 || Now < Each->giveUpAt())
-      continue;
-    At.Waiting.remove(Each);
-    Each->refuse(RefusalCode::Busy, "no connection came free");
-  }
+  std::vector<std::uint64_t> Late;
+  for (const Link *Each : At.Waiting)
+    if (Now >= Each->giveUpAt())
+      Late.push_back(Each->number());
+  for (const std::uint64_t Number : Late)
+    if (Link *Each = findLink(Number))
+      Each->refuse(RefusalCode::Busy, "no connection came free");
 }
 
 void TargetBroker::noticeSilence(Target &At) {
   const Millis Now = Time.now();
-  for (const Link *Each : Links) {
+  for (const auto &[Number, Each] : Links) {
     const auto Since = Each->awaitingSince();
     if (Each->to().Id != At.Pool.record().Id || !Since ||
         Now - *Since < SilenceNoticed || At.Pool.lastAnswer() > *Since)
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -79,6 +79,8 @@
 
   Target &targetOf(const TargetAddress &To);
   Target *find(const std::string &Id);
+  /// Null once that link is destroyed.
+  Link *findLink(std::uint64_t Number) const;
   std::size_t mostAtWork(const Target &At) const;
   void enqueue(Link &New, std::list<Link *> &In);
   void waitForConnection(Link &New);
@@ -102,7 +104,10 @@
   std::map<std::string, Target> Targets;     ///< By identity.
   std::map<std::string, Division> Divisions; ///< By group.
   std::set<std::string> Own;
-  std::set<Link *> Links;
+  /// By number. A handler may destroy links and make others at the same
+  /// address, so whoever goes through several remembers their numbers.
+  std::map<std::uint64_t, Link *> Links;
+  std::uint64_t NextLink = 1;
   SoonestTimer Ticker;
   std::uint64_t Opened = 0;
   sigc::signal<void(const TargetTrouble &)> Trouble;
