Settle a refused opening's next try before its connection is free

The pipeline freed the connection first; the next job on it was refused in the same call, and the refusal that the first job's statement was still owed came while that job counted as running. It was told to the caller a second time, or taken by a transaction without a connection, which ended the process. The next try is settled first now.

The new unit test counts one answer a statement; it wasn't run on the old code.

--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -201,6 +201,8 @@
                          const StatementAnswer &Answer);
   void leaderOpened(const SessionJobPtr &Job, const StatementAnswer &Answer);
   void openingRefused(const SessionJobPtr &Job, const StatementAnswer &Answer);
+  void retryOpening(const SessionJobPtr &Job, const TargetConnectionPtr &On,
+                    const StatementRefusal &Why);
   void answered(const SessionJobPtr &Job, const StatementAnswer &Answer);
   void answeredInTransaction(const SessionJobPtr &Job,
                              const CallerSessionPtr &Session,
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -126,12 +126,21 @@
                                      const StatementAnswer &Answer) {
   Running.erase(Job);
   const TargetConnectionPtr On = Job->Connection;
+  const StatementRefusal Why = Answer.Refusal.value_or(
+      StatementRefusal{RefusalCode::Busy, "the target opened no transaction"});
+  // The next try is settled before the connection is free: whoever gets it may
+  // be refused at once, and the answers that this try is still owed come with
+  // that. Taken for answers to the job they would be told to its caller.
+  retryOpening(Job, On, Why);
   if (Answer.Phase == SessionPhase::Idle)
     release(On);
   else
     discard(On);
-  const StatementRefusal Why = Answer.Refusal.value_or(
-      StatementRefusal{RefusalCode::Busy, "the target opened no transaction"});
+}
+
+void SessionPipeline::retryOpening(const SessionJobPtr &Job,
+                                   const TargetConnectionPtr &On,
+                                   const StatementRefusal &Why) {
   if (Why.Code == RefusalCode::Lagging) {
     ++Job->Lagged;
     Job->Avoid.insert(On->to().Id);
--- a/Tests/Unit/RelayTest.cpp
+++ b/Tests/Unit/RelayTest.cpp
@@ -327,6 +327,39 @@
   CHECK(Answered >= 55);
 }
 
+TEST_CASE("Many refused at once at a gateway get one answer each", "[relay]") {
+  // The gateway's own callers begin transactions while it can't reach the
+  // target. Each opening is refused within the call that sent it, and the
+  // connection goes to the next that waits, who is refused as well; the
+  // answers still owed to the first must not be told to its caller.
+  Setup On;
+  const std::size_t Gateway = On.System.gateways("a").front();
+  for (std::size_t Each = 0; Each < 12; ++Each)
+    On.System.proxy(Each).Access.Cut = {"a"};
+  On.Loop.runFor(Millis(500));
+  On.Group.Servers["a"].IsUp = false;
+  std::vector<FakeRelaySystem::Session> Sessions;
+  for (int Round = 0; Round < 20; ++Round) {
+    for (int Each = 0; Each < 6; ++Each) {
+      Sessions.push_back(On.System.connect(Gateway, "primary"));
+      const std::string Id = std::to_string(Round) + "-" + std::to_string(Each);
+      if (Each % 3 == 0) {
+        On.System.send(Sessions.back(), Kind::Write, "w" + Id, "STORE x 1");
+      } else {
+        On.System.send(Sessions.back(), Kind::Begin);
+        On.System.send(Sessions.back(), Kind::Read, "r" + Id, "FETCH x");
+      }
+    }
+    On.Loop.runFor(Millis(35));
+  }
+  On.Loop.runFor(Millis(3000));
+  for (std::size_t Each = 0; Each < Sessions.size(); ++Each) {
+    const auto &Answers = Sessions[Each].Caller->Answers;
+    const std::size_t Expected = Each % 6 % 3 == 0 ? 1 : 2;
+    CHECK(Answers.size() == Expected);
+  }
+}
+
 TEST_CASE("A caller that leaves inside a transaction frees its connection",
           "[relay]") {
   Setup On(12, 4);
