Start each soak on empty disks, and check whose transaction a statement is in

Cause: a second run of the tests in one build folder failed all four soak entries with no operation served. Control hosts found the disks of the run before, with members at that run's addresses, and formed no group. Ruled out: the change beside it (the same binary served 6,661 operations in a fresh folder). Before: 239 of 243 on the second run; after: 243 of 243 twice in one folder.

The ledger recorded connections and transactions of each run and checked neither. A statement inside another operation's transaction is a breach now; the number of the connection, which nothing read, is gone.

--- a/Tests/Soak/Ledger.cpp
+++ b/Tests/Soak/Ledger.cpp
@@ -24,11 +24,18 @@
   if (Known->second.Tenant != What.Tenant)
     breach(Id + " ran with the value '" + What.Tenant + "' in place of '" +
            Known->second.Tenant + "'");
+  if (What.Transaction != 0) {
+    const std::string &First =
+        Inside.try_emplace(What.Transaction, Known->second.Operation)
+            .first->second;
+    if (First != Known->second.Operation)
+      breach(Id + " ran inside the transaction of " + First);
+  }
   What.Missed = missedBy(Known->second, Log);
   Runs[Id].push_back(std::move(What));
 }
 
-void Ledger::committed(const std::string &Server, std::uint64_t,
+void Ledger::committed(const std::string &Server,
                        const std::vector<std::string> &Writes) {
   for (const std::string &Id : Writes) {
     if (++Commits[Id] > 1)
@@ -50,11 +57,6 @@
   RolledBack.insert(Writes.begin(), Writes.end());
 }
 
-const Run *Ledger::run(const std::string &Id) const {
-  const auto Found = Runs.find(Id);
-  return Found == Runs.end() ? nullptr : &Found->second.back();
-}
-
 void Ledger::succeeded(const std::string &Id, const std::string &Rows,
                        const std::string &Proof) {
   const auto Found = Runs.find(Id);
--- a/Tests/Soak/Ledger.h
+++ b/Tests/Soak/Ledger.h
@@ -25,7 +25,6 @@
   std::string Tenant; ///< The session value at the connection.
   std::string Rows;   ///< The one row of a read.
   std::string Proof;
-  std::uint64_t Connection = 0;
   std::uint64_t Transaction = 0; ///< 0 outside of any.
   std::string Missed; ///< What a read should have seen; empty where nothing.
 };
@@ -51,7 +50,7 @@
   // What servers do.
   void ran(const std::string &Id, Run What,
            const std::unordered_set<std::string> &Log);
-  void committed(const std::string &Server, std::uint64_t Transaction,
+  void committed(const std::string &Server,
                  const std::vector<std::string> &Writes);
   /// A promotion dropped what its server hadn't received.
   void rolledBack(const std::vector<std::string> &Writes);
@@ -72,7 +71,6 @@
   void finish();
   void breach(const std::string &What);
   const std::vector<std::string> &breaches() const { return Breaches; }
-  const Run *run(const std::string &Id) const;
   std::size_t acknowledgedCount() const { return Acknowledged.size(); }
 
 private:
@@ -88,6 +86,8 @@
   Clock &Time;
   std::unordered_map<std::string, Asked> Sent;
   std::unordered_map<std::string, std::vector<Run>> Runs;
+  /// Operations by the server's transaction that they ran in.
+  std::unordered_map<std::uint64_t, std::string> Inside;
   std::unordered_map<std::string, int> Commits; ///< Times that a write took.
   std::unordered_set<std::string> RolledBack;
   std::unordered_set<std::string> Promised;
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -149,6 +149,8 @@
 void Soak::makeControl(int Number) {
   const std::string Name = "control-" + std::to_string(Number);
   const std::string Data = Given.Folder + "/" + Name;
+  // A run before may have left its disks here, with hosts at other addresses.
+  std::filesystem::remove_all(Data);
   std::filesystem::create_directories(Data);
   auto Made = std::make_unique<Node>(
       Node{Name, Data,
--- a/Tests/Soak/Servers.cpp
+++ b/Tests/Soak/Servers.cpp
@@ -38,7 +38,6 @@
 struct Server::Connection : std::enable_shared_from_this<Connection> {
   Server *Owner = nullptr;
   bufferevent *Buffer = nullptr;
-  std::uint64_t Number = nextNumber();
   bool IsOpen = false;
   bool IsDeaf = false; ///< Its answers are lost from now on.
   char State = 'I';
@@ -199,7 +198,6 @@
     Made.Server = Owner->Id;
     Made.Text = Meant;
     Made.Tenant = Tenant;
-    Made.Connection = Number;
     Made.Transaction = Transaction;
     Made.Proof = "proof-" + std::to_string(nextNumber());
     if (!IsWrite && !IsCommit)
@@ -215,7 +213,7 @@
     if (State == 'I' && !Written.empty()) {
       const auto Writes = std::exchange(Written, {});
       Owner->append(Writes);
-      Owner->Truth.committed(Owner->Id, Transaction, Writes);
+      Owner->Truth.committed(Owner->Id, Writes);
       Owner->OnCommit(Writes);
     }
     if (IsCommit)
