--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -216,34 +216,25 @@
 
 void SessionPipeline::openConnection(const std::string &GroupName,
                                      TargetPool &Pool) {
-  const TargetRecord &To = Pool.record();
   ++Counts.Opened;
-  // The handlers run on the loop, after this has returned.
-  auto Weak = std::make_shared<std::weak_ptr<TargetConnection>>();
-  auto Made = std::make_shared<TargetConnection>(
-      Outside.Targets, TargetAddress{To.Group, To.Id, To.Address},
-      Outside.Time.now(),
-      TargetConnection::Events{
-          [this, GroupName, Weak] {
-            if (const TargetConnectionPtr Open = Weak->lock())
-              opened(GroupName, Open);
-          },
-          [this, GroupName, Weak](const std::optional<StatementRefusal> &Why) {
-            if (const TargetConnectionPtr Gone = Weak->lock())
-              closed(GroupName, Gone, Why);
-          }});
-  *Weak = Made;
-  Pool.add(Made);
+  Pool.open(Outside.Targets, Outside.Time.now(),
+            {[this, GroupName](const TargetConnectionPtr &Open) {
+               opened(GroupName, Open);
+             },
+             [this, GroupName](const TargetConnectionPtr &Gone,
+                               const std::optional<StatementRefusal> &Why) {
+               closed(GroupName, Gone, Why);
+             }});
   Ticker.within(WaitingInterval);
 }
 
 void SessionPipeline::opened(const std::string &GroupName,
                              const TargetConnectionPtr &Made) {
   Made->setBusy(false, Outside.Time.now());
-  if (TargetPool *Pool = poolOf(Made))
+  if (TargetPool *Pool = poolOf(Made)) {
     Pool->reached(Outside.Time.now());
-  if (TargetPool *Pool = poolOf(Made))
     warmUp(GroupName, *Pool, Outside.Time.now());
+  }
   const Group &In = Groups[GroupName];
   if (!In.WantFloor.empty() && !In.Probe.On)
     askForFloor(GroupName);
@@ -253,20 +244,12 @@
 void SessionPipeline::closed(const std::string &GroupName,
                              const TargetConnectionPtr &Gone,
                              const std::optional<StatementRefusal> &Why) {
-  const Millis Now = Outside.Time.now();
   Group &In = Groups[GroupName];
-  if (TargetPool *Pool = poolOf(Gone)) {
-    Pool->remove(Gone);
-    if (Why && Why->Code == RefusalCode::ConnectionLimit)
-      Pool->refusedConnection(Now);
-    else if (!Gone->hasOpened())
-      Pool->unreachable(Now);
-    // One connection that ends is no sign that the target did: whoever needs
-    // it next opens another, and learns in a moment whether it can.
-    if (!Gone->isShared() && !Gone->hasOpened() &&
-        (!Why || Why->Code == RefusalCode::Misrouted))
-      Trouble.emit({Gone->to().Id, true});
-  }
+  TargetPool *Pool = poolOf(Gone);
+  // Behind a shared one the gateway reports its targets itself.
+  if (Pool != nullptr && Pool->noteClosed(Gone, Why, Outside.Time.now()) &&
+      !Gone->isShared())
+    Trouble.emit({Gone->to().Id, true});
   if (In.Probe.On == Gone)
     endProbe(GroupName);
   // Whoever waits for an answer on it learns so now.
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -187,7 +187,7 @@
   void run(const SessionJobPtr &Job, const TargetConnectionPtr &On);
   void openTransaction(const SessionJobPtr &Job, bool AtLeader);
   void openAndRun(const SessionJobPtr &Job, bool AtLeader);
-  void runAtLeader(const SessionJobPtr &Job);
+  TargetConnection::Step openingStep(const SessionJobPtr &Job, bool AtLeader);
   void runStatement(const SessionJobPtr &Job, bool RollBackAfter);
   /// When a statement that still has no connection is refused.
   Millis waitEnd(const SessionJob &Job) const;
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -18,37 +18,45 @@
   Job->SentAt = Outside.Time.now();
   Running.insert(Job);
   Ticker.within(RunningInterval);
-  if (Session->Transaction) {
-    openTransaction(Job, Job->Where == Placement::Leader);
-    return;
-  }
-  if (Job->Where == Placement::Leader && !Job->Writes) {
-    runAtLeader(Job);
-    return;
-  }
+  const bool AtLeader = Job->Where == Placement::Leader;
+  if (Session->Transaction || (AtLeader && !Job->Writes))
+    return openTransaction(Job, AtLeader);
   runStatement(Job, false);
 }
 
 // A transaction's first statement goes out only once the target has opened
-// the transaction: behind a refused opening it would run on its own.
+// the transaction: behind a refused opening it would run on its own. A read
+// that must miss nothing runs inside a transaction too, which only a leader
+// opens. A primary that was replaced answers a plain read from its old log,
+// and its caller would miss what the new primary has acknowledged.
 void SessionPipeline::openTransaction(const SessionJobPtr &Job, bool AtLeader) {
   if (Job->Connection->isShared())
     return openAndRun(Job, AtLeader);
   const CallerSessionPtr Session = Job->Of.lock();
   std::vector<TargetConnection::Step> Steps;
   Job->Connection->adjust(Session->Values, Steps);
-  Job->MayWait = queueTime(*Job);
-  Steps.push_back({{.What = AtLeader ? TargetCommand::Kind::Begin
-                                     : TargetCommand::Kind::BeginRead,
-                    .After = AtLeader ? std::nullopt : Job->Floor,
-                    .Priority = Job->Route.Priority,
-                    .MayWait = Job->MayWait},
-                   [this, Job, AtLeader](const StatementAnswer &Answer) {
-                     transactionOpened(Job, AtLeader, Answer);
-                   }});
+  Steps.push_back(openingStep(Job, AtLeader));
   Job->Connection->send(std::move(Steps));
 }
 
+TargetConnection::Step SessionPipeline::openingStep(const SessionJobPtr &Job,
+                                                    bool AtLeader) {
+  Job->MayWait = queueTime(*Job);
+  const CallerSessionPtr Session = Job->Of.lock();
+  const bool IsAlone = !Session->Transaction;
+  return {{.What = AtLeader ? TargetCommand::Kind::Begin
+                            : TargetCommand::Kind::BeginRead,
+           .After = AtLeader ? std::nullopt : Job->Floor,
+           .Priority = Job->Route.Priority,
+           .MayWait = Job->MayWait},
+          [this, Job, AtLeader, IsAlone](const StatementAnswer &Answer) {
+            if (IsAlone)
+              leaderOpened(Job, Answer);
+            else
+              transactionOpened(Job, AtLeader, Answer);
+          }};
+}
+
 void SessionPipeline::transactionOpened(const SessionJobPtr &Job, bool AtLeader,
                                         const StatementAnswer &Answer) {
   if (Job->At != SessionJob::Stage::Running)
@@ -81,43 +89,30 @@
 void SessionPipeline::openAndRun(const SessionJobPtr &Job, bool AtLeader) {
   const CallerSessionPtr Session = Job->Of.lock();
   const TargetConnectionPtr On = Job->Connection;
-  const bool IsAlone = !Session->Transaction;
   std::vector<TargetConnection::Step> Steps;
   On->adjust(Session->Values, Steps);
   TargetCommand Own = commandOf(Job, Steps);
   Own.NeedsPrevious = true;
-  Job->MayWait = queueTime(*Job);
   // After a refused opening the job may be under way again elsewhere when the
   // refusal of the statement behind it arrives.
   const auto IsThisTry = [Job, Try = Job->Tries] { return Job->Tries == Try; };
-  Steps.push_back(
-      {{.What = AtLeader ? TargetCommand::Kind::Begin
-                         : TargetCommand::Kind::BeginRead,
-        .After = AtLeader ? std::nullopt : Job->Floor,
-        .Priority = Job->Route.Priority,
-        .MayWait = Job->MayWait},
-       [this, Job, AtLeader, IsAlone](const StatementAnswer &Answer) {
-         if (IsAlone)
-           leaderOpened(Job, Answer);
-         else
-           transactionOpened(Job, AtLeader, Answer);
-       }});
+  Steps.push_back(openingStep(Job, AtLeader));
   Steps.push_back(
       {std::move(Own), [this, Job, IsThisTry](const StatementAnswer &Answer) {
          if (IsThisTry())
            answered(Job, Answer);
        }});
-  if (IsAlone)
-    Steps.push_back({{.What = TargetCommand::Kind::Rollback},
-                     [this, On, IsThisTry](const StatementAnswer &Answer) {
-                       // Not sent, behind a refused opening.
-                       if (Answer.Refusal && !IsThisTry())
-                         return;
-                       if (Answer.Refusal || Answer.Phase != SessionPhase::Idle)
-                         discard(On);
-                       else
-                         release(On);
-                     }});
+  if (!Session->Transaction) {
+    TargetConnection::Step End = rollBackStep(On);
+    End.Handler = [IsThisTry, Ended = std::move(End.Handler)](
+                      const StatementAnswer &Answer) {
+      // Not sent, behind a refused opening.
+      if (Answer.Refusal && !IsThisTry())
+        return;
+      Ended(Answer);
+    };
+    Steps.push_back(std::move(End));
+  }
   Job->IsSent = true;
   On->send(std::move(Steps));
 }
@@ -151,25 +146,6 @@
   tryAgain(Job, Why, busyPause(*Job));
 }
 
-// A read that must miss nothing runs inside a transaction that only a leader
-// opens. A primary that was replaced answers a plain read from its old log,
-// and its caller would miss what the new primary has acknowledged.
-void SessionPipeline::runAtLeader(const SessionJobPtr &Job) {
-  if (Job->Connection->isShared())
-    return openAndRun(Job, true);
-  const CallerSessionPtr Session = Job->Of.lock();
-  std::vector<TargetConnection::Step> Steps;
-  Job->Connection->adjust(Session->Values, Steps);
-  Job->MayWait = queueTime(*Job);
-  Steps.push_back({{.What = TargetCommand::Kind::Begin,
-                    .Priority = Job->Route.Priority,
-                    .MayWait = Job->MayWait},
-                   [this, Job](const StatementAnswer &Answer) {
-                     leaderOpened(Job, Answer);
-                   }});
-  Job->Connection->send(std::move(Steps));
-}
-
 void SessionPipeline::leaderOpened(const SessionJobPtr &Job,
                                    const StatementAnswer &Answer) {
   if (Job->At != SessionJob::Stage::Running)
--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -46,6 +46,36 @@
          All.size() < Limit.value_or(Share + Burst);
 }
 
+void TargetPool::open(TargetConnector &Connector, Millis Now,
+                      OpenHandlers Handlers) {
+  auto Weak = std::make_shared<std::weak_ptr<TargetConnection>>();
+  auto Made = std::make_shared<TargetConnection>(
+      Connector, TargetAddress{Record.Group, Record.Id, Record.Address}, Now,
+      TargetConnection::Events{
+          [Weak, OnOpen = std::move(Handlers.OnOpen)] {
+            if (const TargetConnectionPtr Open = Weak->lock())
+              OnOpen(Open);
+          },
+          [Weak, OnClose = std::move(Handlers.OnClose)](
+              const std::optional<StatementRefusal> &Why) {
+            if (const TargetConnectionPtr Gone = Weak->lock())
+              OnClose(Gone, Why);
+          }});
+  *Weak = Made;
+  All.push_back(std::move(Made));
+}
+
+bool TargetPool::noteClosed(const TargetConnectionPtr &Gone,
+                            const std::optional<StatementRefusal> &Why,
+                            Millis Now) {
+  remove(Gone);
+  if (Why && Why->Code == RefusalCode::ConnectionLimit)
+    refusedConnection(Now);
+  else if (!Gone->hasOpened())
+    unreachable(Now);
+  return !Gone->hasOpened() && (!Why || Why->Code == RefusalCode::Misrouted);
+}
+
 void TargetPool::remove(const TargetConnectionPtr &Gone) {
   All.erase(std::remove(All.begin(), All.end(), Gone), All.end());
 }
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -24,6 +24,13 @@
 /// and goes beyond it only while the target takes more.
 class TargetPool {
 public:
+  struct OpenHandlers {
+    std::function<void(const TargetConnectionPtr &)> OnOpen;
+    std::function<void(const TargetConnectionPtr &,
+                       const std::optional<StatementRefusal> &)>
+        OnClose;
+  };
+
   TargetPool(TargetRecord Of, std::size_t Share, Millis Now)
       : Record(std::move(Of)), Share(Share), LeavingSince(Now),
         LimitRaisedAt(Now) {}
@@ -39,7 +46,14 @@
   /// An idle connection, one that carries these values where there is one.
   TargetConnectionPtr idle(const SessionValues &Wanted) const;
   bool mayOpen(Millis Now) const;
-  void add(TargetConnectionPtr Opened) { All.push_back(std::move(Opened)); }
+  /// Begins another connection; the handlers run later, on the loop, and not
+  /// once the connection was closed from here.
+  void open(TargetConnector &Connector, Millis Now, OpenHandlers Handlers);
+  /// A connection has ended by itself; true where that's a sign that the
+  /// target can't be used. One that ends after it was open is none: whoever
+  /// needs the next learns in a moment whether there is one.
+  bool noteClosed(const TargetConnectionPtr &Gone,
+                  const std::optional<StatementRefusal> &Why, Millis Now);
   void remove(const TargetConnectionPtr &Gone);
   std::size_t opening() const {
     return count(TargetConnection::Stage::Opening);
--- a/Source/Relay/BrokerLink.cpp
+++ b/Source/Relay/BrokerLink.cpp
@@ -97,8 +97,7 @@
   const std::size_t Dropped =
       Awaited.empty() ? std::exchange(Pending, {}).size() : 0;
   TargetConnectionPtr Free;
-  if (Awaited.empty() && Pending.empty() &&
-      Answer.Phase == SessionPhase::Idle) {
+  if (Awaited.empty() && Answer.Phase == SessionPhase::Idle) {
     Free = std::exchange(Bound, nullptr);
     if (std::exchange(HasSetValues, false))
       Free->forgetValues();
--- a/Source/Relay/RelayHost.cpp
+++ b/Source/Relay/RelayHost.cpp
@@ -58,10 +58,8 @@
 
 void RelayHost::receive(Peer &From, const std::string &Frame) {
   const auto Message = decode<RelayMessage>(Frame);
-  if (!Message) {
-    ++Rejected;
+  if (!Message)
     return drop(From);
-  }
   std::visit([&](const auto &Body) { on(From, Body); }, *Message);
 }
 
@@ -128,11 +126,4 @@
     Each->send(RelayLeaving{});
 }
 
-std::size_t RelayHost::links() const {
-  std::size_t Out = 0;
-  for (const auto &Each : Peers)
-    Out += Each->Links.size();
-  return Out;
-}
-
 } // namespace corianderdyke
--- a/Source/Relay/RelayHost.h
+++ b/Source/Relay/RelayHost.h
@@ -27,9 +27,6 @@
 
   /// Tells the others to send nothing new here.
   void beginStop();
-  std::size_t links() const;
-  /// Frames that couldn't be read; each closed its stream.
-  std::uint64_t rejected() const { return Rejected; }
 
 private:
   struct Peer;
@@ -50,7 +47,6 @@
   const FloorTable &Floors;
   std::set<std::shared_ptr<Peer>> Peers;
   bool IsStopping = false;
-  std::uint64_t Rejected = 0;
 };
 
 } // namespace corianderdyke
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -43,17 +43,16 @@
   bool isShared() const override { return true; }
 
   void send(const std::vector<TargetCommand> &Commands) override {
-    const bool BeginsUnit = Unanswered.empty() && Phase == SessionPhase::Idle;
+    const bool BeginsUnit = Unanswered == 0 && Phase == SessionPhase::Idle;
     if (BeginsUnit && !rebind())
       return refuseAll(Commands);
     if (!Inner) {
       // What was open ended with its gateway; the user of the link is told.
       return;
     }
-    for (const TargetCommand &Each : Commands) {
-      Unanswered.push_back(Each.What);
+    Unanswered += Commands.size();
+    for (const TargetCommand &Each : Commands)
       noteState(Each);
-    }
     Inner->send(Commands);
   }
 
@@ -94,9 +93,9 @@
       --Replayed;
       return;
     }
-    if (Unanswered.empty())
+    if (Unanswered == 0)
       return;
-    Unanswered.pop_front();
+    --Unanswered;
     Phase = Answer.Phase;
     StatementAnswer Out = Answer;
     if (Answer.Refusal && Answer.Refusal->Code == RefusalCode::Unreachable) {
@@ -110,7 +109,7 @@
   }
 
   void closed() {
-    const bool IsIdle = Unanswered.empty() && Phase == SessionPhase::Idle;
+    const bool IsIdle = Unanswered == 0 && Phase == SessionPhase::Idle;
     Owner.retire(std::move(Inner));
     Replayed = 0;
     if (IsIdle)
@@ -145,7 +144,7 @@
   Gateway Bound;
   std::vector<TargetCommand> State; ///< Since the last reset.
   std::size_t Replayed = 0;         ///< Answers due to what was replayed.
-  std::deque<TargetCommand::Kind> Unanswered;
+  std::size_t Unanswered = 0;
   SessionPhase Phase = SessionPhase::Idle;
 };
 
@@ -200,6 +199,9 @@
 }
 
 void SharedConnector::rebuild() {
+  const Millis Now = Outside.Time.now();
+  std::erase_if(AvoidUntil,
+                [Now](const auto &Each) { return Each.second <= Now; });
   Table = GatewayTable(Proxies, Targets, Gateways);
   std::set<std::string> Own;
   for (const TargetRecord &Each : Targets) {
--- a/Source/Relay/SharedConnector.h
+++ b/Source/Relay/SharedConnector.h
@@ -46,8 +46,6 @@
     TargetConnector *Connector = nullptr;
     RelayPeer *Peer = nullptr;
     std::string Name;
-
-    bool operator==(const Gateway &) const = default;
   };
 
   /// The gateway that should carry the next statement of a link; nothing
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -123,13 +123,6 @@
   return Out;
 }
 
-std::size_t TargetBroker::waiting() const {
-  std::size_t Out = 0;
-  for (const auto &[Id, Each] : Targets)
-    Out += Each.Waiting.size();
-  return Out;
-}
-
 void TargetBroker::enqueue(Link &New, std::list<Link *> &In) {
   auto Place = In.end();
   while (Place != In.begin() &&
@@ -201,45 +194,27 @@
 }
 
 void TargetBroker::openConnection(Target &At) {
-  const TargetRecord &To = At.Pool.record();
-  ++Opened;
-  // The handlers run on the loop, after this has returned.
-  auto Weak = std::make_shared<std::weak_ptr<TargetConnection>>();
-  auto Made = std::make_shared<TargetConnection>(
-      Direct, TargetAddress{To.Group, To.Id, To.Address}, Time.now(),
-      TargetConnection::Events{
-          [this, Weak] {
-            const TargetConnectionPtr Open = Weak->lock();
-            if (!Open)
-              return;
-            Open->setBusy(false, Time.now());
-            Target &Of = targetOf(Open->to());
-            Of.Pool.reached(Time.now());
-            pump(Of);
-          },
-          [this, Id = To.Id, Weak](const std::optional<StatementRefusal> &Why) {
-            if (const TargetConnectionPtr Gone = Weak->lock())
-              closed(Id, Gone, Why);
-          }});
-  *Weak = Made;
-  At.Pool.add(Made);
+  At.Pool.open(Direct, Time.now(),
+               {[this](const TargetConnectionPtr &Open) {
+                  Open->setBusy(false, Time.now());
+                  Target &Of = targetOf(Open->to());
+                  Of.Pool.reached(Time.now());
+                  pump(Of);
+                },
+                [this](const TargetConnectionPtr &Gone,
+                       const std::optional<StatementRefusal> &Why) {
+                  closed(Gone, Why);
+                }});
   Ticker.within(WaitingInterval);
 }
 
-void TargetBroker::closed(const std::string &Id,
-                          const TargetConnectionPtr &Gone,
+void TargetBroker::closed(const TargetConnectionPtr &Gone,
                           const std::optional<StatementRefusal> &Why) {
-  const auto Found = Targets.find(Id);
-  if (Found == Targets.end())
+  Target *At = find(Gone->to().Id);
+  if (At == nullptr)
     return;
-  Target &At = Found->second;
-  At.Pool.remove(Gone);
-  if (Why && Why->Code == RefusalCode::ConnectionLimit)
-    At.Pool.refusedConnection(Time.now());
-  else if (!Gone->hasOpened())
-    At.Pool.unreachable(Time.now());
-  if (!Gone->hasOpened() && (!Why || Why->Code == RefusalCode::Misrouted))
-    Trouble.emit({Id, true});
+  if (At->Pool.noteClosed(Gone, Why, Time.now()))
+    Trouble.emit({Gone->to().Id, true});
   std::vector<std::uint64_t> Holders;
   for (const auto &[Number, Each] : Links)
     if (Each->holds(Gone))
@@ -247,7 +222,7 @@
   for (const std::uint64_t Number : Holders)
     if (Link *Each = findLink(Number))
       Each->lost();
-  pump(At);
+  pump(*At);
 }
 
 void TargetBroker::giveBack(const TargetConnectionPtr &Used) {
@@ -302,7 +277,7 @@
         continue;
       Connection->close();
       Trouble.emit({Id, false});
-      closed(Id, Connection, std::nullopt);
+      closed(Connection, std::nullopt);
     }
     if (!Each.Waiting.empty()) {
       IsUrgent = true;
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -49,9 +49,7 @@
 
   /// True while a transaction or statement of any link is under way.
   bool isBusy() const;
-  std::uint64_t opened() const { return Opened; }
   std::size_t connections() const;
-  std::size_t waiting() const;
 
   /// Emitted when a target couldn't be reached, and when a primary answered.
   sigc::signal<void(const TargetTrouble &)> &signalTrouble() { return Trouble; }
@@ -89,7 +87,7 @@
   void pump(Target &At);
   void openIfAllowed(Target &At);
   void openConnection(Target &At);
-  void closed(const std::string &Id, const TargetConnectionPtr &Gone,
+  void closed(const TargetConnectionPtr &Gone,
               const std::optional<StatementRefusal> &Why);
   void giveBack(const TargetConnectionPtr &Used);
   void discard(const TargetConnectionPtr &Used);
@@ -109,7 +107,6 @@
   std::map<std::uint64_t, Link *> Links;
   std::uint64_t NextLink = 1;
   SoonestTimer Ticker;
-  std::uint64_t Opened = 0;
   sigc::signal<void(const TargetTrouble &)> Trouble;
   sigc::signal<void(const std::string &)> Reached;
 };
--- a/Source/Transport/SocketOptions.cpp
+++ b/Source/Transport/SocketOptions.cpp
@@ -4,6 +4,8 @@
 #include "Transport/SocketOptions.h"
 
 #include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -24,6 +26,20 @@
   setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &Bound, sizeof(Bound));
 }
 
+Expected<evconnlistener *> makeListener(event_base *Base, const Endpoint &At,
+                                        int Backlog, evconnlistener_cb Handler,
+                                        void *Argument) {
+  const sockaddr_in Address = socketAddress(At);
+  evconnlistener *Made = evconnlistener_new_bind(
+      Base, Handler, Argument,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      Backlog, reinterpret_cast<const sockaddr *>(&Address), sizeof(Address));
+  if (Made == nullptr)
+    return fail(ErrorCode::System,
+                "can't listen on " + At.text() + ": " + std::strerror(errno));
+  return Made;
+}
+
 int makeTunedSocket(Millis SilenceBorne) {
   const int Socket =
       ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/Source/Transport/SocketOptions.h
+++ b/Source/Transport/SocketOptions.h
@@ -7,6 +7,7 @@
 #include "Common/Identity.h"
 #include "Common/Millis.h"
 
+#include <event2/listener.h>
 #include <netinet/in.h>
 
 namespace corianderdyke {
@@ -23,6 +24,12 @@
 /// connects; negative where there's none to be had.
 int makeTunedSocket(Millis SilenceBorne);
 
+/// Listens for TCP connections; \p Handler is called with \p Argument. System
+/// where the address can't be listened on.
+Expected<evconnlistener *> makeListener(event_base *Base, const Endpoint &At,
+                                        int Backlog, evconnlistener_cb Handler,
+                                        void *Argument);
+
 } // namespace corianderdyke
 
 #endif
--- a/Source/Transport/SocketPeerStreams.cpp
+++ b/Source/Transport/SocketPeerStreams.cpp
@@ -8,12 +8,9 @@
 #include "Transport/SocketOptions.h"
 
 #include <arpa/inet.h>
-#include <cerrno>
-#include <cstring>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/listener.h>
 
 namespace corianderdyke {
 
@@ -165,19 +162,16 @@
                           std::string Key) {
   std::unique_ptr<SocketPeerStreams> Made(
       new SocketPeerStreams(Loop, std::move(Key)));
-  const sockaddr_in Address = socketAddress(At);
-  Made->Listener = evconnlistener_new_bind(
-      Loop.base(),
+  auto Listener = makeListener(
+      Loop.base(), At, Backlog,
       [](evconnlistener *, evutil_socket_t Socket, sockaddr *, int,
          void *Self) {
         static_cast<SocketPeerStreams *>(Self)->accepted(Socket);
       },
-      Made.get(),
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
-      Backlog, reinterpret_cast<const sockaddr *>(&Address), sizeof(Address));
-  if (Made->Listener == nullptr)
-    return fail(ErrorCode::System,
-                "can't listen on " + At.text() + ": " + std::strerror(errno));
+      Made.get());
+  if (!Listener)
+    return tl::unexpected(Listener.error());
+  Made->Listener = *Listener;
   return Made;
 }
 
