--- a/Source/Directory/TargetDirectory.cpp
+++ b/Source/Directory/TargetDirectory.cpp
@@ -21,7 +21,11 @@
 
 bool TargetDirectory::hear(TargetRecord Said, Millis Now) {
   const auto Found = Targets.find(Said.Id);
-  if (Found == Targets.end()) {
+  const bool IsNewLife =
+      Found == Targets.end() || Said.BornAt > Found->second.Record.BornAt;
+  if (IsNewLife) {
+    if (isSuperseded(Said))
+      return false;
     if (Said.IsPrimary)
       Said.PrimarySince = nextPrimary(Said.Group);
     supersede(Said, Now);
@@ -30,7 +34,8 @@
     return true;
   }
   Known &Old = Found->second;
-  if (Old.Record.IsGone || Said.Sequence <= Old.Record.Sequence)
+  if (Said.BornAt < Old.Record.BornAt || Old.Record.IsGone ||
+      Said.Sequence <= Old.Record.Sequence)
     return false;
   Old.LastHeard = Now;
   Said.PrimarySince = Old.Record.PrimarySince;
@@ -46,6 +51,14 @@
   return IsNews;
 }
 
+bool TargetDirectory::isSuperseded(const TargetRecord &Said) const {
+  return std::any_of(Targets.begin(), Targets.end(), [&Said](const auto &Each) {
+    const TargetRecord &Known = Each.second.Record;
+    return Known.Id != Said.Id && Known.Address == Said.Address &&
+           Known.BornAt > Said.BornAt && Said.BornAt > 0;
+  });
+}
+
 void TargetDirectory::supersede(const TargetRecord &Newer, Millis Now) {
   for (auto &[Id, Each] : Targets)
     if (Id != Newer.Id && Each.Record.Address == Newer.Address &&
@@ -55,9 +68,11 @@
     }
 }
 
-bool TargetDirectory::leave(const std::string &Id, Millis Now) {
+bool TargetDirectory::leave(const std::string &Id, std::uint64_t BornAt,
+                            Millis Now) {
   const auto Found = Targets.find(Id);
-  if (Found == Targets.end() || Found->second.Record.IsGone)
+  if (Found == Targets.end() || Found->second.Record.IsGone ||
+      BornAt < Found->second.Record.BornAt)
     return false;
   Found->second.Record.IsGone = true;
   Found->second.GoneAt = Now;
@@ -76,6 +91,13 @@
       continue;
     }
     Known &Old = Found->second;
+    if (Each.BornAt < Old.Record.BornAt)
+      continue;
+    if (Each.BornAt > Old.Record.BornAt) {
+      Old = {Each, Now, Each.IsGone ? Now : Millis()};
+      IsNews = true;
+      continue;
+    }
     TargetRecord New = Each.Sequence >= Old.Record.Sequence ? Each : Old.Record;
     New.IsGone = Each.IsGone || Old.Record.IsGone;
     New.IsLeaving = Each.IsLeaving || Old.Record.IsLeaving;
--- a/Source/Directory/TargetDirectory.h
+++ b/Source/Directory/TargetDirectory.h
@@ -13,13 +13,17 @@
 
 namespace corianderdyke {
 
-/// What a target last said of itself. The record with the highest sequence of
-/// an id holds.
+/// What a target last said of itself. Of one id the record of the latest life
+/// holds, and within a life the one with the highest sequence.
 struct TargetRecord {
-  std::string Id; ///< One life of a target; a restarted one has another.
+  std::string Id;
   std::string Group;
   Endpoint Address;
   std::string FailureDomain;
+  /// Start of this life of the target, in Unix milliseconds of its own clock;
+  /// 0 where it didn't say. A target that starts again under its id knows
+  /// nothing of its former life, and its sequence begins anew.
+  std::uint64_t BornAt = 0;
   std::uint64_t Sequence = 0;
   bool IsPrimary = false; ///< As the target sees itself.
   bool IsLeaving = false;
@@ -38,8 +42,8 @@
 
   auto operator<=>(const TargetRecord &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Id, Group, Address, FailureDomain, Sequence, IsPrimary, IsLeaving,
-       IsGone, PrimarySince, Slots);
+    Ar(Id, Group, Address, FailureDomain, BornAt, Sequence, IsPrimary,
+       IsLeaving, IsGone, PrimarySince, Slots);
   }
 };
 
@@ -51,12 +55,15 @@
   void beginTerm(std::uint64_t Term);
 
   /// Takes a target's own word in; true where something changed that others
-  /// must know. A record of an older sequence is ignored: a heartbeat that a
-  /// partition held up would bring a dead life back.
+  /// must know. A record of an older sequence or an earlier life is ignored:
+  /// a heartbeat that a partition held up would bring a dead life back. The
+  /// first word of a later life replaces all that was known of the earlier
+  /// one, also that it was leaving or gone.
   bool hear(TargetRecord Said, Millis Now);
 
-  /// The target said goodbye.
-  bool leave(const std::string &Id, Millis Now);
+  /// The life of a target that began at \p BornAt said goodbye. A late one of
+  /// an earlier life is ignored.
+  bool leave(const std::string &Id, std::uint64_t BornAt, Millis Now);
 
   /// Takes over what another process knows; true where something was news.
   bool merge(const std::vector<TargetRecord> &Others, Millis Now);
@@ -86,6 +93,8 @@
     Millis GoneAt;
   };
 
+  /// True where a later life is known at the same address.
+  bool isSuperseded(const TargetRecord &Said) const;
   void supersede(const TargetRecord &Newer, Millis Now);
   std::uint64_t nextPrimary(const std::string &Group) const;
 
--- a/Source/Logs/LogEvents.cpp
+++ b/Source/Logs/LogEvents.cpp
@@ -85,7 +85,9 @@
   for (const auto &[Name, Value] : Fields)
     if (!Value.empty())
       Out[Name] = Value;
-  return Out.dump();
+  // Names and ids come from callers, in any bytes; the strict writer would
+  // throw on some and end the process over a log line.
+  return Out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace
--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -55,12 +55,20 @@
 void SessionPipeline::update(const TargetDirectory &Known) {
   const Millis Now = Outside.Time.now();
   for (const TargetRecord &Each : Known.all()) {
+    // Nobody declared that group: no connection is opened on the strength of a
+    // heartbeat alone.
+    if (Plan.group(Each.Group) == nullptr && Groups.count(Each.Group) == 0)
+      continue;
     Group &In = Groups[Each.Group];
     const auto Pool = In.Pools.find(Each.Id);
-    if (Pool != In.Pools.end())
-      Pool->second.update(Each, Now);
-    else if (!Each.IsGone)
-      In.Pools.emplace(Each.Id, TargetPool(Each, LeastShare, Now));
+    if (Pool == In.Pools.end()) {
+      if (!Each.IsGone)
+        In.Pools.emplace(Each.Id, TargetPool(Each, LeastShare, Now));
+      continue;
+    }
+    if (Pool->second.beginsLife(Each))
+      endLife(Each.Group, Pool->second);
+    Pool->second.update(Each, Now);
   }
   for (auto &[Name, Each] : Groups) {
     const auto Primary = Known.primaryOf(Name);
@@ -81,6 +89,17 @@
     pump(Name);
 }
 
+// A target that starts again under its id may be back before its silence was
+// noticed. Whoever waits on a connection of its former life would wait for
+// good, and learns now that it's lost.
+void SessionPipeline::endLife(const std::string &GroupName, TargetPool &Pool) {
+  const std::vector<TargetConnectionPtr> Dead = Pool.connections();
+  for (const TargetConnectionPtr &Each : Dead) {
+    Each->close();
+    closed(GroupName, Each, std::nullopt);
+  }
+}
+
 std::vector<PoolReport> SessionPipeline::pools() const {
   std::vector<PoolReport> Out;
   for (const auto &[Name, Each] : Groups)
@@ -125,7 +144,8 @@
         (Id != In.Primary || !Pool.mayLead(Now) || !Pool.mayTakeWork(Now)))
       continue;
     if (Job.Where == Placement::Replica &&
-        (Record.IsLeaving || Job.Avoid.count(Id) != 0 || Pool.lags(Now)))
+        (Record.IsLeaving || Job.Avoid.count(Id) != 0 ||
+         Pool.lag().isPaused(Now)))
       continue;
     Out.push_back(&Pool);
   }
@@ -141,7 +161,7 @@
   double Out = static_cast<double>(Pool.busy()) + Pool.latency() / LatencyUnit;
   if (Pool.record().FailureDomain != Where.FailureDomain)
     Out += DistanceCost;
-  if (Job.Floor && Pool.isBehind(*Job.Floor, Outside.Time.now()))
+  if (Job.Floor && Pool.lag().isBehind(*Job.Floor, Outside.Time.now()))
     Out += BehindCost;
   if (Pool.record().Id == In.Primary)
     Out += PrimaryCost;
--- a/Source/Pipeline/FloorProbes.cpp
+++ b/Source/Pipeline/FloorProbes.cpp
@@ -71,8 +71,10 @@
                                     const TargetConnectionPtr &On,
                                     const StatementAnswer &Answer) {
   Group &In = Groups[Name];
-  if (!Answer.Refusal && Answer.Position)
-    Outside.Floors.note(Name, *Answer.Position, In.Probe.SentAt);
+  if (!Answer.Refusal && Answer.Position &&
+      !Outside.Floors.hasShrunk(Name, *Answer.Position, In.Probe.SentAt))
+    Outside.Floors.note(Name, *Answer.Position, In.Probe.SentAt,
+                        Outside.Time.now());
   if (In.Probe.On == On)
     endProbe(Name);
 }
--- a/Source/Pipeline/FloorTable.cpp
+++ b/Source/Pipeline/FloorTable.cpp
@@ -4,10 +4,12 @@
 
 #include "Pipeline/FloorTable.h"
 
+#include <algorithm>
+
 namespace corianderdyke {
 
 void FloorTable::note(const std::string &Group, LogPosition Shown,
-                      Millis SentAt) {
+                      Millis SentAt, Millis Now) {
   std::deque<Proof> &Known = Groups[Group];
   // A floor in the tail that a promotion rolled back is in no log any more:
   // every replica would refuse it for as long as it's kept.
@@ -18,14 +20,26 @@
   if (!Known.empty() && SentAt < Known.back().SentAt)
     return;
   if (Known.size() > 1 && SentAt - Known[Known.size() - 2].SentAt < Spacing) {
-    Known.back() = {Shown, SentAt};
+    Known.back() = {Shown, SentAt, Now};
     return;
   }
-  Known.push_back({Shown, SentAt});
+  Known.push_back({Shown, SentAt, Now});
   while (Known.size() > MaxProofs || SentAt - Known.front().SentAt > Kept)
     Known.pop_front();
 }
 
+bool FloorTable::hasShrunk(const std::string &Group, LogPosition Shown,
+                           Millis SentAt) const {
+  const auto Found = Groups.find(Group);
+  if (Found == Groups.end())
+    return false;
+  const std::deque<Proof> &Known = Found->second;
+  return std::any_of(Known.rbegin(), Known.rend(), [&](const Proof &Each) {
+    return Each.Shown.Term == Shown.Term && Each.Shown > Shown &&
+           Each.NotedAt <= SentAt;
+  });
+}
+
 std::optional<LogPosition> FloorTable::floor(const std::string &Group,
                                              Millis ArrivedAt,
                                              Millis AcceptedAge) const {
--- a/Source/Pipeline/FloorTable.h
+++ b/Source/Pipeline/FloorTable.h
@@ -29,13 +29,22 @@
   struct Proof {
     LogPosition Shown;
     Millis SentAt;
+    Millis NotedAt; ///< When the answer had arrived.
 
     auto operator<=>(const Proof &) const = default;
   };
 
   /// A target that proved its lead showed \p Shown in an answer to something
-  /// that was sent at \p SentAt.
-  void note(const std::string &Group, LogPosition Shown, Millis SentAt);
+  /// that was sent at \p SentAt and arrived by \p Now.
+  void note(const std::string &Group, LogPosition Shown, Millis SentAt,
+            Millis Now);
+
+  /// True where a target that says that it leads lacks what its own term had
+  /// shown by \p SentAt. A primary that starts again under its id without its
+  /// log still takes transactions, and their callers would miss commits that
+  /// were acknowledged. Within a term a log that's kept never shrinks.
+  bool hasShrunk(const std::string &Group, LogPosition Shown,
+                 Millis SentAt) const;
 
   /// The lowest position that is a floor for a read which arrived at
   /// \p ArrivedAt and accepts \p AcceptedAge; the lowest lets the most
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -179,6 +179,7 @@
   void opened(const std::string &GroupName, const TargetConnectionPtr &Made);
   void closed(const std::string &GroupName, const TargetConnectionPtr &Gone,
               const std::optional<StatementRefusal> &Why);
+  void endLife(const std::string &GroupName, TargetPool &Pool);
   void release(const TargetConnectionPtr &Used);
   void discard(const TargetConnectionPtr &Used);
   TargetPool *poolOf(const TargetConnectionPtr &Used);
@@ -200,6 +201,9 @@
   void transactionOpened(const SessionJobPtr &Job, bool AtLeader,
                          const StatementAnswer &Answer);
   void leaderOpened(const SessionJobPtr &Job, const StatementAnswer &Answer);
+  bool lacksItsLog(const SessionJobPtr &Job,
+                   const StatementAnswer &Answer) const;
+  void leaderHasShrunk(const SessionJobPtr &Job);
   void openingRefused(const SessionJobPtr &Job, const StatementAnswer &Answer);
   void retryOpening(const SessionJobPtr &Job, const TargetConnectionPtr &On,
                     const StatementRefusal &Why);
--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -26,12 +26,12 @@
       Reached.emit(Pool->record().Id);
     Pool->noteLatency(Outside.Time.now() - Job->SentAt);
     if (Answer.Position)
-      Pool->notePosition(*Answer.Position, Outside.Time.now());
+      Pool->lag().notePosition(*Answer.Position, Outside.Time.now());
     if (Job->Floor && Job->Where == Placement::Replica) {
       if (!Answer.Refusal)
-        Pool->noteFresh();
+        Pool->lag().noteFresh();
       else if (Answer.Refusal->Code == RefusalCode::Lagging && !Job->IsFloorOwn)
-        Pool->noteLagging(Outside.Time.now());
+        Pool->lag().noteRefused(Outside.Time.now());
     }
     if (Answer.Refusal && Answer.Refusal->Code == RefusalCode::ReadOnly)
       Pool->noteNotLeading(Outside.Time.now());
@@ -40,7 +40,8 @@
     return;
   Groups[Job->Route.Group].Outage.noteLeading(Outside.Time.now());
   if (Answer.Position)
-    Outside.Floors.note(Job->Route.Group, *Answer.Position, Job->SentAt);
+    Outside.Floors.note(Job->Route.Group, *Answer.Position, Job->SentAt,
+                        Outside.Time.now());
 }
 
 void SessionPipeline::answered(const SessionJobPtr &Job,
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -62,6 +62,8 @@
   if (Job->At != SessionJob::Stage::Running)
     return;
   const CallerSessionPtr Session = Job->Of.lock();
+  if (AtLeader && lacksItsLog(Job, Answer))
+    return leaderHasShrunk(Job);
   noteAnswer(Job, Answer, AtLeader);
   if (Answer.Refusal || Answer.Phase != SessionPhase::InTransaction)
     return openingRefused(Job, Answer);
@@ -117,6 +119,23 @@
   On->send(std::move(Steps));
 }
 
+bool SessionPipeline::lacksItsLog(const SessionJobPtr &Job,
+                                  const StatementAnswer &Answer) const {
+  return !Answer.Refusal && Answer.Position &&
+         Outside.Floors.hasShrunk(Job->Route.Group, *Answer.Position,
+                                  Job->SentAt);
+}
+
+// As if it had said that it doesn't lead. Where a gateway has sent the
+// statement behind the opening already, its answer is for a try that is over.
+void SessionPipeline::leaderHasShrunk(const SessionJobPtr &Job) {
+  if (TargetPool *Pool = poolOf(Job->Connection))
+    Pool->noteNotLeading(Outside.Time.now());
+  discard(Job->Connection);
+  lost(Job, "target " + Job->Connection->to().Id +
+                " has lost a part of its log and isn't believed to lead");
+}
+
 void SessionPipeline::openingRefused(const SessionJobPtr &Job,
                                      const StatementAnswer &Answer) {
   Running.erase(Job);
@@ -150,6 +169,8 @@
                                    const StatementAnswer &Answer) {
   if (Job->At != SessionJob::Stage::Running)
     return;
+  if (lacksItsLog(Job, Answer))
+    return leaderHasShrunk(Job);
   if (!Answer.Refusal && Answer.Phase == SessionPhase::InTransaction) {
     Job->MayWait = Millis(0);
     // A gateway sends the statement by itself.
--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -9,8 +9,13 @@
 namespace corianderdyke {
 
 void TargetPool::update(const TargetRecord &New, Millis Now) {
+  if (beginsLife(New)) {
+    Seen = {};
+    Seen.LeavingSince = Now;
+    Seen.LimitRaisedAt = Now;
+  }
   if (New.IsLeaving && !Record.IsLeaving)
-    LeavingSince = Now;
+    Seen.LeavingSince = Now;
   Record = New;
 }
 
@@ -42,8 +47,8 @@
 bool TargetPool::mayOpen(Millis Now) const {
   if (IsShared)
     return !isAvoided(Now) && All.size() < MaxLinks;
-  return !isAvoided(Now) && Now >= OpenAgainAt &&
-         All.size() < Limit.value_or(Share + Burst);
+  return !isAvoided(Now) && Now >= Seen.OpenAgainAt &&
+         All.size() < Seen.Limit.value_or(Share + Burst);
 }
 
 void TargetPool::open(TargetConnector &Connector, Millis Now,
@@ -81,38 +86,29 @@
 }
 
 void TargetPool::refusedConnection(Millis Now) {
-  Limit = std::max<std::size_t>(1, All.size());
-  LimitRaisedAt = Now;
-  OpenAgainAt = Now + RefusedPause;
+  Seen.Limit = std::max<std::size_t>(1, All.size());
+  Seen.LimitRaisedAt = Now;
+  Seen.OpenAgainAt = Now + RefusedPause;
 }
 
 void TargetPool::unreachable(Millis Now) {
-  LastAvoid = LastAvoid == Millis() ? FirstAvoid
-                                    : std::min(LastAvoid * 2, LongestAvoid);
-  AvoidUntil = Now + LastAvoid;
-}
-
-void TargetPool::noteLagging(Millis Now) {
-  // Reads that were on their way together count once.
-  if (lags(Now))
-    return;
-  LastLagPause = LastLagPause == Millis()
-                     ? FirstLagPause
-                     : std::min(LastLagPause * 2, LongestLagPause);
-  LagsUntil = Now + LastLagPause;
+  Seen.LastAvoid = Seen.LastAvoid == Millis()
+                       ? FirstAvoid
+                       : std::min(Seen.LastAvoid * 2, LongestAvoid);
+  Seen.AvoidUntil = Now + Seen.LastAvoid;
 }
 
 void TargetPool::reached(Millis Now) {
-  LastAnswer = Now;
-  LastAvoid = Millis();
-  AvoidUntil = Millis();
+  Seen.LastAnswer = Now;
+  Seen.LastAvoid = Millis();
+  Seen.AvoidUntil = Millis();
 }
 
 void TargetPool::tend(Millis Now) {
-  if (Limit && Now - LimitRaisedAt >= LimitRecovery) {
-    LimitRaisedAt = Now;
-    if (++*Limit >= Share + Burst)
-      Limit.reset();
+  if (Seen.Limit && Now - Seen.LimitRaisedAt >= LimitRecovery) {
+    Seen.LimitRaisedAt = Now;
+    if (++*Seen.Limit >= Share + Burst)
+      Seen.Limit.reset();
   }
   const bool ServesOn =
       Record.IsLeaving ? Record.IsPrimary && mayTakeWork(Now) : !Record.IsGone;
@@ -137,7 +133,7 @@
 
 void TargetPool::noteLatency(Millis Taken) {
   constexpr double Weight = 0.1;
-  Latency += Weight * (static_cast<double>(Taken.count()) - Latency);
+  Seen.Latency += Weight * (static_cast<double>(Taken.count()) - Seen.Latency);
 }
 
 } // namespace corianderdyke
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -5,6 +5,7 @@
 #define CORIANDERDYKE_PIPELINE_TARGETPOOL_H
 
 #include "Directory/TargetDirectory.h"
+#include "Pipeline/ReplicaLag.h"
 #include "Pipeline/TargetConnection.h"
 
 #include <algorithm>
@@ -32,10 +33,19 @@
   };
 
   TargetPool(TargetRecord Of, std::size_t Share, Millis Now)
-      : Record(std::move(Of)), Share(Share), LeavingSince(Now),
-        LimitRaisedAt(Now) {}
+      : Record(std::move(Of)), Share(Share) {
+    Seen.LeavingSince = Now;
+    Seen.LimitRaisedAt = Now;
+  }
 
   const TargetRecord &record() const { return Record; }
+  /// True where \p New is a later life of the target: connections of the
+  /// earlier one are dead, whoever holds them.
+  bool beginsLife(const TargetRecord &New) const {
+    return Record.BornAt > 0 && New.BornAt > Record.BornAt;
+  }
+  /// Takes over what the target says of itself. With a later life all that
+  /// was learned of the earlier one is forgotten.
   void update(const TargetRecord &New, Millis Now);
   void setShare(std::size_t New) { Share = New; }
   /// From now on connections are links to those that all proxies share, or
@@ -67,47 +77,33 @@
   /// It can't be reached: try later, later each time.
   void unreachable(Millis Now);
   void reached(Millis Now);
-  Millis lastAnswer() const { return LastAnswer; }
+  Millis lastAnswer() const { return Seen.LastAnswer; }
   /// False once a leaving target must get nothing new.
   bool mayTakeWork(Millis Now) const {
     return !Record.IsGone &&
-           (!Record.IsLeaving || Now - LeavingSince < LeavingUse);
+           (!Record.IsLeaving || Now - Seen.LeavingSince < LeavingUse);
   }
-  bool isAvoided(Millis Now) const { return Now < AvoidUntil; }
+  bool isAvoided(Millis Now) const { return Now < Seen.AvoidUntil; }
   /// True while fewer connections stand than are kept warm.
   bool wantsWarm() const { return !Record.IsGone && All.size() < kept(); }
   /// True until it had as many connections as are kept warm, so that those
   /// which a target ends later aren't opened again without need.
   bool wantsFirstConnections() {
-    IsWarmed = IsWarmed || All.size() >= kept();
-    return !IsWarmed;
+    Seen.IsWarmed = Seen.IsWarmed || All.size() >= kept();
+    return !Seen.IsWarmed;
   }
   /// Lets the limit grow again, and closes what stands idle beyond the share.
   void tend(Millis Now);
 
   /// Time from sending to a whole answer.
   void noteLatency(Millis Taken);
-  double latency() const { return Latency; }
-  /// An answer showed where its log stands.
-  void notePosition(LogPosition Seen, Millis Now) {
-    Position = Seen;
-    PositionAt = Now;
-  }
-  /// It refused a read for want of a floor, or ran one that had a floor. One
-  /// that lags by more than callers accept does so for seconds, and each read
-  /// that tries it loses the way there and back: it's tried again later each
-  /// time.
-  void noteLagging(Millis Now);
-  void noteFresh() { LastLagPause = LagsUntil = Millis(); }
-  bool lags(Millis Now) const { return Now < LagsUntil; }
-  /// True where it's likely to refuse a read that asks for \p Floor. What an
-  /// answer showed some time ago says nothing: it has received since.
-  bool isBehind(LogPosition Floor, Millis Now) const {
-    return Position < Floor && Now - PositionAt < PositionKept;
-  }
+  double latency() const { return Seen.Latency; }
+  /// What its log holds, as far as answers showed.
+  ReplicaLag &lag() { return Seen.Lag; }
+  const ReplicaLag &lag() const { return Seen.Lag; }
   /// It said that it doesn't lead.
-  void noteNotLeading(Millis Now) { NotLeadingUntil = Now + LeadRecheck; }
-  bool mayLead(Millis Now) const { return Now >= NotLeadingUntil; }
+  void noteNotLeading(Millis Now) { Seen.NotLeadingUntil = Now + LeadRecheck; }
+  bool mayLead(Millis Now) const { return Now >= Seen.NotLeadingUntil; }
 
 private:
   std::size_t kept() const {
@@ -137,32 +133,30 @@
   static constexpr Millis LimitRecovery = Millis(1000);
   static constexpr Millis FirstAvoid = Millis(50);
   static constexpr Millis LongestAvoid = Millis(800);
-  /// Replicas that are well catch up in a fraction of this.
-  static constexpr Millis PositionKept = Millis(150);
-  static constexpr Millis FirstLagPause = Millis(100);
-  static constexpr Millis LongestLagPause = Millis(1600);
   /// A target that doesn't lead is asked again after this long, in case the
   /// word of its promotion is late.
   static constexpr Millis LeadRecheck = Millis(60);
 
+  /// What was learned of one life of the target.
+  struct Observations {
+    bool IsWarmed = false;
+    Millis LeavingSince;              ///< Where the record says that it leaves.
+    std::optional<std::size_t> Limit; ///< Learned from a refusal.
+    Millis LimitRaisedAt;
+    Millis OpenAgainAt; ///< After a refused connection.
+    Millis AvoidUntil;
+    Millis LastAvoid;
+    Millis LastAnswer = Millis(-1000000);
+    Millis NotLeadingUntil;
+    double Latency = 5;
+    ReplicaLag Lag;
+  };
+
   TargetRecord Record;
   std::size_t Share;
   bool IsShared = false;
-  bool IsWarmed = false;
-  Millis LeavingSince; ///< Where the record says that it leaves.
   std::vector<TargetConnectionPtr> All;
-  std::optional<std::size_t> Limit; ///< Learned from a refusal.
-  Millis LimitRaisedAt;
-  Millis OpenAgainAt; ///< After a refused connection.
-  Millis AvoidUntil;
-  Millis LastAvoid;
-  Millis LastAnswer = Millis(-1000000);
-  Millis LagsUntil;
-  Millis LastLagPause;
-  Millis NotLeadingUntil;
-  double Latency = 5;
-  LogPosition Position;
-  Millis PositionAt = Millis(-1000000);
+  Observations Seen;
 };
 
 } // namespace corianderdyke
--- a/Source/Relay/RelayPeer.cpp
+++ b/Source/Relay/RelayPeer.cpp
@@ -56,7 +56,7 @@
     // floor's age before that.
     if (Body.Floor)
       Owner.Floors.note(Group, Body.Floor->Shown,
-                        SentAt.front() - Body.Floor->Age);
+                        SentAt.front() - Body.Floor->Age, Owner.Time.now());
     SentAt.pop_front();
     const auto Handler = Handlers.OnAnswer;
     Handler(Body.Answer);
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -84,8 +84,11 @@
   const Millis Now = Time.now();
   for (auto Each = Targets.begin(); Each != Targets.end();) {
     TargetPool &Pool = Each->second.Pool;
-    if (const TargetRecord *Record = Known.find(Each->first))
+    if (const TargetRecord *Record = Known.find(Each->first)) {
+      if (Pool.beginsLife(*Record))
+        endLife(Each->second);
       Pool.update(*Record, Now);
+    }
     Pool.tend(Now);
     const bool Ended = Pool.record().IsGone && Pool.size() == 0 &&
                        Each->second.Waiting.empty();
@@ -225,6 +228,15 @@
   pump(*At);
 }
 
+// As at a proxy with connections of its own: those of a former life are dead.
+void TargetBroker::endLife(Target &At) {
+  const std::vector<TargetConnectionPtr> Dead = At.Pool.connections();
+  for (const TargetConnectionPtr &Each : Dead) {
+    Each->close();
+    closed(Each, std::nullopt);
+  }
+}
+
 void TargetBroker::giveBack(const TargetConnectionPtr &Used) {
   if (Used->stage() == TargetConnection::Stage::Closed)
     return;
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -89,6 +89,7 @@
   void openConnection(Target &At);
   void closed(const TargetConnectionPtr &Gone,
               const std::optional<StatementRefusal> &Why);
+  void endLife(Target &At);
   void giveBack(const TargetConnectionPtr &Used);
   void discard(const TargetConnectionPtr &Used);
   void noteAnswer(const TargetConnectionPtr &From);
--- a/Source/Steering/ControlFeed.cpp
+++ b/Source/Steering/ControlFeed.cpp
@@ -61,10 +61,8 @@
   FollowRequest Request{Options.Self, ++Sequence, Plan.Version,      Seen,
                         !IsProven,    {},         Options.AsGateway, IsLeaving,
                         ProxiesSeen};
-  for (const std::string &Each : std::exchange(Reached, {}))
-    Request.Sightings.push_back({Each, true});
-  for (const std::string &Each : std::exchange(FailedTargets, {}))
-    Request.Sightings.push_back({Each, false});
+  for (auto &[Target, Seen] : std::exchange(Sightings, {}))
+    Request.Sightings.push_back(Seen);
   // Those that don't lead tell who does, where they know.
   const std::vector<std::string> To =
       Everyone ? Hosts : std::vector<std::string>{Asked};
@@ -72,16 +70,26 @@
     Peers.send({Each, Options.PeerPort}, Delivery::Datagram, Request);
 }
 
+PrimarySighting ControlFeed::sightingOf(const std::string &Target,
+                                        bool IsReached) const {
+  const TargetRecord *Known = Directory.find(Target);
+  return {Target, Known == nullptr ? 0 : Known->BornAt, IsReached};
+}
+
 void ControlFeed::noteReached(const std::string &Target) {
-  Reached.insert(Target);
+  Sightings[Target] = sightingOf(Target, true);
 }
 
 void ControlFeed::noteFailed(const std::string &Target) {
-  Reached.erase(Target);
-  const bool IsNews = FailedTargets.insert(Target).second;
+  const auto Known = Sightings.find(Target);
+  const bool IsNews = Known == Sightings.end() || Known->second.IsReached;
+  Sightings[Target] = sightingOf(Target, false);
   if (IsNews)
     Timers.after(ReportInterval, [this] {
-      if (!FailedTargets.empty())
+      const bool HasFailed =
+          std::any_of(Sightings.begin(), Sightings.end(),
+                      [](const auto &Each) { return !Each.second.IsReached; });
+      if (HasFailed)
         ask(false);
     });
 }
--- a/Source/Steering/ControlFeed.h
+++ b/Source/Steering/ControlFeed.h
@@ -8,7 +8,7 @@
 #include "Loop/Scheduler.h"
 #include "Transport/Transport.h"
 
-#include <set>
+#include <map>
 
 namespace corianderdyke {
 
@@ -57,6 +57,7 @@
 private:
   void tick();
   void ask(bool Everyone);
+  PrimarySighting sightingOf(const std::string &Target, bool IsReached) const;
   void receive(const Envelope &Arrived);
   void on(const FollowReply &Body, const Envelope &From);
   void on(const FollowElsewhere &Body, const Envelope &From);
@@ -80,8 +81,8 @@
   bool HasContact = false;
   bool IsProven = false;
   std::uint64_t ProvenVersion = 0;
-  std::set<std::string> Reached;
-  std::set<std::string> FailedTargets;
+  /// Since the last word to control, by target.
+  std::map<std::string, PrimarySighting> Sightings;
   sigc::signal<void()> PlanChanged;
   sigc::signal<void()> DirectoryChanged;
   DirectoryVersion ProxiesSeen;
--- a/Source/Steering/Messages.h
+++ b/Source/Steering/Messages.h
@@ -24,10 +24,13 @@
 /// A target as one proxy sees it.
 struct PrimarySighting {
   std::string Id;
-  bool IsReached = false; ///< It answered lately; else it couldn't be used.
+  std::uint64_t BornAt = 0; ///< The life that was met, as the directory has it.
+  bool IsReached = false;   ///< It answered lately; else it couldn't be used.
 
   auto operator<=>(const PrimarySighting &) const = default;
-  template <class Archive> void serialize(Archive &Ar) { Ar(Id, IsReached); }
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Id, BornAt, IsReached);
+  }
 };
 
 /// A proxy's regular word to control: what it knows and what it sees.
--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -33,9 +33,14 @@
   for (auto &[Name, Each] : Groups)
     back(Each, Millis(0));
   MayBeStopped.clear();
-  for (const TargetRecord &Each : Directory.all())
+  for (const TargetRecord &Each : Directory.all()) {
     if (!Each.IsGone && !Each.IsPrimary)
       MayBeStopped.insert(Each.Id);
+    if (!Each.IsGone && Each.IsPrimary) {
+      Groups[Each.Group].Led = Each.Id;
+      Groups[Each.Group].LedBornAt = Each.BornAt;
+    }
+  }
 }
 
 void PromotionCoordinator::end() {
@@ -50,26 +55,35 @@
 void PromotionCoordinator::noteSightings(
     const ProcessId &Proxy, const std::vector<PrimarySighting> &Seen) {
   for (const PrimarySighting &Each : Seen) {
+    // What was met of an earlier life says nothing of the present one.
+    const TargetRecord *Present = Directory.find(Each.Id);
+    if (Present != nullptr && Present->BornAt != Each.BornAt)
+      continue;
     Sighting &Known = Sightings[Each.Id][Proxy];
+    if (Known.BornAt != Each.BornAt)
+      Known = {.BornAt = Each.BornAt};
     (Each.IsReached ? Known.ReachedAt : Known.FailedAt) = Time.now();
   }
 }
 
-std::size_t PromotionCoordinator::reporting(const std::string &Target,
+std::size_t PromotionCoordinator::reporting(const TargetRecord &Target,
                                             bool Failed) const {
-  const auto Found = Sightings.find(Target);
+  const auto Found = Sightings.find(Target.Id);
   if (Found == Sightings.end())
     return 0;
   const Millis Now = Time.now();
-  return static_cast<std::size_t>(std::count_if(
-      Found->second.begin(), Found->second.end(), [&](const auto &Each) {
-        const Sighting &Said = Each.second;
-        if (Failed)
-          return Said.FailedAt > Said.ReachedAt &&
-                 Now - Said.FailedAt < Times.SightingKept;
-        return Said.ReachedAt >= Said.FailedAt &&
-               Now - Said.ReachedAt < Times.SightingKept;
-      }));
+  return static_cast<std::size_t>(
+      std::count_if(Found->second.begin(), Found->second.end(),
+                    [&, BornAt = Target.BornAt](const auto &Each) {
+                      const Sighting &Said = Each.second;
+                      if (Said.BornAt != BornAt)
+                        return false;
+                      if (Failed)
+                        return Said.FailedAt > Said.ReachedAt &&
+                               Now - Said.FailedAt < Times.SightingKept;
+                      return Said.ReachedAt >= Said.FailedAt &&
+                             Now - Said.ReachedAt < Times.SightingKept;
+                    }));
 }
 
 void PromotionCoordinator::enter(Group &In, Stage Next) {
@@ -160,14 +174,25 @@
         In.Stopped.insert(Each.Id);
   if (In.At == Stage::Watching)
     receiveAgain(In);
+  if (hasBegunAnew(In, *Primary)) {
+    In.IsPlanned = false;
+    In.Reason = "the primary has started again and may lack its log";
+    In.BeganAt = Now;
+    // It is asked with the others: nothing changes where it has the most, or
+    // where it can't be asked and is judged by what proxies see of it.
+    In.Old.clear();
+    return read(Name);
+  }
+  In.Led = Primary->Id;
+  In.LedBornAt = Primary->BornAt;
   if (Primary->IsLeaving) {
     In.IsPlanned = true;
     In.Reason = "the primary is leaving";
     In.BeganAt = Now;
     return stepDown(Name, *Primary);
   }
-  const std::size_t Failed = reporting(Primary->Id, true);
-  const std::size_t Reached = reporting(Primary->Id, false);
+  const std::size_t Failed = reporting(*Primary, true);
+  const std::size_t Reached = reporting(*Primary, false);
   const bool Reported = Failed > 0 && Failed >= std::min(LeastReports, Proxies);
   // What was heard before this host began to lead went to another.
   const Millis HeardAt = std::max(Directory.lastHeard(Primary->Id), BeganAt);
@@ -181,6 +206,20 @@
   probe(Name, *Primary, {Failed, Reached, Proxies});
 }
 
+// A primary that starts again under its id may still say that it leads, with
+// none of the log that its replicas hold. Left alone it would go on from
+// there, and all that was acknowledged before would be missing.
+bool PromotionCoordinator::hasBegunAnew(const Group &In,
+                                        const TargetRecord &Primary) const {
+  return In.Led == Primary.Id && In.LedBornAt > 0 &&
+         Primary.BornAt > In.LedBornAt;
+}
+
+bool PromotionCoordinator::isSameLife(const TargetRecord &Asked) const {
+  const TargetRecord *Known = Directory.find(Asked.Id);
+  return Known != nullptr && Known->BornAt == Asked.BornAt;
+}
+
 // What control itself meets decides. A primary that refuses connections has
 // ended, however lately some proxy was served. One that is only silent may be
 // cut off from control, so more proxies must miss it than were served lately.
@@ -308,14 +347,14 @@
       In.SyncReplicas == 0 || What == TargetCommand::Kind::StopReceiving;
   for (const TargetRecord &Each : All)
     Orders.ask(addressOf(Each), What, Term, Times.AskTimeout,
-               [this, Name, Round = In.Round, Id = Each.Id,
+               [this, Name, Round = In.Round, Each,
                 IsLast](const Expected<TargetStatus> &Answer) {
                  if (!isCurrent(Name, Round, Stage::Reading))
                    return;
                  Group &In = Groups[Name];
                  ++In.Answered;
-                 if (Answer)
-                   In.Read[Id] = *Answer;
+                 if (Answer && isSameLife(Each))
+                   In.Read[Each.Id] = *Answer;
                  In.IsIncomplete |=
                      !Answer && Answer.error().Code == ErrorCode::Conflict;
                  if (In.Answered < In.Asked)
@@ -360,6 +399,17 @@
   if (In.Goal && Best->second.Received < *In.Goal &&
       Waited < Times.CatchUpPatience)
     return readLater(In);
+  const auto Present = Directory.primaryOf(Name);
+  const auto Own = Present ? In.Read.find(Present->Id) : In.Read.end();
+  const bool HasBegunAnew = Present && hasBegunAnew(In, *Present);
+  const bool HoldsMost = Own != In.Read.end() && Own->second.IsPrimary &&
+                         Own->second.Received >= Best->second.Received;
+  if (HoldsMost || (HasBegunAnew && Own == In.Read.end())) {
+    In.LedBornAt = Present->BornAt;
+    Step.emit(Name, "kept",
+              Present->Id + " leads on: no replica is known to hold more");
+    return back(In, Millis(0));
+  }
   order(Name, Best->first);
 }
 
@@ -375,12 +425,18 @@
             std::to_string(Each.Received.Number);
   const std::string Why = In.Reason + "; " + Read;
   Step.emit(Name, "promotion-ordered", Target + ": " + Why);
+  const TargetRecord *Known = Directory.find(Target);
+  const std::uint64_t BornAt = Known == nullptr ? 0 : Known->BornAt;
   OnPropose({Name, Target, Holder, Why},
-            [this, Name, Target,
+            [this, Name, Target, BornAt,
              Round = In.Round](std::optional<std::uint64_t> Token) {
               if (!isCurrent(Name, Round, Stage::Ordering))
                 return;
-              if (!Token)
+              // One that has started again since it was asked hasn't got the
+              // log that it was chosen for.
+              const TargetRecord *Now = Directory.find(Target);
+              const bool IsSame = Now != nullptr && Now->BornAt == BornAt;
+              if (!Token || !IsSame)
                 return back(Groups[Name], AttemptPause);
               carryOut(Name, Target, *Token);
             });
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -93,6 +93,9 @@
     std::string Reason;
     std::string Old;
     std::string Chosen;
+    /// Who led when the group was last looked at, and in which life.
+    std::string Led;
+    std::uint64_t LedBornAt = 0;
     std::optional<LogPosition> Goal; ///< That the successor must reach.
     std::map<std::string, TargetStatus> Read;
     std::size_t Asked = 0;
@@ -114,12 +117,17 @@
   };
 
   struct Sighting {
+    std::uint64_t BornAt = 0; ///< The life of the target that was met.
     Millis FailedAt = Millis(-1000000);
     Millis ReachedAt = Millis(-1000000);
   };
 
   void watch(const std::string &Name, Group &In, std::size_t Proxies);
-  std::size_t reporting(const std::string &Target, bool Failed) const;
+  /// True where the primary is the one of before, in a later life.
+  bool hasBegunAnew(const Group &In, const TargetRecord &Primary) const;
+  /// True while the life that was asked is the one that is known.
+  bool isSameLife(const TargetRecord &Asked) const;
+  std::size_t reporting(const TargetRecord &Target, bool Failed) const;
   void probe(const std::string &Name, const TargetRecord &Primary,
              Reports Seen);
   void stepDown(const std::string &Name, const TargetRecord &Primary);
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -220,7 +220,8 @@
     return OnDone(notLeading());
   const TargetRecord *Known = Directory.find(Said.Id);
   const bool IsPromise =
-      Said.IsLeaving && (Known == nullptr || !Known->IsLeaving);
+      Said.IsLeaving &&
+      (Known == nullptr || !Known->IsLeaving || Known->BornAt < Said.BornAt);
   Directory.hear(Said, Ports.Time.now());
   publish();
   // The target takes the answer for a promise that it gets nothing new soon.
@@ -231,10 +232,11 @@
   OnDone({});
 }
 
-void SteeringNode::forget(const std::string &Target, DoneHandler OnDone) {
+void SteeringNode::forget(const std::string &Target, std::uint64_t BornAt,
+                          DoneHandler OnDone) {
   if (!Leading)
     return OnDone(notLeading());
-  Directory.leave(Target, Ports.Time.now());
+  Directory.leave(Target, BornAt, Ports.Time.now());
   publish();
   OnDone({});
 }
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -51,7 +51,9 @@
   void readPlan(PlanHandler OnRead);
   /// A target's heartbeat; done once the proxies are being told.
   void hear(const TargetRecord &Said, DoneHandler OnDone);
-  void forget(const std::string &Target, DoneHandler OnDone);
+  /// The life of a target that began at \p BornAt says goodbye.
+  void forget(const std::string &Target, std::uint64_t BornAt,
+              DoneHandler OnDone);
 
   bool leads() const { return Leading; }
   /// Address of the leading host; empty where none is known.
--- a/Tests/Support/FakeGroup.cpp
+++ b/Tests/Support/FakeGroup.cpp
@@ -12,12 +12,13 @@
 constexpr const char *GroupName = "ledger";
 
 TargetRecord recordOf(const std::string &Name, bool IsPrimary,
-                      std::uint64_t Changes) {
+                      std::uint64_t Changes, std::uint64_t BornAt) {
   TargetRecord Out;
   Out.Id = Name;
   Out.Group = GroupName;
   Out.Address = {Name, 5000};
   Out.FailureDomain = "here";
+  Out.BornAt = BornAt;
   Out.Sequence = Changes;
   Out.IsPrimary = IsPrimary;
   Out.PrimarySince = IsPrimary ? Changes : 0;
@@ -264,7 +265,7 @@
   TargetDirectory Out;
   std::vector<TargetRecord> All;
   for (const auto &[Name, Each] : Servers)
-    All.push_back(recordOf(Name, Each.IsPrimary, Changes));
+    All.push_back(recordOf(Name, Each.IsPrimary, Changes, Each.BornAt));
   Out.merge(All, Loop.now());
   return Out;
 }
--- a/Tests/Unit/DirectoryTest.cpp
+++ b/Tests/Unit/DirectoryTest.cpp
@@ -4,6 +4,7 @@
 
 #include "Directory/TargetDirectory.h"
 #include "Logs/LineBudget.h"
+#include "Logs/LogEvents.h"
 #include "Pipeline/FloorTable.h"
 #include "Pipeline/LeaderOutage.h"
 
@@ -72,6 +73,66 @@
   CHECK(Proxy.primaryOf("ledger")->Id == "next");
 }
 
+TEST_CASE("A target that starts again under its id is a new one",
+          "[directory]") {
+  // A target leaves and says goodbye, and another one starts under the same
+  // id, with its count of heartbeats from one again. Taken for late word of
+  // the former life it would never be used.
+  TargetDirectory Known;
+  TargetRecord First = said("a", 50, true);
+  First.BornAt = 1000;
+  First.IsLeaving = true;
+  Known.hear(First, Millis(0));
+  Known.leave("a", 1000, Millis(10));
+  TargetRecord Second = said("a", 1);
+  Second.BornAt = 2000;
+  CHECK(Known.hear(Second, Millis(20)));
+  CHECK_FALSE(Known.find("a")->IsGone);
+  CHECK_FALSE(Known.find("a")->IsLeaving);
+  CHECK_FALSE(Known.find("a")->IsPrimary);
+  CHECK(Known.find("a")->Sequence == 1);
+  // Late word of the former life changes nothing, whatever its count is.
+  First.Sequence = 51;
+  CHECK_FALSE(Known.hear(First, Millis(30)));
+  CHECK_FALSE(Known.leave("a", 1000, Millis(40)));
+  CHECK_FALSE(Known.find("a")->IsGone);
+  CHECK(Known.leave("a", 2000, Millis(50)));
+}
+
+TEST_CASE("Word of two lives arrives at proxies in any order", "[directory]") {
+  // A proxy is told of the later life by one control host, and of the earlier
+  // one by another that was cut off meanwhile.
+  TargetRecord Old = said("a", 90, true);
+  Old.BornAt = 1000;
+  Old.IsGone = true;
+  Old.PrimarySince = 7;
+  TargetRecord New = said("a", 2);
+  New.BornAt = 2000;
+  TargetDirectory NewFirst;
+  NewFirst.merge({New}, Millis(0));
+  NewFirst.merge({Old}, Millis(1));
+  CHECK(*NewFirst.find("a") == New);
+  TargetDirectory OldFirst;
+  OldFirst.merge({Old}, Millis(0));
+  OldFirst.merge({New}, Millis(1));
+  CHECK(*OldFirst.find("a") == New);
+}
+
+TEST_CASE("The first word of an earlier life takes no address away",
+          "[directory]") {
+  // A heartbeat that a partition held up is the first that this host hears of
+  // its sender, which is dead; another target has its address by now.
+  TargetDirectory Known;
+  TargetRecord Present = said("present", 3);
+  Present.BornAt = 2000;
+  Known.hear(Present, Millis(0));
+  TargetRecord Dead = said("dead", 8);
+  Dead.BornAt = 1000;
+  CHECK_FALSE(Known.hear(Dead, Millis(10)));
+  CHECK_FALSE(Known.find("present")->IsGone);
+  CHECK(Known.find("dead") == nullptr);
+}
+
 TEST_CASE("Leaving can't be taken back", "[directory]") {
   TargetDirectory Known;
   TargetRecord Leaving = said("a", 2);
@@ -94,7 +155,7 @@
           "[directory]") {
   TargetDirectory Known;
   Known.hear(said("a", 1), Millis(0));
-  CHECK(Known.leave("a", Millis(10)));
+  CHECK(Known.leave("a", 0, Millis(10)));
   CHECK_FALSE(Known.hear(said("a", 2), Millis(20)));
   Known.forgetGone(Millis(20) + TargetDirectory::GoneKept);
   CHECK(Known.find("a") == nullptr);
@@ -102,8 +163,8 @@
 
 TEST_CASE("A floor counts from when its proof was sent", "[floor]") {
   FloorTable Floors;
-  Floors.note("ledger", {1, 10}, Millis(1000));
-  Floors.note("ledger", {1, 20}, Millis(2000));
+  Floors.note("ledger", {1, 10}, Millis(1000), Millis(1000));
+  Floors.note("ledger", {1, 20}, Millis(2000), Millis(2000));
   CHECK(Floors.floor("ledger", Millis(2400), Millis(1500)) ==
         LogPosition{1, 10});
   CHECK(Floors.floor("ledger", Millis(2500), Millis(1500)) ==
@@ -112,13 +173,25 @@
   CHECK_FALSE(Floors.floor("other", Millis(2000), Millis(1500)));
 }
 
+TEST_CASE("A leader's log never shrinks within its term", "[floor]") {
+  // Position 20 had been shown when a question went out whose answer shows 3:
+  // its target has lost its log. An answer that was overtaken is no sign.
+  FloorTable Floors;
+  Floors.note("ledger", {1, 20}, Millis(1000), Millis(1010));
+  CHECK(Floors.hasShrunk("ledger", {1, 3}, Millis(1011)));
+  CHECK_FALSE(Floors.hasShrunk("ledger", {1, 3}, Millis(1005)));
+  CHECK_FALSE(Floors.hasShrunk("ledger", {1, 20}, Millis(1011)));
+  CHECK_FALSE(Floors.hasShrunk("ledger", {2, 3}, Millis(1011)));
+  CHECK_FALSE(Floors.hasShrunk("other", {1, 3}, Millis(1011)));
+}
+
 TEST_CASE("A newer term ends the floors of older ones", "[floor]") {
   FloorTable Floors;
-  Floors.note("ledger", {1, 99}, Millis(1000));
-  Floors.note("ledger", {2, 50}, Millis(1100));
+  Floors.note("ledger", {1, 99}, Millis(1000), Millis(1000));
+  Floors.note("ledger", {2, 50}, Millis(1100), Millis(1100));
   CHECK(Floors.floor("ledger", Millis(1200), Millis(1500)) ==
         LogPosition{2, 50});
-  Floors.note("ledger", {1, 100}, Millis(1200));
+  Floors.note("ledger", {1, 100}, Millis(1200), Millis(1200));
   CHECK(Floors.floor("ledger", Millis(1200), Millis(1500)) ==
         LogPosition{2, 50});
 }
@@ -140,6 +213,15 @@
   CHECK(Outage.comeBackAfter(Millis(10000)) == Millis(1100));
 }
 
+TEST_CASE("A log line takes any bytes", "[logs]") {
+  // A caller names a database in bytes that aren't UTF-8. The line about its
+  // refusal must not end the process.
+  setUpLogs(true, Severity::Info);
+  CHECK_NOTHROW(logEvent(EventId::StatementRefused,
+                         {{"database", std::string("\xff\xfe\x00", 3)}}));
+  setUpLogs(false, Severity::Error);
+}
+
 TEST_CASE("Lines beyond the budget are counted, not written", "[logs]") {
   LineBudget Budget(2);
   CHECK(Budget.allow(Millis(0)));
--- a/Tests/Unit/PipelineTruthTest.cpp
+++ b/Tests/Unit/PipelineTruthTest.cpp
@@ -71,6 +71,44 @@
   CHECK(On.Group.run("r3")->Target == "b");
 }
 
+TEST_CASE("A primary that lost its log gives no caller an answer",
+          "[pipeline]") {
+  // The primary starts again without its log and still takes transactions. A
+  // caller whose write was acknowledged reads at it and must not be told that
+  // there's nothing.
+  Setup On;
+  const auto Session = On.Proxy.connect("primary");
+  REQUIRE_FALSE(On.Proxy.ask(Session, Kind::Write, "w1", "STORE x 1").Refusal);
+  REQUIRE_FALSE(On.Proxy.ask(Session, Kind::Read, "r1", "FETCH x").Refusal);
+  On.Loop.runFor(Millis(50));
+  On.Group.Servers["a"].Log = {1, 0};
+  const auto Answer = On.Proxy.ask(Session, Kind::Read, "r2", "FETCH x");
+  CHECK(Answer.Refusal);
+  CHECK(On.Group.runs("r2") == 0);
+}
+
+TEST_CASE("A statement doesn't wait on a connection of a former life",
+          "[pipeline]") {
+  // The primary falls silent while it runs a statement, and starts again under
+  // its id: the connection is dead and no reset comes. The caller of a read
+  // gets its answer from the next life at once.
+  Setup On;
+  const auto Session = On.Proxy.connect("primary");
+  REQUIRE_FALSE(On.Proxy.ask(Session, Kind::Read, "r0", "FETCH x").Refusal);
+  On.Group.Servers["a"].IsSilent = true;
+  On.Proxy.send(Session, Kind::Read, "r1", "FETCH x");
+  On.Loop.runFor(Millis(20));
+  const std::size_t Before = Session.Caller->Answers.size();
+  On.Group.Servers["a"].IsSilent = false;
+  On.Group.Servers["a"].BornAt = 2000;
+  const Millis Began = On.Loop.now();
+  On.Proxy.learn();
+  REQUIRE(On.Loop.runUntilTrue(
+      [&] { return Session.Caller->Answers.size() > Before; }, Millis(1000)));
+  CHECK_FALSE(Session.Caller->last().Refusal);
+  CHECK(On.Loop.now() - Began < Millis(60));
+}
+
 TEST_CASE("A bounded read runs only where the floor is held", "[pipeline]") {
   // Two replicas stopped receiving. A write is acknowledged, the accepted age
   // passes, and a caller who accepts that age reads: no replica may answer.
--- a/Tests/Unit/PlatformSocketTest.cpp
+++ b/Tests/Unit/PlatformSocketTest.cpp
@@ -23,6 +23,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <fcntl.h>
+#include <nlohmann/json.hpp>
 #include <unistd.h>
 
 using namespace corianderdyke;
@@ -328,13 +329,67 @@
         400);
   CHECK(Call(HttpMethod::Post, "/-/Instances.Heartbeat/i-1",
              R"({"service":"ledger","address":"127.0.0.1:1","zone":"here",)"
-             R"("state":"ready","db_role":"primary","sequence":4})")
+             R"("version":"v1","capacity":2,"cold_remaining_ms":0,)"
+             R"("state":"ready","db_role":"primary","sequence":4,"born":900})")
             .Status == 200);
   CHECK(Node.directory().primaryOf("ledger")->Id == "i-1");
+  CHECK(Node.directory().find("i-1")->BornAt == 900);
+  // Other writers' heartbeats, for the same id: they name no target and leave
+  // the one that's known alone.
+  const auto Whole = nlohmann::json::parse(
+      R"({"service":"ledger","address":"127.0.0.1:1","zone":"here",)"
+      R"("version":"v1","capacity":2,"cold_remaining_ms":0,)"
+      R"("state":"ready","db_role":"replica","sequence":9,"born":901})");
+  const auto Tell = [&](const nlohmann::json &Body) {
+    return Call(HttpMethod::Post, "/-/Instances.Heartbeat/i-1", Body.dump())
+        .Status;
+  };
+  for (const auto &Field : Whole.items()) {
+    nlohmann::json Lacking = Whole;
+    Lacking.erase(Field.key());
+    // A target may leave its start out, and then it's the life before.
+    if (Field.key() != "born")
+      CHECK(Tell(Lacking) == 400);
+    for (const nlohmann::json &Other :
+         {nlohmann::json(nullptr), nlohmann::json::array({1}),
+          nlohmann::json(true), nlohmann::json::object()}) {
+      nlohmann::json Wrong = Whole;
+      Wrong[Field.key()] = Other;
+      CHECK(Tell(Wrong) == 400);
+    }
+  }
+  for (const auto &[Name, Value] :
+       std::vector<std::pair<std::string, nlohmann::json>>{
+           {"state", "asleep"},
+           {"db_role", "observer"},
+           {"sequence", -1},
+           {"sequence", 1.5},
+           {"born", "901"},
+           {"born", 901.5},
+           {"capacity", -2},
+           {"capacity", 1ULL << 40U},
+           {"address", "nowhere"}}) {
+    nlohmann::json Wrong = Whole;
+    Wrong[Name] = Value;
+    CAPTURE(Name);
+    CHECK(Tell(Wrong) == 400);
+  }
+  CHECK(Call(HttpMethod::Post, "/-/Instances.Heartbeat/i-1",
+             std::string("\xff\x00{", 3))
+            .Status == 400);
+  CHECK(Node.directory().primaryOf("ledger")->Id == "i-1");
+  CHECK(Node.directory().find("i-1")->BornAt == 900);
+  CHECK(Tell(Whole) == 200);
+  CHECK(Node.directory().find("i-1")->BornAt == 901);
   CHECK(Call(HttpMethod::Post, "/-/Instances.Heartbeat/i-2", "{}").Status ==
         400);
-  CHECK(Call(HttpMethod::Post, "/-/Instances.Deregister/i-1", "").Status ==
-        200);
+  CHECK(Call(HttpMethod::Post, "/-/Instances.Deregister/i-1", "[]").Status ==
+        400);
+  CHECK(Call(HttpMethod::Post, "/-/Instances.Deregister/i-1", R"({"born":900})")
+            .Status == 200);
+  CHECK_FALSE(Node.directory().ofGroup("ledger").empty());
+  CHECK(Call(HttpMethod::Post, "/-/Instances.Deregister/i-1", R"({"born":901})")
+            .Status == 200);
   CHECK(Node.directory().ofGroup("ledger").empty());
   CHECK(Call(HttpMethod::Get, "/elsewhere", "").Status == 404);
 }
--- a/Tests/Unit/SteeringTest.cpp
+++ b/Tests/Unit/SteeringTest.cpp
@@ -29,6 +29,7 @@
     bool IsCutFromControl = false; ///< But its heartbeats come through.
     bool IsPrimary = false;
     LogPosition Received{1, 10};
+    std::uint64_t BornAt = 1000;
   };
 
   explicit FakeTargets(FakeLoop &Loop) : Loop(Loop) {}
@@ -201,6 +202,7 @@
       Said.Group = "ledger";
       Said.Address = {Id, 5000};
       Said.FailureDomain = "here";
+      Said.BornAt = Each.BornAt;
       Said.Sequence = Sequence;
       Said.IsPrimary = Each.IsPrimary;
       Said.IsLeaving = Leaving.count(Id) != 0;
@@ -426,6 +428,44 @@
     CHECK(On.Targets.Orders[Each].Token > On.Targets.Orders[Each - 1].Token);
 }
 
+TEST_CASE("A primary that starts again without its log doesn't lead on",
+          "[steering]") {
+  // The primary's process ends and starts again under its id, before anybody
+  // missed it. It says that it leads, and holds nothing of what its replicas
+  // hold. Nobody reports it: it answers. The replicas' log must win.
+  ReadySetup Setup;
+  Fleet &On = Setup.On;
+  On.Targets.Targets["c"].Received = {1, 12};
+  On.Targets.Targets["a"].Received = {1, 0};
+  On.Targets.Targets["a"].BornAt = 2000;
+  On.runBeating(Millis(1600));
+  REQUIRE(On.Targets.Orders.size() == 1);
+  CHECK(On.Targets.Orders[0].Target == "c");
+}
+
+TEST_CASE("A primary that starts again with its whole log leads on",
+          "[steering]") {
+  ReadySetup Setup;
+  Fleet &On = Setup.On;
+  On.Targets.Targets["a"].BornAt = 2000;
+  On.runBeating(Millis(3000));
+  CHECK(On.Targets.Orders.empty());
+}
+
+TEST_CASE("What proxies met of a former life says nothing of the next",
+          "[steering]") {
+  // Two proxies lost their connections to a primary that ended. It's back
+  // with its log before control looks, and must not be replaced for that.
+  ReadySetup Setup;
+  Fleet &On = Setup.On;
+  On.report("a", 3);
+  On.Targets.Targets["a"].BornAt = 2000;
+  On.Targets.Targets["a"].IsCutFromControl = true;
+  On.beat();
+  On.Loop.runFor(Millis(600));
+  CHECK(On.Targets.Orders.empty());
+}
+
 TEST_CASE("A control host that can't pass it on promises no leaving target",
           "[steering]") {
   // A target tells a leader that is cut off from the others that it leaves.
