Hold openings for the first plan, and hold statements back that would be late

After a restart of everything callers were refused for want of a plan and used up their tries (157 of 930 in two seconds).

--- a/Source/Consensus/Consensus.cpp
+++ b/Source/Consensus/Consensus.cpp
@@ -62,7 +62,9 @@
 // the first election. A leader that lives isn't disturbed: who hears it gives
 // no pre-vote. With some hosts missing every vote may be needed, and two
 // candidates at a time would each lack the other's; so the hosts begin one
-// after the other, further apart than an election takes.
+// after the other, further apart than an election takes. One that asks before
+// a majority is up asks again in its next turn: waiting a whole election
+// timeout left callers without a proxy for half a second longer.
 void Consensus::setFirstElection(Millis Now) {
   const auto Rank =
       std::count_if(Voters.begin(), Voters.end(), [this](const Member &Each) {
@@ -70,8 +72,7 @@
       });
   std::uniform_int_distribution<std::int64_t> Extra(
       0, FirstElectionSpacing.count() / 2);
-  ElectionDeadline = Now + Options.HeartbeatInterval +
-                     FirstElectionSpacing * Rank + Millis(Extra(Random));
+  ElectionDeadline = Now + FirstElectionSpacing * Rank + Millis(Extra(Random));
 }
 
 void Consensus::start(Millis Now) {
--- a/Source/Consensus/ConsensusElections.cpp
+++ b/Source/Consensus/ConsensusElections.cpp
@@ -107,7 +107,11 @@
 }
 
 void Consensus::startPreVote(Millis Now) {
-  resetElectionTimer(Now);
+  if (LastLeaderContact == NeverSent)
+    setElectionTimer(Now, FirstElectionSpacing *
+                              static_cast<std::int64_t>(Voters.size()));
+  else
+    resetElectionTimer(Now);
   Role = ConsensusRole::PreCandidate;
   Leader.clear();
   countOwnVote();
@@ -161,6 +165,9 @@
                          Request.LastIndex >= Log.lastIndex());
   if (Request.PreVote) {
     const bool Granted = Request.Term > Log.term() && UpToDate && !LeaderHeard;
+    // An election begins there; one of this host's own would split the votes.
+    if (Granted)
+      ElectionDeadline = std::max(ElectionDeadline, Now + FirstElectionSpacing);
     send(From.Name,
          VoteReply{Granted ? Request.Term : Log.term(), true, Granted});
     return;
--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -70,6 +70,8 @@
   std::string Database;
   SessionValues Values;
   std::map<std::string, PreparedShape> Prepared;
+  /// Set while it waits for this process's first plan: until then at most.
+  std::optional<Millis> OpensUntil;
   SessionPhase Phase = SessionPhase::Idle;
   /// The transaction was ended here, and its caller hasn't been told yet.
   bool IsEndUntold = false;
--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -35,6 +35,7 @@
     return;
   Plan = New;
   setProxyCount(Proxies);
+  admitWaiting();
 }
 
 void SessionPipeline::setProxyCount(std::size_t Count) {
@@ -121,6 +122,7 @@
       continue;
     }
     Each = In.Waiting.erase(Each);
+    In.forecast(*Job).noteLeft(In.waiting(*Job), Now);
     const TargetConnectionPtr On = Job->Connection;
     run(Job, On);
   }
@@ -158,7 +160,8 @@
 
 double SessionPipeline::cost(const Group &In, const TargetPool &Pool,
                              const SessionJob &Job) const {
-  double Out = static_cast<double>(Pool.busy()) + Pool.latency() / LatencyUnit;
+  double Out =
+      static_cast<double>(Pool.busy()) + Pool.window().mean() / LatencyUnit;
   if (Pool.record().FailureDomain != Where.FailureDomain)
     Out += DistanceCost;
   if (Job.Floor && Pool.lag().isBehind(*Job.Floor, Outside.Time.now()))
@@ -187,6 +190,10 @@
   // The best target gets a connection even while another has one free;
   // otherwise callers would stay with the far target for good.
   const Millis Waited = Now - Job->QueuedAt;
+  Choices.erase(
+      std::remove_if(Choices.begin(), Choices.end(),
+                     [this](const TargetPool *Each) { return isFull(*Each); }),
+      Choices.end());
   if (!Choices.empty() && !Choices.front()->idle(Session->Values))
     openIfAllowed(Job->Route.Group, *Choices.front(), Waited);
   for (TargetPool *Pool : Choices) {
@@ -203,6 +210,18 @@
   return false;
 }
 
+// Behind a gateway others count too: it gives each its turn.
+bool SessionPipeline::isFull(const TargetPool &Pool) const {
+  if (Pool.isShared())
+    return false;
+  const auto UnderWay = std::count_if(
+      Running.begin(), Running.end(), [&Pool](const SessionJobPtr &Each) {
+        return Each->Connection &&
+               Each->Connection->to().Id == Pool.record().Id;
+      });
+  return !Pool.window().mayBegin(static_cast<std::size_t>(UnderWay));
+}
+
 // Callers come to all proxies at the same moment, and a new connection takes
 // longer than most statements.
 void SessionPipeline::warmUp(const std::string &GroupName, TargetPool &Pool,
--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -47,6 +47,7 @@
   for (const SessionJobPtr &Job : Watched)
     if (Running.count(Job) != 0)
       overdue(Job, Now);
+  turnAwayWaiting(Now);
   endIdleTransactions(Now);
   closeIdleSessions(Now);
   if (IsUrgent)
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -33,6 +33,13 @@
   return {Code, std::move(Why)};
 }
 
+/// How long an opening waits for this process's first plan. After all
+/// processes were down the plan comes within 50 to 300 ms, and a caller that
+/// was refused meanwhile had used up a try: 157 of 930 callers lost all three
+/// of theirs within two seconds. Well below the two seconds for which callers
+/// wait for an opening.
+constexpr Millis PlanPatience(1000);
+
 bool promisesNothingKept(RefusalCode Code) {
   switch (Code) {
   case RefusalCode::Busy:
@@ -65,23 +72,57 @@
 
 std::uint64_t SessionPipeline::open(const std::string &Database,
                                     std::shared_ptr<CallerLink> Link) {
-  if (Plan.Version == 0) {
-    Link->reject(refused(RefusalCode::Busy, "no plan is known here yet"));
-    return 0;
-  }
-  if (Plan.route(Database) == nullptr) {
-    Link->reject(refused(RefusalCode::NoDatabase,
-                         "no route has the name '" + Database + "'"));
-    return 0;
-  }
   auto Session = std::make_shared<CallerSession>();
   Session->Id = NextSession++;
   Session->Database = Database;
   Session->Link = std::move(Link);
   Sessions[Session->Id] = Session;
+  if (Plan.Version > 0) {
+    admit(Session);
+  } else {
+    Session->OpensUntil = Outside.Time.now() + PlanPatience;
+    Ticker.within(WaitingInterval);
+  }
+  return Session->IsGone ? 0 : Session->Id;
+}
+
+void SessionPipeline::admit(const CallerSessionPtr &Session) {
+  Session->OpensUntil.reset();
+  if (Plan.route(Session->Database) == nullptr)
+    return turnAway(
+        Session, refused(RefusalCode::NoDatabase,
+                         "no route has the name '" + Session->Database + "'"));
   ++Counts.Sessions;
   Session->Link->accept();
-  return Session->Id;
+  startNext(Session);
+}
+
+void SessionPipeline::turnAway(const CallerSessionPtr &Session,
+                               const StatementRefusal &Why) {
+  Session->IsGone = true;
+  Sessions.erase(Session->Id);
+  Session->Link->reject(Why);
+}
+
+void SessionPipeline::admitWaiting() {
+  const auto All = Sessions;
+  for (const auto &[Id, Each] : All)
+    if (Each->OpensUntil && !Each->IsGone)
+      admit(Each);
+}
+
+void SessionPipeline::turnAwayWaiting(Millis Now) {
+  if (Plan.Version > 0)
+    return;
+  const auto All = Sessions;
+  for (const auto &[Id, Each] : All) {
+    if (IsStopping || Now >= *Each->OpensUntil)
+      turnAway(Each, refused(RefusalCode::Busy,
+                             "no plan is known here yet; come back after " +
+                                 std::to_string(PlanPatience.count()) + " ms"));
+    else
+      Ticker.within(WaitingInterval);
+  }
 }
 
 void SessionPipeline::receive(std::uint64_t Id, Statement What) {
@@ -94,7 +135,8 @@
 }
 
 void SessionPipeline::startNext(const CallerSessionPtr &Session) {
-  while (!Session->IsGone && !Session->Current && !Session->Unstarted.empty()) {
+  while (!Session->IsGone && !Session->Current && !Session->OpensUntil &&
+         !Session->Unstarted.empty()) {
     const Statement Next = std::move(Session->Unstarted.front());
     Session->Unstarted.pop_front();
     start(Session, Next);
@@ -390,8 +432,45 @@
     --Place;
   In.Waiting.insert(Place, Job);
   pump(Job->Route.Group);
-  if (Job->At == SessionJob::Stage::Waiting)
-    Ticker.within(WaitingInterval);
+  if (Job->At != SessionJob::Stage::Waiting || refuseIfTooLate(In, Job))
+    return;
+  Ticker.within(WaitingInterval);
+}
+
+bool SessionPipeline::refuseIfTooLate(Group &In, const SessionJobPtr &Job) {
+  // How long a change of leader takes isn't told by the pace before it.
+  if (Job->Where == Placement::Leader && In.Outage.isOn())
+    return false;
+  const Millis Now = Outside.Time.now();
+  std::size_t Ahead = 0;
+  for (const SessionJobPtr &Each : In.Waiting) {
+    if (Each == Job)
+      break;
+    Ahead += Each->Where == Job->Where ? 1 : 0;
+  }
+  const Millis Wait = In.forecast(*Job).expected(Ahead, Now);
+  if (Now + Wait <= waitEnd(*Job))
+    return false;
+  In.Waiting.remove(Job);
+  finishRefused(Job,
+                refused(RefusalCode::Busy, "too many wait; come back after " +
+                                               std::to_string(Wait.count()) +
+                                               " ms"),
+                "queue longer than its objective");
+  return true;
+}
+
+Millis SessionPipeline::answerTime(const Group &In,
+                                   const SessionJob &Job) const {
+  double Least = 0;
+  for (const auto &[Id, Pool] : In.Pools) {
+    if (Pool.record().IsGone ||
+        (Job.Where == Placement::Leader && Id != In.Primary))
+      continue;
+    const double Here = Pool.window().mean();
+    Least = Least == 0 ? Here : std::min(Least, Here);
+  }
+  return Millis(static_cast<std::int64_t>(Least));
 }
 
 } // namespace corianderdyke
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -18,6 +18,7 @@
 #include "Pipeline/FloorTable.h"
 #include "Pipeline/LeaderOutage.h"
 #include "Pipeline/TargetPool.h"
+#include "Pipeline/WaitForecast.h"
 
 #include <list>
 #include <sigc++/sigc++.h>
@@ -137,10 +138,28 @@
     std::list<SessionJobPtr> WantFloor;
     FloorProbe Probe;
     LeaderOutage Outage;
+    WaitForecast ForLeader;
+    WaitForecast ForReplica;
     bool IsPumping = false;
+
+    WaitForecast &forecast(const SessionJob &Of) {
+      return Of.Where == Placement::Leader ? ForLeader : ForReplica;
+    }
+    /// Statements that wait for the same targets.
+    std::size_t waiting(const SessionJob &Like) const {
+      return static_cast<std::size_t>(std::count_if(
+          Waiting.begin(), Waiting.end(), [&Like](const SessionJobPtr &Each) {
+            return Each->Where == Like.Where;
+          }));
+    }
   };
 
   // Sessions and their statements.
+  void admit(const CallerSessionPtr &Session);
+  void turnAway(const CallerSessionPtr &Session, const StatementRefusal &Why);
+  /// Openings that waited for the first plan.
+  void admitWaiting();
+  void turnAwayWaiting(Millis Now);
   void startNext(const CallerSessionPtr &Session);
   void start(const CallerSessionPtr &Session, const Statement &What);
   void answerHere(const CallerSessionPtr &Session, const Statement &What);
@@ -168,6 +187,12 @@
   void giveUpProbe(const std::string &Name, Group &In, Millis Now);
   void pump(const std::string &Name);
   bool assign(Group &In, const SessionJobPtr &Job);
+  /// True where one more statement would only wait inside the target.
+  bool isFull(const TargetPool &Pool) const;
+  /// Refuses a statement that can't be served in time any more.
+  bool refuseIfTooLate(Group &In, const SessionJobPtr &Job);
+  /// What a statement usually takes from sending to answer.
+  Millis answerTime(const Group &In, const SessionJob &Job) const;
   std::vector<TargetPool *> candidates(Group &In, const SessionJob &Job);
   double cost(const Group &In, const TargetPool &Pool,
               const SessionJob &Job) const;
--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -24,7 +24,8 @@
     Pool->reached(Outside.Time.now());
     if (Pool->record().IsPrimary && !Pool->isShared())
       Reached.emit(Pool->record().Id);
-    Pool->noteLatency(Outside.Time.now() - Job->SentAt);
+    if (!Answer.Refusal)
+      Pool->window().note(Outside.Time.now() - Job->SentAt, Outside.Time.now());
     if (Answer.Position)
       Pool->lag().notePosition(*Answer.Position, Outside.Time.now());
     if (Job->Floor && Job->Where == Placement::Replica) {
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -7,6 +7,17 @@
 
 namespace corianderdyke {
 
+namespace {
+
+/// Halves of a target's mean answer time that a statement needs after it was
+/// sent: answers of one kind differ by several times.
+constexpr std::int64_t AnswerMargin = 3;
+/// A statement may wait this long even where its objective is shorter than
+/// what answers take: load changes within it.
+constexpr Millis LeastQueueTime(50);
+
+} // namespace
+
 void SessionPipeline::run(const SessionJobPtr &Job,
                           const TargetConnectionPtr &On) {
   const CallerSessionPtr Session = Job->Of.lock();
@@ -190,7 +201,12 @@
   const auto In = Groups.find(Job.Route.Group);
   const bool LacksLeader = Job.Where == Placement::Leader &&
                            In != Groups.end() && In->second.Outage.isOn();
-  return LacksLeader ? Job.WaitUntil : Job.QueueUntil;
+  if (LacksLeader || In == Groups.end())
+    return LacksLeader ? Job.WaitUntil : Job.QueueUntil;
+  // What is sent at the end of its objective is answered after it.
+  const Millis Answer = answerTime(In->second, Job) * AnswerMargin / 2;
+  return std::max(Job.QueueUntil - Answer,
+                  std::min(Job.QueueUntil, Job.ArrivedAt + LeastQueueTime));
 }
 
 TargetCommand
--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -131,9 +131,4 @@
   }
 }
 
-void TargetPool::noteLatency(Millis Taken) {
-  constexpr double Weight = 0.1;
-  Seen.Latency += Weight * (static_cast<double>(Taken.count()) - Seen.Latency);
-}
-
 } // namespace corianderdyke
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -6,6 +6,7 @@
 
 #include "Directory/TargetDirectory.h"
 #include "Pipeline/ReplicaLag.h"
+#include "Pipeline/StatementWindow.h"
 #include "Pipeline/TargetConnection.h"
 
 #include <algorithm>
@@ -95,9 +96,9 @@
   /// Lets the limit grow again, and closes what stands idle beyond the share.
   void tend(Millis Now);
 
-  /// Time from sending to a whole answer.
-  void noteLatency(Millis Taken);
-  double latency() const { return Seen.Latency; }
+  /// Statements that may be under way here at a time, and what they take.
+  StatementWindow &window() { return Seen.Window; }
+  const StatementWindow &window() const { return Seen.Window; }
   /// What its log holds, as far as answers showed.
   ReplicaLag &lag() { return Seen.Lag; }
   const ReplicaLag &lag() const { return Seen.Lag; }
@@ -148,7 +149,7 @@
     Millis LastAvoid;
     Millis LastAnswer = Millis(-1000000);
     Millis NotLeadingUntil;
-    double Latency = 5;
+    StatementWindow Window;
     ReplicaLag Lag;
   };
 
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -19,6 +19,8 @@
 constexpr Millis WatchInterval(50);
 /// What a follower didn't confirm is sent again after this long.
 constexpr Millis SendAgainAfter(400);
+/// A proxy that asked longer ago has asked again by now.
+constexpr Millis WaitingKept(500);
 /// A proxy that wasn't heard for this long doesn't count any more.
 constexpr Millis FollowerKept(3000);
 constexpr std::size_t CompactAtBytes = 4U << 20U;
@@ -89,9 +91,13 @@
 // Proxies.
 
 void SteeringNode::on(const Envelope &From, const FollowRequest &Body) {
+  if (!Leading && (leader().empty() || leader() == Options.Name)) {
+    Waiting[Body.Proxy] = {From, Ports.Time.now()};
+    return;
+  }
   if (!Leading) {
     Ports.Peers.send(From.ReplyTo, Delivery::Datagram,
-                     FollowElsewhere{leader() == Options.Name ? "" : leader()});
+                     FollowElsewhere{leader()});
     return;
   }
   // A restarted proxy counts once.
@@ -115,6 +121,18 @@
   });
 }
 
+// Load pattern: all processes start together, and every proxy asks before
+// there is a leader. If each waited for its next turn to ask, callers would
+// find no proxy that serves for up to 150 ms longer.
+void SteeringNode::answerWaiting() {
+  if (Waiting.empty() ||
+      (!Leading && (leader().empty() || leader() == Options.Name)))
+    return;
+  for (const auto &[Proxy, Each] : std::exchange(Waiting, {}))
+    if (Ports.Time.now() - Each.Since < WaitingKept)
+      receive(Each.Said);
+}
+
 void SteeringNode::answer(const Endpoint &To, const FollowRequest &Request,
                           bool Proven) {
   Ports.Peers.send(
@@ -305,6 +323,7 @@
   noticeStanding();
   Settling = false;
   noticeDisk();
+  answerWaiting();
 }
 
 void SteeringNode::noticeDisk() {
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -94,9 +94,10 @@
     Millis ProxiesSentAt;
   };
 
+  /// The word of a proxy that spoke while nobody led.
   struct WaitingFollow {
-    Endpoint To;
-    FollowRequest Request;
+    Envelope Said;
+    Millis Since;
   };
 
   void tick();
@@ -119,6 +120,8 @@
   void barrier(DoneHandler OnDone);
   void endBarrier(std::uint64_t Ticket, const Expected<void> &Result);
   void answer(const Endpoint &To, const FollowRequest &Request, bool Proven);
+  /// Answers those that asked before anybody led.
+  void answerWaiting();
   void bringUpToDate(Follower &To);
   void publish();
   void dropSilentFollowers();
@@ -150,6 +153,7 @@
   std::map<std::uint64_t, WaitingChange> Changes;
   std::map<std::uint64_t, DoneHandler> Barriers;
   std::map<ProcessId, Follower> Followers;
+  std::map<ProcessId, WaitingFollow> Waiting;
   ProxyList Proxies;
   Millis LastWatch;
   Millis LeadingSince;
