--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -133,6 +133,7 @@
                                                       const SessionJob &Job) {
   const Millis Now = Outside.Time.now();
   std::vector<TargetPool *> Out;
+  const Millis ShownAt = floorShownAt(Job);
   for (auto &[Id, Pool] : In.Pools) {
     const TargetRecord &Record = Pool.record();
     if (Record.IsGone)
@@ -147,10 +148,12 @@
       continue;
     if (Job.Where == Placement::Replica &&
         (Record.IsLeaving || Job.Avoid.count(Id) != 0 ||
-         Pool.lag().isPaused(Now)))
+         (Id != In.Primary && !Pool.lag().mayServe(*Job.Floor, ShownAt, Now))))
       continue;
     Out.push_back(&Pool);
   }
+  if (Job.Where == Placement::Replica && Out.size() > 1)
+    leavePrimaryFree(In, Out);
   std::sort(Out.begin(), Out.end(),
             [&](const TargetPool *Left, const TargetPool *Right) {
               return cost(In, *Left, Job) < cost(In, *Right, Job);
@@ -158,13 +161,35 @@
   return Out;
 }
 
+Millis SessionPipeline::floorShownAt(const SessionJob &Job) const {
+  const Millis Now = Outside.Time.now();
+  if (!Job.Floor)
+    return Now;
+  return Outside.Floors.shownAt(Job.Route.Group, *Job.Floor).value_or(Now);
+}
+
+// Load pattern: a burst of reads and writes. Reads have several targets, and
+// what needs the leader has one: each read there holds up writes that nobody
+// else can take.
+void SessionPipeline::leavePrimaryFree(const Group &In,
+                                       std::vector<TargetPool *> &Among) {
+  Among.erase(std::remove_if(Among.begin(), Among.end(),
+                             [&In](const TargetPool *Each) {
+                               return Each->record().Id == In.Primary &&
+                                      Each->window().isCrowded();
+                             }),
+              Among.end());
+}
+
 double SessionPipeline::cost(const Group &In, const TargetPool &Pool,
                              const SessionJob &Job) const {
   double Out =
       static_cast<double>(Pool.busy()) + Pool.window().mean() / LatencyUnit;
   if (Pool.record().FailureDomain != Where.FailureDomain)
     Out += DistanceCost;
-  if (Job.Floor && Pool.lag().isBehind(*Job.Floor, Outside.Time.now()))
+  const Millis Now = Outside.Time.now();
+  if (Job.Floor && Pool.record().Id != In.Primary &&
+      !Pool.lag().holds(*Job.Floor, floorShownAt(Job), Now))
     Out += BehindCost;
   if (Pool.record().Id == In.Primary)
     Out += PrimaryCost;
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -12,6 +12,12 @@
 /// Halves of a target's mean answer time that a statement needs after it was
 /// sent: answers of one kind differ by several times.
 constexpr std::int64_t AnswerMargin = 3;
+/// Part of the time left for it that a statement may wait in the queue. With
+/// all of it everyone who is served under overload has waited it out, and those
+/// who were refused come back too late for another try: with four times the
+/// load 0.20 of the worst seconds' worth was earned with all, 0.27 with half
+/// and with a quarter, which also refuses sooner.
+constexpr std::int64_t QueuePart = 4;
 /// A statement may wait this long even where its objective is shorter than
 /// what answers take: load changes within it.
 constexpr Millis LeastQueueTime(50);
@@ -205,8 +211,10 @@
     return LacksLeader ? Job.WaitUntil : Job.QueueUntil;
   // What is sent at the end of its objective is answered after it.
   const Millis Answer = answerTime(In->second, Job) * AnswerMargin / 2;
-  return std::max(Job.QueueUntil - Answer,
-                  std::min(Job.QueueUntil, Job.ArrivedAt + LeastQueueTime));
+  const Millis InTime = Job.QueueUntil - Job.ArrivedAt - Answer;
+  return Job.ArrivedAt +
+         std::max(InTime / QueuePart,
+                  std::min(Job.QueueUntil - Job.ArrivedAt, LeastQueueTime));
 }
 
 TargetCommand
--- a/Source/Pipeline/StatementWindow.h
+++ b/Source/Pipeline/StatementWindow.h
@@ -29,7 +29,7 @@
     const auto Last = std::max(static_cast<double>(Taken.count()), 1.0);
     Mean += Gain * (Last - Mean);
     Least = Least == 0 ? Mean : std::min(Mean, Least * (1 + Drift));
-    if (Mean <= Least * Crowded) {
+    if (!isCrowded()) {
       Size = std::min(Size + 1 / Size, Largest);
       return;
     }
@@ -43,6 +43,8 @@
   bool mayBegin(std::size_t UnderWay) const {
     return static_cast<double>(UnderWay) < Size;
   }
+  /// True while statements wait inside the target.
+  bool isCrowded() const { return Mean > Least * Crowded; }
   /// Mean time from sending to answer, in milliseconds.
   double mean() const { return Mean; }
 
@@ -56,7 +58,7 @@
   static constexpr double Drift = 0.0005;
   /// Two statements wait for each that runs: a slot that comes free finds the
   /// next one there, though each proxy counts only its own.
-  static constexpr double Crowded = 2.5;
+  static constexpr double Crowded = 1.8;
   static constexpr double Shrink = 0.8;
   /// More than a proxy has connections to one target.
   static constexpr double Largest = 64;
