--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -72,8 +72,7 @@
     Pool->second.update(Each, Now);
   }
   for (auto &[Name, Each] : Groups) {
-    const auto Primary = Known.primaryOf(Name);
-    Each.Primary = Primary ? Primary->Id : "";
+    adoptPrimary(Name, Each, Known);
     for (auto Pool = Each.Pools.begin(); Pool != Each.Pools.end();) {
       Pool->second.tend(Now);
       warmUp(Name, Pool->second, Now);
--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -13,6 +13,9 @@
 /// A statement without an answer for this long, or for its objective where
 /// that is longer, counts as lost where it may be sent again or taken back.
 constexpr Millis AnswerPatience(250);
+/// A target from which nothing comes for this long, while an answer is due, is
+/// told to control: several times what statements take.
+constexpr Millis SilenceNoticed(200);
 /// Opening a transaction takes a target no work.
 constexpr Millis OpeningPatience(200);
 
@@ -23,6 +26,7 @@
   bool IsUrgent = IsStopping;
   for (auto &[Name, Each] : Groups) {
     giveUpProbe(Name, Each, Now);
+    searchLeader(Name, Each, Now);
     giveUpWaiting(Each, Now);
     if (!Each.Waiting.empty()) {
       pump(Name);
@@ -45,8 +49,10 @@
   }
   const std::set<SessionJobPtr> Watched = Running;
   for (const SessionJobPtr &Job : Watched)
-    if (Running.count(Job) != 0)
+    if (Running.count(Job) != 0) {
+      suspectSilence(Job, Now);
       overdue(Job, Now);
+    }
   turnAwayWaiting(Now);
   endIdleTransactions(Now);
   closeIdleSessions(Now);
@@ -100,6 +106,18 @@
                 " ms");
 }
 
+// A statement may be waited for longer than it takes to see that nothing at
+// all comes from its target. Control hears of it by then, and a change of
+// primary begins that much sooner.
+void SessionPipeline::suspectSilence(const SessionJobPtr &Job, Millis Now) {
+  const TargetPool *Pool = poolOf(Job->Connection);
+  if (Pool == nullptr || Pool->isShared() ||
+      Now < Job->SentAt + SilenceNoticed || Pool->lastAnswer() > Job->SentAt ||
+      Pool->isAvoided(Now))
+    return;
+  noteSilent(Job->Connection, Now);
+}
+
 void SessionPipeline::noteSilent(const TargetConnectionPtr &Used, Millis Now) {
   // Behind a shared connection the gateway may be the silent one; it reports
   // its targets itself.
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -133,6 +133,10 @@
   struct Group {
     std::map<std::string, TargetPool> Pools; ///< By target.
     std::string Primary;                     ///< Empty where none is known.
+    /// The primary where it was found here against control's last word.
+    std::string Found;
+    std::uint64_t ToldSince = 0; ///< Of the primary in control's last word.
+    Millis SearchAgainAt;
     std::list<SessionJobPtr> Waiting;
     /// Bounded reads that wait for a young floor.
     std::list<SessionJobPtr> WantFloor;
@@ -213,6 +217,13 @@
   void discard(const TargetConnectionPtr &Used);
   TargetPool *poolOf(const TargetConnectionPtr &Used);
 
+  // Finding who leads.
+  void searchLeader(const std::string &Name, Group &In, Millis Now);
+  void searchAnswered(const std::string &Name, const TargetConnectionPtr &On,
+                      Millis SentAt, const StatementAnswer &Answer);
+  static void adoptPrimary(const std::string &Name, Group &In,
+                           const TargetDirectory &Known);
+
   // Running.
   void run(const SessionJobPtr &Job, const TargetConnectionPtr &On);
   void openTransaction(const SessionJobPtr &Job, bool AtLeader);
@@ -258,6 +269,7 @@
   void giveUpWaiting(Group &In, Millis Now);
   void overdue(const SessionJobPtr &Job, Millis Now);
   void noteSilent(const TargetConnectionPtr &Used, Millis Now);
+  void suspectSilence(const SessionJobPtr &Job, Millis Now);
   Millis patience(const SessionJob &Job, bool IsAlone) const;
   void closeIdleSessions(Millis Now);
   void endIdleTransactions(Millis Now);
--- a/Source/Steering/ControlFeed.cpp
+++ b/Source/Steering/ControlFeed.cpp
@@ -14,6 +14,9 @@
 constexpr Millis AskInterval(500);
 /// Until a plan is known, and while the leader is looked for at all hosts.
 constexpr Millis AskIntervalWhenLost(150);
+/// An answer that came longer ago says nothing of a failure that others report
+/// now.
+constexpr Millis ReachedCounts(200);
 /// Sightings of failed targets go out at most this often.
 constexpr Millis ReportInterval(40);
 /// Without an answer for this long the next host is asked.
@@ -61,8 +64,9 @@
   FollowRequest Request{Options.Self, ++Sequence, Plan.Version,      Seen,
                         !IsProven,    {},         Options.AsGateway, IsLeaving,
                         ProxiesSeen};
-  for (auto &[Target, Seen] : std::exchange(Sightings, {}))
-    Request.Sightings.push_back(Seen);
+  for (const auto &[Target, Seen] : std::exchange(Sightings, {}))
+    if (!Seen.What.IsReached || LastAsked - Seen.At < ReachedCounts)
+      Request.Sightings.push_back(Seen.What);
   // Those that don't lead tell who does, where they know.
   const std::vector<std::string> To =
       Everyone ? Hosts : std::vector<std::string>{Asked};
@@ -77,18 +81,19 @@
 }
 
 void ControlFeed::noteReached(const std::string &Target) {
-  Sightings[Target] = sightingOf(Target, true);
+  Sightings[Target] = {sightingOf(Target, true), Time.now()};
 }
 
 void ControlFeed::noteFailed(const std::string &Target) {
   const auto Known = Sightings.find(Target);
-  const bool IsNews = Known == Sightings.end() || Known->second.IsReached;
-  Sightings[Target] = sightingOf(Target, false);
+  const bool IsNews = Known == Sightings.end() || Known->second.What.IsReached;
+  Sightings[Target] = {sightingOf(Target, false), Time.now()};
   if (IsNews)
     Timers.after(ReportInterval, [this] {
       const bool HasFailed =
-          std::any_of(Sightings.begin(), Sightings.end(),
-                      [](const auto &Each) { return !Each.second.IsReached; });
+          std::any_of(Sightings.begin(), Sightings.end(), [](const auto &Each) {
+            return !Each.second.What.IsReached;
+          });
       if (HasFailed)
         ask(false);
     });
@@ -130,6 +135,8 @@
   ask(false);
 }
 
+void ControlFeed::on(const TellSightings &, const Envelope &) { ask(false); }
+
 void ControlFeed::on(const PlanUpdate &Body, const Envelope &) {
   // Never back within one life: callers have seen the later one.
   if (Body.Plan.Version <= Plan.Version)
--- a/Source/Steering/ControlFeed.h
+++ b/Source/Steering/ControlFeed.h
@@ -64,6 +64,7 @@
   void on(const PlanUpdate &Body, const Envelope &From);
   void on(const DirectoryUpdate &Body, const Envelope &From);
   void on(const ProxyListUpdate &Body, const Envelope &From);
+  void on(const TellSightings &Body, const Envelope &From);
   template <class Other> void on(const Other &, const Envelope &) {}
 
   FeedOptions Options;
@@ -81,8 +82,12 @@
   bool HasContact = false;
   bool IsProven = false;
   std::uint64_t ProvenVersion = 0;
+  struct Sighting {
+    PrimarySighting What;
+    Millis At;
+  };
   /// Since the last word to control, by target.
-  std::map<std::string, PrimarySighting> Sightings;
+  std::map<std::string, Sighting> Sightings;
   sigc::signal<void()> PlanChanged;
   sigc::signal<void()> DirectoryChanged;
   DirectoryVersion ProxiesSeen;
--- a/Source/Steering/Messages.h
+++ b/Source/Steering/Messages.h
@@ -71,6 +71,14 @@
   }
 };
 
+/// Control looks into a target: each proxy tells at once what it sees.
+struct TellSightings {
+  std::string Target;
+
+  bool operator==(const TellSightings &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Target); }
+};
+
 /// The asked control host doesn't lead.
 struct FollowElsewhere {
   std::string Leader; ///< Address; empty where none is known.
--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -86,6 +86,19 @@
                     }));
 }
 
+std::size_t PromotionCoordinator::reachedSince(const TargetRecord &Target,
+                                               Millis Since) const {
+  const auto Found = Sightings.find(Target.Id);
+  if (Found == Sightings.end())
+    return 0;
+  return static_cast<std::size_t>(std::count_if(
+      Found->second.begin(), Found->second.end(), [&](const auto &Each) {
+        const Sighting &Said = Each.second;
+        return Said.BornAt == Target.BornAt && Said.ReachedAt >= Since &&
+               Said.ReachedAt >= Said.FailedAt;
+      }));
+}
+
 void PromotionCoordinator::enter(Group &In, Stage Next) {
   In.At = Next;
   In.Since = Time.now();
@@ -200,10 +213,7 @@
   if (!Reported && !IsSilent)
     return;
   In.BeganAt = Now;
-  In.Reason = Reported ? std::to_string(Failed) + " proxies can't use it, " +
-                             std::to_string(Reached) + " can"
-                       : "no heartbeat";
-  probe(Name, *Primary, {Failed, Reached, Proxies});
+  probe(Name, *Primary, Proxies);
 }
 
 // A primary that starts again under its id may still say that it leads, with
@@ -222,39 +232,50 @@
 
 // What control itself meets decides. A primary that refuses connections has
 // ended, however lately some proxy was served. One that is only silent may be
-// cut off from control, so more proxies must miss it than were served lately.
+// cut off from control, so more proxies must miss it than reach it. What they
+// reached before the first of them failed says nothing: all are asked to tell
+// anew while control asks the primary itself.
 void PromotionCoordinator::probe(const std::string &Name,
-                                 const TargetRecord &Primary, Reports Seen) {
+                                 const TargetRecord &Primary,
+                                 std::size_t Proxies) {
   Group &In = Groups[Name];
   enter(In, Stage::Probing);
+  LookedInto.emit(Primary.Id);
   Orders.ask(addressOf(Primary), TargetCommand::Kind::Status, 0,
-             Times.AskTimeout,
+             Times.ProbeTimeout,
              [this, Name, Round = In.Round, Primary,
-              Seen](const Expected<TargetStatus> &Answer) {
-               if (!isCurrent(Name, Round, Stage::Probing))
-                 return;
-               Group &In = Groups[Name];
-               const bool IsBusy =
-                   !Answer && Answer.error().Code == ErrorCode::Conflict;
-               const bool IsGone =
-                   !Answer && Answer.error().Code == ErrorCode::NotFound;
-               const bool IsMissed =
-                   IsGone || Seen.Reached == 0 || Seen.Failed > Seen.Reached;
-               const bool WorksForMost = Answer && Answer->IsPrimary &&
-                                         Seen.Failed * 2 <= Seen.Proxies;
-               if (IsBusy || WorksForMost || !IsMissed)
-                 return back(In, Times.AskTimeout);
-               In.IsPlanned = Answer && Answer->IsPrimary;
-               if (In.IsPlanned) {
-                 // It works, but not for those who need it.
-                 In.Reason += "; control can";
-                 return stepDown(Name, Primary);
-               }
-               In.Reason += "; nor can control";
-               read(Name);
+              Proxies](const Expected<TargetStatus> &Answer) {
+               if (isCurrent(Name, Round, Stage::Probing))
+                 judge(Name, Primary, Proxies, Answer);
              });
 }
 
+void PromotionCoordinator::judge(const std::string &Name,
+                                 const TargetRecord &Primary,
+                                 std::size_t Proxies,
+                                 const Expected<TargetStatus> &Answer) {
+  Group &In = Groups[Name];
+  const std::size_t Failed = reporting(Primary, true);
+  const std::size_t Reached = reachedSince(Primary, In.Since);
+  const bool IsBusy = !Answer && Answer.error().Code == ErrorCode::Conflict;
+  const bool IsGone = !Answer && Answer.error().Code == ErrorCode::NotFound;
+  const bool IsMissed = IsGone || Reached == 0 || Failed > Reached;
+  const bool WorksForMost =
+      Answer && Answer->IsPrimary && Failed * 2 <= Proxies;
+  if (IsBusy || WorksForMost || !IsMissed)
+    return back(In, AttemptPause);
+  In.Reason = std::to_string(Failed) + " proxies can't use it, " +
+              std::to_string(Reached) + " can";
+  In.IsPlanned = Answer && Answer->IsPrimary;
+  if (In.IsPlanned) {
+    // It works, but not for those who need it.
+    In.Reason += "; control can";
+    return stepDown(Name, Primary);
+  }
+  In.Reason += "; nor can control";
+  read(Name);
+}
+
 void PromotionCoordinator::stepDown(const std::string &Name,
                                     const TargetRecord &Primary) {
   Group &In = Groups[Name];
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -33,6 +33,10 @@
   Millis SightingKept = Millis(1200);
   /// How long control waits for a target's word.
   Millis AskTimeout = Millis(300);
+  /// How long control waits for a primary that proxies miss, and for what the
+  /// others see of it meanwhile: it's one way there and back, and most proxies
+  /// have an answer from a primary that is well every 50 ms.
+  Millis ProbeTimeout = Millis(250);
   /// A promotion that took effect is seen within this time, or another order
   /// follows.
   Millis PromotionPatience = Millis(2500);
@@ -74,6 +78,12 @@
     return Step;
   }
 
+  /// Emitted with a target that is being looked into: proxies should tell now
+  /// what they see of it.
+  sigc::signal<void(const std::string &)> &signalLookedInto() {
+    return LookedInto;
+  }
+
 private:
   enum class Stage : std::uint8_t {
     Watching,
@@ -109,13 +119,6 @@
     Millis RetryAt;
   };
 
-  /// What proxies say of one target.
-  struct Reports {
-    std::size_t Failed = 0;
-    std::size_t Reached = 0;
-    std::size_t Proxies = 0; ///< All that follow.
-  };
-
   struct Sighting {
     std::uint64_t BornAt = 0; ///< The life of the target that was met.
     Millis FailedAt = Millis(-1000000);
@@ -128,8 +131,12 @@
   /// True while the life that was asked is the one that is known.
   bool isSameLife(const TargetRecord &Asked) const;
   std::size_t reporting(const TargetRecord &Target, bool Failed) const;
+  /// Proxies that said after \p Since that it answers them.
+  std::size_t reachedSince(const TargetRecord &Target, Millis Since) const;
   void probe(const std::string &Name, const TargetRecord &Primary,
-             Reports Seen);
+             std::size_t Proxies);
+  void judge(const std::string &Name, const TargetRecord &Primary,
+             std::size_t Proxies, const Expected<TargetStatus> &Answer);
   void stepDown(const std::string &Name, const TargetRecord &Primary);
   /// Targets whose positions count for a promotion.
   std::vector<TargetRecord> choices(const std::string &Name) const;
@@ -168,6 +175,7 @@
   sigc::signal<void(const std::string &, const std::string &,
                     const std::string &)>
       Step;
+  sigc::signal<void(const std::string &)> LookedInto;
 };
 
 } // namespace corianderdyke
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -54,7 +54,13 @@
             propose({this->Ports.Time.wallTime(), std::move(Body)},
                     std::move(OnDone));
           },
-          Options.Process) {}
+          Options.Process) {
+  Coordinator.signalLookedInto().connect([this](const std::string &Target) {
+    for (const auto &[Id, Each] : Followers)
+      this->Ports.Peers.send(Each.Address, Delivery::Datagram,
+                             TellSightings{Target});
+  });
+}
 
 void SteeringNode::start() {
   Agreement.start(Ports.Time.now());
--- a/Source/Transport/Envelope.h
+++ b/Source/Transport/Envelope.h
@@ -20,7 +20,8 @@
     std::variant<ConsensusMessage, LeaseRequest, LeaseGrant, NotLeader,
                  ViewUpdate, ViewApplied, ForwardedAnnouncement, ViewDelta,
                  RightsRequest, RightsGrant, FollowRequest, FollowReply,
-                 FollowElsewhere, PlanUpdate, DirectoryUpdate, ProxyListUpdate>;
+                 FollowElsewhere, PlanUpdate, DirectoryUpdate, ProxyListUpdate,
+                 TellSightings>;
 
 /// The longest message before it's packed.
 constexpr std::size_t MaxUnpackedBytes = 64U << 20U;
--- a/Tests/Support/FakeGroup.cpp
+++ b/Tests/Support/FakeGroup.cpp
@@ -292,6 +292,15 @@
 
 void FakePipeline::learn() { Pipeline.update(Group.directory()); }
 
+void FakePipeline::learnFrom(const std::string &Primary) {
+  std::vector<TargetRecord> All;
+  for (const auto &[Name, Each] : Group.Servers)
+    All.push_back(recordOf(Name, Name == Primary, 1, Each.BornAt));
+  TargetDirectory Late;
+  Late.merge(All, Loop.now());
+  Pipeline.update(Late);
+}
+
 FakePipeline::Session FakePipeline::connect(const std::string &Database) {
   Session Out;
   Out.Caller = std::make_shared<FakeCaller>();
--- a/Tests/Support/FakeGroup.h
+++ b/Tests/Support/FakeGroup.h
@@ -118,6 +118,8 @@
   StatementAnswer ask(const Session &On, Statement What);
   /// Lets the pipeline know what targets say of themselves now.
   void learn();
+  /// The same from somebody who still takes \p Primary for the primary.
+  void learnFrom(const std::string &Primary);
 
   FakeLoop &Loop;
   FakeGroup &Group;
