Judge a crowded target against the mean of whole batches of answers

Cause: the least of a moving mean of ten answers was about half of the true mean, so targets that were well counted as crowded.

--- a/Source/Pipeline/StatementWindow.h
+++ b/Source/Pipeline/StatementWindow.h
@@ -28,7 +28,7 @@
   void note(Millis Taken, Millis Now) {
     const auto Last = std::max(static_cast<double>(Taken.count()), 1.0);
     Mean += Gain * (Last - Mean);
-    Least = Least == 0 ? Mean : std::min(Mean, Least * (1 + Drift));
+    noteLeast(Last);
     if (!isCrowded()) {
       Size = std::min(Size + 1 / Size, Largest);
       return;
@@ -44,27 +44,43 @@
     return static_cast<double>(UnderWay) < Size;
   }
   /// True while statements wait inside the target.
-  bool isCrowded() const { return Mean > Least * Crowded; }
+  bool isCrowded() const { return Least > 0 && Mean > Least * Crowded; }
   /// Mean time from sending to answer, in milliseconds.
   double mean() const { return Mean; }
 
 private:
+  /// Answers of one kind differ by several times, and the least of a moving
+  /// mean of ten is a matter of luck: it was half of the true mean, and targets
+  /// that were well counted as crowded. Batches of more answers are nearer.
+  void noteLeast(double Last) {
+    BatchSum += Last;
+    if (++BatchSize < Batch)
+      return;
+    const double OfBatch = BatchSum / Batch;
+    Least = Least == 0 ? OfBatch : std::min(OfBatch, Least * (1 + Drift));
+    BatchSum = 0;
+    BatchSize = 0;
+  }
+
   /// A moving mean over about ten answers: statements of one kind differ by
   /// several times.
   static constexpr double Gain = 0.1;
-  /// The least mean rises by this part with each answer, so that a target
-  /// whose work has become longer isn't taken for crowded for good: by a half
-  /// in 800 answers.
-  static constexpr double Drift = 0.0005;
+  static constexpr int Batch = 32;
+  /// The least mean rises by this part with each batch, so that a target whose
+  /// work has become longer isn't taken for crowded for good: by a half in
+  /// 900 answers.
+  static constexpr double Drift = 0.015;
   /// Two statements wait for each that runs: a slot that comes free finds the
   /// next one there, though each proxy counts only its own.
-  static constexpr double Crowded = 1.8;
+  static constexpr double Crowded = 2;
   static constexpr double Shrink = 0.8;
   /// More than a proxy has connections to one target.
   static constexpr double Largest = 64;
 
   double Mean = 5;
-  double Least = 0;
+  double Least = 0; ///< 0 before the first batch.
+  double BatchSum = 0;
+  int BatchSize = 0;
   double Size = 8;
   Millis ShrinkAgainAt;
 };
