Begin a stream anew that was asked for while its peer was down

Cause: after a loss of power hosts come back one by one.

Kept for the time without service, since whoever comes back completes a majority.

--- a/Source/Transport/SocketTransport.cpp
+++ b/Source/Transport/SocketTransport.cpp
@@ -30,11 +30,17 @@
 /// well above the way there and back between regions.
 constexpr Millis SilenceBorne(800);
 
+/// A connection that isn't there after this long was asked for while its peer
+/// was down. It's well above the way there and back between regions.
+constexpr Millis ConnectTakes(60);
+
 } // namespace
 
 struct SocketTransport::Stream {
   SocketTransport *Owner = nullptr;
   bufferevent *Buffer = nullptr;
+  bool IsConnected = false; ///< Of an outgoing one.
+  Millis OpenedAt;
 
   ~Stream() { bufferevent_free(Buffer); }
 };
@@ -130,29 +136,58 @@
            reinterpret_cast<const sockaddr *>(&Address), sizeof(Address));
 }
 
+std::unique_ptr<SocketTransport::Stream>
+SocketTransport::connect(const Endpoint &To) {
+  auto Made = std::make_unique<Stream>();
+  Made->Owner = this;
+  Made->OpenedAt = Time.now();
+  Made->Buffer = bufferevent_socket_new(
+      Loop.base(), makeTunedSocket(SilenceBorne), BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(
+      Made->Buffer, nullptr, nullptr,
+      [](bufferevent *, short Events, void *From) {
+        auto *Each = static_cast<Stream *>(From);
+        if ((Events & BEV_EVENT_CONNECTED) != 0)
+          Each->IsConnected = true;
+        else
+          Each->Owner->drop(Each);
+      },
+      Made.get());
+  const sockaddr_in Address = socketAddress(To);
+  bufferevent_enable(Made->Buffer, EV_READ | EV_WRITE);
+  if (bufferevent_socket_connect(Made->Buffer,
+                                 reinterpret_cast<const sockaddr *>(&Address),
+                                 sizeof(Address)) != 0)
+    return nullptr;
+  return Made;
+}
+
+// Load pattern: hosts come back one by one after a loss of power. The first
+// ones ask those that are still down, and the kernel repeats such a request to
+// connect only after a second. Votes for the first leader would wait in it
+// though their host is up by now: 440 ms of the time without any service.
+void SocketTransport::reopenStuck(const Endpoint &To) {
+  const auto Found = Outgoing.find(To);
+  if (Found == Outgoing.end() || Found->second->IsConnected ||
+      Time.now() - Found->second->OpenedAt < ConnectTakes)
+    return;
+  std::unique_ptr<Stream> Anew = connect(To);
+  if (!Anew)
+    return;
+  // Nothing of it was sent: messages wait whole.
+  evbuffer *Old = bufferevent_get_output(Found->second->Buffer);
+  evbuffer_unfreeze(Old, 1);
+  evbuffer_add_buffer(bufferevent_get_output(Anew->Buffer), Old);
+  Found->second = std::move(Anew);
+}
+
 void SocketTransport::sendFrame(const Endpoint &To, const std::string &Bytes) {
   std::unique_ptr<Stream> &Open = Outgoing[To];
+  if (!Open)
+    Open = connect(To);
   if (!Open) {
-    Open = std::make_unique<Stream>();
-    Open->Owner = this;
-    Open->Buffer = bufferevent_socket_new(
-        Loop.base(), makeTunedSocket(SilenceBorne), BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(
-        Open->Buffer, nullptr, nullptr,
-        [](bufferevent *, short Events, void *From) {
-          auto *Each = static_cast<Stream *>(From);
-          if ((Events & BEV_EVENT_CONNECTED) == 0)
-            Each->Owner->drop(Each);
-        },
-        Open.get());
-    const sockaddr_in Address = socketAddress(To);
-    bufferevent_enable(Open->Buffer, EV_READ | EV_WRITE);
-    if (bufferevent_socket_connect(Open->Buffer,
-                                   reinterpret_cast<const sockaddr *>(&Address),
-                                   sizeof(Address)) != 0) {
-      Outgoing.erase(To);
-      return;
-    }
+    Outgoing.erase(To);
+    return;
   }
   evbuffer *Queue = bufferevent_get_output(Open->Buffer);
   if (evbuffer_get_length(Queue) > MaxQueuedBytes) {
@@ -202,6 +237,7 @@
     ++Rejected;
     return;
   }
+  reopenStuck(Opened->ReplyTo);
   signalReceived().emit(*Opened);
 }
 
--- a/Source/Transport/SocketTransport.h
+++ b/Source/Transport/SocketTransport.h
@@ -4,6 +4,7 @@
 #ifndef CORIANDERDYKE_TRANSPORT_SOCKETTRANSPORT_H
 #define CORIANDERDYKE_TRANSPORT_SOCKETTRANSPORT_H
 
+#include "Common/SystemClock.h"
 #include "Transport/Transport.h"
 
 #include <map>
@@ -54,11 +55,16 @@
   Expected<void> bind();
   void sendDatagram(const Endpoint &To, const std::string &Bytes);
   void sendFrame(const Endpoint &To, const std::string &Bytes);
+  /// A stream that begins to connect; null where it can't.
+  std::unique_ptr<Stream> connect(const Endpoint &To);
+  /// A peer was heard: a stream to it that still connects begins anew.
+  void reopenStuck(const Endpoint &To);
   void readDatagrams();
   void readFrames(Stream &From);
   void deliver(const std::string &Bytes);
   void drop(Stream *Closed);
 
+  SystemClock Time;
   EventLoop &Loop;
   Endpoint At;
   std::string Name;
