Test what decides under load without a network

Eleven tests of the queue's limits, the window, the forecast, replicas' lag, openings ahead of a plan, a crowded primary and the search for a leader, on models and targets in memory.

--- /dev/null
+++ b/Tests/Unit/LoadPatternTest.cpp
@@ -0,0 +1,276 @@
+/// \file
+/// What decides under load: statements under way at a target, waits that are
+/// foreseen, replicas that lag, openings before the first plan, and leaders
+/// that nobody told of. Each test names the load that it answers.
+
+#include "FakeGroup.h"
+#include "Pipeline/ReplicaLag.h"
+#include "Pipeline/StatementWindow.h"
+#include "Pipeline/WaitForecast.h"
+
+#include <catch2/catch.hpp>
+
+using namespace corianderdyke;
+
+namespace {
+
+using Kind = StatementKind;
+
+/// A target with some slots and a queue before them, and proxies that each
+/// keep as many statements there as their windows allow.
+struct CrowdModel {
+  /// Runs for \p Span with \p Proxies that always have another statement; the
+  /// mean time from sending to answer over the second half.
+  double run(std::size_t Proxies, Millis Span, bool UsesWindow) {
+    std::vector<StatementWindow> Windows(Proxies);
+    std::vector<std::size_t> UnderWay(Proxies, 0);
+    std::mt19937_64 Random(7);
+    std::lognormal_distribution<double> Work(std::log(20), 0.6);
+    std::vector<Millis> SlotFree(Slots);
+    std::multimap<Millis, std::pair<std::size_t, Millis>> Answers;
+    double Sum = 0;
+    std::size_t Count = 0;
+    // Quiet at first: one statement at a time tells what the work takes.
+    for (int Each = 0; Each < 200; ++Each)
+      for (StatementWindow &One : Windows)
+        One.note(Millis(static_cast<std::int64_t>(Work(Random))), Millis(0));
+    for (Millis Now = Millis(0); Now < Span; Now = Now + Millis(1)) {
+      while (!Answers.empty() && Answers.begin()->first <= Now) {
+        const auto [Proxy, SentAt] = Answers.begin()->second;
+        Answers.erase(Answers.begin());
+        --UnderWay[Proxy];
+        Windows[Proxy].note(Now - SentAt, Now);
+        if (Now > Span / 2) {
+          Sum += static_cast<double>((Now - SentAt).count());
+          ++Count;
+        }
+      }
+      for (std::size_t Proxy = 0; Proxy < Proxies; ++Proxy)
+        while (UnderWay[Proxy] < Connections &&
+               (!UsesWindow || Windows[Proxy].mayBegin(UnderWay[Proxy]))) {
+          const auto Slot = std::min_element(SlotFree.begin(), SlotFree.end());
+          *Slot = std::max(*Slot, Now) +
+                  Millis(static_cast<std::int64_t>(Work(Random)) + 1);
+          Answers.insert({*Slot, {Proxy, Now}});
+          ++UnderWay[Proxy];
+        }
+    }
+    Served = Count;
+    return Sum / static_cast<double>(std::max<std::size_t>(Count, 1));
+  }
+
+  std::size_t Slots = 3;
+  std::size_t Connections = 4;
+  std::size_t Served = 0;
+};
+
+} // namespace
+
+TEST_CASE("Under lasting load statements wait at the proxies, not inside",
+          "[load]") {
+  // Nine proxies always have more for a target with three slots. Without the
+  // window 36 stand inside, and each answer takes twelve times the work; with
+  // it few do, and the target serves as many.
+  CrowdModel Model;
+  const double Without = Model.run(9, Millis(20000), false);
+  const std::size_t ServedWithout = Model.Served;
+  const double With = Model.run(9, Millis(20000), true);
+  CHECK(With < Without / 2);
+  CHECK(Model.Served * 100 >= ServedWithout * 97);
+}
+
+TEST_CASE("A target that is well isn't held back", "[load]") {
+  // One proxy alone before a target: its window must not cost it a slot,
+  // however different its statements are.
+  CrowdModel Model;
+  Model.Connections = 3;
+  Model.run(1, Millis(20000), false);
+  const std::size_t ServedWithout = Model.Served;
+  Model.run(1, Millis(20000), true);
+  CHECK(Model.Served * 100 >= ServedWithout * 99);
+}
+
+TEST_CASE("A window opens again when the crowd has gone", "[load]") {
+  StatementWindow Window;
+  for (int Each = 0; Each < 100; ++Each)
+    Window.note(Millis(20), Millis(Each * 20));
+  for (int Each = 0; Each < 200; ++Each)
+    Window.note(Millis(150), Millis(2000 + Each * 20));
+  CHECK(Window.isCrowded());
+  CHECK_FALSE(Window.mayBegin(1));
+  for (int Each = 0; Each < 60; ++Each)
+    Window.note(Millis(20), Millis(6000 + Each * 20));
+  CHECK_FALSE(Window.isCrowded());
+  CHECK(Window.mayBegin(3));
+}
+
+TEST_CASE("A wait is foreseen by the pace of the queue", "[load]") {
+  // A statement leaves every 10 ms while others wait. Behind ten of them it's
+  // 100 ms; a target that has stopped isn't taken for a fast one.
+  WaitForecast Forecast;
+  for (int Each = 0; Each < 100; ++Each)
+    Forecast.noteLeft(5, Millis(Each * 10));
+  const Millis Now(990);
+  CHECK(Forecast.expected(0, Now) == Millis(0));
+  CHECK(Forecast.expected(10, Now) >= Millis(90));
+  CHECK(Forecast.expected(10, Now) <= Millis(110));
+  CHECK(Forecast.expected(10, Now + Millis(2000)) >= Millis(1500));
+  // A pause without anybody waiting says nothing of the pace.
+  Forecast.noteLeft(0, Now);
+  Forecast.noteLeft(3, Now + Millis(60000));
+  CHECK(Forecast.expected(10, Now + Millis(60000)) <= Millis(110));
+}
+
+TEST_CASE("Who can't be served in time is told so at once", "[load]") {
+  // The only target works on one statement at a time and forty callers come
+  // together. Those far behind are refused when they come, with when to come
+  // back; nobody who is refused had run, and the first are served.
+  FakeLoop Loop;
+  FakeGroup Group(Loop, {"a"});
+  Group.Work = Millis(20);
+  FakePipeline Proxy(Loop, Group);
+  const auto Opener = Proxy.connect("primary");
+  REQUIRE_FALSE(Proxy.ask(Opener, Kind::Write, "w0", "STORE x 0").Refusal);
+  std::vector<FakePipeline::Session> Callers;
+  for (int Each = 0; Each < 40; ++Each)
+    Callers.push_back(Proxy.connect("primary"));
+  std::size_t Served = 0;
+  std::size_t Told = 0;
+  for (int Round = 0; Round < 3; ++Round) {
+    const Millis Began = Loop.now();
+    for (std::size_t Each = 0; Each < Callers.size(); ++Each)
+      Proxy.send(Callers[Each], Kind::Write,
+                 "w" + std::to_string(Round) + "." + std::to_string(Each),
+                 "STORE x 1");
+    Loop.runFor(Millis(400));
+    for (std::size_t Each = 0; Each < Callers.size(); ++Each) {
+      const StatementAnswer &Answer = Callers[Each].Caller->last();
+      const std::string Id =
+          "w" + std::to_string(Round) + "." + std::to_string(Each);
+      if (!Answer.Refusal) {
+        ++Served;
+        continue;
+      }
+      CHECK(Answer.Refusal->Code == RefusalCode::Busy);
+      CHECK(Group.runs(Id) == 0);
+      if (Answer.Refusal->Why.find("come back after") != std::string::npos)
+        ++Told;
+    }
+    CHECK(Loop.now() - Began <= Millis(400));
+  }
+  CHECK(Served > 0);
+  CHECK(Told > 40);
+}
+
+TEST_CASE("A replica serves the reads whose floor it holds", "[load]") {
+  // A replica is two seconds behind. Reads that may miss 2.5 s find their
+  // floor there; those that may miss 1.5 s don't, and their refusal must not
+  // keep the others away.
+  ReplicaLag Lag;
+  const Millis Now(10000);
+  Lag.notePosition({1, 50}, Now - Millis(1600), Now);
+  Lag.noteRefused(Now);
+  CHECK(Lag.mayServe({1, 60}, Now - Millis(2500), Now));
+  CHECK_FALSE(Lag.mayServe({1, 90}, Now - Millis(1500), Now));
+  // What its log is known to hold is there whatever its pace is.
+  CHECK(Lag.mayServe({1, 50}, Now, Now));
+  // It's tried again after a pause, in case it has caught up.
+  CHECK(Lag.mayServe({1, 90}, Now - Millis(1500), Now + Millis(150)));
+}
+
+TEST_CASE("Times of positions tell how far behind a log is", "[floor]") {
+  FloorTable Floors;
+  for (int Each = 0; Each < 10; ++Each)
+    Floors.note("ledger", {1, static_cast<std::uint64_t>(10 + Each)},
+                Millis(1000 + Each * 100), Millis(1001 + Each * 100));
+  CHECK(Floors.shownAt("ledger", {1, 14}) == Millis(1400));
+  CHECK_FALSE(Floors.shownAt("ledger", {1, 99}));
+  CHECK(Floors.heldUntil("ledger", {1, 14}, Millis(3000)) == Millis(1400));
+  CHECK(Floors.heldUntil("ledger", {1, 99}, Millis(3000)) == Millis(3000));
+  CHECK_FALSE(Floors.heldUntil("ledger", {1, 2}, Millis(3000)));
+}
+
+TEST_CASE("Openings wait for the first plan of a process", "[load]") {
+  // All processes were down and callers come back ahead of the plan. Refused,
+  // each would have used up one of its few tries; held, they're served as
+  // soon as the plan is there. Where none comes they're told in time.
+  FakeLoop Loop;
+  FakeGroup Group(Loop, {"a", "b", "c"});
+  FakeHost Host(Loop, "proxy");
+  FloorTable Floors;
+  SessionPipeline Pipeline({Host, Host, Group, Floors},
+                           {"region", "here", "proxy"});
+  const auto Early = std::make_shared<FakeCaller>();
+  const auto Unknown = std::make_shared<FakeCaller>();
+  Pipeline.open("primary", Early);
+  Pipeline.open("nothing", Unknown);
+  Loop.runFor(Millis(300));
+  CHECK_FALSE(Early->IsOpen);
+  CHECK_FALSE(Early->Rejected);
+  Pipeline.adopt(planOfThreeRoutes());
+  CHECK(Early->IsOpen);
+  REQUIRE(Unknown->Rejected);
+  CHECK(Unknown->Rejected->Code == RefusalCode::NoDatabase);
+}
+
+TEST_CASE("An opening is refused in time where no plan comes", "[load]") {
+  FakeLoop Loop;
+  FakeGroup Group(Loop, {"a"});
+  FakeHost Host(Loop, "proxy");
+  FloorTable Floors;
+  SessionPipeline Pipeline({Host, Host, Group, Floors},
+                           {"region", "here", "proxy"});
+  const auto Caller = std::make_shared<FakeCaller>();
+  Pipeline.open("primary", Caller);
+  Loop.runFor(Millis(1200));
+  REQUIRE(Caller->Rejected);
+  CHECK(Caller->Rejected->Code == RefusalCode::Busy);
+  CHECK(Caller->Rejected->Why.find("come back after") != std::string::npos);
+  CHECK(Pipeline.sessions() == 0);
+}
+
+TEST_CASE("Reads leave a crowded primary to writes", "[load]") {
+  // A burst of reads with two replicas and a primary whose answers take many
+  // times their work. Reads that replicas can serve go there.
+  FakeLoop Loop;
+  FakeGroup Group(Loop, {"a", "b", "c"});
+  FakePipeline Proxy(Loop, Group);
+  const auto Writer = Proxy.connect("primary");
+  const auto Reader = Proxy.connect("bounded");
+  for (int Each = 0; Each < 200; ++Each)
+    REQUIRE_FALSE(
+        Proxy.ask(Writer, Kind::Write, "w" + std::to_string(Each), "STORE x 1")
+            .Refusal);
+  Group.Work = Millis(40);
+  for (int Each = 0; Each < 40; ++Each)
+    REQUIRE_FALSE(
+        Proxy.ask(Writer, Kind::Write, "v" + std::to_string(Each), "STORE x 1")
+            .Refusal);
+  for (int Each = 0; Each < 20; ++Each) {
+    const std::string Id = "r" + std::to_string(Each);
+    REQUIRE_FALSE(Proxy.ask(Reader, Kind::Read, Id, "FETCH x").Refusal);
+    CHECK(Group.run(Id)->Target != "a");
+  }
+}
+
+TEST_CASE("A proxy that control can't reach finds the new primary", "[load]") {
+  // The primary is replaced, and no word of it comes. A transaction and a
+  // write that are sent meanwhile reach the new primary or get a promise; a
+  // moment later all of them reach it.
+  FakeLoop Loop;
+  FakeGroup Group(Loop, {"a", "b", "c"});
+  FakePipeline Proxy(Loop, Group);
+  const auto Session = Proxy.connect("primary");
+  const auto Reader = Proxy.connect("bounded");
+  REQUIRE_FALSE(Proxy.ask(Session, Kind::Write, "w1", "STORE x 1").Refusal);
+  for (int Each = 0; Each < 6; ++Each)
+    Proxy.ask(Reader, Kind::Read, "r" + std::to_string(Each), "FETCH x");
+  Group.promote("c");
+  const auto First = Proxy.ask(Session, Kind::Write, "w2", "STORE x 2");
+  if (First.Refusal)
+    CHECK(Group.runs("w2") == 0);
+  Loop.runFor(Millis(200));
+  REQUIRE_FALSE(Proxy.ask(Session, Kind::Write, "w3", "STORE x 3").Refusal);
+  CHECK(Group.run("w3")->Target == "c");
+  CHECK(Group.runs("w3") == 1);
+}
