--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -93,7 +93,7 @@
 // noticed. Whoever waits on a connection of its former life would wait for
 // good, and learns now that it's lost.
 void SessionPipeline::endLife(const std::string &GroupName, TargetPool &Pool) {
-  const std::vector<TargetConnectionPtr> Dead = Pool.connections();
+  std::vector<TargetConnectionPtr> Dead(Pool.connections());
   for (const TargetConnectionPtr &Each : Dead) {
     Each->close();
     closed(GroupName, Each, std::nullopt);
@@ -132,7 +132,6 @@
                                                       const SessionJob &Job) {
   const Millis Now = Outside.Time.now();
   std::vector<TargetPool *> Out;
-  const Millis ShownAt = floorShownAt(Job);
   for (auto &[Id, Pool] : In.Pools) {
     const TargetRecord &Record = Pool.record();
     if (Record.IsGone)
@@ -147,7 +146,7 @@
       continue;
     if (Job.Where == Placement::Replica &&
         (Record.IsLeaving || Job.Avoid.count(Id) != 0 ||
-         (Id != In.Primary && !Pool.lag().mayServe(*Job.Floor, ShownAt, Now))))
+         Pool.lag().isPaused(Now)))
       continue;
     Out.push_back(&Pool);
   }
@@ -160,13 +159,6 @@
   return Out;
 }
 
-Millis SessionPipeline::floorShownAt(const SessionJob &Job) const {
-  const Millis Now = Outside.Time.now();
-  if (!Job.Floor)
-    return Now;
-  return Outside.Floors.shownAt(Job.Route.Group, *Job.Floor).value_or(Now);
-}
-
 // Load pattern: a burst of reads and writes. Reads have several targets, and
 // what needs the leader has one: each read there holds up writes that nobody
 // else can take.
@@ -186,9 +178,7 @@
       static_cast<double>(Pool.busy()) + Pool.window().mean() / LatencyUnit;
   if (Pool.record().FailureDomain != Where.FailureDomain)
     Out += DistanceCost;
-  const Millis Now = Outside.Time.now();
-  if (Job.Floor && Pool.record().Id != In.Primary &&
-      !Pool.lag().holds(*Job.Floor, floorShownAt(Job), Now))
+  if (Job.Floor && Pool.lag().isBehind(*Job.Floor, Outside.Time.now()))
     Out += BehindCost;
   if (Pool.record().Id == In.Primary)
     Out += PrimaryCost;
--- a/Source/Pipeline/FloorTable.cpp
+++ b/Source/Pipeline/FloorTable.cpp
@@ -52,32 +52,6 @@
   return std::nullopt;
 }
 
-std::optional<Millis> FloorTable::shownAt(const std::string &Group,
-                                          LogPosition Position) const {
-  const auto Found = Groups.find(Group);
-  if (Found == Groups.end())
-    return std::nullopt;
-  for (const Proof &Each : Found->second)
-    if (Each.Shown >= Position)
-      return Each.SentAt;
-  return std::nullopt;
-}
-
-std::optional<Millis> FloorTable::heldUntil(const std::string &Group,
-                                            LogPosition Position,
-                                            Millis Now) const {
-  const auto Found = Groups.find(Group);
-  if (Found == Groups.end())
-    return std::nullopt;
-  std::optional<Millis> Until;
-  for (const Proof &Each : Found->second) {
-    if (Each.Shown > Position)
-      return Until;
-    Until = Each.SentAt;
-  }
-  return Now;
-}
-
 std::optional<FloorTable::Proof>
 FloorTable::youngest(const std::string &Group) const {
   const auto Found = Groups.find(Group);
--- a/Source/Pipeline/FloorTable.h
+++ b/Source/Pipeline/FloorTable.h
@@ -52,15 +52,6 @@
   std::optional<LogPosition> floor(const std::string &Group, Millis ArrivedAt,
                                    Millis AcceptedAge) const;
 
-  /// When a leader first showed \p Position or more; nothing where none has
-  /// yet.
-  std::optional<Millis> shownAt(const std::string &Group,
-                                LogPosition Position) const;
-  /// Until when a log that ends at \p Position holds all that leaders showed;
-  /// nothing where it lacks even the oldest that is remembered.
-  std::optional<Millis> heldUntil(const std::string &Group,
-                                  LogPosition Position, Millis Now) const;
-
   /// The youngest proof, to be told to other proxies.
   std::optional<Proof> youngest(const std::string &Group) const;
 
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -198,8 +198,6 @@
   /// What a statement usually takes from sending to answer.
   Millis answerTime(const Group &In, const SessionJob &Job) const;
   std::vector<TargetPool *> candidates(Group &In, const SessionJob &Job);
-  /// When a leader first showed the floor of a read.
-  Millis floorShownAt(const SessionJob &Job) const;
   static void leavePrimaryFree(const Group &In,
                                std::vector<TargetPool *> &Among);
   double cost(const Group &In, const TargetPool &Pool,
--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -9,9 +9,6 @@
 
 /// Targets that one statement is tried at.
 constexpr unsigned MaxTries = 6;
-/// Of a target that holds nothing of what is remembered: older than reads may
-/// be.
-constexpr Millis UnknownLag(60000);
 
 StatementRefusal refused(RefusalCode Code, std::string Why) {
   return {Code, std::move(Why)};
@@ -29,14 +26,8 @@
       Reached.emit(Pool->record().Id);
     if (!Answer.Refusal)
       Pool->window().note(Outside.Time.now() - Job->SentAt, Outside.Time.now());
-    if (Answer.Position) {
-      const Millis Now = Outside.Time.now();
-      Pool->lag().notePosition(
-          *Answer.Position,
-          Outside.Floors.heldUntil(Job->Route.Group, *Answer.Position, Now)
-              .value_or(Now - UnknownLag),
-          Now);
-    }
+    if (Answer.Position)
+      Pool->lag().notePosition(*Answer.Position, Outside.Time.now());
     if (Job->Floor && Job->Where == Placement::Replica) {
       if (!Answer.Refusal)
         Pool->lag().noteFresh();
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -230,7 +230,7 @@
 
 // As at a proxy with connections of its own: those of a former life are dead.
 void TargetBroker::endLife(Target &At) {
-  const std::vector<TargetConnectionPtr> Dead = At.Pool.connections();
+  std::vector<TargetConnectionPtr> Dead(At.Pool.connections());
   for (const TargetConnectionPtr &Each : Dead) {
     Each->close();
     closed(Each, std::nullopt);
--- a/Tests/Unit/LoadPatternTest.cpp
+++ b/Tests/Unit/LoadPatternTest.cpp
@@ -1,10 +1,9 @@
 /// \file
 /// What decides under load: statements under way at a target, waits that are
-/// foreseen, replicas that lag, openings before the first plan, and leaders
+/// foreseen, openings before the first plan, and leaders
 /// that nobody told of. Each test names the load that it answers.
 
 #include "FakeGroup.h"
-#include "Pipeline/ReplicaLag.h"
 #include "Pipeline/StatementWindow.h"
 #include "Pipeline/WaitForecast.h"
 
@@ -93,13 +92,13 @@
 TEST_CASE("A window opens again when the crowd has gone", "[load]") {
   StatementWindow Window;
   for (int Each = 0; Each < 100; ++Each)
-    Window.note(Millis(20), Millis(Each * 20));
+    Window.note(Millis(20), Millis(20) * Each);
   for (int Each = 0; Each < 200; ++Each)
-    Window.note(Millis(150), Millis(2000 + Each * 20));
+    Window.note(Millis(150), Millis(2000) + Millis(20) * Each);
   CHECK(Window.isCrowded());
   CHECK_FALSE(Window.mayBegin(1));
   for (int Each = 0; Each < 60; ++Each)
-    Window.note(Millis(20), Millis(6000 + Each * 20));
+    Window.note(Millis(20), Millis(6000) + Millis(20) * Each);
   CHECK_FALSE(Window.isCrowded());
   CHECK(Window.mayBegin(3));
 }
@@ -109,7 +108,7 @@
   // 100 ms; a target that has stopped isn't taken for a fast one.
   WaitForecast Forecast;
   for (int Each = 0; Each < 100; ++Each)
-    Forecast.noteLeft(5, Millis(Each * 10));
+    Forecast.noteLeft(5, Millis(10) * Each);
   const Millis Now(990);
   CHECK(Forecast.expected(0, Now) == Millis(0));
   CHECK(Forecast.expected(10, Now) >= Millis(90));
@@ -132,6 +131,7 @@
   const auto Opener = Proxy.connect("primary");
   REQUIRE_FALSE(Proxy.ask(Opener, Kind::Write, "w0", "STORE x 0").Refusal);
   std::vector<FakePipeline::Session> Callers;
+  Callers.reserve(40);
   for (int Each = 0; Each < 40; ++Each)
     Callers.push_back(Proxy.connect("primary"));
   std::size_t Served = 0;
@@ -162,34 +162,6 @@
   CHECK(Told > 40);
 }
 
-TEST_CASE("A replica serves the reads whose floor it holds", "[load]") {
-  // A replica is two seconds behind. Reads that may miss 2.5 s find their
-  // floor there; those that may miss 1.5 s don't, and their refusal must not
-  // keep the others away.
-  ReplicaLag Lag;
-  const Millis Now(10000);
-  Lag.notePosition({1, 50}, Now - Millis(1600), Now);
-  Lag.noteRefused(Now);
-  CHECK(Lag.mayServe({1, 60}, Now - Millis(2500), Now));
-  CHECK_FALSE(Lag.mayServe({1, 90}, Now - Millis(1500), Now));
-  // What its log is known to hold is there whatever its pace is.
-  CHECK(Lag.mayServe({1, 50}, Now, Now));
-  // It's tried again after a pause, in case it has caught up.
-  CHECK(Lag.mayServe({1, 90}, Now - Millis(1500), Now + Millis(150)));
-}
-
-TEST_CASE("Times of positions tell how far behind a log is", "[floor]") {
-  FloorTable Floors;
-  for (int Each = 0; Each < 10; ++Each)
-    Floors.note("ledger", {1, static_cast<std::uint64_t>(10 + Each)},
-                Millis(1000 + Each * 100), Millis(1001 + Each * 100));
-  CHECK(Floors.shownAt("ledger", {1, 14}) == Millis(1400));
-  CHECK_FALSE(Floors.shownAt("ledger", {1, 99}));
-  CHECK(Floors.heldUntil("ledger", {1, 14}, Millis(3000)) == Millis(1400));
-  CHECK(Floors.heldUntil("ledger", {1, 99}, Millis(3000)) == Millis(3000));
-  CHECK_FALSE(Floors.heldUntil("ledger", {1, 2}, Millis(3000)));
-}
-
 TEST_CASE("Openings wait for the first plan of a process", "[load]") {
   // All processes were down and callers come back ahead of the plan. Refused,
   // each would have used up one of its few tries; held, they're served as
