Say no heartbeat where that alone made control look into a primary

Cause: since the proxies' word is counted when the primary has been asked, the reason of an order that followed mere silence read "0 proxies can't use it". The order itself doesn't change. Unit tests pass.

--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -264,8 +264,9 @@
       Answer && Answer->IsPrimary && Failed * 2 <= Proxies;
   if (IsBusy || WorksForMost || !IsMissed)
     return back(In, AttemptPause);
-  In.Reason = std::to_string(Failed) + " proxies can't use it, " +
-              std::to_string(Reached) + " can";
+  In.Reason = Failed == 0 ? "no heartbeat"
+                          : std::to_string(Failed) + " proxies can't use it, " +
+                                std::to_string(Reached) + " can";
   In.IsPlanned = Answer && Answer->IsPrimary;
   if (In.IsPlanned) {
     // It works, but not for those who need it.
