Take test sessions' ports from below those of outgoing connections

Ports were picked among those that the kernel gives to outgoing connections, and one was taken between the choice and the start. Ruled out: the product, whose control hosts, proxies and other two targets stood and waited.

--- a/Tests/StandIn/CallerMain.cpp
+++ b/Tests/StandIn/CallerMain.cpp
@@ -150,28 +150,40 @@
   return 1;
 }
 
+/// The kernel gives outgoing connections ports from 32768 on. One of those that
+/// is free now may be anybody's a moment later, before its listener has
+/// started.
+constexpr int FirstPort = 12000;
+/// Sessions that start together look in blocks of their own, by process.
+constexpr int PortsInBlock = 20;
+constexpr int Blocks = 1000;
+
+bool isFree(int Port) {
+  sockaddr_in At{};
+  At.sin_family = AF_INET;
+  At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  At.sin_port = htons(static_cast<std::uint16_t>(Port));
+  const auto *Raw = reinterpret_cast<const sockaddr *>(&At);
+  const int Stream = socket(AF_INET, SOCK_STREAM, 0);
+  const int Datagram = socket(AF_INET, SOCK_DGRAM, 0);
+  const bool Out = bind(Stream, Raw, sizeof(At)) == 0 &&
+                   bind(Datagram, Raw, sizeof(At)) == 0;
+  close(Stream);
+  close(Datagram);
+  return Out;
+}
+
 /// Prints port numbers that are free for TCP and UDP at this moment.
 int freePorts(int Wanted) {
-  std::vector<int> Held;
-  int Found = 0;
-  while (Found < Wanted) {
-    sockaddr_in At{};
-    At.sin_family = AF_INET;
-    At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t Size = sizeof(At);
-    auto *Raw = reinterpret_cast<sockaddr *>(&At);
-    const int Stream = socket(AF_INET, SOCK_STREAM, 0);
-    const int Datagram = socket(AF_INET, SOCK_DGRAM, 0);
-    Held.push_back(Stream);
-    Held.push_back(Datagram);
-    if (bind(Stream, Raw, Size) != 0 || getsockname(Stream, Raw, &Size) != 0 ||
-        bind(Datagram, Raw, Size) != 0)
+  int Port = FirstPort + PortsInBlock * (getpid() % Blocks);
+  for (int Found = 0; Found < Wanted; ++Port) {
+    if (Port >= FirstPort + PortsInBlock * Blocks)
+      Port = FirstPort;
+    if (!isFree(Port))
       continue;
-    std::cout << ntohs(At.sin_port) << "\n";
+    std::cout << Port << "\n";
     ++Found;
   }
-  for (const int Each : Held)
-    close(Each);
   return 0;
 }
 
