Take a quote behind a bare word for a part of that word

The check ahead of it took the quote inside the broken number for the beginning of a text and let the letters behind it pass. The library reads on to the end of the number.

The test failed before, and the input stays in the corpus.

--- a/Source/Settings/TomlReader.cpp
+++ b/Source/Settings/TomlReader.cpp
@@ -4,6 +4,7 @@
 #include "Settings/TomlReader.h"
 
 #include <algorithm>
+#include <cctype>
 #include <cstdlib>
 #include <numeric>
 #include <stdexcept>
@@ -72,6 +73,19 @@
   return Line.size();
 }
 
+/// True for a quote that begins a text. Right behind a bare word it's a part of
+/// that word to the library, and so is what follows: in 7."0 the letters behind
+/// the quote are still those of a broken number.
+bool opensText(std::string_view Line, std::size_t At) {
+  if (Line[At] != '"' && Line[At] != '\'')
+    return false;
+  if (At == 0)
+    return true;
+  const char Before = Line[At - 1];
+  return std::isalnum(static_cast<unsigned char>(Before)) == 0 &&
+         std::string_view("._-+").find(Before) == std::string_view::npos;
+}
+
 /// The first byte of a line that isn't ASCII and stands outside quotes and
 /// comments; the line's size where there's none.
 std::size_t bareNonAscii(std::string_view Line) {
@@ -80,7 +94,7 @@
       return Line.size();
     if (!isAscii(Line[At]))
       return At;
-    if (Line[At] == '"' || Line[At] == '\'')
+    if (opensText(Line, At))
       At = closingQuote(Line, At);
   }
   return Line.size();
--- a/Tests/Unit/DecoderTest.cpp
+++ b/Tests/Unit/DecoderTest.cpp
@@ -35,7 +35,9 @@
   // and comments they are welcome.
   const std::string Line =
       GENERATE("version = 1 \xd1\xab\n", "\xd1\xab\n#\n",
-               "version = 1 # \xc4\x81\n\xc4\x81tri = 1\n");
+               "version = 1 # \xc4\x81\n\xc4\x81tri = 1\n",
+               // A quote inside a broken number opens no text.
+               "version = 7.\"0.210.\xcf\xbf\"\n");
   const auto Read = parseManifest("manifest.toml", Line);
   REQUIRE_FALSE(Read);
   CHECK(Read.error().front().Message ==
