Let a loop that ends finish all that was put off

Cause of the listed abort ("malloc_consolidate(): unaligned fastbin chunk"): the loop's last work lets go of a question to a target, whose link puts off the end of its socket. That second action outlived the loop's base, and freeing the socket's buffer wrote into it. The end of the loop ran one round only.

Ruled out: the test's own stand-in, and the checks, which had all passed; the stack shows Catch's clean-up, where the damaged heap is met first. The new test failed before ({1} for {1, 2, 3}).

--- a/Source/Loop/EventLoop.cpp
+++ b/Source/Loop/EventLoop.cpp
@@ -39,8 +39,12 @@
   event_config_free(Config);
 }
 
+// What is put off may put off more: letting go of a question to a target ends
+// its link, which frees its socket later. That must be over before the base is
+// freed, which sockets still refer to.
 EventLoop::~EventLoop() {
-  runDeferred();
+  while (!Deferred.empty())
+    runDeferred();
   Timers.clear();
   Signals.clear();
   event_base_free(Base);
--- a/Tests/Unit/PlatformSocketTest.cpp
+++ b/Tests/Unit/PlatformSocketTest.cpp
@@ -208,6 +208,27 @@
     CHECK(Line.find("STORE") == std::string::npos);
 }
 
+TEST_CASE("A loop that ends runs what was put off by what was put off",
+          "[platform-socket]") {
+  // A question to a target has just been answered when its process stops. The
+  // loop's last work lets go of the question's link, and the link puts off the
+  // end of its socket, which must come while the loop is still there: freed
+  // after it, the socket's buffer wrote into memory that was gone, and one
+  // process in ten ended by a signal.
+  std::vector<int> Ran;
+  {
+    EventLoop Loop;
+    Loop.defer([&] {
+      Ran.push_back(1);
+      Loop.defer([&] {
+        Ran.push_back(2);
+        Loop.defer([&] { Ran.push_back(3); });
+      });
+    });
+  }
+  CHECK(Ran == std::vector<int>{1, 2, 3});
+}
+
 TEST_CASE("Targets are asked and ordered over their own connections",
           "[platform-socket]") {
   SocketSetup On;
