--- a/Source/App/FileCommands.cpp
+++ b/Source/App/FileCommands.cpp
@@ -7,6 +7,7 @@
 #include "App/Process.h"
 #include "App/ReadFile.h"
 #include "App/SteeringProcess.h"
+#include "Common/JsonText.h"
 #include "Logs/LogEvents.h"
 #include "Manifest/ManifestFile.h"
 #include "Operators/StatusReport.h"
@@ -19,8 +20,7 @@
 
 int report(const Findings &Found, bool Json) {
   if (Json)
-    std::cout << nlohmann::json{{"findings", findingsReport(Found)}}.dump(2)
-              << "\n";
+    std::cout << jsonText({{"findings", findingsReport(Found)}}, 2) << "\n";
   else
     std::cerr << text(Found);
   return BadFile;
@@ -62,9 +62,9 @@
   if (!Parsed)
     return report(Parsed.error(), Json);
   if (Json)
-    std::cout << nlohmann::json{{"findings", nlohmann::json::array()},
-                                {"name", Parsed->Name}}
-                     .dump(2)
+    std::cout << jsonText({{"findings", nlohmann::json::array()},
+                           {"name", Parsed->Name}},
+                          2)
               << "\n";
   else
     std::cout << File << ": good settings of " << Parsed->Name << "\n";
@@ -79,10 +79,10 @@
   if (!Parsed)
     return report(Parsed.error(), Json);
   if (Json)
-    std::cout << nlohmann::json{{"findings", nlohmann::json::array()},
-                                {"version", Parsed->Version},
-                                {"digest", Parsed->digest()}}
-                     .dump(2)
+    std::cout << jsonText({{"findings", nlohmann::json::array()},
+                           {"version", Parsed->Version},
+                           {"digest", Parsed->digest()}},
+                          2)
               << "\n";
   else
     std::cout << File << ": good manifest, version " << Parsed->Version
--- a/Source/Logs/LogEvents.cpp
+++ b/Source/Logs/LogEvents.cpp
@@ -3,12 +3,12 @@
 
 #include "Logs/LogEvents.h"
 
+#include "Common/JsonText.h"
 #include "Common/SystemClock.h"
 #include "Logs/LineBudget.h"
 #include "Logs/StandardOutput.h"
 
 #include <map>
-#include <nlohmann/json.hpp>
 #include <spdlog/fmt/chrono.h>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
@@ -85,9 +85,7 @@
   for (const auto &[Name, Value] : Fields)
     if (!Value.empty())
       Out[Name] = Value;
-  // Names and ids come from callers, in any bytes; the strict writer would
-  // throw on some and end the process over a log line.
-  return Out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return jsonText(Out);
 }
 
 } // namespace
--- a/Source/Operators/OperatorService.cpp
+++ b/Source/Operators/OperatorService.cpp
@@ -3,6 +3,7 @@
 
 #include "Operators/OperatorService.h"
 
+#include "Common/JsonText.h"
 #include "Common/KeyedDigest.h"
 #include "Common/Version.h"
 #include "Manifest/ManifestFile.h"
@@ -21,12 +22,8 @@
 constexpr int StatusUnavailable = 503;
 
 HttpResponse jsonResponse(const nlohmann::json &Body, int Status = 200) {
-  // Names come from callers and files: bytes that aren't UTF-8 are replaced,
-  // for an exception here would end the process.
-  return {Status,
-          {{"Content-Type", "application/json"}},
-          Body.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) +
-              "\n"};
+  return {
+      Status, {{"Content-Type", "application/json"}}, jsonText(Body, 2) + "\n"};
 }
 
 HttpResponse errorResponse(int Status, const std::string &Why) {
