Count proxies' sightings in one loop

Two functions went through the same list with the same test of a target's life, one of them steered by a flag. Bounds are as they were; unit tests pass.

--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -66,37 +66,39 @@
   }
 }
 
-std::size_t PromotionCoordinator::reporting(const TargetRecord &Target,
-                                            bool Failed) const {
+std::size_t PromotionCoordinator::countSightings(
+    const TargetRecord &Target,
+    const std::function<bool(const Sighting &)> &Counts) const {
   const auto Found = Sightings.find(Target.Id);
   if (Found == Sightings.end())
     return 0;
-  const Millis Now = Time.now();
-  return static_cast<std::size_t>(
-      std::count_if(Found->second.begin(), Found->second.end(),
-                    [&, BornAt = Target.BornAt](const auto &Each) {
-                      const Sighting &Said = Each.second;
-                      if (Said.BornAt != BornAt)
-                        return false;
-                      if (Failed)
-                        return Said.FailedAt > Said.ReachedAt &&
-                               Now - Said.FailedAt < Times.SightingKept;
-                      return Said.ReachedAt >= Said.FailedAt &&
-                             Now - Said.ReachedAt < Times.SightingKept;
-                    }));
+  return static_cast<std::size_t>(std::count_if(
+      Found->second.begin(), Found->second.end(), [&](const auto &Each) {
+        return Each.second.BornAt == Target.BornAt && Counts(Each.second);
+      }));
+}
+
+std::size_t
+PromotionCoordinator::failedLately(const TargetRecord &Target) const {
+  return countSightings(Target, [this](const Sighting &Said) {
+    return Said.FailedAt > Said.ReachedAt &&
+           Time.now() - Said.FailedAt < Times.SightingKept;
+  });
+}
+
+std::size_t
+PromotionCoordinator::reachedLately(const TargetRecord &Target) const {
+  return countSightings(Target, [this](const Sighting &Said) {
+    return Said.ReachedAt >= Said.FailedAt &&
+           Time.now() - Said.ReachedAt < Times.SightingKept;
+  });
 }
 
 std::size_t PromotionCoordinator::reachedSince(const TargetRecord &Target,
                                                Millis Since) const {
-  const auto Found = Sightings.find(Target.Id);
-  if (Found == Sightings.end())
-    return 0;
-  return static_cast<std::size_t>(std::count_if(
-      Found->second.begin(), Found->second.end(), [&](const auto &Each) {
-        const Sighting &Said = Each.second;
-        return Said.BornAt == Target.BornAt && Said.ReachedAt >= Since &&
-               Said.ReachedAt >= Said.FailedAt;
-      }));
+  return countSightings(Target, [Since](const Sighting &Said) {
+    return Said.ReachedAt >= Said.FailedAt && Said.ReachedAt >= Since;
+  });
 }
 
 void PromotionCoordinator::enter(Group &In, Stage Next) {
@@ -204,8 +206,8 @@
     In.BeganAt = Now;
     return stepDown(Name, *Primary);
   }
-  const std::size_t Failed = reporting(*Primary, true);
-  const std::size_t Reached = reporting(*Primary, false);
+  const std::size_t Failed = failedLately(*Primary);
+  const std::size_t Reached = reachedLately(*Primary);
   const bool Reported = Failed > 0 && Failed >= std::min(LeastReports, Proxies);
   // What was heard before this host began to lead went to another.
   const Millis HeardAt = std::max(Directory.lastHeard(Primary->Id), BeganAt);
@@ -255,7 +257,7 @@
                                  std::size_t Proxies,
                                  const Expected<TargetStatus> &Answer) {
   Group &In = Groups[Name];
-  const std::size_t Failed = reporting(Primary, true);
+  const std::size_t Failed = failedLately(Primary);
   const std::size_t Reached = reachedSince(Primary, In.Since);
   const bool IsBusy = !Answer && Answer.error().Code == ErrorCode::Conflict;
   const bool IsGone = !Answer && Answer.error().Code == ErrorCode::NotFound;
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -128,7 +128,12 @@
   bool hasBegunAnew(const Group &In, const TargetRecord &Primary) const;
   /// True while the life that was asked is the one that is known.
   bool isSameLife(const TargetRecord &Asked) const;
-  std::size_t reporting(const TargetRecord &Target, bool Failed) const;
+  /// Proxies whose word on this life of a target counts.
+  std::size_t
+  countSightings(const TargetRecord &Target,
+                 const std::function<bool(const Sighting &)> &Counts) const;
+  std::size_t failedLately(const TargetRecord &Target) const;
+  std::size_t reachedLately(const TargetRecord &Target) const;
   /// Proxies that said after \p Since that it answers them.
   std::size_t reachedSince(const TargetRecord &Target, Millis Since) const;
   void probe(const std::string &Name, const TargetRecord &Primary,
