Close a former life's connections before anyone is told

Both owners of pools had the loop. It closed one and told its waiting statements at once, which could take the next connection of the same dead life and be lost again; closeAll ends them all first. What was learned of a life is made for its first moment in one constructor. Unit tests pass.

--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -93,11 +93,8 @@
 // noticed. Whoever waits on a connection of its former life would wait for
 // good, and learns now that it's lost.
 void SessionPipeline::endLife(const std::string &GroupName, TargetPool &Pool) {
-  std::vector<TargetConnectionPtr> Dead(Pool.connections());
-  for (const TargetConnectionPtr &Each : Dead) {
-    Each->close();
+  for (const TargetConnectionPtr &Each : Pool.closeAll())
     closed(GroupName, Each, std::nullopt);
-  }
 }
 
 std::vector<PoolReport> SessionPipeline::pools() const {
--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -9,11 +9,8 @@
 namespace corianderdyke {
 
 void TargetPool::update(const TargetRecord &New, Millis Now) {
-  if (beginsLife(New)) {
-    Seen = {};
-    Seen.LeavingSince = Now;
-    Seen.LimitRaisedAt = Now;
-  }
+  if (beginsLife(New))
+    Seen = Observations(Now);
   if (New.IsLeaving && !Record.IsLeaving)
     Seen.LeavingSince = Now;
   Record = New;
@@ -85,6 +82,12 @@
   All.erase(std::remove(All.begin(), All.end(), Gone), All.end());
 }
 
+std::vector<TargetConnectionPtr> TargetPool::closeAll() {
+  for (const TargetConnectionPtr &Each : All)
+    Each->close();
+  return All;
+}
+
 void TargetPool::refusedConnection(Millis Now) {
   Seen.Limit = std::max<std::size_t>(1, All.size());
   Seen.LimitRaisedAt = Now;
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -34,10 +34,7 @@
   };
 
   TargetPool(TargetRecord Of, std::size_t Share, Millis Now)
-      : Record(std::move(Of)), Share(Share) {
-    Seen.LeavingSince = Now;
-    Seen.LimitRaisedAt = Now;
-  }
+      : Record(std::move(Of)), Share(Share), Seen(Now) {}
 
   const TargetRecord &record() const { return Record; }
   /// True where \p New is a later life of the target: connections of the
@@ -66,6 +63,8 @@
   bool noteClosed(const TargetConnectionPtr &Gone,
                   const std::optional<StatementRefusal> &Why, Millis Now);
   void remove(const TargetConnectionPtr &Gone);
+  /// Closes all of them; whoever waits on one is still to be told.
+  std::vector<TargetConnectionPtr> closeAll();
   std::size_t opening() const {
     return count(TargetConnection::Stage::Opening);
   }
@@ -140,6 +139,8 @@
 
   /// What was learned of one life of the target.
   struct Observations {
+    explicit Observations(Millis Now) : LeavingSince(Now), LimitRaisedAt(Now) {}
+
     bool IsWarmed = false;
     Millis LeavingSince;              ///< Where the record says that it leaves.
     std::optional<std::size_t> Limit; ///< Learned from a refusal.
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -230,11 +230,8 @@
 
 // As at a proxy with connections of its own: those of a former life are dead.
 void TargetBroker::endLife(Target &At) {
-  std::vector<TargetConnectionPtr> Dead(At.Pool.connections());
-  for (const TargetConnectionPtr &Each : Dead) {
-    Each->close();
+  for (const TargetConnectionPtr &Each : At.Pool.closeAll())
     closed(Each, std::nullopt);
-  }
 }
 
 void TargetBroker::giveBack(const TargetConnectionPtr &Used) {
