--- /dev/null
+++ b/Tests/Support/FakeFleet.h
@@ -0,0 +1,278 @@
+/// \file
+/// Control hosts, proxies and a group of targets where targets enforce their
+/// leadership, on a network in memory.
+
+#ifndef CORIANDERDYKE_TESTS_SUPPORT_FAKEFLEET_H
+#define CORIANDERDYKE_TESTS_SUPPORT_FAKEFLEET_H
+
+#include "FakeDisk.h"
+#include "FakeNetwork.h"
+#include "Steering/ControlFeed.h"
+#include "Steering/SteeringNode.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+namespace corianderdyke {
+
+constexpr std::uint16_t PeerPort = 7000;
+constexpr std::uint16_t RelayPort = 7001;
+
+/// Targets as control meets them: their positions, and who leads.
+class FakeTargets final : public TargetOrderPort, public PromotionPort {
+public:
+  struct Target {
+    bool IsUp = true;
+    bool IsBusy = false;
+    bool Receives = true;
+    bool IsRefusing = false;       ///< Nothing listens there any more.
+    bool IsCutFromControl = false; ///< But its heartbeats come through.
+    bool IsPrimary = false;
+    LogPosition Received{1, 10};
+    std::uint64_t BornAt = 1000;
+  };
+
+  explicit FakeTargets(FakeLoop &Loop) : Loop(Loop) {}
+
+  void ask(const TargetAddress &To, TargetCommand::Kind What, std::uint64_t,
+           Millis Timeout, OnStatus Handler) override {
+    Target &At = Targets[To.Id];
+    if (!At.IsUp || At.IsCutFromControl) {
+      Loop.at(Loop.now() + Timeout,
+              [Handler] { Handler(fail(ErrorCode::Unavailable, "silent")); });
+      return;
+    }
+    Loop.at(Loop.now() + Millis(2), [this, &At, What, Handler] {
+      if (At.IsBusy)
+        return Handler(fail(ErrorCode::Conflict, "busy"));
+      if (At.IsRefusing)
+        return Handler(fail(ErrorCode::NotFound, "refused"));
+      if (What == TargetCommand::Kind::StopReceiving)
+        At.Receives = false;
+      if (What == TargetCommand::Kind::ReceiveAgain)
+        At.Receives = true;
+      if (What == TargetCommand::Kind::StepDown) {
+        At.IsPrimary = false;
+        ++StepDowns;
+      }
+      Handler(TargetStatus{At.IsPrimary, At.Received.Term, At.Received});
+    });
+  }
+
+  void promote(const std::string &, const std::string &Target,
+               std::uint64_t Token, OnResult Handler) override {
+    Orders.push_back({Target, Token});
+    const Millis Late = DelayNext;
+    DelayNext = Millis(0);
+    Loop.at(Loop.now() + Millis(2) + Late, [this, Target, Token, Handler] {
+      if (Token < HighestToken || !Targets[Target].IsUp)
+        return Handler(Result::Rejected);
+      HighestToken = Token;
+      for (auto &[Id, Each] : Targets)
+        Each.IsPrimary = Id == Target;
+      Handler(Result::Taken);
+    });
+  }
+
+  struct Order {
+    std::string Target;
+    std::uint64_t Token = 0;
+  };
+
+  FakeLoop &Loop;
+  std::map<std::string, Target> Targets;
+  std::vector<Order> Orders;
+  std::uint64_t HighestToken = 0;
+  std::size_t StepDowns = 0;
+  Millis DelayNext;
+};
+
+struct ControlHostParts {
+  std::unique_ptr<FakeHost> Host;
+  std::unique_ptr<Transport> Peers;
+  std::unique_ptr<Journal> Records;
+  std::unique_ptr<ReplicatedLog> Log;
+  std::unique_ptr<SteeringNode> Node;
+};
+
+struct ProxyParts {
+  std::unique_ptr<FakeHost> Host;
+  std::unique_ptr<Transport> Peers;
+  std::unique_ptr<ControlFeed> Feed;
+};
+
+/// Five control hosts, some proxies, one group of three targets whose
+/// heartbeats go to whoever leads.
+class Fleet {
+public:
+  explicit Fleet(std::uint64_t Seed, std::size_t Proxies = 3)
+      : Net(Loop, Seed), Targets(Loop), Random(Seed) {
+    for (int Each = 1; Each <= 5; ++Each)
+      Names.push_back("10.0.0." + std::to_string(Each));
+    for (const std::string &Name : Names)
+      startControl(Name, true);
+    for (std::size_t Each = 1; Each <= Proxies; ++Each)
+      startProxy("10.0.1." + std::to_string(Each));
+    for (const char *Id : {"a", "b", "c"})
+      Targets.Targets[Id].IsPrimary = std::string(Id) == "a";
+  }
+
+  ~Fleet() {
+    Loop.clear();
+    Proxies.clear();
+    Controls.clear();
+  }
+
+  void startControl(const std::string &Name, bool MayFound) {
+    ControlHostParts Made;
+    Made.Host = std::make_unique<FakeHost>(Loop, Name);
+    Made.Peers = Net.attach(*Made.Host, {Name, PeerPort});
+    auto &Disk = Disks[Name];
+    if (!Disk)
+      Disk = std::make_unique<FakeDisk>();
+    Made.Records = std::make_unique<Journal>(*Disk);
+    Made.Log = std::make_unique<ReplicatedLog>(*Made.Records);
+    REQUIRE(Made.Log->load("disk-" + std::to_string(++LastDisk)));
+    SteeringOptions Options;
+    Options.Name = Name;
+    Options.Process = "control at " + Name;
+    Options.PeerPort = PeerPort;
+    Options.Seeds = {Names[0], Names[1], Names[2]};
+    Options.MayFound = MayFound;
+    Options.LostDisksBorne = 2;
+    Made.Node = std::make_unique<SteeringNode>(
+        Options,
+        SteeringPorts{*Made.Host, *Made.Host, *Made.Peers, Targets, Targets},
+        *Made.Log, Random());
+    Controls[Name] = std::move(Made);
+    Controls[Name].Node->start();
+  }
+
+  void startProxy(const std::string &Name) {
+    ProxyParts Made;
+    Made.Host = std::make_unique<FakeHost>(Loop, Name);
+    Made.Peers = Net.attach(*Made.Host, {Name, PeerPort});
+    Made.Feed = std::make_unique<ControlFeed>(
+        FeedOptions{{Name, Random()},
+                    PeerPort,
+                    {Names[0], Names[1], Names[2]},
+                    {Name, {Name, RelayPort}, "here"}},
+        *Made.Host, *Made.Host, *Made.Peers);
+    Made.Feed->signalProxyList().connect(
+        [this, Name](const std::vector<ProxyRecord> &All) {
+          ProxyLists[Name].push_back(All.size());
+        });
+    Proxies[Name] = std::move(Made);
+    Proxies[Name].Feed->start();
+  }
+
+  void killControl(const std::string &Name) {
+    Controls[Name].Host->kill();
+    Graveyard.push_back(std::move(Controls[Name]));
+    Controls.erase(Name);
+  }
+
+  SteeringNode *leader() {
+    SteeringNode *Best = nullptr;
+    for (auto &[Name, Each] : Controls)
+      if (Each.Node->leads() &&
+          (Best == nullptr ||
+           Each.Node->consensus().term() > Best->consensus().term()))
+        Best = Each.Node.get();
+    return Best;
+  }
+
+  bool awaitLeader() {
+    return Loop.runUntilTrue(
+        [this] {
+          return leader() != nullptr &&
+                 leader()->consensus().voters().size() == 5;
+        },
+        Millis(10000));
+  }
+
+  /// Targets speak to the leader as they do on their own, every second.
+  void beat() {
+    ++Sequence;
+    for (const auto &[Id, Each] : Targets.Targets) {
+      if (!Each.IsUp || leader() == nullptr)
+        continue;
+      TargetRecord Said;
+      Said.Id = Id;
+      Said.Group = "ledger";
+      Said.Address = {Id, 5000};
+      Said.FailureDomain = "here";
+      Said.BornAt = Each.BornAt;
+      Said.Sequence = Sequence;
+      Said.IsPrimary = Each.IsPrimary;
+      Said.IsLeaving = Leaving.count(Id) != 0;
+      leader()->hear(Said, [](const Expected<void> &) {});
+    }
+  }
+
+  void runBeating(Millis Span) {
+    for (Millis Left = Span; Left > Millis(0); Left = Left - Millis(200)) {
+      beat();
+      Loop.runFor(Millis(200));
+    }
+  }
+
+  bool accept(std::uint64_t Version, std::uint32_t SyncReplicas = 0) {
+    RoutePlan Plan;
+    Plan.Version = Version;
+    Plan.Groups = {{"ledger", 16, SyncReplicas}};
+    Plan.Document = "document " + std::to_string(Version);
+    auto Done = std::make_shared<std::optional<bool>>();
+    leader()->accept(Plan, [Done](const Expected<void> &Result) {
+      *Done = Result.has_value();
+    });
+    Loop.runUntilTrue([Done] { return Done->has_value(); }, Millis(5000));
+    return Done->value_or(false);
+  }
+
+  bool allProxiesHave(std::uint64_t Version) {
+    for (auto &[Name, Each] : Proxies)
+      if (Each.Feed->plan().Version != Version)
+        return false;
+    return true;
+  }
+
+  /// What proxies see of a target.
+  void report(const std::string &Target, std::size_t Count) {
+    for (auto &[Name, Each] : Proxies)
+      if (Count-- > 0)
+        Each.Feed->noteFailed(Target);
+      else
+        break;
+  }
+
+  FakeLoop Loop;
+  FakeNetwork Net;
+  FakeTargets Targets;
+  std::mt19937_64 Random;
+  std::vector<std::string> Names;
+  std::map<std::string, std::unique_ptr<FakeDisk>> Disks;
+  std::map<std::string, ControlHostParts> Controls;
+  std::vector<ControlHostParts> Graveyard;
+  std::map<std::string, ProxyParts> Proxies;
+  /// Lengths of the lists that each proxy was told.
+  std::map<std::string, std::vector<std::size_t>> ProxyLists;
+  std::set<std::string> Leaving;
+  std::uint64_t Sequence = 0;
+  int LastDisk = 0;
+};
+
+struct ReadySetup {
+  explicit ReadySetup(std::uint64_t Seed = 1, std::size_t Proxies = 3)
+      : On(Seed, Proxies) {
+    REQUIRE(On.awaitLeader());
+    REQUIRE(On.accept(1));
+    On.runBeating(Millis(1000));
+    REQUIRE(On.allProxiesHave(1));
+  }
+  Fleet On;
+};
+
+} // namespace corianderdyke
+
+#endif
--- a/Tests/Unit/LoadPatternTest.cpp
+++ b/Tests/Unit/LoadPatternTest.cpp
@@ -63,6 +63,16 @@
   std::size_t Served = 0;
 };
 
+/// A proxy's pipeline as it starts, without a plan.
+struct StartedProxy {
+  FakeLoop Loop;
+  FakeGroup Group{Loop, {"a", "b", "c"}};
+  FakeHost Host{Loop, "proxy"};
+  FloorTable Floors;
+  SessionPipeline Pipeline{{Host, Host, Group, Floors},
+                           {"region", "here", "proxy"}};
+};
+
 } // namespace
 
 TEST_CASE("Under lasting load statements wait at the proxies, not inside",
@@ -167,39 +177,29 @@
   // All processes were down and callers come back ahead of the plan. Refused,
   // each would have used up one of its few tries; held, they're served as
   // soon as the plan is there. Where none comes they're told in time.
-  FakeLoop Loop;
-  FakeGroup Group(Loop, {"a", "b", "c"});
-  FakeHost Host(Loop, "proxy");
-  FloorTable Floors;
-  SessionPipeline Pipeline({Host, Host, Group, Floors},
-                           {"region", "here", "proxy"});
+  StartedProxy On;
   const auto Early = std::make_shared<FakeCaller>();
   const auto Unknown = std::make_shared<FakeCaller>();
-  Pipeline.open("primary", Early);
-  Pipeline.open("nothing", Unknown);
-  Loop.runFor(Millis(300));
+  On.Pipeline.open("primary", Early);
+  On.Pipeline.open("nothing", Unknown);
+  On.Loop.runFor(Millis(300));
   CHECK_FALSE(Early->IsOpen);
   CHECK_FALSE(Early->Rejected);
-  Pipeline.adopt(planOfThreeRoutes());
+  On.Pipeline.adopt(planOfThreeRoutes());
   CHECK(Early->IsOpen);
   REQUIRE(Unknown->Rejected);
   CHECK(Unknown->Rejected->Code == RefusalCode::NoDatabase);
 }
 
 TEST_CASE("An opening is refused in time where no plan comes", "[load]") {
-  FakeLoop Loop;
-  FakeGroup Group(Loop, {"a"});
-  FakeHost Host(Loop, "proxy");
-  FloorTable Floors;
-  SessionPipeline Pipeline({Host, Host, Group, Floors},
-                           {"region", "here", "proxy"});
+  StartedProxy On;
   const auto Caller = std::make_shared<FakeCaller>();
-  Pipeline.open("primary", Caller);
-  Loop.runFor(Millis(1200));
+  On.Pipeline.open("primary", Caller);
+  On.Loop.runFor(Millis(1200));
   REQUIRE(Caller->Rejected);
   CHECK(Caller->Rejected->Code == RefusalCode::Busy);
   CHECK(Caller->Rejected->Why.find("come back after") != std::string::npos);
-  CHECK(Pipeline.sessions() == 0);
+  CHECK(On.Pipeline.sessions() == 0);
 }
 
 TEST_CASE("Reads leave a crowded primary to writes", "[load]") {
