--- a/Tests/Unit/PlatformSocketTest.cpp
+++ b/Tests/Unit/PlatformSocketTest.cpp
@@ -296,6 +296,53 @@
   ::close(Silent);
 }
 
+TEST_CASE("A stream that was asked for while its peer was down begins anew",
+          "[platform-socket]") {
+  // Hosts come back one by one. The first asks one that is still down to
+  // connect, and the kernel asks again only after a second. The other starts
+  // and speaks meanwhile: what waits for it must arrive at once, since it may
+  // be the vote that its group lacks.
+  EventLoop Loop;
+  const SystemClock Time;
+  const Endpoint Peer = freePort();
+  const sockaddr_in At = socketAddress(Peer);
+  const auto *Raw = reinterpret_cast<const sockaddr *>(&At);
+  // A queue that's full lets no connection through, as a host without power.
+  const int Full = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int Reuse = 1;
+  setsockopt(Full, SOL_SOCKET, SO_REUSEADDR, &Reuse, sizeof(Reuse));
+  REQUIRE(::bind(Full, Raw, sizeof(At)) == 0);
+  REQUIRE(::listen(Full, 0) == 0);
+  std::vector<int> Fillers;
+  for (int Each = 0; Each < 4; ++Each) {
+    Fillers.push_back(
+        ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    ::connect(Fillers.back(), Raw, sizeof(At));
+  }
+  const std::string Key = "a key for the test";
+  const Endpoint Own = freePort();
+  auto First = SocketTransport::listen(Loop, Own, "one", Key);
+  REQUIRE(First);
+  (*First)->send(Peer, Delivery::Stream, FollowElsewhere{"waits"});
+  runUntil(Loop, [&, Until = Time.now() + Millis(150)] {
+    return Time.now() >= Until;
+  });
+  for (const int Each : Fillers)
+    ::close(Each);
+  ::close(Full);
+  auto Second = SocketTransport::listen(Loop, Peer, "two", Key);
+  REQUIRE(Second);
+  bool Arrived = false;
+  (*Second)->signalReceived().connect([&Arrived](const Envelope &Got) {
+    const auto *Body = std::get_if<FollowElsewhere>(&Got.Body);
+    Arrived = Arrived || (Body != nullptr && Body->Leader == "waits");
+  });
+  const Millis Began = Time.now();
+  (*Second)->send(Own, Delivery::Datagram, FollowElsewhere{"back"});
+  CHECK(runUntil(Loop, [&Arrived] { return Arrived; }));
+  CHECK(Time.now() - Began < Millis(400));
+}
+
 TEST_CASE("Heartbeats and plans reach a control host over HTTP",
           "[platform-socket]") {
   EventLoop Loop;
