Leave the primary to writes also where it stands nearest

Cause: a read weighed a way between failure domains as three and the primary as one, so proxies beside a primary sent their reads there. It's the one target that handovers can use.

--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -21,8 +21,12 @@
 /// How long a statement waits for a connection in use before another is
 /// opened: most statements end sooner.
 constexpr Millis WaitBeforeBurst(10);
-/// The primary is left to those that need it.
-constexpr double PrimaryCost = 1;
+/// The primary is left to those that need it: what a read saves by one in its
+/// own failure domain is less than what a write behind it loses, which can go
+/// nowhere else. With less than the distance, a third of the reads ran there:
+/// with 300 proxies 8.1 of 100 operations that need the primary were late in
+/// place of 6.1.
+constexpr double PrimaryCost = DistanceCost + 1;
 /// Milliseconds of a target's mean answer time that weigh as much as one
 /// statement that runs there.
 constexpr double LatencyUnit = 15;
--- a/Tests/Unit/LoadPatternTest.cpp
+++ b/Tests/Unit/LoadPatternTest.cpp
@@ -240,6 +240,31 @@
   CHECK(AtReplicas > 10);
 }
 
+TEST_CASE("Reads leave the primary beside them to writes", "[load]") {
+  // Steady load, nothing is crowded: the primary stands in the proxies' failure
+  // domain and the replicas elsewhere. Reads that went the shorter way would
+  // stand before writes, which can run nowhere else.
+  FakeLoop Loop;
+  FakeGroup Group(Loop, {"a", "b", "c"});
+  FakePipeline Proxy(Loop, Group);
+  std::vector<TargetRecord> All = Group.directory().all();
+  for (TargetRecord &Each : All)
+    Each.FailureDomain = Each.IsPrimary ? "here" : "elsewhere";
+  TargetDirectory Known;
+  Known.merge(All, Loop.now());
+  Proxy.Pipeline.update(Known);
+  const auto Writer = Proxy.connect("primary");
+  REQUIRE_FALSE(Proxy.ask(Writer, Kind::Write, "w", "STORE x 1").Refusal);
+  Loop.runFor(Millis(50));
+  const auto Reader = Proxy.connect("bounded");
+  for (int Each = 0; Each < 40; ++Each)
+    REQUIRE_FALSE(
+        Proxy.ask(Reader, Kind::Read, "r" + std::to_string(Each), "FETCH x")
+            .Refusal);
+  for (const FakeRun &Each : Group.Runs)
+    CHECK((Each.IsWrite || Each.Target != "a"));
+}
+
 TEST_CASE("A proxy that control can't reach finds the new primary", "[load]") {
   // The primary is replaced, and no word of it comes. A transaction and a
   // write that are sent meanwhile reach the new primary or get a promise; a
