Pack what proxies tell each other, and pass by a silent gateway

Cause: a statement through a gateway crosses two more links of 2 Mbit/s. A row of 1,000 bytes takes 4 ms on each, and a leader's read had 460 bytes of frame around it.

--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -115,11 +115,14 @@
   if (!Opened)
     return tl::unexpected(Opened.error());
   Streams = std::move(*Opened);
+  Frames = std::make_unique<RelayFrames>();
   Broker = std::make_unique<TargetBroker>(Time, Loop, *Targets);
   Shared = std::make_unique<SharedConnector>(
-      SharedConnector::Ports{Time, Loop, *Targets, *Broker, *Streams, Floors},
+      SharedConnector::Ports{Time, Loop, *Targets, *Broker, *Streams, *Frames,
+                             Floors},
       Options.Name);
-  Relay = std::make_unique<RelayHost>(Time, *Streams, *Broker, Floors);
+  Relay = std::make_unique<RelayHost>(Time, Loop, *Streams, *Frames, *Broker,
+                                      Floors);
   return {};
 }
 
@@ -221,11 +224,11 @@
     logEvent(EventId::ProxiesKnown, {{"proxies", std::to_string(All.size())}});
     Shared->setProxies(All);
     Pipeline->setProxyCount(All.size());
+    // Statements may have waited for the list.
+    Pipeline->update(Feed->directory());
   });
   Broker->signalTrouble().connect(
       sigc::mem_fun(*this, &SteeringProcess::noteTrouble));
-    // Statements may have waited for the list.
-    Pipeline->update(Feed->directory());
   Broker->signalReached().connect(
       [this](const std::string &Id) { Feed->noteReached(Id); });
 }
--- a/Source/App/SteeringProcess.h
+++ b/Source/App/SteeringProcess.h
@@ -73,6 +73,7 @@
   // Proxy.
   FloorTable Floors;
   std::unique_ptr<SocketPeerStreams> Streams;
+  std::unique_ptr<RelayFrames> Frames;
   std::unique_ptr<TargetBroker> Broker;
   std::unique_ptr<SharedConnector> Shared;
   std::unique_ptr<RelayHost> Relay;
--- a/Source/Relay/RelayHost.cpp
+++ b/Source/Relay/RelayHost.cpp
@@ -4,8 +4,6 @@
 
 #include "Relay/RelayHost.h"
 
-#include "Common/Codec.h"
-
 namespace corianderdyke {
 
 namespace {
@@ -17,20 +15,21 @@
 } // namespace
 
 struct RelayHost::Peer : std::enable_shared_from_this<Peer> {
-  std::shared_ptr<PeerStream> Stream;
+  Peer(Scheduler &Timers, RelayFrames &Frames) : Outbox(Timers, Frames) {}
+
+  RelayOutbox Outbox; ///< Open until the peer is dropped.
   std::map<std::uint32_t, std::unique_ptr<TargetLink>> Links;
   std::map<std::uint32_t, std::uint64_t> Answered; ///< Answers by link.
   std::map<std::string, Millis> FloorTold; ///< By group: when it was proven.
 
-  void send(const RelayMessage &Body) const {
-    if (Stream)
-      Stream->send(encode(Body));
-  }
+  void send(RelayMessage Body) { Outbox.send(std::move(Body)); }
 };
 
-RelayHost::RelayHost(Clock &Time, PeerStreams &Streams,
-                     TargetConnector &Targets, const FloorTable &Floors)
-    : Time(Time), Targets(Targets), Floors(Floors) {
+RelayHost::RelayHost(Clock &Time, Scheduler &Timers, PeerStreams &Streams,
+                     RelayFrames &Frames, TargetConnector &Targets,
+                     const FloorTable &Floors)
+    : Time(Time), Timers(Timers), Frames(Frames), Targets(Targets),
+      Floors(Floors) {
   Streams.accept([this](const std::shared_ptr<PeerStream> &Stream) {
     return accepted(Stream);
   });
@@ -40,8 +39,8 @@
 
 PeerStreamEvents
 RelayHost::accepted(const std::shared_ptr<PeerStream> &Stream) {
-  auto Made = std::make_shared<Peer>();
-  Made->Stream = Stream;
+  auto Made = std::make_shared<Peer>(Timers, Frames);
+  Made->Outbox.reset(Stream);
   Peers.insert(Made);
   if (IsStopping)
     Made->send(RelayLeaving{});
@@ -57,10 +56,11 @@
 }
 
 void RelayHost::receive(Peer &From, const std::string &Frame) {
-  const auto Message = decode<RelayMessage>(Frame);
-  if (!Message)
+  const auto Messages = Frames.read(Frame);
+  if (!Messages)
     return drop(From);
-  std::visit([&](const auto &Body) { on(From, Body); }, *Message);
+  for (const RelayMessage &Each : *Messages)
+    std::visit([&](const auto &Body) { on(From, Body); }, Each);
 }
 
 void RelayHost::on(Peer &From, const RelayOpen &Body) {
@@ -115,7 +115,7 @@
 
 void RelayHost::drop(Peer &Gone) {
   const auto Held = Gone.shared_from_this();
-  Held->Stream.reset();
+  Held->Outbox.reset(nullptr);
   Held->Links.clear();
   Peers.erase(Held);
 }
--- a/Source/Relay/RelayHost.h
+++ b/Source/Relay/RelayHost.h
@@ -7,7 +7,7 @@
 
 #include "Common/Clock.h"
 #include "Pipeline/FloorTable.h"
-#include "Relay/Messages.h"
+#include "Relay/RelayFrames.h"
 #include "Transport/PeerStreams.h"
 
 #include <map>
@@ -19,7 +19,8 @@
 /// rolled back as soon as its process is gone.
 class RelayHost {
 public:
-  RelayHost(Clock &Time, PeerStreams &Streams, TargetConnector &Targets,
+  RelayHost(Clock &Time, Scheduler &Timers, PeerStreams &Streams,
+            RelayFrames &Frames, TargetConnector &Targets,
             const FloorTable &Floors);
   ~RelayHost();
   RelayHost(const RelayHost &) = delete;
@@ -43,6 +44,8 @@
   std::optional<RelayFloor> newsFor(Peer &To, const std::string &Group) const;
 
   Clock &Time;
+  Scheduler &Timers;
+  RelayFrames &Frames;
   TargetConnector &Targets;
   const FloorTable &Floors;
   std::set<std::shared_ptr<Peer>> Peers;
--- a/Source/Relay/RelayPeer.cpp
+++ b/Source/Relay/RelayPeer.cpp
@@ -3,8 +3,6 @@
 
 #include "Relay/RelayPeer.h"
 
-#include "Common/Codec.h"
-
 namespace corianderdyke {
 
 namespace {
@@ -12,6 +10,9 @@
 /// A gateway that owes answers and was silent for this long is asked for a
 /// sign of life; most statements are answered sooner.
 constexpr Millis PingAfter(100);
+/// Silent for this long although asked, it gets nothing new: half of what
+/// callers' objectives allow is over, and others can still serve them in time.
+constexpr Millis SuspectAfter(200);
 /// Silent for this long, it's given up: a frozen or cut off gateway would
 /// else hold what it has until callers' times are over. It's a few times the
 /// longest that a live one on a slow host takes to answer a ping.
@@ -80,9 +81,9 @@
 };
 
 RelayPeer::RelayPeer(Clock &Time, Scheduler &Timers, PeerStreams &Streams,
-                     FloorTable &Floors, Endpoint At)
+                     RelayFrames &Frames, FloorTable &Floors, Endpoint At)
     : Time(Time), Timers(Timers), Streams(Streams), Floors(Floors),
-      At(std::move(At)) {}
+      Frames(Frames), At(std::move(At)), Outbox(Timers, Frames) {}
 
 RelayPeer::~RelayPeer() {
   if (Watching != 0)
@@ -91,7 +92,7 @@
 
 std::unique_ptr<TargetLink> RelayPeer::open(const TargetAddress &To,
                                             TargetLink::Events Events) {
-  if (!Stream)
+  if (!Outbox.isOpen())
     connect();
   const std::uint32_t Number = NextLink++;
   auto Made =
@@ -101,29 +102,31 @@
 }
 
 bool RelayPeer::takesWork() const {
-  return !IsLeaving && Time.now() >= AvoidUntil;
+  const bool IsSuspect =
+      Watching != 0 && Time.now() - LastHeard >= SuspectAfter;
+  return !IsLeaving && !IsSuspect && Time.now() >= AvoidUntil;
 }
 
 void RelayPeer::connect() {
   IsLeaving = false;
   LastHeard = Time.now();
-  Stream =
+  OwesSign = false;
+  Outbox.reset(
       Streams.connect(At, {[this](const std::string &Frame) { receive(Frame); },
-                           [this] { ended(); }});
+                           [this] { ended(); }}));
 }
 
-void RelayPeer::send(const RelayMessage &Body) {
-  if (Stream)
-    Stream->send(encode(Body));
-}
+void RelayPeer::send(RelayMessage Body) { Outbox.send(std::move(Body)); }
 
 void RelayPeer::receive(const std::string &Frame) {
   LastHeard = Time.now();
-  const auto Message = decode<RelayMessage>(Frame);
+  OwesSign = false;
+  const auto Messages = Frames.read(Frame);
   // The order of answers can't be trusted behind one that can't be read.
-  if (!Message)
+  if (!Messages)
     return ended();
-  std::visit([&](const auto &Body) { on(Body); }, *Message);
+  for (const RelayMessage &Each : *Messages)
+    std::visit([&](const auto &Body) { on(Body); }, Each);
 }
 
 void RelayPeer::on(const RelayAnswer &Body) {
@@ -150,7 +153,7 @@
   // The process that listens there next is another one.
   IsLeaving = false;
   AvoidUntil = Time.now() + AvoidFor;
-  Stream.reset();
+  Outbox.reset(nullptr);
   // Handlers may destroy any of the links.
   while (!Links.empty()) {
     Link *Lost = Links.begin()->second;
@@ -177,13 +180,16 @@
 }
 
 void RelayPeer::watch() {
-  if (!Stream || !awaitsAnswers())
+  // Callers give up sooner than the silence is long enough to tell.
+  if (!Outbox.isOpen() || (!awaitsAnswers() && !OwesSign))
     return;
   const Millis Silent = Time.now() - LastHeard;
   if (Silent >= GiveUpAfter)
     return ended();
-  if (Silent >= PingAfter)
+  if (Silent >= PingAfter) {
+    OwesSign = true;
     send(RelayPing{});
+  }
   Watching = Timers.after(WatchInterval, [this] {
     Watching = 0;
     watch();
--- a/Source/Relay/RelayPeer.h
+++ b/Source/Relay/RelayPeer.h
@@ -7,7 +7,7 @@
 #include "Common/Clock.h"
 #include "Loop/Scheduler.h"
 #include "Pipeline/FloorTable.h"
-#include "Relay/Messages.h"
+#include "Relay/RelayFrames.h"
 #include "Transport/PeerStreams.h"
 
 #include <deque>
@@ -20,7 +20,7 @@
 class RelayPeer final : public TargetConnector {
 public:
   RelayPeer(Clock &Time, Scheduler &Timers, PeerStreams &Streams,
-            FloorTable &Floors, Endpoint At);
+            RelayFrames &Frames, FloorTable &Floors, Endpoint At);
   ~RelayPeer() override;
   RelayPeer(const RelayPeer &) = delete;
   RelayPeer &operator=(const RelayPeer &) = delete;
@@ -28,7 +28,8 @@
   std::unique_ptr<TargetLink> open(const TargetAddress &To,
                                    TargetLink::Events Events) override;
 
-  /// False while it stops, and for a moment after it couldn't be reached.
+  /// False while it stops, while it owes answers and is silent, and for a
+  /// moment after it couldn't be reached.
   bool takesWork() const;
 
 private:
@@ -36,7 +37,7 @@
   friend class Link;
 
   void connect();
-  void send(const RelayMessage &Body);
+  void send(RelayMessage Body);
   void receive(const std::string &Frame);
   void on(const RelayAnswer &Body);
   void on(const RelayClose &Body);
@@ -51,12 +52,14 @@
   Scheduler &Timers;
   PeerStreams &Streams;
   FloorTable &Floors;
+  RelayFrames &Frames;
   Endpoint At;
-  std::shared_ptr<PeerStream> Stream; ///< Null while there is none.
+  RelayOutbox Outbox; ///< Open while there is a stream.
   std::map<std::uint32_t, Link *> Links;
   std::uint32_t NextLink = 1;
   bool IsLeaving = false; ///< Until the stream is opened anew.
   Millis LastHeard;
+  bool OwesSign = false; ///< Of life, since it was asked for one.
   Millis AvoidUntil;
   Scheduler::TimerId Watching = 0;
 };
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -237,8 +237,8 @@
   std::unique_ptr<RelayPeer> &Peer = Peers[Which.Relay];
   if (!Peer)
     Peer = std::make_unique<RelayPeer>(Outside.Time, Outside.Timers,
-                                       Outside.Streams, Outside.Floors,
-                                       Which.Relay);
+                                       Outside.Streams, Outside.Frames,
+                                       Outside.Floors, Which.Relay);
   return {Peer.get(), Peer.get(), Which.Name};
 }
 
--- a/Source/Relay/SharedConnector.h
+++ b/Source/Relay/SharedConnector.h
@@ -21,6 +21,7 @@
     TargetConnector &Direct;
     TargetBroker &Broker;
     PeerStreams &Streams;
+    RelayFrames &Frames;
     FloorTable &Floors;
   };
 
@@ -31,8 +32,8 @@
   std::unique_ptr<TargetLink> open(const TargetAddress &To,
                                    TargetLink::Events Events) override;
   bool sharesConnections(const std::string &Group) const override;
-
   bool knowsShares() const override;
+
   /// What control said.
   void adopt(const RoutePlan &New);
   void update(const TargetDirectory &Known);
@@ -68,8 +69,8 @@
   RoutePlan Plan;
   std::vector<TargetRecord> Targets;
   std::vector<ProxyRecord> Proxies;
-  GatewayTable Table;
   std::optional<Millis> PlannedAt; ///< When the first plan was adopted.
+  GatewayTable Table;
   std::map<std::string, std::size_t> Gateways; ///< Of groups that share.
   std::map<Endpoint, std::unique_ptr<RelayPeer>> Peers;
   /// By gateway and target.
--- a/Tests/Fuzz/RelayFuzz.cpp
+++ b/Tests/Fuzz/RelayFuzz.cpp
@@ -3,7 +3,7 @@
 
 #include "Common/Codec.h"
 #include "FuzzSupport.h"
-#include "Relay/Messages.h"
+#include "Relay/RelayFrames.h"
 
 using namespace corianderdyke;
 
--- a/Tests/Support/FakeRelay.cpp
+++ b/Tests/Support/FakeRelay.cpp
@@ -156,8 +156,8 @@
                      const std::string &Name)
     : Host(Loop, Name), Access(Loop, Targets),
       Streams(Net.attach(Host, {Name, RelayPort})), Broker(Host, Host, Access),
-      Shared({Host, Host, Access, Broker, *Streams, Floors}, Name),
-      Relay(Host, *Streams, Broker, Floors),
+      Shared({Host, Host, Access, Broker, *Streams, Frames, Floors}, Name),
+      Relay(Host, Host, *Streams, Frames, Broker, Floors),
       Pipeline({Host, Host, Shared, Floors}, {"region", "here", Name}) {}
 
 FakeRelaySystem::FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group,
--- a/Tests/Support/FakeRelay.h
+++ b/Tests/Support/FakeRelay.h
@@ -53,6 +53,7 @@
   FakeAccess Access;
   FloorTable Floors;
   std::unique_ptr<PeerStreams> Streams;
+  RelayFrames Frames;
   TargetBroker Broker;
   SharedConnector Shared;
   RelayHost Relay;
@@ -65,9 +66,9 @@
 /// Proxies "p0", "p1" and so on before one group.
 class FakeRelaySystem {
 public:
-  FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group, std::size_t Count,
   /// Where \p KnowsList is false the proxies have a plan and know the targets,
   /// but not each other, as when everything starts at the same moment.
+  FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group, std::size_t Count,
                   std::uint32_t MaxConnections, bool KnowsList = true);
   ~FakeRelaySystem();
 
@@ -86,6 +87,7 @@
   void learn();
   /// All learn that only these proxies are there.
   void list(const std::vector<std::size_t> &Present);
+  void listAll() { list(Listed); }
   FakeProxy &proxy(std::size_t Index) { return *Proxies[Index]; }
   /// Proxies that hold a connection to any target.
   std::vector<std::size_t> holders() const;
--- a/Tests/Unit/RelayTest.cpp
+++ b/Tests/Unit/RelayTest.cpp
@@ -308,6 +308,34 @@
   (void)Answer;
 }
 
+TEST_CASE("A gateway that is silent though asked gets nothing new", "[relay]") {
+  // One of two gateways stands still. Two reads went out, one of them through
+  // it. A quarter of a second later, before its silence is long enough to end
+  // what it holds, more come: each that still went there would wait as long.
+  Setup On;
+  const std::size_t Proxy = On.System.outsider("a");
+  const auto Early = On.System.connect(Proxy, "primary");
+  const auto Other = On.System.connect(Proxy, "primary");
+  On.System.ask(Early, Kind::Read, "e1", "FETCH x");
+  On.System.ask(Other, Kind::Read, "o1", "FETCH x");
+  On.System.proxy(On.System.gateways("a").front()).Host.freeze();
+  On.System.send(Early, Kind::Read, "e2", "FETCH x");
+  On.System.send(Other, Kind::Read, "o2", "FETCH x");
+  On.Loop.runFor(Millis(250));
+  std::vector<FakeRelaySystem::Session> Late;
+  for (int Each = 0; Each < 10; ++Each) {
+    Late.push_back(On.System.connect(Proxy, "primary"));
+    On.System.send(Late.back(), Kind::Read, "l" + std::to_string(Each),
+                   "FETCH x");
+  }
+  On.Loop.runFor(Millis(60));
+  std::size_t Served = 0;
+  for (const auto &Each : Late)
+    for (const StatementAnswer &Answer : Each.Caller->Answers)
+      Served += Answer.Refusal ? 0 : 1;
+  CHECK(Served == Late.size());
+}
+
 TEST_CASE("What waits too long for a connection is refused, truly not run",
           "[relay]") {
   // Transactions hold every connection. A write waits at the gateway, its
