Tell what a control host reads from its disk as read, not as decided

At each restart of everything every control host logged each plan and target as changed now: one line for each target, and a plan accepted from version 0. One line tells that the disk's state is there again (event 207); changes after it are told as before. The test failed without the check. No effect on service.

--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -160,6 +160,12 @@
                                      {"to", Line.To},
                                      {"reason", Line.Reason}});
   });
+  Control->signalRecalled().connect([this] {
+    logEvent(EventId::StateRecalled,
+             {{"plan", std::to_string(Control->state().plan().Version)},
+              {"targets", std::to_string(Control->state().targets().size())},
+              {"last", std::to_string(Control->consensus().commitIndex())}});
+  });
   Control->signalLeadership().connect([](bool Leads) {
     logEvent(Leads ? EventId::LeadershipGained : EventId::LeadershipLost, {});
   });
--- a/Source/Logs/LogEvents.cpp
+++ b/Source/Logs/LogEvents.cpp
@@ -124,6 +124,9 @@
        "The data folder takes writes again; the state was read anew."},
       {EventId::GroupStanding, Severity::Info, "group-standing",
        "This control host's role, its term or the voters changed.", 50},
+      {EventId::StateRecalled, Severity::Info, "state-recalled",
+       "All that the data folder held at the start is in the state again; the "
+       "changes themselves were told when they were made."},
       {EventId::LeaseGained, Severity::Info, "lease-gained",
        "The proxy holds a lease and serves callers."},
       {EventId::LeaseLost, Severity::Warning, "lease-lost",
--- a/Source/Logs/LogEvents.h
+++ b/Source/Logs/LogEvents.h
@@ -28,6 +28,7 @@
   DiskRefuses = 204,
   DiskUsable = 205,
   GroupStanding = 206,
+  StateRecalled = 207,
   LeaseGained = 300,
   LeaseLost = 301,
   PlanInForce = 400,
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -54,7 +54,8 @@
             propose({this->Ports.Time.wallTime(), std::move(Body)},
                     std::move(OnDone));
           },
-          Options.Process) {
+          Options.Process),
+      RecalledIndex(Log.lastIndex()) {
   Coordinator.signalLookedInto().connect([this] {
     for (const auto &[Id, Each] : Followers)
       this->Ports.Peers.send(Each.Address, Delivery::Datagram, TellSightings{});
@@ -379,7 +380,7 @@
     if (!Command)
       return Failed.emit(Command.error());
     const std::uint64_t Before = State.plan().Version;
-    if (State.apply(Done.Index, *Command))
+    if (State.apply(Done.Index, *Command) && Done.Index > RecalledIndex)
       Audited.emit(State.audit().back());
     if (Leading && State.plan().Version != Before)
       for (auto &[Id, Each] : Followers) {
@@ -387,6 +388,8 @@
         bringUpToDate(Each);
       }
   }
+  if (Done.Index == RecalledIndex)
+    Recalled.emit();
   const auto Waiting = Changes.find(Done.Index);
   if (Waiting == Changes.end())
     return;
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -68,7 +68,11 @@
   sigc::signal<void(const std::string &)> &signalDisk() { return DiskChanged; }
   /// Emitted when the disk holds what can't be right: the process must end.
   sigc::signal<void(const Error &)> &signalFailed() { return Failed; }
+  /// Emitted with each change that was decided since this host's disk was
+  /// read.
   sigc::signal<void(const AuditRecord &)> &signalAudited() { return Audited; }
+  /// Emitted once all that the disk held at the start is in the state.
+  sigc::signal<void()> &signalRecalled() { return Recalled; }
   sigc::signal<void(bool)> &signalLeadership() { return Leadership; }
   /// Emitted when the role, term or voters in the agreement change.
   sigc::signal<void()> &signalStanding() { return Standing; }
@@ -147,6 +151,10 @@
   bool Leading = false;
   bool Settling = false;
   std::uint64_t AppliedIndex = 0;
+  /// The last entry that the disk held at the start. Told again as if decided
+  /// now, these would have readers of the logs look for changes that nobody
+  /// made: at each restart one for each target and plan.
+  std::uint64_t RecalledIndex;
   DirectoryVersion Published;
   bool IsNoting = false; ///< A note on targets is under way.
   bool IsNotingProxies = false;
@@ -160,6 +168,7 @@
   bool DiskRefuses = false;
   sigc::signal<void(const Error &)> Failed;
   sigc::signal<void(const std::string &)> DiskChanged;
+  sigc::signal<void()> Recalled;
   sigc::signal<void(const AuditRecord &)> Audited;
   sigc::signal<void(bool)> Leadership;
   sigc::signal<void()> Standing;
--- a/Tests/Unit/SteeringTest.cpp
+++ b/Tests/Unit/SteeringTest.cpp
@@ -94,6 +94,35 @@
   CHECK(On.leader()->directory().primaryOf("ledger")->Id == "a");
 }
 
+TEST_CASE("What a restarted control host reads isn't told as decided now",
+          "[steering]") {
+  // All control hosts restart with their disks, as after a loss of power. Who
+  // reads their logs would find a plan accepted "from version 0" and each
+  // target seen for the first time, at a moment when nobody changed anything.
+  ReadySetup Setup;
+  Fleet &On = Setup.On;
+  REQUIRE(On.accept(2));
+  On.Loop.runFor(Millis(500));
+  for (const std::string &Name : On.Names)
+    On.killControl(Name);
+  std::vector<AuditRecord> Told;
+  std::size_t Recalled = 0;
+  for (const std::string &Name : On.Names) {
+    On.startControl(Name, false);
+    SteeringNode &Node = *On.Controls[Name].Node;
+    Node.signalAudited().connect(
+        [&Told](const AuditRecord &Each) { Told.push_back(Each); });
+    Node.signalRecalled().connect([&Recalled] { ++Recalled; });
+  }
+  REQUIRE(On.awaitLeader());
+  On.Loop.runFor(Millis(1000));
+  CHECK(Recalled == On.Names.size());
+  CHECK(Told.empty());
+  REQUIRE(On.accept(3));
+  On.Loop.runFor(Millis(500));
+  CHECK(Told.size() == On.Names.size());
+}
+
 TEST_CASE("Proxies learn of each other, and a new leader changes nothing",
           "[steering]") {
   // The leader dies, then all control hosts at once. Each time the next
