--- a/Source/Common/FramePacker.cpp
+++ b/Source/Common/FramePacker.cpp
@@ -45,8 +45,8 @@
   z_stream In = {};
 };
 
-FramePacker::FramePacker(std::string Given)
-    : Sample(std::move(Given)), Ends(std::make_unique<Streams>()) {}
+FramePacker::FramePacker(std::string Sample)
+    : Sample(std::move(Sample)), Ends(std::make_unique<Streams>()) {}
 
 FramePacker::~FramePacker() = default;
 
--- a/Tests/Unit/RelayStressTest.cpp
+++ b/Tests/Unit/RelayStressTest.cpp
@@ -110,8 +110,11 @@
   }
 
   void mendAll() {
-    for (auto &[Name, Each] : Group.Servers)
-      Each.IsUp = true, Each.IsSilent = false, Each.IsBusy = false;
+    for (auto &[Name, Each] : Group.Servers) {
+      Each.IsUp = true;
+      Each.IsSilent = false;
+      Each.IsBusy = false;
+    }
     for (std::size_t Each = 0; Each < ProxyCount; ++Each)
       System.proxy(Each).Access.Cut.clear();
     System.learn();
