--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -55,7 +55,7 @@
                     std::move(OnDone));
           },
           Options.Process),
-      RecalledIndex(Log.lastIndex()) {
+      RecalledIndex(Log.lastIndex()), IsRecalled(RecalledIndex == 0) {
   Coordinator.signalLookedInto().connect([this] {
     for (const auto &[Id, Each] : Followers)
       this->Ports.Peers.send(Each.Address, Delivery::Datagram, TellSightings{});
@@ -349,9 +349,12 @@
       return Failed.emit(Restored.error());
     State = std::move(*Restored);
     AppliedIndex = Agreement.log().snapshotIndex();
+    noticeRecalled();
   }
-  for (const Entry &Each : Outputs.Committed)
+  for (const Entry &Each : Outputs.Committed) {
     apply(Each);
+    noticeRecalled();
+  }
   for (const std::uint64_t Ticket : Outputs.FailedReads)
     endBarrier(Ticket, notLeading());
   for (const ConfirmedRead &Each : Outputs.Reads)
@@ -361,6 +364,13 @@
                      std::move(Each.Message));
 }
 
+// A snapshot may hold more than the disk did at the start.
+void SteeringNode::noticeRecalled() {
+  if (AppliedIndex < RecalledIndex || std::exchange(IsRecalled, true))
+    return;
+  Recalled.emit();
+}
+
 void SteeringNode::endBarrier(std::uint64_t Ticket,
                               const Expected<void> &Result) {
   const auto Waiting = Barriers.find(Ticket);
@@ -388,8 +398,6 @@
         bringUpToDate(Each);
       }
   }
-  if (Done.Index == RecalledIndex)
-    Recalled.emit();
   const auto Waiting = Changes.find(Done.Index);
   if (Waiting == Changes.end())
     return;
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -115,6 +115,8 @@
   void noticeDisk();
   void carryOut(ConsensusOutputs Outputs);
   void apply(const Entry &Done);
+  /// Tells once that the state holds what the disk did.
+  void noticeRecalled();
   void propose(AgreedCommand Command, Committed OnDone);
   void finishChanges();
   void failChanges();
@@ -155,6 +157,7 @@
   /// now, these would have readers of the logs look for changes that nobody
   /// made: at each restart one for each target and plan.
   std::uint64_t RecalledIndex;
+  bool IsRecalled; ///< At once where the disk was empty.
   DirectoryVersion Published;
   bool IsNoting = false; ///< A note on targets is under way.
   bool IsNotingProxies = false;
--- a/Tests/Unit/SteeringTest.cpp
+++ b/Tests/Unit/SteeringTest.cpp
@@ -123,6 +123,37 @@
   CHECK(Told.size() == On.Names.size());
 }
 
+TEST_CASE("A host that was away for long says that its disk was read",
+          "[steering]") {
+  // While a host was down the others decided so much that they keep only a
+  // snapshot of it. The host takes that over, and none of the entries that its
+  // disk held is applied one by one; who waits for word that its state is
+  // there again must get it all the same.
+  ReadySetup Setup;
+  Fleet &On = Setup.On;
+  std::string Away;
+  for (const std::string &Name : On.Names)
+    if (!On.Controls[Name].Node->leads())
+      Away = Name;
+  On.killControl(Away);
+  RoutePlan Plan;
+  Plan.Groups = {{"ledger", 16, 0}};
+  Plan.Document = std::string(1U << 20U, 'x');
+  const std::uint64_t Before = On.leader()->consensus().log().lastIndex();
+  for (Plan.Version = 2; Plan.Version < 10; ++Plan.Version) {
+    On.leader()->accept(Plan, [](const Expected<void> &) {});
+    On.Loop.runFor(Millis(300));
+  }
+  REQUIRE(On.leader()->consensus().log().snapshotIndex() > Before);
+  On.startControl(Away, false);
+  std::size_t Recalled = 0;
+  On.Controls[Away].Node->signalRecalled().connect([&Recalled] { ++Recalled; });
+  REQUIRE(On.Loop.runUntilTrue(
+      [&] { return On.Controls[Away].Node->state().plan().Version == 9; },
+      Millis(5000)));
+  CHECK(Recalled == 1);
+}
+
 TEST_CASE("Proxies learn of each other, and a new leader changes nothing",
           "[steering]") {
   // The leader dies, then all control hosts at once. Each time the next
