Fuzz the frames that proxies read, not only what they hold

Cause: since frames are packed, bytes from another proxy meet unpacking and a list of messages first; the target still read one bare message, which nothing on the wire is any more.

--- a/Tests/Fuzz/RelayFuzz.cpp
+++ b/Tests/Fuzz/RelayFuzz.cpp
@@ -7,11 +7,27 @@
 
 using namespace corianderdyke;
 
+namespace {
+
+/// What was read is packed and read again as the same.
+void expectSame(RelayFrames &Frames,
+                const std::vector<RelayMessage> &Messages) {
+  const auto Again = Frames.read(Frames.write(Messages));
+  expect(Again.has_value() && *Again == Messages);
+}
+
+} // namespace
+
 void fuzzOne(const std::string &Input) {
+  static RelayFrames Frames;
+  // As it arrives: bytes that are no packing, or one of anything.
+  if (const auto Read = Frames.read(Input))
+    expectSame(Frames, *Read);
+  // What a packing may hold.
   const auto Message = decode<RelayMessage>(Input);
   if (!Message)
     return;
-  // What was read is written and read again as the same.
   const auto Again = decode<RelayMessage>(encode(*Message));
   expect(Again.has_value() && *Again == *Message);
+  expectSame(Frames, {*Message});
 }
