Ask in one place whether a connection may be opened

Whether the list of proxies is known was asked in front of two of the four places that open, beside the pool's own answer.

--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -225,12 +225,16 @@
   return false;
 }
 
+bool SessionPipeline::mayOpen(const TargetPool &Pool) const {
+  return Outside.Targets.knowsShares() && Pool.mayOpen(Outside.Time.now());
+}
+
 // Callers come to all proxies at the same moment, and a new connection takes
 // longer than most statements.
 void SessionPipeline::warmUp(const std::string &GroupName, TargetPool &Pool,
                              Millis Now) {
-  if (Plan.Version == 0 || !Outside.Targets.knowsShares() || Pool.isShared() ||
-      Pool.opening() > 0 || !Pool.mayTakeWork(Now) || !Pool.mayOpen(Now))
+  if (Plan.Version == 0 || Pool.isShared() || Pool.opening() > 0 ||
+      !Pool.mayTakeWork(Now) || !mayOpen(Pool))
     return;
   if (Pool.wantsFirstConnections())
     openConnection(GroupName, Pool);
@@ -238,21 +242,18 @@
 
 bool SessionPipeline::openIfAllowed(const std::string &GroupName,
                                     TargetPool &Pool, Millis Waited) {
-  if (!Outside.Targets.knowsShares())
-    return false;
   // A connection costs the target as much as a statement, and one of the few
   // that it takes from everybody; the next statement to end may free one.
   // A link to shared ones costs nothing: as many as statements wait.
   if (Pool.isShared()) {
-    if (Pool.opening() >= Groups[GroupName].Waiting.size() ||
-        !Pool.mayOpen(Outside.Time.now()))
+    if (Pool.opening() >= Groups[GroupName].Waiting.size() || !mayOpen(Pool))
       return false;
     openConnection(GroupName, Pool);
     return true;
   }
   if (Pool.size() > 0 && Waited < WaitBeforeBurst)
     return false;
-  if (Pool.opening() > 0 || !Pool.mayOpen(Outside.Time.now()))
+  if (Pool.opening() > 0 || !mayOpen(Pool))
     return false;
   openConnection(GroupName, Pool);
   return true;
--- a/Source/Pipeline/FloorProbes.cpp
+++ b/Source/Pipeline/FloorProbes.cpp
@@ -43,7 +43,7 @@
   if (!On) {
     // A link is open within a moment; a connection of its own takes the
     // target a slot, which the read may as well have itself.
-    if (!Pool.isShared() || !Pool.mayOpen(Now))
+    if (!Pool.isShared() || !mayOpen(Pool))
       return endProbe(Name);
     if (Pool.opening() == 0)
       openConnection(Name, Pool);
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -202,6 +202,8 @@
                                std::vector<TargetPool *> &Among);
   double cost(const Group &In, const TargetPool &Pool,
               const SessionJob &Job) const;
+  /// True where another connection to that target is this proxy's to open.
+  bool mayOpen(const TargetPool &Pool) const;
   /// Opens what a pool keeps warm, once, ahead of the first statements.
   void warmUp(const std::string &GroupName, TargetPool &Pool, Millis Now);
   bool openIfAllowed(const std::string &GroupName, TargetPool &Pool,
