Give each soak loopback addresses that no other one has

Cause: a soak took 127.(20 + process id mod 200) for its processes.

Now a range is claimed by a socket that listens in it, and the next one is taken where that fails.

--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -6,6 +6,7 @@
 #include "Callers.h"
 #include "Common/SystemClock.h"
 #include "Http/EventHttpServer.h"
+#include "LoopbackNetwork.h"
 #include "Program.h"
 #include "Servers.h"
 
@@ -57,9 +58,10 @@
 public:
   explicit Soak(Options Given)
       : Given(std::move(Given)), Random(this->Given.Seed),
-        Network("127." + std::to_string(20 + getpid() % 200)), Truth(Time),
-        MaxConnections(Random() % 2 == 0 ? 6 : 16),
-        Targets(Loop, Truth, "ledger", Network, controls(), MaxConnections),
+        Network(LoopbackNetwork::claim(static_cast<unsigned>(getpid()))),
+        Truth(Time), MaxConnections(Random() % 2 == 0 ? 6 : 16),
+        Targets(Loop, Truth, "ledger", Network.prefix(), controls(),
+                MaxConnections),
         Operations(Loop, Truth, controls(), "ledger", MaxConnections,
                    Random()) {}
 
@@ -73,7 +75,8 @@
     return Out;
   }
   std::string address(int Kind, std::size_t Number) const {
-    return Network + "." + std::to_string(Kind) + "." + std::to_string(Number);
+    return Network.prefix() + "." + std::to_string(Kind) + "." +
+           std::to_string(Number);
   }
 
   void makeControl(int Number);
@@ -97,7 +100,7 @@
 
   Options Given;
   std::mt19937_64 Random;
-  std::string Network;
+  LoopbackNetwork Network;
   SystemClock Time;
   EventLoop Loop;
   Ledger Truth;
