Refuse no statement as waiting that has begun, and start them in one loop

A false promise. When statements have waited as long as they may, they are refused one by one from a copy of the queue. The next statement of a caller who was just refused, sent ahead, has connections assigned anew; one further back in the copy could get a connection by that, be sent, and then be refused as "not run". The test sends three writes to a busy target at 260 moments: in six of them a write was committed though its caller had been promised that nothing is kept. Now what has begun is passed over.

No stack left. A statement that is refused as it starts had the next one of its caller started on top of it. 200,000 statements sent ahead ended the process with signal 11 (the test, before).

--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -80,6 +80,7 @@
   std::map<std::string, LogPosition> LastCommit;
   SessionJobPtr Current;
   std::deque<Statement> Unstarted; ///< Behind the current one.
+  bool IsStarting = false;         ///< Its statements are being started.
   bool IsGone = false;             ///< The caller has left.
 };
 
--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -67,6 +67,11 @@
 void SessionPipeline::giveUpWaiting(Group &In, Millis Now) {
   const std::list<SessionJobPtr> Waiting = In.Waiting;
   for (const SessionJobPtr &Job : Waiting) {
+    // The next statement of a caller that was just refused has connections
+    // assigned anew. One that got a connection by that has been sent: its
+    // caller would be told that it hasn't run, and send it a second time.
+    if (Job->At != SessionJob::Stage::Waiting)
+      continue;
     const bool IsHopeless = Job->Where == Placement::Leader &&
                             !In.Outage.isWorthWaiting(Now, Job->WaitUntil);
     if (!IsHopeless && Now < waitEnd(*Job))
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -59,13 +59,20 @@
   startNext(Session);
 }
 
+// A statement that is refused as it starts asks for the next one here, inside
+// the loop that started it. Each level of such calls would stand on the stack
+// until the last one is refused: some 10,000 statements sent ahead ended the
+// process.
 void SessionPipeline::startNext(const CallerSessionPtr &Session) {
+  if (std::exchange(Session->IsStarting, true))
+    return;
   while (!Session->IsGone && !Session->Current && !Session->OpensUntil &&
          !Session->Unstarted.empty()) {
     const Statement Next = std::move(Session->Unstarted.front());
     Session->Unstarted.pop_front();
     start(Session, Next);
   }
+  Session->IsStarting = false;
 }
 
 void SessionPipeline::start(const CallerSessionPtr &Session,
--- a/Tests/Unit/PipelineTruthTest.cpp
+++ b/Tests/Unit/PipelineTruthTest.cpp
@@ -467,6 +467,73 @@
   CHECK(On.Proxy.connect("bounded").Caller->IsOpen);
 }
 
+TEST_CASE("A statement that has begun meanwhile isn't refused as waiting",
+          "[pipeline]") {
+  // The target was busy, and two writes have waited as long as they may. The
+  // first is refused; its caller's next statement, sent along with it, lets the
+  // proxy look for connections again, and the second write gets one at that
+  // moment. Told then that it hasn't run, its caller would send it twice.
+  for (int Phase = 0; Phase < 260; ++Phase) {
+    Setup On;
+    // The pauses between tries end just before the time to wait does.
+    On.Group.Latency = Millis(4);
+    const auto First = On.Proxy.connect("primary");
+    const auto Second = On.Proxy.connect("primary");
+    REQUIRE_FALSE(On.Proxy.ask(First, Kind::Write, "w0", "STORE x 0").Refusal);
+    On.Loop.runFor(Millis(100 + Phase));
+    On.Group.Servers["a"].IsBusy = true;
+    On.Proxy.send(First, Kind::Write, "w1", "STORE x 1");
+    On.Proxy.send(First, Kind::Write, "w2", "STORE x 1");
+    On.Proxy.send(Second, Kind::Write, "w3", "STORE x 2");
+    On.Loop.runFor(Millis(40));
+    On.Group.Servers["a"].IsBusy = false;
+    REQUIRE(On.Loop.runUntilTrue(
+        [&] {
+          return First.Caller->Answers.size() == 3 &&
+                 Second.Caller->Answers.size() == 1;
+        },
+        Millis(3000)));
+    On.Loop.runFor(Millis(100));
+    INFO("sent " << Phase << " ms after a look at the bounds");
+    const bool IsPromised = Second.Caller->last().Refusal.has_value();
+    CHECK(On.Group.Committed.count("w3") == (IsPromised ? 0 : 1));
+  }
+}
+
+TEST_CASE("As many statements as a caller likes may be refused at once",
+          "[pipeline]") {
+  // The queue is full for its pace, and a caller has sent 200,000 statements
+  // ahead. Each is refused as it starts, and the next one starts with that.
+  // Were each started by the one before it, the process would run out of stack.
+  FakeLoop Loop;
+  FakeGroup Group(Loop, {"a"});
+  FakePipeline Proxy(Loop, Group);
+  RoutePlan Plan = planOfThreeRoutes(2);
+  for (RoutePolicy &Each : Plan.Routes)
+    Each.Priority = Each.Name == "primary" ? 1 : 2;
+  Proxy.Pipeline.adopt(Plan);
+  std::vector<FakePipeline::Session> Others;
+  for (int Each = 0; Each < 30; ++Each)
+    Others.push_back(Proxy.connect("own"));
+  const auto Ahead = Proxy.connect("own");
+  const auto Urgent = Proxy.connect("primary");
+  REQUIRE_FALSE(Proxy.ask(Ahead, Kind::Write, "w", "STORE x 0").Refusal);
+  // The target stands still with all that it takes at a time, and some wait.
+  Group.Work = Millis(400);
+  for (std::size_t Each = 0; Each < Others.size(); ++Each)
+    Proxy.send(Others[Each], Kind::Write, "o" + std::to_string(Each),
+               "STORE x 1");
+  Loop.runFor(Millis(200));
+  constexpr std::size_t Count = 200000;
+  for (std::size_t Each = 0; Each < Count; ++Each)
+    Proxy.send(Ahead, Kind::Write, "w" + std::to_string(Each), "STORE x 1");
+  // The first of them has waited its time while this one goes before it.
+  Loop.runFor(Millis(30));
+  Proxy.send(Urgent, Kind::Write, "urgent", "STORE x 1");
+  CHECK(Loop.runUntilTrue(
+      [&] { return Ahead.Caller->Answers.size() > Count / 2; }, Millis(100)));
+}
+
 TEST_CASE("Random faults never make a success untrue", "[pipeline]") {
   // Targets die, change places, lose answers, stop receiving and get busy
   // while sessions of all kinds work. Each success is checked against what
