Open connections at gateways only where they have something to carry

Cause: as long as a statement waited for 10 ms another connection was opened, and each tick of 20 ms one more until half of the share stood. After a loss of power four gateways a target opened 44 connections, 0.53 s of slots that callers' statements needed. While as much is at work as a gateway may send, another connection carries nothing; it helps where those that stand are held by transactions that rest. What is kept warm is opened in quiet moments.

The test: 8 openings at four gateways before, at most one each now.

--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -22,6 +22,9 @@
 /// How long the first in the queue waits before another connection is opened:
 /// most statements end sooner, and a new connection costs the target a slot.
 constexpr Millis WaitBeforeOpening(10);
+/// Pause between two connections that are opened ahead of need: a tenth of what
+/// a target can do goes into openings of all its gateways together then.
+constexpr Millis WarmPause(250);
 /// Statements that all gateways together send to a target beyond what it
 /// works on, in parts of that: enough that a slot which comes free finds the
 /// next one there, though each gateway counts only its own.
@@ -186,7 +189,14 @@
   openIfAllowed(At);
 }
 
+// Load pattern: everything was down and all callers come back at once. Opened
+// as long as statements wait, connections took more of the targets' slots than
+// statements did. While as much is at work as this gateway may send, another
+// connection has nothing to do; it helps only where those that stand are held by
+// transactions that rest.
 void TargetBroker::openIfAllowed(Target &At) {
+  if (At.AtWork >= mostAtWork(At))
+    return;
   const Millis Now = Time.now();
   const std::size_t Idle = At.Pool.size() - At.Pool.busy() - At.Pool.opening();
   if (Idle > 0 || (At.Pool.size() > 0 &&
@@ -196,8 +206,21 @@
     openConnection(At);
 }
 
+// The first one is opened at once, the others when the target has time.
+void TargetBroker::warmUp(const std::string &Id, Target &At) {
+  const Millis Now = Time.now();
+  if (Own.count(Id) == 0 || !At.Pool.wantsWarm() || At.Pool.opening() > 0 ||
+      !At.Pool.mayOpen(Now))
+    return;
+  const bool IsQuiet = At.AtWork == 0 && At.Waiting.empty();
+  if (At.Pool.size() > 0 && (!IsQuiet || Now - At.OpenedAt < WarmPause))
+    return;
+  openConnection(At);
+}
+
 void TargetBroker::openConnection(Target &At) {
   ++Openings.Begun;
+  At.OpenedAt = Time.now();
   At.Pool.open(Direct, Time.now(),
                {[this](const TargetConnectionPtr &Open) {
                   Open->setBusy(false, Time.now());
@@ -276,10 +299,7 @@
     giveUpWaiting(Each);
     noticeSilence(Each);
     Each.Pool.tend(Now);
-    if (Own.count(Id) != 0 && Each.Pool.wantsWarm() &&
-        Each.Pool.opening() == 0 && Each.Pool.mayOpen(Now)) {
-      openConnection(Each);
-    }
+    warmUp(Id, Each);
     const auto Open = Each.Pool.connections();
     for (const TargetConnectionPtr &Connection : Open) {
       if (Connection->stage() != TargetConnection::Stage::Opening)
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -74,6 +74,7 @@
     std::list<Link *> Ready = {};
     std::size_t AtWork = 0; ///< Statements that were sent and not answered.
     bool IsPumping = false;
+    Millis OpenedAt = {}; ///< When the last connection was begun.
   };
 
   Target &targetOf(const TargetAddress &To);
@@ -87,6 +88,7 @@
   bool runNext(Target &At);
   void pump(Target &At);
   void openIfAllowed(Target &At);
+  void warmUp(const std::string &Id, Target &At);
   void openConnection(Target &At);
   void closed(const TargetConnectionPtr &Gone,
               const std::optional<StatementRefusal> &Why);
--- a/Tests/Unit/RelayTest.cpp
+++ b/Tests/Unit/RelayTest.cpp
@@ -387,6 +387,33 @@
   CHECK(Answered >= 55);
 }
 
+TEST_CASE("Gateways open nothing while the target has all that it takes",
+          "[relay][load]") {
+  // Everything has just started and all callers come at once. Each new
+  // connection takes a slot for as long as several statements do, and with the
+  // slots taken it has nothing to carry: callers would wait for it in vain.
+  Setup On(60, 40);
+  On.Group.Work = Millis(40);
+  std::vector<FakeRelaySystem::Session> Sessions;
+  for (std::size_t Each = 0; Each < 180; ++Each) {
+    Sessions.push_back(On.System.connect(Each % 60, "primary"));
+    On.System.send(Sessions.back(), Kind::Write, "w" + std::to_string(Each),
+                   "STORE x 1");
+  }
+  const std::size_t Before = On.Group.Servers["a"].Openings;
+  On.Loop.runFor(Millis(200));
+  const std::size_t Gateways = On.System.gateways("a").size();
+  CHECK(On.Group.Servers["a"].Openings - Before <= Gateways);
+  // Transactions that rest hold connections without keeping the target busy:
+  // then others are opened.
+  for (const auto &Each : Sessions) {
+    On.System.send(Each, Kind::Begin);
+    On.System.send(Each, Kind::Write, "t", "STORE x 1");
+  }
+  On.Loop.runFor(Millis(1000));
+  CHECK(On.Group.Servers["a"].Open > Gateways * 3);
+}
+
 TEST_CASE("Many refused at once at a gateway get one answer each", "[relay]") {
   // The gateway's own callers begin transactions while it can't reach the
   // target. Each opening is refused within the call that sent it, and the
