Keep handlers of confirmed reads in one place

Both kinds of control host kept their own tables of reads that wait for a majority, four maps in all, and took handlers out of them in like lines. One class does it for both.

--- /dev/null
+++ b/Source/Consensus/ReadBarriers.cpp
@@ -0,0 +1,42 @@
+/// \file
+/// What waits for a majority to confirm that this host still leads.
+
+#include "Consensus/ReadBarriers.h"
+
+#include <utility>
+
+namespace corianderdyke {
+
+Expected<void> ReadBarriers::await(Consensus &Agreement, Millis Now,
+                                   Handler OnDone) {
+  const auto Ticket = Agreement.beginRead(Now);
+  if (!Ticket)
+    return tl::unexpected(Ticket.error());
+  Waiting[*Ticket] = std::move(OnDone);
+  return {};
+}
+
+void ReadBarriers::finish(const ConsensusOutputs &Ended) {
+  for (const std::uint64_t Ticket : Ended.FailedReads)
+    end(Ticket, fail(ErrorCode::Unavailable, "this control host doesn't lead"));
+  for (const ConfirmedRead &Each : Ended.Reads)
+    end(Each.Ticket, {});
+}
+
+void ReadBarriers::failAll(const Error &Why) {
+  const auto All = std::exchange(Waiting, {});
+  for (const auto &[Ticket, OnDone] : All)
+    OnDone(tl::unexpected(Why));
+}
+
+// A handler may begin another read.
+void ReadBarriers::end(std::uint64_t Ticket, const Expected<void> &Result) {
+  const auto Found = Waiting.find(Ticket);
+  if (Found == Waiting.end())
+    return;
+  const Handler OnDone = std::move(Found->second);
+  Waiting.erase(Found);
+  OnDone(Result);
+}
+
+} // namespace corianderdyke
--- a/Source/Control/ControlNode.cpp
+++ b/Source/Control/ControlNode.cpp
@@ -63,21 +63,26 @@
 
 void ControlNode::on(const Envelope &From, const LeaseRequest &Body) {
   const Millis Now = Ports.Time.now();
-  const auto Ticket = Agreement.beginRead(Now);
-  if (!Ticket) {
+  const WaitingLease To{Body, From.ReplyTo, Now};
+  const bool IsRegistered = State.view().Proxies.count(Body.Proxy) != 0;
+  const auto Begun = Reads.await(
+      Agreement, Now, [this, To, IsRegistered](const Expected<void> &Done) {
+        if (Done && IsRegistered)
+          grant(To);
+      });
+  if (!Begun) {
     Ports.Peers.send(From.ReplyTo, Delivery::Datagram,
                      NotLeader{Agreement.leader()});
     return;
   }
   Leases.noteRequest(Body, From.ReplyTo, Now);
-  if (State.view().Proxies.count(Body.Proxy) == 0) {
+  if (!IsRegistered) {
     // A life that was removed for silence and speaks again is registered
     // anew: whatever lease it held has run out.
     propose(SystemActor, RegisterProxy{Body.Proxy, Body.Where},
             [](const Expected<ApplyResult> &) {});
     return;
   }
-  LeaseReads[*Ticket] = {Body, From.ReplyTo, Now};
   settle();
 }
 
@@ -100,11 +105,14 @@
   const Millis Now = Ports.Time.now();
   // Without the quorum's word a former leader, cut off, would go on renewing
   // rights that its successor has waited out.
-  const auto Ticket = Agreement.beginRead(Now);
-  if (!Ticket)
-    return;
-  RightsReads[*Ticket] = {Body, From.ReplyTo, Now};
-  settle();
+  const WaitingRights To{Body, From.ReplyTo, Now};
+  const auto Begun =
+      Reads.await(Agreement, Now, [this, To](const Expected<void> &Done) {
+        if (Done)
+          grantRights(To);
+      });
+  if (Begun)
+    settle();
 }
 
 void ControlNode::grantRights(const WaitingRights &To) {
@@ -140,13 +148,16 @@
   settle();
 }
 
-void ControlNode::readLatest(ReadHandler OnRead) {
-  const auto Ticket = Agreement.beginRead(Ports.Time.now());
-  if (!Ticket) {
-    OnRead(tl::unexpected(Ticket.error()));
-    return;
-  }
-  StateReads[*Ticket] = std::move(OnRead);
+void ControlNode::readLatest(const ReadHandler &OnRead) {
+  const auto Answer = [this, OnRead](const Expected<void> &Done) {
+    if (Done)
+      OnRead(&State);
+    else
+      OnRead(tl::unexpected(Done.error()));
+  };
+  const auto Begun = Reads.await(Agreement, Ports.Time.now(), Answer);
+  if (!Begun)
+    return Answer(Begun);
   settle();
 }
 
@@ -192,7 +203,7 @@
   }
   for (const Entry &Each : Outputs.Committed)
     apply(Each);
-  answerReads(Outputs);
+  Reads.finish(Outputs);
   for (OutgoingConsensus &Each : Outputs.Messages)
     for (const ControlHost &Host : Options.Controls)
       if (Host.Name == Each.To)
@@ -231,39 +242,6 @@
     Change.OnDone(*Result);
 }
 
-void ControlNode::answerReads(const ConsensusOutputs &Outputs) {
-  for (const std::uint64_t Ticket : Outputs.FailedReads) {
-    LeaseReads.erase(Ticket);
-    RightsReads.erase(Ticket);
-    const auto Waiting = StateReads.find(Ticket);
-    if (Waiting == StateReads.end())
-      continue;
-    const ReadHandler OnRead = std::move(Waiting->second);
-    StateReads.erase(Waiting);
-    OnRead(fail(ErrorCode::Unavailable, "this control host doesn't lead"));
-  }
-  for (const ConfirmedRead &Each : Outputs.Reads) {
-    if (const auto Lease = LeaseReads.find(Each.Ticket);
-        Lease != LeaseReads.end()) {
-      const WaitingLease To = std::move(Lease->second);
-      LeaseReads.erase(Lease);
-      grant(To);
-    }
-    if (const auto Rights = RightsReads.find(Each.Ticket);
-        Rights != RightsReads.end()) {
-      const WaitingRights To = std::move(Rights->second);
-      RightsReads.erase(Rights);
-      grantRights(To);
-    }
-    if (const auto Read = StateReads.find(Each.Ticket);
-        Read != StateReads.end()) {
-      const ReadHandler OnRead = std::move(Read->second);
-      StateReads.erase(Read);
-      OnRead(&State);
-    }
-  }
-}
-
 void ControlNode::grant(const WaitingLease &To) {
   const ClusterView &View = State.view();
   // Before the first manifest there is nothing to serve.
@@ -298,8 +276,7 @@
 }
 
 void ControlNode::failWaiting() {
-  LeaseReads.clear();
-  RightsReads.clear();
+  Reads.failAll({ErrorCode::Unavailable, "this control host doesn't lead"});
   const auto Waiting = std::exchange(Changes, {});
   for (const auto &[Index, Change] : Waiting)
     Change.OnDone(fail(ErrorCode::Unavailable,
--- a/Source/Control/ControlNode.h
+++ b/Source/Control/ControlNode.h
@@ -5,7 +5,7 @@
 #define CORIANDERDYKE_CONTROL_CONTROLNODE_H
 
 #include "Common/Clock.h"
-#include "Consensus/Consensus.h"
+#include "Consensus/ReadBarriers.h"
 #include "Control/TargetOrders.h"
 #include "Loop/Scheduler.h"
 #include "Membership/AnnouncementGate.h"
@@ -47,7 +47,7 @@
   void removeControlHost(const std::string &Name, ChangeHandler OnDone);
 
   /// Reads through the quorum.
-  void readLatest(ReadHandler OnRead);
+  void readLatest(const ReadHandler &OnRead);
 
   /// Emitted with the disk's error when it refuses writes, and with nothing
   /// when it takes them again. Meanwhile this host neither leads nor votes.
@@ -100,7 +100,6 @@
   void carryOut(ConsensusOutputs Outputs);
   void await(const Expected<std::uint64_t> &Index, ChangeHandler OnDone);
   void apply(const Entry &Committed);
-  void answerReads(const ConsensusOutputs &Outputs);
   void grant(const WaitingLease &To);
   void grantRights(const WaitingRights &To);
   void noticeLeadership();
@@ -131,9 +130,7 @@
   /// When a view or delta last went to a proxy.
   std::map<ProcessId, Millis> SentAt;
   std::map<std::uint64_t, WaitingChange> Changes;
-  std::map<std::uint64_t, WaitingLease> LeaseReads;
-  std::map<std::uint64_t, WaitingRights> RightsReads;
-  std::map<std::uint64_t, ReadHandler> StateReads;
+  ReadBarriers Reads;
   std::map<ProcessId, Millis> ProposedRemoval;
   bool DiskRefuses = false;
   sigc::signal<void(const Error &)> Failed;
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -285,11 +285,10 @@
   OnDone({});
 }
 
-void SteeringNode::barrier(DoneHandler OnDone) {
-  const auto Ticket = Agreement.beginRead(Ports.Time.now());
-  if (!Ticket)
-    return OnDone(tl::unexpected(Ticket.error()));
-  Barriers[*Ticket] = std::move(OnDone);
+void SteeringNode::barrier(const DoneHandler &OnDone) {
+  const auto Begun = Barriers.await(Agreement, Ports.Time.now(), OnDone);
+  if (!Begun)
+    return OnDone(Begun);
   settle();
 }
 
@@ -375,10 +374,7 @@
     apply(Each);
     noticeRecalled();
   }
-  for (const std::uint64_t Ticket : Outputs.FailedReads)
-    endBarrier(Ticket, notLeading());
-  for (const ConfirmedRead &Each : Outputs.Reads)
-    endBarrier(Each.Ticket, {});
+  Barriers.finish(Outputs);
   for (OutgoingConsensus &Each : Outputs.Messages)
     Ports.Peers.send({Each.To, Options.PeerPort}, Delivery::Stream,
                      std::move(Each.Message));
@@ -391,16 +387,6 @@
   Recalled.emit();
 }
 
-void SteeringNode::endBarrier(std::uint64_t Ticket,
-                              const Expected<void> &Result) {
-  const auto Waiting = Barriers.find(Ticket);
-  if (Waiting == Barriers.end())
-    return;
-  const DoneHandler OnDone = std::move(Waiting->second);
-  Barriers.erase(Waiting);
-  OnDone(Result);
-}
-
 void SteeringNode::apply(const Entry &Done) {
   AppliedIndex = Done.Index;
   if (Done.Kind == EntryKind::Command) {
@@ -461,12 +447,6 @@
     Change.OnDone(std::nullopt);
 }
 
-void SteeringNode::failBarriers() {
-  const auto Waiting = std::exchange(Barriers, {});
-  for (const auto &[Ticket, OnDone] : Waiting)
-    OnDone(notLeading());
-}
-
 void SteeringNode::noticeLeadership() {
   if (!Agreement.isLeader() && !Changes.empty())
     failChanges();
@@ -488,7 +468,7 @@
     Coordinator.begin();
   } else {
     Coordinator.end();
-    failBarriers();
+    Barriers.failAll(notLeading().value());
   }
   Leadership.emit(Leading);
 }
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -6,7 +6,7 @@
 #ifndef CORIANDERDYKE_STEERING_STEERINGNODE_H
 #define CORIANDERDYKE_STEERING_STEERINGNODE_H
 
-#include "Consensus/Consensus.h"
+#include "Consensus/ReadBarriers.h"
 #include "Loop/Scheduler.h"
 #include "Steering/PromotionCoordinator.h"
 #include "Steering/ProxyList.h"
@@ -126,11 +126,9 @@
   void propose(AgreedCommand Command, Committed OnDone);
   void finishChanges();
   void failChanges();
-  void failBarriers();
   void noticeLeadership();
   void noticeStanding();
-  void barrier(DoneHandler OnDone);
-  void endBarrier(std::uint64_t Ticket, const Expected<void> &Result);
+  void barrier(const DoneHandler &OnDone);
   void answer(const Endpoint &To, const FollowRequest &Request, bool Proven);
   /// Answers those that asked before anybody led.
   void answerWaiting();
@@ -171,7 +169,7 @@
   bool IsNoting = false; ///< A note on targets is under way.
   bool IsNotingProxies = false;
   std::map<std::uint64_t, WaitingChange> Changes;
-  std::map<std::uint64_t, DoneHandler> Barriers;
+  ReadBarriers Barriers;
   std::map<ProcessId, Follower> Followers;
   std::map<ProcessId, WaitingFollow> Waiting;
   ProxyList Proxies;
