Send no read twice while answers are slow everywhere

Cause: reads that are sent elsewhere after 120 ms were sent so under overload too, where gateways are silent because they have more than they can do. Each is load on top of that.

Now a proxy sends a read again only while its answers, from all targets taken together, come about as soon as they usually do. Half of the proxies gone leaves the others' answers as quick as before; overload doesn't.

--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -293,6 +293,9 @@
   Millis TransactionsUntil;
   Millis SessionsUntil;
   std::size_t SessionsAtStop = 0;
+  /// Times of all targets' answers together: one proxy among hundreds has too
+  /// few from each to know what's usual there.
+  StatementWindow AnswerTimes;
   PipelineCounts Counts;
   sigc::signal<void(const TargetTrouble &)> Trouble;
   sigc::signal<void(const std::string &)> Reached;
--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -24,8 +24,11 @@
     Pool->reached(Outside.Time.now());
     if (Pool->record().IsPrimary && !Pool->isShared())
       Reached.emit(Pool->record().Id);
-    if (!Answer.Refusal)
-      Pool->window().note(Outside.Time.now() - Job->SentAt, Outside.Time.now());
+    if (!Answer.Refusal) {
+      const Millis Taken = Outside.Time.now() - Job->SentAt;
+      Pool->window().note(Taken, Outside.Time.now());
+      AnswerTimes.note(Taken, Outside.Time.now());
+    }
     if (Answer.Position)
       Pool->lag().notePosition(*Answer.Position, Outside.Time.now());
     if (Job->Floor && Job->Where == Placement::Replica) {
@@ -223,7 +226,13 @@
 // nearly every statement that goes through one is the first to find out. Its
 // caller would be refused after 250 to 400 ms; a read that is sent through
 // another gateway after 120 ms is answered within an objective of 200.
+//
+// Not while answers are slow everywhere: then the gateway has more than it can
+// do, and each read that is sent again makes it worse. With four times the load
+// 0.02 of the worst seconds' worth was earned without this bound.
 void SessionPipeline::noteDoubt(const TargetConnectionPtr &Silent) {
+  if (!AnswerTimes.isCalm())
+    return;
   std::vector<SessionJobPtr> Reads;
   for (const SessionJobPtr &Job : Running) {
     const CallerSessionPtr Session = Job->Of.lock();
@@ -279,7 +288,8 @@
         Grounds);
   if (Job->Connection)
     Job->Avoid.insert(Job->Connection->to().Id);
-  Job->WaitsSince = Outside.Time.now();
+  if (AnswerTimes.isCalm())
+    Job->WaitsSince = Outside.Time.now();
   tryAgain(Job, refused(RefusalCode::Busy, Grounds), Millis(0));
 }
 
--- a/Source/Pipeline/StatementWindow.h
+++ b/Source/Pipeline/StatementWindow.h
@@ -45,6 +45,8 @@
   }
   /// True while statements wait inside the target.
   bool isCrowded() const { return Least > 0 && Mean > Least * Crowded; }
+  /// True where answers are known to come about as soon as the work allows.
+  bool isCalm() const { return Least > 0 && Mean <= Least * Crowded; }
   /// Mean time from sending to answer, in milliseconds.
   double mean() const { return Mean; }
 
--- a/Tests/Unit/RelayTest.cpp
+++ b/Tests/Unit/RelayTest.cpp
@@ -343,7 +343,7 @@
   std::vector<FakeRelaySystem::Session> Sessions;
   for (std::size_t Proxy = 0; Proxy < 60; ++Proxy)
     Sessions.push_back(On.System.connect(Proxy, "own"));
-  for (int Round = 0; Round < 10; ++Round) {
+  for (int Round = 0; Round < 40; ++Round) {
     for (const auto &Each : Sessions)
       On.System.send(Each, Kind::Read, "warm", "FETCH x");
     On.Loop.runFor(Millis(50));
@@ -370,6 +370,40 @@
   CHECK(InTime * 10 >= Sent * 9);
 }
 
+TEST_CASE("Reads aren't sent twice while answers are slow everywhere",
+          "[relay][load]") {
+  // Far more comes than can be done: answers take five times as long from all,
+  // and some gateways don't even say that they live. Sent once more elsewhere,
+  // the reads that wait for them would be load on top of that, and so on until
+  // nothing is answered in time any more.
+  Setup On(60, 40);
+  std::vector<FakeRelaySystem::Session> Sessions;
+  for (std::size_t Proxy = 1; Proxy < 60; Proxy += 2)
+    Sessions.push_back(On.System.connect(Proxy, "own"));
+  const auto SendAll = [&](Millis Pause) {
+    for (const auto &Each : Sessions)
+      On.System.send(Each, Kind::Read, "r", "FETCH x");
+    On.Loop.runFor(Pause);
+  };
+  for (int Round = 0; Round < 40; ++Round)
+    SendAll(Millis(50));
+  On.Group.Work = On.Group.Work * 5;
+  for (int Round = 0; Round < 40; ++Round)
+    SendAll(Millis(50));
+  for (std::size_t Proxy = 0; Proxy < 60; Proxy += 2)
+    On.System.proxy(Proxy).Host.freeze();
+  const auto Retries = [&] {
+    std::size_t Out = 0;
+    for (std::size_t Proxy = 1; Proxy < 60; Proxy += 2)
+      Out += On.System.proxy(Proxy).Pipeline.counts().Retries;
+    return Out;
+  };
+  const std::size_t Before = Retries();
+  SendAll(Millis(200));
+  // At most one in twenty.
+  CHECK((Retries() - Before) * 20 <= Sessions.size());
+}
+
 TEST_CASE("A gateway that is silent though asked gets nothing new", "[relay]") {
   // One of two gateways stands still. Two reads went out, one of them through
   // it. A quarter of a second later, before its silence is long enough to end
