Ask a silent gateway for a sign of life once

Cause: at each look, every 30 ms, a proxy asked each gateway that was silent for 60 ms. Under overload hundreds of proxies did so at the same time, and what keeps a gateway silent then is that it has too much to do.

--- a/Source/Relay/RelayPeer.cpp
+++ b/Source/Relay/RelayPeer.cpp
@@ -10,10 +10,11 @@
 /// A gateway that owes answers and was silent for this long is asked for a
 /// sign of life; nine of ten statements are answered sooner.
 constexpr Millis PingAfter(60);
-/// Silent for this long although asked, it gets nothing new, and who waits for
-/// a read is told. It may still be a live one on a slow host, so what it holds
-/// isn't given up yet.
-constexpr Millis SuspectAfter(120);
+/// Silent for this long although asked, those that wait for reads are told.
+constexpr Millis DoubtAfter(120);
+/// Silent for this long although asked, it gets nothing new. It may still be a
+/// live one on a slow host, so what it holds isn't given up yet.
+constexpr Millis SuspectAfter(200);
 /// Silent for this long, it's given up: a frozen or cut off gateway would
 /// else hold what it has until callers' times are over. It's a few times the
 /// longest that a live one on a slow host takes to answer a ping.
@@ -206,11 +207,11 @@
   const Millis Silent = Time.now() - LastHeard;
   if (Silent >= GiveUpAfter)
     return ended();
-  if (Silent >= PingAfter) {
-    OwesSign = true;
+  // Once: a gateway that is silent since it has too much to do would get
+  // another question from hundreds of proxies at each look.
+  if (Silent >= PingAfter && !std::exchange(OwesSign, true))
     send(RelayPing{});
-  }
-  if (Silent >= SuspectAfter)
+  if (Silent >= DoubtAfter)
     tellSilence();
   Watching = Timers.after(WatchInterval, [this] {
     Watching = 0;
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -272,7 +272,7 @@
   // A leader that is cut off from the others, and from most proxies with
   // them, can't keep that.
   if (IsPromise)
-    return barrier(std::move(OnDone));
+    return barrier(OnDone);
   OnDone({});
 }
 
--- a/Tests/Unit/PipelineTruthTest.cpp
+++ b/Tests/Unit/PipelineTruthTest.cpp
@@ -513,6 +513,7 @@
     Each.Priority = Each.Name == "primary" ? 1 : 2;
   Proxy.Pipeline.adopt(Plan);
   std::vector<FakePipeline::Session> Others;
+  Others.reserve(30);
   for (int Each = 0; Each < 30; ++Each)
     Others.push_back(Proxy.connect("own"));
   const auto Ahead = Proxy.connect("own");
--- a/Tests/Unit/RelayTest.cpp
+++ b/Tests/Unit/RelayTest.cpp
@@ -44,8 +44,55 @@
   return Out;
 }
 
+/// Streams that nobody answers on; keeps the frames that were sent.
+class SilentStreams final : public PeerStreams {
+public:
+  std::shared_ptr<PeerStream> connect(const Endpoint &,
+                                      PeerStreamEvents) override {
+    class Stream final : public PeerStream {
+    public:
+      explicit Stream(std::vector<std::string> &Sent) : Sent(Sent) {}
+      void send(const std::string &Frame) override { Sent.push_back(Frame); }
+
+    private:
+      std::vector<std::string> &Sent;
+    };
+    return std::make_shared<Stream>(Sent);
+  }
+  void accept(OnAccept) override {}
+
+  std::vector<std::string> Sent;
+};
+
 } // namespace
 
+TEST_CASE("A silent gateway is asked for a sign of life once",
+          "[relay][load]") {
+  // It has more to do than it can. Asked again at each look, by hundreds of
+  // proxies, it would be kept busy with the questions alone: thousands a
+  // second.
+  FakeLoop Loop;
+  FakeHost Host(Loop, "p");
+  SilentStreams Streams;
+  RelayFrames Frames;
+  FloorTable Floors;
+  RelayPeer Peer(Host, Host, Streams, Frames, Floors, {"g", 7000});
+  const auto Link = Peer.open({"group", "a", {"a", 5000}},
+                              {[] {}, [](const StatementAnswer &) {},
+                               [](const std::optional<StatementRefusal> &) {}});
+  Link->send({{.What = TargetCommand::Kind::Run, .Text = "FETCH x"}});
+  Loop.runFor(Millis(380));
+  std::size_t Pings = 0;
+  for (const std::string &Frame : Streams.Sent) {
+    const auto Messages = Frames.read(Frame);
+    REQUIRE(Messages);
+    for (const RelayMessage &Each : *Messages)
+      Pings += std::holds_alternative<RelayPing>(Each) ? 1 : 0;
+  }
+  CHECK(Pings == 1);
+  CHECK_FALSE(Peer.takesWork());
+}
+
 TEST_CASE("Gateways are few, near their target and evenly loaded", "[relay]") {
   const auto All = proxies(87);
   const GatewayTable Table(All, targets(24), {{"group", 3}});
