--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -28,7 +28,7 @@
   Millis ArrivedAt;  ///< Of its first byte, or of its transaction's.
   Millis DeadlineAt; ///< Of this statement.
   /// Its wait for a connection counts from here: its arrival, or the moment at
-  /// which the answer to an earlier try was given up.
+  /// which the answer to an earlier try, or the question for its floor, ended.
   Millis WaitsSince;
   /// Until then it may wait for a connection or be tried again.
   Millis QueueUntil;
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -60,8 +60,8 @@
 }
 
 // A statement that is refused as it starts asks for the next one here, inside
-// the loop that started it. Each level of such calls would stand on the stack
-// until the last one is refused: some 10,000 statements sent ahead ended the
+// the loop that started it. Started from there, each would stand on the stack
+// until the last one is refused: a caller who sent 200,000 ahead could end the
 // process.
 void SessionPipeline::startNext(const CallerSessionPtr &Session) {
   if (std::exchange(Session->IsStarting, true))
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -22,8 +22,8 @@
 /// How long the first in the queue waits before another connection is opened:
 /// most statements end sooner, and a new connection costs the target a slot.
 constexpr Millis WaitBeforeOpening(10);
-/// Pause between two connections that are opened ahead of need: a tenth of what
-/// a target can do goes into openings of all its gateways together then.
+/// Pause between two connections that are opened ahead of need. With 12 ms an
+/// opening four gateways together take a tenth of what two slots can do.
 constexpr Millis WarmPause(250);
 /// Statements that all gateways together send to a target beyond what it
 /// works on, in parts of that: enough that a slot which comes free finds the
