--- a/Tests/Support/FakeRelay.cpp
+++ b/Tests/Support/FakeRelay.cpp
@@ -277,4 +277,16 @@
   return 0;
 }
 
+std::vector<FakeRelaySystem::Session>
+RelaySetup::sendWrites(std::size_t Count) {
+  std::vector<FakeRelaySystem::Session> Out;
+  Out.reserve(Count);
+  for (std::size_t Each = 0; Each < Count; ++Each) {
+    Out.push_back(System.connect(Each % Proxies, "primary"));
+    System.send(Out.back(), StatementKind::Write, "w" + std::to_string(Each),
+                "STORE x 1");
+  }
+  return Out;
+}
+
 } // namespace corianderdyke
--- a/Tests/Support/FakeRelay.h
+++ b/Tests/Support/FakeRelay.h
@@ -106,6 +106,25 @@
   std::vector<std::unique_ptr<FakeProxy>> Proxies;
 };
 
+/// A system whose gateways have opened their first connections to the targets
+/// "a", the primary, "b" and "c".
+struct RelaySetup {
+  explicit RelaySetup(std::size_t Proxies = 12,
+                      std::uint32_t MaxConnections = 10)
+      : Proxies(Proxies), System(Loop, Group, Proxies, MaxConnections) {
+    Loop.runFor(Millis(50));
+  }
+
+  /// Opens so many sessions, at all proxies in turn, and sends a write on each:
+  /// "w0", "w1" and so on.
+  std::vector<FakeRelaySystem::Session> sendWrites(std::size_t Count);
+
+  std::size_t Proxies;
+  FakeLoop Loop;
+  FakeGroup Group{Loop, {"a", "b", "c"}};
+  FakeRelaySystem System;
+};
+
 } // namespace corianderdyke
 
 #endif
