--- a/Source/Consensus/ReadBarriers.cpp
+++ b/Source/Consensus/ReadBarriers.cpp
@@ -7,6 +7,14 @@
 
 namespace corianderdyke {
 
+namespace {
+
+tl::unexpected<Error> notLeading() {
+  return fail(ErrorCode::Unavailable, "this control host doesn't lead");
+}
+
+} // namespace
+
 Expected<void> ReadBarriers::await(Consensus &Agreement, Millis Now,
                                    Handler OnDone) {
   const auto Ticket = Agreement.beginRead(Now);
@@ -18,15 +26,15 @@
 
 void ReadBarriers::finish(const ConsensusOutputs &Ended) {
   for (const std::uint64_t Ticket : Ended.FailedReads)
-    end(Ticket, fail(ErrorCode::Unavailable, "this control host doesn't lead"));
+    end(Ticket, notLeading());
   for (const ConfirmedRead &Each : Ended.Reads)
     end(Each.Ticket, {});
 }
 
-void ReadBarriers::failAll(const Error &Why) {
+void ReadBarriers::failAll() {
   const auto All = std::exchange(Waiting, {});
   for (const auto &[Ticket, OnDone] : All)
-    OnDone(tl::unexpected(Why));
+    OnDone(notLeading());
 }
 
 // A handler may begin another read.
--- a/Source/Consensus/ReadBarriers.h
+++ b/Source/Consensus/ReadBarriers.h
@@ -24,8 +24,8 @@
   /// Runs the handlers of the reads that these outputs end.
   void finish(const ConsensusOutputs &Ended);
 
-  /// This host leads no more: ends all that wait with \p Why.
-  void failAll(const Error &Why);
+  /// This host leads no more: ends all that wait as Unavailable.
+  void failAll();
 
 private:
   void end(std::uint64_t Ticket, const Expected<void> &Result);
--- a/Source/Control/ControlNode.cpp
+++ b/Source/Control/ControlNode.cpp
@@ -276,7 +276,7 @@
 }
 
 void ControlNode::failWaiting() {
-  Reads.failAll({ErrorCode::Unavailable, "this control host doesn't lead"});
+  Reads.failAll();
   const auto Waiting = std::exchange(Changes, {});
   for (const auto &[Index, Change] : Waiting)
     Change.OnDone(fail(ErrorCode::Unavailable,
--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -3,6 +3,8 @@
 
 #include "Pipeline/SessionPipeline.h"
 
+#include <algorithm>
+
 namespace corianderdyke {
 
 namespace {
@@ -233,22 +235,24 @@
 void SessionPipeline::noteDoubt(const TargetConnectionPtr &Silent) {
   if (!AnswerTimes.isCalm())
     return;
-  std::vector<SessionJobPtr> Reads;
-  for (const SessionJobPtr &Job : Running) {
-    const CallerSessionPtr Session = Job->Of.lock();
-    if (Job->Connection == Silent && Session && !Session->Transaction &&
-        !Job->Writes)
-      Reads.push_back(Job);
-  }
-  for (const SessionJobPtr &Job : Reads) {
-    Running.erase(Job);
-    discard(Silent);
-    Job->WaitsSince = Outside.Time.now();
-    tryAgain(Job,
-             refused(RefusalCode::Busy,
-                     "no sign of life on the way to target " + Silent->to().Id),
-             Millis(0));
-  }
+  // A connection carries one statement at a time.
+  const auto Found = std::find_if(Running.begin(), Running.end(),
+                                  [&Silent](const SessionJobPtr &Each) {
+                                    return Each->Connection == Silent;
+                                  });
+  if (Found == Running.end())
+    return;
+  const SessionJobPtr Job = *Found;
+  const CallerSessionPtr Session = Job->Of.lock();
+  if (Job->Writes || !Session || Session->Transaction)
+    return;
+  Running.erase(Found);
+  discard(Silent);
+  Job->WaitsSince = Outside.Time.now();
+  tryAgain(Job,
+           refused(RefusalCode::Busy,
+                   "no sign of life on the way to target " + Silent->to().Id),
+           Millis(0));
 }
 
 // The connection is gone or its answer overdue. What the caller may be told
--- a/Source/Pipeline/StatementWindow.h
+++ b/Source/Pipeline/StatementWindow.h
@@ -46,7 +46,7 @@
   /// True while statements wait inside the target.
   bool isCrowded() const { return Least > 0 && Mean > Least * Crowded; }
   /// True where answers are known to come about as soon as the work allows.
-  bool isCalm() const { return Least > 0 && Mean <= Least * Crowded; }
+  bool isCalm() const { return Least > 0 && !isCrowded(); }
   /// Mean time from sending to answer, in milliseconds.
   double mean() const { return Mean; }
 
--- a/Source/Pipeline/TargetConnection.cpp
+++ b/Source/Pipeline/TargetConnection.cpp
@@ -20,11 +20,7 @@
            },
            [this](const StatementAnswer &Answer) { answered(Answer); },
            [this](const std::optional<StatementRefusal> &Why) { closed(Why); },
-           [this] {
-             const auto Handler = this->Handlers.OnSilent;
-             if (Handler)
-               Handler();
-           }});
+           this->Handlers.OnSilent});
   IsShared = Link->isShared();
 }
 
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -72,11 +72,7 @@
     Inner = Bound.Connector->open(
         To, {[] {}, [this](const StatementAnswer &Answer) { answered(Answer); },
              [this](const std::optional<StatementRefusal> &) { closed(); },
-             [this] {
-               const auto Handler = Handlers.OnSilent;
-               if (Handler)
-                 Handler();
-             }});
+             Handlers.OnSilent});
     if (!State.empty()) {
       Replayed = State.size();
       Inner->send(State);
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -189,11 +189,10 @@
   openIfAllowed(At);
 }
 
-// Load pattern: everything was down and all callers come back at once. Opened
-// as long as statements wait, connections took more of the targets' slots than
-// statements did. While as much is at work as this gateway may send, another
-// connection has nothing to do; it helps only where those that stand are held
-// by transactions that rest.
+// Load pattern: everything was down and all callers come back at once. Each
+// opening takes a slot for as long as several statements do, and while as much
+// is at work as this gateway may send, another connection has nothing to carry.
+// It helps only where those that stand are held by transactions that rest.
 void TargetBroker::openIfAllowed(Target &At) {
   if (At.AtWork >= mostAtWork(At))
     return;
@@ -207,10 +206,10 @@
 }
 
 // The first one is opened at once, the others when the target has time.
-void TargetBroker::warmUp(const std::string &Id, Target &At) {
+void TargetBroker::warmUp(Target &At) {
   const Millis Now = Time.now();
-  if (Own.count(Id) == 0 || !At.Pool.wantsWarm() || At.Pool.opening() > 0 ||
-      !At.Pool.mayOpen(Now))
+  if (Own.count(At.Pool.record().Id) == 0 || !At.Pool.wantsWarm() ||
+      At.Pool.opening() > 0 || !At.Pool.mayOpen(Now))
     return;
   const bool IsQuiet = At.AtWork == 0 && At.Waiting.empty();
   if (At.Pool.size() > 0 && (!IsQuiet || Now - At.OpenedAt < WarmPause))
@@ -299,7 +298,7 @@
     giveUpWaiting(Each);
     noticeSilence(Each);
     Each.Pool.tend(Now);
-    warmUp(Id, Each);
+    warmUp(Each);
     const auto Open = Each.Pool.connections();
     for (const TargetConnectionPtr &Connection : Open) {
       if (Connection->stage() != TargetConnection::Stage::Opening)
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -88,7 +88,7 @@
   bool runNext(Target &At);
   void pump(Target &At);
   void openIfAllowed(Target &At);
-  void warmUp(const std::string &Id, Target &At);
+  void warmUp(Target &At);
   void openConnection(Target &At);
   void closed(const TargetConnectionPtr &Gone,
               const std::optional<StatementRefusal> &Why);
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -468,7 +468,7 @@
     Coordinator.begin();
   } else {
     Coordinator.end();
-    Barriers.failAll(notLeading().value());
+    Barriers.failAll();
   }
   Leadership.emit(Leading);
 }
