Tell targets the organisation that a session's key belongs to

A plan declares organisations with keys. Control hosts give proxies keyed digests of the keys and no document. A session belongs to the organisation that its key names when it opens, and so do connections and shared links: the pool hands out none of another organisation's. A key that no plan holds is refused, by proxies that know their plan to be the newest; the others wait for word and then say that they can't serve now. Where a plan takes a key away or gives it to another organisation, its sessions end between operations, transactions after a second.

Ruled out: changing a session's or a connection's organisation in place; one that is closed can't be mistaken.

--- a/Source/App/StatementLogs.cpp
+++ b/Source/App/StatementLogs.cpp
@@ -57,6 +57,8 @@
     return "failed";
   case RefusalCode::Timeout:
     return "timeout";
+  case RefusalCode::Unauthorised:
+    return "unauthorised";
   case RefusalCode::Unknown:
     break;
   }
@@ -72,6 +74,7 @@
                    {{"id", What.Id},
                     {"database", Session.Database},
                     {"session", std::to_string(Session.Id)},
+                    {"organisation", Session.Organisation},
                     {"plan", std::to_string(Of.plan().Version)},
                     {"code", refusalWord(Why.Code)},
                     {"why", Why.Why},
--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -71,7 +71,7 @@
 }
 
 bool SteeringProcess::isReady() const {
-  return Pipeline && !Stopping && Feed->isCurrent() &&
+  return Pipeline && !Stopping && Feed->isProven() &&
          Pipeline->plan().Version > 0;
 }
 
@@ -99,6 +99,7 @@
   Given.Seeds = addressesOf(Options.Seeds);
   Given.MayFound = Options.MayFound;
   Given.LostDisksBorne = Options.LostDisksBorne;
+  Given.KeySecret = Options.PeerKey;
   Control = std::make_unique<SteeringNode>(
       Given, SteeringPorts{Time, Loop, *Peers, *Orders, *Promotions}, *Log,
       randomNumber());
@@ -132,7 +133,10 @@
       return Done;
   TargetConnector &Connections = Shared ? *Shared : *Targets;
   Pipeline = std::make_unique<SessionPipeline>(
-      SessionPipeline::Ports{Time, Loop, Connections, Floors}, Options.Where);
+      SessionPipeline::Ports{Time, Loop, Connections, Floors,
+                             [this] { return Feed && Feed->isCurrent(); },
+                             Options.PeerKey},
+      Options.Where);
   Feed = std::make_unique<ControlFeed>(
       FeedOptions{{Options.Name, randomNumber()},
                   Options.Peers.Port,
--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -71,9 +71,15 @@
   std::uint64_t Id = 0;
   std::shared_ptr<CallerLink> Link;
   std::string Database;
+  std::string KeyDigest;
+  /// Whose statements it runs. It never changes: where the plan gives the key
+  /// to another organisation, the session ends.
+  std::string Organisation;
+  /// Since when the plan doesn't let it run for that organisation any more.
+  std::optional<Millis> RevokedAt;
   SessionValues Values;
   std::map<std::string, PreparedShape> Prepared;
-  /// Set while it waits for this process's first plan: until then at most.
+  /// Set while it waits for a plan that knows it: until then at most.
   std::optional<Millis> OpensUntil;
   SessionPhase Phase = SessionPhase::Idle;
   /// The transaction was ended here, and its caller hasn't been told yet.
--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -40,7 +40,9 @@
   if (Plan.Version == 0)
     PlannedAt = Outside.Time.now();
   Plan = New;
+  Organisations = OrganisationTable(Plan);
   setProxyCount(Proxies);
+  revokeSessions();
   admitWaiting();
 }
 
@@ -54,6 +56,7 @@
     const bool IsShared = Outside.Targets.sharesConnections(Name);
     for (auto &[Id, Pool] : Each.Pools) {
       Pool.setShare(std::max(LeastShare, All / Proxies));
+      Pool.setDivided(!Plan.Organisations.empty());
       Pool.setShared(IsShared, Outside.Time.now());
     }
   }
@@ -211,10 +214,13 @@
       std::remove_if(Choices.begin(), Choices.end(),
                      [this](const TargetPool *Each) { return isFull(*Each); }),
       Choices.end());
-  if (!Choices.empty() && !Choices.front()->idle(Session->Values))
-    openIfAllowed(Job->Route.Group, *Choices.front(), Waited);
+  const std::string &Organisation = Session->Organisation;
+  if (!Choices.empty() &&
+      !Choices.front()->idle(Organisation, Session->Values))
+    openIfAllowed(Job->Route.Group, *Choices.front(), Organisation, Waited);
   for (TargetPool *Pool : Choices) {
-    if (const TargetConnectionPtr Free = Pool->idle(Session->Values)) {
+    if (const TargetConnectionPtr Free =
+            Pool->idle(Organisation, Session->Values)) {
       Free->setBusy(true, Now);
       Job->Connection = Free;
       return true;
@@ -222,13 +228,16 @@
   }
   // One connection on its way for all that wait: each costs the target a slot.
   for (TargetPool *Pool : Choices)
-    if (Pool->opening() > 0 || openIfAllowed(Job->Route.Group, *Pool, Waited))
+    if (Pool->opening(Organisation) > 0 ||
+        openIfAllowed(Job->Route.Group, *Pool, Organisation, Waited))
       break;
   return false;
 }
 
-bool SessionPipeline::mayOpen(const TargetPool &Pool) const {
-  return Outside.Targets.knowsShares() && Pool.mayOpen(Outside.Time.now());
+bool SessionPipeline::mayOpen(const TargetPool &Pool,
+                              const std::string &Organisation) const {
+  return Outside.Targets.knowsShares() &&
+         Pool.mayOpen(Organisation, Outside.Time.now());
 }
 
 // Callers come to all proxies at the same moment, and a new connection takes
@@ -236,36 +245,40 @@
 void SessionPipeline::warmUp(const std::string &GroupName, TargetPool &Pool,
                              Millis Now) {
   if (Plan.Version == 0 || Pool.isShared() || Pool.opening() > 0 ||
-      !Pool.mayTakeWork(Now) || !mayOpen(Pool))
+      !Pool.mayTakeWork(Now) || !mayOpen(Pool, ""))
     return;
   if (Pool.wantsFirstConnections())
-    openConnection(GroupName, Pool);
+    openConnection(GroupName, Pool, {});
 }
 
 bool SessionPipeline::openIfAllowed(const std::string &GroupName,
-                                    TargetPool &Pool, Millis Waited) {
+                                    TargetPool &Pool,
+                                    const std::string &Organisation,
+                                    Millis Waited) {
   // A connection costs the target as much as a statement, and one of the few
   // that it takes from everybody; the next statement to end may free one.
   // A link to shared ones costs nothing: as many as statements wait.
   if (Pool.isShared()) {
-    if (Pool.opening() >= Groups[GroupName].Waiting.size() || !mayOpen(Pool))
+    if (Pool.opening() >= Groups[GroupName].Waiting.size() ||
+        !mayOpen(Pool, Organisation))
       return false;
-    openConnection(GroupName, Pool);
+    openConnection(GroupName, Pool, {Organisation});
     return true;
   }
-  if (Pool.size() > 0 && Waited < WaitBeforeBurst)
+  if (Pool.size(Organisation) > 0 && Waited < WaitBeforeBurst)
     return false;
-  if (Pool.opening() > 0 || !mayOpen(Pool))
+  if (Pool.opening(Organisation) > 0 || !mayOpen(Pool, Organisation))
     return false;
-  openConnection(GroupName, Pool);
+  openConnection(GroupName, Pool, {Organisation});
   return true;
 }
 
 void SessionPipeline::openConnection(const std::string &GroupName,
-                                     TargetPool &Pool) {
+                                     TargetPool &Pool,
+                                     const ConnectionPurpose &For) {
   if (!Pool.isShared())
     ++Counts.Openings.Begun;
-  Pool.open(Outside.Targets, Outside.Time.now(),
+  Pool.open(Outside.Targets, For, Outside.Time.now(),
             {[this, GroupName](const TargetConnectionPtr &Open) {
                opened(GroupName, Open);
              },
--- a/Source/Pipeline/FloorProbes.cpp
+++ b/Source/Pipeline/FloorProbes.cpp
@@ -39,14 +39,14 @@
   TargetPool &Pool = Leader->second;
   if (Pool.isAvoided(Now) || !Pool.mayLead(Now) || !Pool.mayTakeWork(Now))
     return endProbe(Name);
-  const TargetConnectionPtr On = Pool.idle({});
+  const TargetConnectionPtr On = Pool.idleForOwnWork();
   if (!On) {
     // A link is open within a moment; a connection of its own takes the
     // target a slot, which the read may as well have itself.
-    if (!Pool.isShared() || !mayOpen(Pool))
+    if (!Pool.isShared() || !mayOpen(Pool, ""))
       return endProbe(Name);
-    if (Pool.opening() == 0)
-      openConnection(Name, Pool);
+    if (Pool.opening("") == 0)
+      openConnection(Name, Pool, {.IsOwnWork = true});
     return;
   }
   On->setBusy(true, Now);
--- a/Source/Pipeline/LeaderSearch.cpp
+++ b/Source/Pipeline/LeaderSearch.cpp
@@ -30,9 +30,13 @@
     const TargetRecord &Record = Pool.record();
     if (Id == In.Primary || Record.IsGone || Record.IsLeaving)
       continue;
-    const TargetConnectionPtr On = Pool.idle({});
-    if (!On)
+    const TargetConnectionPtr On = Pool.idleForOwnWork();
+    if (!On) {
+      // Used by the next round.
+      if (Pool.isShared() && Pool.opening("") == 0 && mayOpen(Pool, ""))
+        openConnection(Name, Pool, {.IsOwnWork = true});
       continue;
+    }
     On->setBusy(true, Now);
     On->send({{{.What = TargetCommand::Kind::Begin, .MayWait = SearchInterval},
                [this, Name, On, SentAt = Now](const StatementAnswer &Answer) {
--- a/Source/Pipeline/SessionOpenings.cpp
+++ b/Source/Pipeline/SessionOpenings.cpp
@@ -1,8 +1,6 @@
 /// \file
-/// How sessions open, and what those wait for that come ahead of the plan.
-///
-/// Load pattern: all processes were down and callers come back at once, to
-/// proxies that don't know a plan yet.
+/// Sessions that open before a plan knows them, and those whose key a plan
+/// takes away.
 
 #include "Pipeline/SessionPipeline.h"
 
@@ -10,37 +8,54 @@
 
 namespace {
 
-/// How long an opening waits for this process's first plan. After all
-/// processes were down the plan comes within 50 to 300 ms, and a caller that
-/// was refused meanwhile had used up a try: 157 of 930 callers lost all three
-/// of theirs within two seconds. Well below the two seconds for which callers
-/// wait for an opening.
+/// How long an opening waits for this process's first plan, or for word that
+/// the plan which doesn't know its key is the newest. After all processes were
+/// down the plan comes within 50 to 300 ms, and a caller that was refused
+/// meanwhile had used up a try: 157 of 930 callers lost all three of theirs
+/// within two seconds. Well below the two seconds for which callers wait for
+/// an opening.
 constexpr Millis PlanPatience(1000);
+/// How long a transaction goes on after its session's key was taken away.
+constexpr Millis RevokedTransactionLasts(1000);
 
 } // namespace
 
 std::uint64_t SessionPipeline::open(const std::string &Database,
+                                    const std::string &Key,
                                     std::shared_ptr<CallerLink> Link) {
   auto Session = std::make_shared<CallerSession>();
   Session->Id = NextSession++;
   Session->Database = Database;
+  Session->KeyDigest = callerKeyDigest(Outside.KeySecret, Key);
   Session->Link = std::move(Link);
   Sessions[Session->Id] = Session;
-  if (Plan.Version > 0) {
+  if (Plan.Version > 0)
     admit(Session);
-  } else {
-    Session->OpensUntil = Outside.Time.now() + PlanPatience;
-    Ticker.within(WaitingInterval);
-  }
+  else
+    waitForPlan(Session);
   return Session->IsGone ? 0 : Session->Id;
 }
 
+void SessionPipeline::waitForPlan(const CallerSessionPtr &Session) {
+  if (!Session->OpensUntil)
+    Session->OpensUntil = Outside.Time.now() + PlanPatience;
+  Ticker.within(WaitingInterval);
+}
+
 void SessionPipeline::admit(const CallerSessionPtr &Session) {
-  Session->OpensUntil.reset();
-  if (Plan.route(Session->Database) == nullptr)
+  const RoutePolicy *Route = Plan.route(Session->Database);
+  if (Route == nullptr)
     return turnAway(Session,
                     {RefusalCode::NoDatabase,
                      "no route has the name '" + Session->Database + "'"});
+  const auto Owner = Organisations.ownerOf(*Route, Session->KeyDigest);
+  if (!Owner && !isPlanCurrent())
+    return waitForPlan(Session);
+  if (!Owner)
+    return turnAway(Session,
+                    {RefusalCode::Unauthorised, "the key isn't known"});
+  Session->OpensUntil.reset();
+  Session->Organisation = *Owner;
   ++Counts.Sessions;
   Session->Link->accept();
   startNext(Session);
@@ -53,6 +68,10 @@
   Session->Link->reject(Why);
 }
 
+bool SessionPipeline::isPlanCurrent() const {
+  return !Outside.IsPlanCurrent || Outside.IsPlanCurrent();
+}
+
 void SessionPipeline::admitWaiting() {
   const auto All = Sessions;
   for (const auto &[Id, Each] : All)
@@ -61,17 +80,58 @@
 }
 
 void SessionPipeline::turnAwayWaiting(Millis Now) {
-  if (Plan.Version > 0)
-    return;
   const auto All = Sessions;
   for (const auto &[Id, Each] : All) {
+    if (!Each->OpensUntil || Each->IsGone)
+      continue;
     if (IsStopping || Now >= *Each->OpensUntil)
       turnAway(Each, {RefusalCode::Busy,
-                      "no plan is known here yet; come back after " +
+                      "no plan that is known to be the newest has this; come "
+                      "back after " +
                           std::to_string(PlanPatience.count()) + " ms"});
+    else if (Plan.Version > 0 && isPlanCurrent())
+      admit(Each);
     else
       Ticker.within(WaitingInterval);
   }
 }
 
+bool SessionPipeline::isRevoked(const CallerSession &Session) const {
+  const RoutePolicy *Route = Plan.route(Session.Database);
+  // A session without a route learns so with its next statement.
+  return Route != nullptr && Organisations.ownerOf(*Route, Session.KeyDigest) !=
+                                 Session.Organisation;
+}
+
+void SessionPipeline::revokeSessions() {
+  const auto All = Sessions;
+  for (const auto &[Id, Each] : All) {
+    if (Each->OpensUntil || Each->IsGone)
+      continue;
+    if (!isRevoked(*Each)) {
+      Each->RevokedAt.reset();
+      continue;
+    }
+    if (!Each->RevokedAt)
+      Each->RevokedAt = Outside.Time.now();
+    endIfRevoked(Each);
+  }
+}
+
+// A statement or transaction under way may finish.
+void SessionPipeline::endIfRevoked(const CallerSessionPtr &Session) {
+  if (!Session->RevokedAt || Session->IsGone || Session->Current ||
+      Session->Phase != SessionPhase::Idle)
+    return;
+  if (Session->Unstarted.empty())
+    return closeSession(Session);
+  turnAway(Session, {RefusalCode::Unauthorised, "the key was taken away"});
+}
+
+bool SessionPipeline::outlastsRevocation(const CallerSession &Session,
+                                         Millis Now) {
+  return Session.RevokedAt &&
+         Now - *Session.RevokedAt >= RevokedTransactionLasts;
+}
+
 } // namespace corianderdyke
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -29,6 +29,7 @@
   case RefusalCode::ReadOnly:
   case RefusalCode::Misrouted:
   case RefusalCode::ConnectionLimit:
+  case RefusalCode::Unauthorised:
     return true;
   default:
     return false;
@@ -66,11 +67,13 @@
 void SessionPipeline::startNext(const CallerSessionPtr &Session) {
   if (std::exchange(Session->IsStarting, true))
     return;
+  endIfRevoked(Session);
   while (!Session->IsGone && !Session->Current && !Session->OpensUntil &&
          !Session->Unstarted.empty()) {
     const Statement Next = std::move(Session->Unstarted.front());
     Session->Unstarted.pop_front();
     start(Session, Next);
+    endIfRevoked(Session);
   }
   Session->IsStarting = false;
 }
@@ -88,7 +91,8 @@
       What.Kind != StatementKind::Commit)
     return replyRefused(Session, What,
                         refused(RefusalCode::Aborted,
-                                "the transaction was idle, or its proxy stops"),
+                                "the transaction was idle, its key was taken "
+                                "away, or its proxy stops"),
                         "transaction ended here");
   if (Session->Phase == SessionPhase::Failed &&
       What.Kind != StatementKind::Rollback &&
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -14,6 +14,7 @@
 
 #include "Common/Clock.h"
 #include "Loop/SoonestTimer.h"
+#include "Organisations/OrganisationTable.h"
 #include "Pipeline/CallerSession.h"
 #include "Pipeline/FloorTable.h"
 #include "Pipeline/LeaderOutage.h"
@@ -58,13 +59,19 @@
     TargetConnector &Targets;
     /// Shared with whatever else of this process learns floors.
     FloorTable &Floors;
+    /// True while control confirms that the plan is the newest; without it a
+    /// key isn't refused as unknown. Empty: always.
+    std::function<bool()> IsPlanCurrent = nullptr;
+    /// What callers' keys are digested with, the same as at control hosts.
+    std::string KeySecret = {};
   };
 
   SessionPipeline(Ports Outside, Place Where);
   ~SessionPipeline();
 
   /// Callers.
-  std::uint64_t open(const std::string &Database,
+  /// Opens a session; \p Key says for which organisation.
+  std::uint64_t open(const std::string &Database, const std::string &Key,
                      std::shared_ptr<CallerLink> Link);
   void receive(std::uint64_t Id, Statement What);
   void disconnected(std::uint64_t Id);
@@ -160,10 +167,18 @@
 
   // Sessions and their statements.
   void admit(const CallerSessionPtr &Session);
+  void waitForPlan(const CallerSessionPtr &Session);
+  bool isPlanCurrent() const;
   void turnAway(const CallerSessionPtr &Session, const StatementRefusal &Why);
-  /// Openings that waited for the first plan.
+  /// Openings that waited for a plan that knows them.
   void admitWaiting();
   void turnAwayWaiting(Millis Now);
+  // Sessions whose key the plan took away.
+  void revokeSessions();
+  bool isRevoked(const CallerSession &Session) const;
+  void endIfRevoked(const CallerSessionPtr &Session);
+  /// True where its transaction has gone on for too long since.
+  static bool outlastsRevocation(const CallerSession &Session, Millis Now);
   void startNext(const CallerSessionPtr &Session);
   void start(const CallerSessionPtr &Session, const Statement &What);
   void answerHere(const CallerSessionPtr &Session, const Statement &What);
@@ -203,12 +218,13 @@
   double cost(const Group &In, const TargetPool &Pool,
               const SessionJob &Job) const;
   /// True where another connection to that target is this proxy's to open.
-  bool mayOpen(const TargetPool &Pool) const;
+  bool mayOpen(const TargetPool &Pool, const std::string &Organisation) const;
   /// Opens what a pool keeps warm, once, ahead of the first statements.
   void warmUp(const std::string &GroupName, TargetPool &Pool, Millis Now);
   bool openIfAllowed(const std::string &GroupName, TargetPool &Pool,
-                     Millis Waited);
-  void openConnection(const std::string &GroupName, TargetPool &Pool);
+                     const std::string &Organisation, Millis Waited);
+  void openConnection(const std::string &GroupName, TargetPool &Pool,
+                      const ConnectionPurpose &For);
   void opened(const std::string &GroupName, const TargetConnectionPtr &Made);
   void closed(const std::string &GroupName, const TargetConnectionPtr &Gone,
               const std::optional<StatementRefusal> &Why);
@@ -282,6 +298,7 @@
   Ports Outside;
   Place Where;
   RoutePlan Plan;
+  OrganisationTable Organisations; ///< Of the plan.
   Millis PlannedAt; ///< When the first plan was adopted.
   std::map<std::string, Group> Groups;
   std::map<std::uint64_t, CallerSessionPtr> Sessions;
--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -23,10 +23,12 @@
       }));
 }
 
-TargetConnectionPtr TargetPool::idle(const SessionValues &Wanted) const {
+TargetConnectionPtr TargetPool::idle(const std::string &Organisation,
+                                     const SessionValues &Wanted) const {
   TargetConnectionPtr Best;
   for (const TargetConnectionPtr &Each : All) {
-    if (Each->stage() != TargetConnection::Stage::Idle)
+    if (Each->stage() != TargetConnection::Stage::Idle ||
+        Each->to().IsOwnWork || Each->to().Organisation != Organisation)
       continue;
     if (Each->carries(Wanted))
       return Each;
@@ -36,23 +38,72 @@
   return Best;
 }
 
+// A link to shared connections takes one of its own organisation with each
+// statement, so only one that is marked keeps questions from waiting for that.
+TargetConnectionPtr TargetPool::idleForOwnWork() const {
+  TargetConnectionPtr Best;
+  for (const TargetConnectionPtr &Each : All)
+    if (Each->stage() == TargetConnection::Stage::Idle &&
+        (!IsShared || !IsDivided || Each->to().IsOwnWork) &&
+        (!Best || Each->idleSince() > Best->idleSince()))
+      Best = Each;
+  return Best;
+}
+
+std::size_t TargetPool::size(const std::string &Organisation) const {
+  return static_cast<std::size_t>(
+      std::count_if(All.begin(), All.end(), [&](const auto &Each) {
+        return Each->to().Organisation == Organisation;
+      }));
+}
+
+std::size_t TargetPool::opening(const std::string &Organisation) const {
+  return static_cast<std::size_t>(
+      std::count_if(All.begin(), All.end(), [&](const auto &Each) {
+        return Each->stage() == TargetConnection::Stage::Opening &&
+               Each->to().Organisation == Organisation;
+      }));
+}
+
+TargetConnectionPtr
+TargetPool::replaceable(const std::string &Organisation) const {
+  TargetConnectionPtr Longest;
+  for (const TargetConnectionPtr &Each : All)
+    if (Each->stage() == TargetConnection::Stage::Idle &&
+        Each->to().Organisation != Organisation &&
+        (!Longest || Each->idleSince() < Longest->idleSince()))
+      Longest = Each;
+  return Longest;
+}
+
+std::size_t TargetPool::mostConnections() const {
+  return IsShared ? MaxLinks : Seen.Limit.value_or(Share + Burst);
+}
+
 void TargetPool::setShared(bool New, Millis Now) {
   if (std::exchange(IsShared, New) != New)
     tend(Now);
 }
 
-bool TargetPool::mayOpen(Millis Now) const {
-  if (IsShared)
-    return !isAvoided(Now) && All.size() < MaxLinks;
-  return !isAvoided(Now) && Now >= Seen.OpenAgainAt &&
-         All.size() < Seen.Limit.value_or(Share + Burst);
+bool TargetPool::mayOpen(const std::string &Organisation, Millis Now) const {
+  if (isAvoided(Now) || (!IsShared && Now < Seen.OpenAgainAt))
+    return false;
+  return All.size() < mostConnections() || replaceable(Organisation);
 }
 
-void TargetPool::open(TargetConnector &Connector, Millis Now,
-                      OpenHandlers Handlers) {
+void TargetPool::open(TargetConnector &Connector, const ConnectionPurpose &For,
+                      Millis Now, OpenHandlers Handlers) {
+  if (All.size() >= mostConnections())
+    if (const TargetConnectionPtr Replaced = replaceable(For.Organisation)) {
+      Replaced->close();
+      remove(Replaced);
+    }
   auto Weak = std::make_shared<std::weak_ptr<TargetConnection>>();
   auto Made = std::make_shared<TargetConnection>(
-      Connector, TargetAddress{Record.Group, Record.Id, Record.Address}, Now,
+      Connector,
+      TargetAddress{Record.Group, Record.Id, Record.Address, For.Organisation,
+                    For.IsOwnWork},
+      Now,
       TargetConnection::Events{
           [Weak, OnOpen = std::move(Handlers.OnOpen)] {
             if (const TargetConnectionPtr Open = Weak->lock())
@@ -121,7 +172,13 @@
   const bool ServesOn =
       Record.IsLeaving ? Record.IsPrimary && mayTakeWork(Now) : !Record.IsGone;
   const std::size_t Kept = ServesOn ? kept() : 0;
-  const std::vector<TargetConnectionPtr> Before = All;
+  const Millis IdleBorne = IsDivided ? IdleWhereDivided : IdleBeyondWarm;
+  std::vector<TargetConnectionPtr> Before = All;
+  std::sort(Before.begin(), Before.end(),
+            [](const TargetConnectionPtr &Left,
+               const TargetConnectionPtr &Right) {
+              return Left->idleSince() < Right->idleSince();
+            });
   for (const TargetConnectionPtr &Each : Before) {
     if (Each->isShared() != IsShared &&
         Each->stage() == TargetConnection::Stage::Idle) {
@@ -132,7 +189,7 @@
       continue;
     if (Each->stage() != TargetConnection::Stage::Idle)
       continue;
-    if (Kept > 0 && Now - Each->idleSince() < IdleBeyondWarm)
+    if (Kept > 0 && Now - Each->idleSince() < IdleBorne)
       continue;
     Each->close();
     remove(Each);
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -34,6 +34,12 @@
   return Why && Why->Code == RefusalCode::ConnectionLimit;
 }
 
+/// For whom a connection is opened.
+struct ConnectionPurpose {
+  std::string Organisation = {};
+  bool IsOwnWork = false;
+};
+
 /// Keeps few connections warm. The target counts connections of all proxies
 /// together, and a new one costs it a slot, so each proxy keeps its share
 /// and goes beyond it only while the target takes more.
@@ -60,17 +66,31 @@
   /// was learned of the earlier one is forgotten.
   void update(const TargetRecord &New, Millis Now);
   void setShare(std::size_t New) { Share = New; }
+  /// Connections belong to organisations: none is opened ahead of need.
+  void setDivided(bool New) { IsDivided = New; }
   /// From now on connections are links to those that all proxies share, or
   /// no longer; the ones of the other kind are closed as they come free.
   void setShared(bool New, Millis Now);
   bool isShared() const { return IsShared; }
 
-  /// An idle connection, one that carries these values where there is one.
-  TargetConnectionPtr idle(const SessionValues &Wanted) const;
-  bool mayOpen(Millis Now) const;
-  /// Begins another connection; the handlers run later, on the loop, and not
-  /// once the connection was closed from here.
-  void open(TargetConnector &Connector, Millis Now, OpenHandlers Handlers);
+  /// An idle connection of an organisation, one that carries these values
+  /// where there is one. A connection never changes its organisation.
+  TargetConnectionPtr idle(const std::string &Organisation,
+                           const SessionValues &Wanted) const;
+  /// An idle connection for a question of the process's own.
+  TargetConnectionPtr idleForOwnWork() const;
+  /// Connections that an organisation has or will have, and those of them
+  /// that are being opened.
+  std::size_t size(const std::string &Organisation) const;
+  std::size_t opening(const std::string &Organisation) const;
+  /// True where there's room for another one, also where an idle connection
+  /// of another organisation would have to go.
+  bool mayOpen(const std::string &Organisation, Millis Now) const;
+  /// Begins another connection, in the place of the one that has been idle
+  /// for longest where no other is free. The handlers run later, on the loop,
+  /// and not once the connection was closed from here.
+  void open(TargetConnector &Connector, const ConnectionPurpose &For,
+            Millis Now, OpenHandlers Handlers);
   /// A connection has ended by itself; true where that's a sign that the
   /// target can't be used. One that ends after it was open is none: whoever
   /// needs the next learns in a moment whether there is one.
@@ -99,11 +119,13 @@
   }
   bool isAvoided(Millis Now) const { return Now < Seen.AvoidUntil; }
   /// True while fewer connections stand than are kept warm.
-  bool wantsWarm() const { return !Record.IsGone && All.size() < kept(); }
+  bool wantsWarm() const {
+    return !IsDivided && !Record.IsGone && All.size() < kept();
+  }
   /// True until it had as many connections as are kept warm, so that those
   /// which a target ends later aren't opened again without need.
   bool wantsFirstConnections() {
-    Seen.IsWarmed = Seen.IsWarmed || All.size() >= kept();
+    Seen.IsWarmed = Seen.IsWarmed || IsDivided || All.size() >= kept();
     return !Seen.IsWarmed;
   }
   /// Lets the limit grow again, and closes what stands idle beyond the share.
@@ -124,6 +146,10 @@
     return std::max<std::size_t>(1, Share / WarmPart);
   }
   std::size_t count(TargetConnection::Stage Which) const;
+  std::size_t mostConnections() const;
+  /// The connection that was idle for longest and may go for another
+  /// organisation's; null where there is none.
+  TargetConnectionPtr replaceable(const std::string &Organisation) const;
 
   /// A leaving target is promised no new work after some seconds; this is
   /// well below that, and longer than a planned change of primary takes.
@@ -141,6 +167,9 @@
   /// than most gaps within a burst. Four times as long leaves so many open at
   /// a loss of power that callers find none for two seconds after it.
   static constexpr Millis IdleBeyondWarm = Millis(250);
+  /// The same where connections belong to organisations: one that is closed
+  /// serves nobody of its organisation, who then wait for another.
+  static constexpr Millis IdleWhereDivided = Millis(1000);
   /// After a refused connection the next is tried this much later.
   static constexpr Millis RefusedPause = Millis(50);
   /// The limit is raised by one this often after a refusal.
@@ -171,6 +200,7 @@
   TargetRecord Record;
   std::size_t Share;
   bool IsShared = false;
+  bool IsDivided = false;
   std::vector<TargetConnectionPtr> All;
   Observations Seen;
 };
--- a/Source/Plan/RoutePlan.cpp
+++ b/Source/Plan/RoutePlan.cpp
@@ -4,6 +4,8 @@
 #include "Plan/RoutePlan.h"
 
 #include <algorithm>
+#include <cctype>
+#include <map>
 #include <set>
 
 namespace corianderdyke {
@@ -19,6 +21,39 @@
   return Found == All.end() ? nullptr : &*Found;
 }
 
+/// Names and keys travel as words of a line.
+bool isWord(const std::string &Text) {
+  return !Text.empty() &&
+         std::none_of(Text.begin(), Text.end(), [](unsigned char Each) {
+           return std::isspace(Each) != 0 || std::iscntrl(Each) != 0;
+         });
+}
+
+void findOrganisationFaults(const std::vector<PlannedOrganisation> &All,
+                            std::vector<std::string> &Out) {
+  std::set<std::string> Names;
+  std::map<std::string, std::string> Holders; // By key.
+  for (const PlannedOrganisation &Each : All) {
+    const std::string Where = "organisation '" + Each.Name + "': ";
+    if (!isWord(Each.Name) || Each.Name == PublicCallers)
+      Out.push_back(Where + "the name must be one word other than '" +
+                    PublicCallers + "'");
+    if (!Names.insert(Each.Name).second)
+      Out.push_back(Where + "the name is used twice");
+    if (Each.Limit && (Each.Limit->PerSecond < 0 || Each.Limit->Burst < 0))
+      Out.push_back(Where + "rate and burst must not be negative");
+    for (const std::string &Key : Each.Keys) {
+      // The message names no key: it goes into logs.
+      if (!isWord(Key))
+        Out.push_back(Where + "a key must be one word");
+      const auto [Holder, IsNew] = Holders.emplace(Key, Each.Name);
+      if (!IsNew && Holder->second != Each.Name)
+        Out.push_back(Where + "a key belongs to organisation '" +
+                      Holder->second + "' too");
+    }
+  }
+}
+
 } // namespace
 
 const RoutePolicy *RoutePlan::route(const std::string &Database) const {
@@ -29,6 +64,11 @@
   return find(Groups, &GroupPolicy::Name, Name);
 }
 
+const PlannedOrganisation *
+RoutePlan::organisation(const std::string &Name) const {
+  return find(Organisations, &PlannedOrganisation::Name, Name);
+}
+
 std::vector<std::string> faultsOf(const RoutePlan &Plan) {
   std::vector<std::string> Out;
   if (Plan.Version == 0)
@@ -51,6 +91,7 @@
     if (Each.StatementTimeout <= Millis(0))
       Out.push_back(Where + "the statement timeout must be over 0 ms");
   }
+  findOrganisationFaults(Plan.Organisations, Out);
   return Out;
 }
 
--- a/Source/Plan/RoutePlan.h
+++ b/Source/Plan/RoutePlan.h
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,11 +36,12 @@
   std::uint32_t Priority = 0; ///< 0 is the highest.
   std::string Group;
   std::uint32_t MaxAttempts = 1;
+  bool IsPublic = false; ///< Callers need no key.
 
   auto operator<=>(const RoutePolicy &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Name, Database, Prefix, Reads, AcceptedAge, StatementTimeout, Objective,
-       Priority, Group, MaxAttempts);
+       Priority, Group, MaxAttempts, IsPublic);
   }
 };
 
@@ -64,21 +66,52 @@
   }
 };
 
+/// How many operations an organisation may begin, over all proxies.
+struct Quota {
+  double PerSecond = 0;
+  double Burst = 0; ///< Operations beyond the rate at one moment.
+
+  auto operator<=>(const Quota &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(PerSecond, Burst); }
+};
+
+/// In place of an organisation, for callers of public routes.
+constexpr const char *PublicCallers = "-";
+
+/// A customer, known by the keys that its callers open sessions with.
+struct PlannedOrganisation {
+  std::string Name;
+  /// As declared, at control hosts alone; empty at proxies.
+  std::vector<std::string> Keys;
+  /// Keyed digests of the keys, at proxies alone.
+  std::vector<std::string> KeyDigests;
+  std::uint32_t Priority = 0;
+  std::optional<Quota> Limit; ///< Nothing where it isn't limited.
+
+  auto operator<=>(const PlannedOrganisation &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Name, Keys, KeyDigests, Priority, Limit);
+  }
+};
+
 struct RoutePlan {
   std::uint64_t Version = 0; ///< 0: none was ever accepted.
   std::vector<RoutePolicy> Routes;
   std::vector<GroupPolicy> Groups;
+  /// Empty: callers need no key, and targets are told of no organisation.
+  std::vector<PlannedOrganisation> Organisations;
   Millis TransactionIdle = Millis(3000);
   /// The operator's own document, to be shown again in full.
   std::string Document;
 
-  auto operator<=>(const RoutePlan &) const = default;
+  bool operator==(const RoutePlan &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Version, Routes, Groups, TransactionIdle, Document);
+    Ar(Version, Routes, Groups, Organisations, TransactionIdle, Document);
   }
 
   const RoutePolicy *route(const std::string &Database) const;
   const GroupPolicy *group(const std::string &Name) const;
+  const PlannedOrganisation *organisation(const std::string &Name) const;
 };
 
 /// All that keeps a plan from being accepted; empty where nothing does.
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -182,6 +182,7 @@
   Plan = New;
   if (!PlannedAt)
     PlannedAt = Outside.Time.now();
+  Outside.Broker.setDivided(!Plan.Organisations.empty());
   decide();
 }
 
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -29,6 +29,9 @@
 /// works on, in parts of that: enough that a slot which comes free finds the
 /// next one there, though each gateway counts only its own.
 constexpr std::size_t SentBeyondSlots = 2;
+/// Connections to one target that are opened at a time where each belongs to
+/// an organisation: several organisations wait then, none for the others'.
+constexpr std::size_t OpeningsWhereDivided = 3;
 /// Slots of a target that didn't say how many it has.
 constexpr std::size_t UsualSlots = 2;
 
@@ -57,10 +60,14 @@
   Record.Id = To.Id;
   Record.Group = To.Group;
   Record.Address = To.Address;
-  return Targets
-      .emplace(To.Id, Target{TargetPool(Record, Divisions[To.Group].Connections,
-                                        Time.now())})
-      .first->second;
+  Target &Made =
+      Targets
+          .emplace(To.Id,
+                   Target{TargetPool(Record, Divisions[To.Group].Connections,
+                                     Time.now())})
+          .first->second;
+  Made.Pool.setDivided(IsDivided);
+  return Made;
 }
 
 TargetBroker::Target *TargetBroker::find(const std::string &Id) {
@@ -116,6 +123,12 @@
       Each.Pool.setShare(Connections);
 }
 
+void TargetBroker::setDivided(bool New) {
+  IsDivided = New;
+  for (auto &[Id, Each] : Targets)
+    Each.Pool.setDivided(New);
+}
+
 bool TargetBroker::isBusy() const {
   return std::any_of(Links.begin(), Links.end(), [](const auto &Each) {
     return Each.second->holdsConnection();
@@ -159,9 +172,13 @@
       break;
     if (!MayWork && Next->beginsWork())
       continue;
-    const TargetConnectionPtr Free = At.Pool.idle(Next->values());
+    const TargetConnectionPtr Free =
+        Next->to().IsOwnWork
+            ? At.Pool.idleForOwnWork()
+            : At.Pool.idle(Next->to().Organisation, Next->values());
+    // Another organisation's may be idle.
     if (!Free)
-      break;
+      continue;
     Free->setBusy(true, Time.now());
     At.Waiting.remove(Next);
     Next->run(Free);
@@ -196,31 +213,51 @@
 void TargetBroker::openIfAllowed(Target &At) {
   if (At.AtWork >= mostAtWork(At))
     return;
+  const std::size_t Most = IsDivided ? OpeningsWhereDivided : 1;
+  while (At.Pool.opening() < Most) {
+    const Link *Next = firstToOpenFor(At);
+    if (Next == nullptr)
+      return;
+    openConnection(At, Next->to().Organisation);
+  }
+}
+
+TargetBroker::Link *TargetBroker::firstToOpenFor(const Target &At) const {
   const Millis Now = Time.now();
-  const std::size_t Idle = At.Pool.size() - At.Pool.busy() - At.Pool.opening();
-  if (Idle > 0 || (At.Pool.size() > 0 &&
-                   Now - At.Waiting.front()->queuedAt() < WaitBeforeOpening))
-    return;
-  if (At.Pool.opening() == 0 && At.Pool.mayOpen(Now))
-    openConnection(At);
+  std::set<std::string> Seen;
+  for (Link *Each : At.Waiting) {
+    const std::string &Organisation = Each->to().Organisation;
+    // Who comes first waits for what is idle or on its way.
+    if (!Seen.insert(Organisation).second ||
+        At.Pool.opening(Organisation) > 0 ||
+        At.Pool.idle(Organisation, Each->values()) != nullptr)
+      continue;
+    if (At.Pool.size(Organisation) > 0 &&
+        Now - Each->queuedAt() < WaitBeforeOpening)
+      continue;
+    if (At.Pool.mayOpen(Organisation, Now))
+      return Each;
+  }
+  return nullptr;
 }
 
 // The first one is opened at once, the others when the target has time.
 void TargetBroker::warmUp(Target &At) {
   const Millis Now = Time.now();
   if (Own.count(At.Pool.record().Id) == 0 || !At.Pool.wantsWarm() ||
-      At.Pool.opening() > 0 || !At.Pool.mayOpen(Now))
+      At.Pool.opening() > 0 || !At.Pool.mayOpen("", Now))
     return;
   const bool IsQuiet = At.AtWork == 0 && At.Waiting.empty();
   if (At.Pool.size() > 0 && (!IsQuiet || Now - At.OpenedAt < WarmPause))
     return;
-  openConnection(At);
+  openConnection(At, "");
 }
 
-void TargetBroker::openConnection(Target &At) {
+void TargetBroker::openConnection(Target &At,
+                                  const std::string &Organisation) {
   ++Openings.Begun;
   At.OpenedAt = Time.now();
-  At.Pool.open(Direct, Time.now(),
+  At.Pool.open(Direct, {Organisation}, Time.now(),
                {[this](const TargetConnectionPtr &Open) {
                   Open->setBusy(false, Time.now());
                   Target &Of = targetOf(Open->to());
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -44,6 +44,8 @@
   /// is one of \p Gateways gateways of.
   void setShare(const std::string &Group, std::size_t Connections,
                 std::size_t Gateways);
+  /// Connections belong to organisations, or to nobody.
+  void setDivided(bool New);
   /// Keeps some connections to these open, and to no others.
   void setOwn(std::set<std::string> Targets);
 
@@ -88,8 +90,11 @@
   bool runNext(Target &At);
   void pump(Target &At);
   void openIfAllowed(Target &At);
+  /// The first that waits for a connection which neither stands idle nor is
+  /// on its way; null where none may be opened for it.
+  Link *firstToOpenFor(const Target &At) const;
   void warmUp(Target &At);
-  void openConnection(Target &At);
+  void openConnection(Target &At, const std::string &Organisation);
   void closed(const TargetConnectionPtr &Gone,
               const std::optional<StatementRefusal> &Why);
   void endLife(Target &At);
@@ -105,6 +110,7 @@
   TargetConnector &Direct;
   std::map<std::string, Target> Targets;     ///< By identity.
   std::map<std::string, Division> Divisions; ///< By group.
+  bool IsDivided = false; ///< Connections belong to organisations.
   std::set<std::string> Own;
   /// By number. A handler may destroy links and make others at the same
   /// address, so whoever goes through several remembers their numbers.
--- a/Source/Statements/Links.h
+++ b/Source/Statements/Links.h
@@ -99,15 +99,21 @@
   virtual bool isShared() const { return false; }
 };
 
-/// Where a target is and whom to expect there.
+/// Where a target is, whom to expect there, and on whose behalf.
 struct TargetAddress {
   std::string Group;
   std::string Id;
   Endpoint Address;
+  /// Whose statements the connection carries; the target is told. Empty where
+  /// the plan declares no organisations.
+  std::string Organisation = {};
+  /// It carries no caller's statement, only the process's own questions: a
+  /// shared link may then use any organisation's connection.
+  bool IsOwnWork = false;
 
   auto operator<=>(const TargetAddress &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Group, Id, Address);
+    Ar(Group, Id, Address, Organisation, IsOwnWork);
   }
 };
 
--- a/Source/Statements/Statement.h
+++ b/Source/Statements/Statement.h
@@ -65,6 +65,7 @@
   Failed,          ///< Ran and failed.
   Timeout,         ///< Ran or may have.
   Unknown,         ///< May have run; nobody can tell.
+  Unauthorised,    ///< Didn't run: the caller's key isn't one of the plan's.
 };
 
 struct StatementRefusal {
--- a/Source/Steering/ControlFeed.h
+++ b/Source/Steering/ControlFeed.h
@@ -40,7 +40,9 @@
   void announceStop();
 
   /// True once a quorum has confirmed the plan that this process holds.
-  bool isCurrent() const { return IsProven; }
+  bool isProven() const { return IsProven; }
+  /// True while control also confirms it from time to time.
+  bool isCurrent() const { return IsProven && HasContact; }
   const RoutePlan &plan() const { return Plan; }
   const TargetDirectory &directory() const { return Directory; }
 
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -4,6 +4,7 @@
 #include "Steering/SteeringNode.h"
 
 #include "Common/Codec.h"
+#include "Organisations/OrganisationTable.h"
 
 namespace corianderdyke {
 
@@ -180,9 +181,7 @@
 
 const PreparedMessage &SteeringNode::planUpdate() {
   if (SharedPlan.Of != State.plan().Version) {
-    // The operator's document is for operators alone.
-    PlanUpdate Update{State.plan()};
-    Update.Plan.Document.clear();
+    PlanUpdate Update{withoutKeys(State.plan(), Options.KeySecret)};
     SharedPlan = {State.plan().Version, Ports.Peers.prepare(std::move(Update))};
   }
   return SharedPlan.Made;
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -22,6 +22,8 @@
   bool MayFound = false;
   /// Disks that may be lost at once without losing an acknowledged change.
   std::size_t LostDisksBorne = 1;
+  /// What callers' keys are digested with for proxies.
+  std::string KeySecret = {};
 };
 
 struct SteeringPorts {
--- a/Tests/Support/FakeGroup.cpp
+++ b/Tests/Support/FakeGroup.cpp
@@ -31,7 +31,8 @@
 class FakeGroup::Link final : public TargetLink {
 public:
   Link(FakeGroup &Owner, const TargetAddress &To, Events Handlers)
-      : Owner(Owner), Name(To.Id), Handlers(std::move(Handlers)),
+      : Owner(Owner), Name(To.Id), Organisation(To.Organisation),
+        Handlers(std::move(Handlers)),
         Alive(std::make_shared<bool>(true)), Number(Owner.NextConnection++) {
     Owner.Links.insert(this);
     later(Owner.Latency * 2, [this] { arrive(); });
@@ -196,8 +197,9 @@
         IsWrite || (InTransaction && Plain && !(IsCommit && Written.empty()));
     if (NeedsLead && !server().IsPrimary)
       return refuse(RefusalCode::ReadOnly);
-    Owner.Runs.push_back({Command.Id, Name, Text, Values, Number, InTransaction,
-                          IsWrite, server().Log, Owner.Loop.now()});
+    Owner.Runs.push_back({Command.Id, Name, Text, Organisation, Values, Number,
+                          InTransaction, IsWrite, server().Log,
+                          Owner.Loop.now()});
     if (IsWrite)
       Written.push_back(Command.Id);
     if (IsCommit)
@@ -224,6 +226,7 @@
 
   FakeGroup &Owner;
   std::string Name;
+  std::string Organisation;
   Events Handlers;
   std::shared_ptr<bool> Alive;
   std::uint64_t Number;
@@ -302,10 +305,11 @@
   Pipeline.update(Late);
 }
 
-FakePipeline::Session FakePipeline::connect(const std::string &Database) {
+FakePipeline::Session FakePipeline::connect(const std::string &Database,
+                                            const std::string &Key) {
   Session Out;
   Out.Caller = std::make_shared<FakeCaller>();
-  Out.Id = Pipeline.open(Database, Out.Caller);
+  Out.Id = Pipeline.open(Database, Key, Out.Caller);
   return Out;
 }
 
@@ -363,4 +367,16 @@
   return Out;
 }
 
+RoutePlan planOfOrganisations(std::uint64_t Version,
+                              const std::vector<std::string> &Names) {
+  RoutePlan Out = planOfThreeRoutes(Version);
+  for (const std::string &Each : Names) {
+    PlannedOrganisation Made;
+    Made.Name = Each;
+    Made.Keys = {Each + "-key"};
+    Out.Organisations.push_back(Made);
+  }
+  return Out;
+}
+
 } // namespace corianderdyke
--- a/Tests/Support/FakeGroup.h
+++ b/Tests/Support/FakeGroup.h
@@ -23,6 +23,7 @@
   std::string Id;
   std::string Target;
   std::string Text; ///< With the shape in place of a prepared name.
+  std::string Organisation; ///< As the target was told on opening.
   SessionValues Values;
   std::uint64_t Connection = 0;
   bool InTransaction = false;
@@ -109,7 +110,7 @@
     std::shared_ptr<FakeCaller> Caller;
   };
 
-  Session connect(const std::string &Database);
+  Session connect(const std::string &Database, const std::string &Key = "");
   /// Sends a statement; its answer comes as time passes.
   void send(const Session &On, StatementKind Kind, const std::string &Id = "",
             const std::string &Text = "");
@@ -133,6 +134,11 @@
 /// "own".
 RoutePlan planOfThreeRoutes(std::uint64_t Version = 1);
 
+/// The same with organisations, each with one key: the name and "-key". Proxies
+/// get it without the keys.
+RoutePlan planOfOrganisations(std::uint64_t Version,
+                              const std::vector<std::string> &Names);
+
 } // namespace corianderdyke
 
 #endif
--- a/Tests/Support/FakeRelay.cpp
+++ b/Tests/Support/FakeRelay.cpp
@@ -205,6 +205,17 @@
   }
 }
 
+void FakeRelaySystem::adopt(RoutePlan New) {
+  for (GroupPolicy &Each : New.Groups)
+    Each.MaxConnections = Plan.Groups.front().MaxConnections;
+  Plan = withoutKeys(std::move(New), "");
+  for (auto &Each : Proxies) {
+    Each->Shared.adopt(Plan);
+    Each->Pipeline.adopt(Plan);
+  }
+  learn();
+}
+
 void FakeRelaySystem::learn() {
   for (auto &Each : Proxies) {
     if (Each->Host.isDead())
@@ -215,11 +226,12 @@
 }
 
 FakeRelaySystem::Session FakeRelaySystem::connect(std::size_t Proxy,
-                                                  const std::string &Database) {
+                                                  const std::string &Database,
+                                                  const std::string &Key) {
   Session Out;
   Out.At = Proxies[Proxy].get();
   Out.Caller = std::make_shared<FakeCaller>();
-  Out.Id = Out.At->Pipeline.open(Database, Out.Caller);
+  Out.Id = Out.At->Pipeline.open(Database, Key, Out.Caller);
   return Out;
 }
 
--- a/Tests/Support/FakeRelay.h
+++ b/Tests/Support/FakeRelay.h
@@ -78,11 +78,14 @@
     std::shared_ptr<FakeCaller> Caller;
   };
 
-  Session connect(std::size_t Proxy, const std::string &Database);
+  Session connect(std::size_t Proxy, const std::string &Database,
+                  const std::string &Key = "");
   void send(const Session &On, StatementKind Kind, const std::string &Id = "",
             const std::string &Text = "");
   StatementAnswer ask(const Session &On, StatementKind Kind,
                       const std::string &Id = "", const std::string &Text = "");
+  /// All get a plan; the group takes as many connections as before.
+  void adopt(RoutePlan New);
   /// All learn what targets say of themselves now.
   void learn();
   /// All learn that only these proxies are there.
--- a/Tests/Unit/LineProtocolTest.cpp
+++ b/Tests/Unit/LineProtocolTest.cpp
@@ -119,7 +119,9 @@
     CHECK_FALSE(parseCallerLine(Line));
   }
   CHECK(std::get<SessionOpening>(*parseCallerLine("STARTUP lepu u3")) ==
-        SessionOpening{"lepu"});
+        SessionOpening{"lepu", "u3"});
+  CHECK(std::get<SessionOpening>(*parseCallerLine("STARTUP lepu")) ==
+        SessionOpening{"lepu", ""});
   CHECK(std::holds_alternative<SessionEnd>(*parseCallerLine("TERMINATE")));
 }
 
@@ -177,6 +179,8 @@
         "QUERY - STEPDOWN 4\r\n");
   CHECK(encodeOpening({"huvo", "i-7f", {"10.0.0.1", 1}}, "me") ==
         "STARTUP huvo me i-7f\r\n");
+  CHECK(encodeOpening({"huvo", "i-7f", {"10.0.0.1", 1}, "mills"}, "me") ==
+        "STARTUP huvo mills i-7f\r\n");
 }
 
 TEST_CASE("Answers to callers are as the protocol has them", "[platform]") {
--- a/Tests/Unit/LoadPatternTest.cpp
+++ b/Tests/Unit/LoadPatternTest.cpp
@@ -190,7 +190,7 @@
     What.Kind = Kind::Write;
     What.Id = "w" + std::to_string(Each);
     What.Text = "STORE x 1";
-    On.Pipeline.receive(On.Pipeline.open("primary", Callers.back()), What);
+    On.Pipeline.receive(On.Pipeline.open("primary", "", Callers.back()), What);
   }
   On.Loop.runFor(Millis(400));
   std::size_t Served = 0;
@@ -210,8 +210,8 @@
   StartedProxy On;
   const auto Early = std::make_shared<FakeCaller>();
   const auto Unknown = std::make_shared<FakeCaller>();
-  On.Pipeline.open("primary", Early);
-  On.Pipeline.open("nothing", Unknown);
+  On.Pipeline.open("primary", "", Early);
+  On.Pipeline.open("nothing", "", Unknown);
   On.Loop.runFor(Millis(300));
   CHECK_FALSE(Early->IsOpen);
   CHECK_FALSE(Early->Rejected);
@@ -224,7 +224,7 @@
 TEST_CASE("An opening is refused in time where no plan comes", "[load]") {
   StartedProxy On;
   const auto Caller = std::make_shared<FakeCaller>();
-  On.Pipeline.open("primary", Caller);
+  On.Pipeline.open("primary", "", Caller);
   On.Loop.runFor(Millis(1200));
   REQUIRE(Caller->Rejected);
   CHECK(Caller->Rejected->Code == RefusalCode::Busy);
