Tell proxies what changed of targets and proxies, not whole lists

Control sent all targets to all proxies at each change, and all proxies at each change of their list: bytes grew as the product of the three. A record knows the revision of its last change; updates name the version that they begin at, those for one version are made once, and news of 50 ms travel together.

--- a/Source/Directory/TargetDirectory.cpp
+++ b/Source/Directory/TargetDirectory.cpp
@@ -28,9 +28,9 @@
       return false;
     if (Said.IsPrimary)
       Said.PrimarySince = nextPrimary(Said.Group);
-    supersede(Said, Now);
-    Targets[Said.Id] = {Said, Now, Millis()};
     ++Revision;
+    supersede(Said, Now);
+    Targets[Said.Id] = {Said, Now, Millis(), Revision};
     return true;
   }
   Known &Old = Found->second;
@@ -47,7 +47,7 @@
   const bool IsNews = !Said.saysTheSame(Old.Record);
   Old.Record = std::move(Said);
   if (IsNews)
-    ++Revision;
+    Old.ChangedIn = ++Revision;
   return IsNews;
 }
 
@@ -65,6 +65,7 @@
         !Each.Record.IsGone) {
       Each.Record.IsGone = true;
       Each.GoneAt = Now;
+      Each.ChangedIn = Revision;
     }
 }
 
@@ -76,17 +77,18 @@
     return false;
   Found->second.Record.IsGone = true;
   Found->second.GoneAt = Now;
-  ++Revision;
+  Found->second.ChangedIn = ++Revision;
   return true;
 }
 
 bool TargetDirectory::merge(const std::vector<TargetRecord> &Others,
                             Millis Now) {
   bool IsNews = false;
+  const std::uint64_t Next = Revision + 1;
   for (const TargetRecord &Each : Others) {
     const auto Found = Targets.find(Each.Id);
     if (Found == Targets.end()) {
-      Targets[Each.Id] = {Each, Now, Each.IsGone ? Now : Millis()};
+      Targets[Each.Id] = {Each, Now, Each.IsGone ? Now : Millis(), Next};
       IsNews = true;
       continue;
     }
@@ -94,7 +96,7 @@
     if (Each.BornAt < Old.Record.BornAt)
       continue;
     if (Each.BornAt > Old.Record.BornAt) {
-      Old = {Each, Now, Each.IsGone ? Now : Millis()};
+      Old = {Each, Now, Each.IsGone ? Now : Millis(), Next};
       IsNews = true;
       continue;
     }
@@ -109,6 +111,7 @@
     if (New == Old.Record)
       continue;
     Old.Record = std::move(New);
+    Old.ChangedIn = Next;
     IsNews = true;
   }
   if (IsNews)
@@ -132,6 +135,15 @@
   return Out;
 }
 
+std::vector<TargetRecord>
+TargetDirectory::changedSince(std::uint64_t Since) const {
+  std::vector<TargetRecord> Out;
+  for (const auto &[Id, Each] : Targets)
+    if (Each.ChangedIn > Since)
+      Out.push_back(Each.Record);
+  return Out;
+}
+
 const TargetRecord *TargetDirectory::find(const std::string &Id) const {
   const auto Found = Targets.find(Id);
   return Found == Targets.end() ? nullptr : &Found->second.Record;
--- a/Source/Directory/TargetDirectory.h
+++ b/Source/Directory/TargetDirectory.h
@@ -72,6 +72,8 @@
   void forgetGone(Millis Now);
 
   std::vector<TargetRecord> all() const;
+  /// Those that changed after a revision.
+  std::vector<TargetRecord> changedSince(std::uint64_t Since) const;
   const TargetRecord *find(const std::string &Id) const;
   /// Targets of a group that haven't gone.
   std::vector<TargetRecord> ofGroup(const std::string &Group) const;
@@ -91,6 +93,7 @@
     TargetRecord Record;
     Millis LastHeard;
     Millis GoneAt;
+    std::uint64_t ChangedIn = 0; ///< The revision of its last change.
   };
 
   /// True where a later life is known at the same address.
--- a/Source/Steering/ControlFeed.cpp
+++ b/Source/Steering/ControlFeed.cpp
@@ -24,6 +24,12 @@
 /// Without an answer for this long contact counts as lost.
 constexpr Millis LostAfter(2000);
 
+/// True where an update that begins at \p From leaves nothing out for someone
+/// who has \p Known.
+bool continues(const DirectoryVersion &From, const DirectoryVersion &Known) {
+  return From.Term == Known.Term && From.Revision <= Known.Revision;
+}
+
 } // namespace
 
 ControlFeed::ControlFeed(FeedOptions Given, Clock &Time, Scheduler &Timers,
@@ -148,19 +154,36 @@
 }
 
 void ControlFeed::on(const DirectoryUpdate &Body, const Envelope &) {
-  Seen = Body.Version;
+  // Records replace older ones wherever they come from. What lies between is
+  // missing where this update begins later than what is known.
+  if (Body.From == DirectoryVersion{} || continues(Body.From, Seen))
+    Seen = std::max(Seen, Body.Version);
   if (Directory.merge(Body.Targets, Time.now()))
     DirectoryChanged.emit();
 }
 
 void ControlFeed::on(const ProxyListUpdate &Body, const Envelope &) {
-  if (Body.Version <= ProxiesSeen)
+  const bool IsWhole = Body.From == DirectoryVersion{};
+  if (Body.Version <= ProxiesSeen ||
+      (!IsWhole && !continues(Body.From, ProxiesSeen)))
     return;
   ProxiesSeen = Body.Version;
+  std::map<std::string, ProxyRecord> ByName;
+  if (!IsWhole)
+    for (const ProxyRecord &Each : ProxyRecords)
+      ByName[Each.Name] = Each;
+  for (const ProxyRecord &Each : Body.Present)
+    ByName[Each.Name] = Each;
+  for (const std::string &Each : Body.Gone)
+    ByName.erase(Each);
+  std::vector<ProxyRecord> New;
+  New.reserve(ByName.size());
+  for (const auto &[Name, Each] : ByName)
+    New.push_back(Each);
   // A new leader's version of the same list moves nothing.
-  if (Body.Proxies == ProxyRecords)
+  if (New == ProxyRecords)
     return;
-  ProxyRecords = Body.Proxies;
+  ProxyRecords = std::move(New);
   ProxyListChanged.emit(ProxyRecords);
 }
 
--- a/Source/Steering/Messages.h
+++ b/Source/Steering/Messages.h
@@ -92,21 +92,30 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(Plan); }
 };
 
+/// The targets that changed from one version to another; all of them where the
+/// former is no version.
 struct DirectoryUpdate {
+  DirectoryVersion From;
   DirectoryVersion Version;
   std::vector<TargetRecord> Targets;
 
   bool operator==(const DirectoryUpdate &) const = default;
-  template <class Archive> void serialize(Archive &Ar) { Ar(Version, Targets); }
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(From, Version, Targets);
+  }
 };
 
-/// The proxies that may carry each other's statements.
+/// The proxies that may carry each other's statements, as DirectoryUpdate.
 struct ProxyListUpdate {
+  DirectoryVersion From;
   DirectoryVersion Version;
-  std::vector<ProxyRecord> Proxies;
+  std::vector<ProxyRecord> Present;
+  std::vector<std::string> Gone; ///< Names.
 
   bool operator==(const ProxyListUpdate &) const = default;
-  template <class Archive> void serialize(Archive &Ar) { Ar(Version, Proxies); }
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(From, Version, Present, Gone);
+  }
 };
 
 } // namespace corianderdyke
--- a/Source/Steering/ProxyList.cpp
+++ b/Source/Steering/ProxyList.cpp
@@ -18,10 +18,11 @@
 void ProxyList::begin(const std::map<std::string, ProxyRecord> &Noted,
                       Millis Now) {
   ByName.clear();
+  GoneIn.clear();
+  Revision = 1;
   for (const auto &[Name, Each] : Noted)
-    ByName[Name] = {Each, Now, false};
+    ByName[Name] = {Each, Now, false, Revision};
   WasNoted = !Noted.empty();
-  Revision = 1;
   BeganAt = Now;
   LastNewAt = Now;
 }
@@ -34,19 +35,26 @@
                           ? !IsLeaving
                           : Before->second.Record != Said ||
                                 Before->second.IsLeaving != IsLeaving;
-  ByName[Said.Name] = {Said, Now, IsLeaving};
-  if (!IsNews)
-    return;
-  ++Revision;
-  LastNewAt = Now;
+  const std::uint64_t LastChange =
+      Before == ByName.end() ? Revision : Before->second.ChangedIn;
+  if (IsNews) {
+    ++Revision;
+    LastNewAt = Now;
+  }
+  ByName[Said.Name] = {Said, Now, IsLeaving, IsNews ? Revision : LastChange};
+  GoneIn.erase(Said.Name);
 }
 
 void ProxyList::dropSilent(Millis Now, Millis Kept) {
+  const std::uint64_t Next = Revision + 1;
   const std::size_t Gone = std::erase_if(ByName, [&](const auto &Each) {
-    return Now - Each.second.LastHeard > Kept;
+    const bool IsGone = Now - Each.second.LastHeard > Kept;
+    if (IsGone)
+      GoneIn[Each.first] = Next;
+    return IsGone;
   });
   if (Gone > 0)
-    ++Revision;
+    Revision = Next;
 }
 
 bool ProxyList::isSettled(Millis Now) const {
@@ -70,6 +78,22 @@
   return Out;
 }
 
+NoteProxies ProxyList::changedSince(std::uint64_t Since) const {
+  NoteProxies Out;
+  for (const auto &[Name, Each] : ByName) {
+    if (Each.ChangedIn <= Since)
+      continue;
+    if (Each.IsLeaving)
+      Out.Gone.push_back(Name);
+    else
+      Out.Present.push_back(Each.Record);
+  }
+  for (const auto &[Name, In] : GoneIn)
+    if (In > Since)
+      Out.Gone.push_back(Name);
+  return Out;
+}
+
 std::vector<ProxyRecord> ProxyList::all() const {
   std::vector<ProxyRecord> Out;
   for (const auto &[Name, Each] : ByName)
--- a/Source/Steering/ProxyList.h
+++ b/Source/Steering/ProxyList.h
@@ -27,6 +27,9 @@
   bool isSettled(Millis Now) const;
 
   std::vector<ProxyRecord> all() const;
+  /// What changed after a revision: those that came or changed, and the names
+  /// of those that went.
+  NoteProxies changedSince(std::uint64_t Since) const;
   std::size_t size() const { return ByName.size(); }
   /// What the group should note, given what it has; empty where nothing.
   NoteProxies news(const std::map<std::string, ProxyRecord> &Noted) const;
@@ -38,9 +41,11 @@
     ProxyRecord Record;
     Millis LastHeard;
     bool IsLeaving = false;
+    std::uint64_t ChangedIn = 0; ///< The revision of its last change.
   };
 
   std::map<std::string, Known> ByName;
+  std::map<std::string, std::uint64_t> GoneIn; ///< Revision by name.
   std::uint64_t Revision = 0;
   Millis BeganAt;
   Millis LastNewAt;
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -18,6 +18,9 @@
 constexpr Millis ElectionTimeout(500);
 /// Groups are looked at this often while leading.
 constexpr Millis WatchInterval(50);
+/// Between two rounds of news on targets: a few percent of the time in which
+/// proxies must have stopped to use one that leaves.
+constexpr Millis PublishInterval(50);
 /// What a follower didn't confirm is sent again after this long.
 constexpr Millis SendAgainAfter(400);
 /// A proxy that asked longer ago has asked again by now.
@@ -165,7 +168,7 @@
   if (Proxies.isSettled(Now) && To.Proxies != proxiesVersion() &&
       Now - To.ProxiesSentAt >= SendAgainAfter) {
     To.ProxiesSentAt = Now;
-    Ports.Peers.send(To.Address, Delivery::Stream, proxyListUpdate());
+    Ports.Peers.send(To.Address, Delivery::Stream, proxyListUpdate(To.Proxies));
   }
   if (To.PlanVersion < State.plan().Version &&
       Now - To.PlanSentAt >= SendAgainAfter) {
@@ -173,45 +176,82 @@
     Ports.Peers.send(To.Address, Delivery::Stream, planUpdate());
   }
   if (To.Directory != directoryVersion() &&
-      Now - To.DirectorySentAt >= SendAgainAfter) {
-    To.DirectorySentAt = Now;
-    Ports.Peers.send(To.Address, Delivery::Datagram, directoryUpdate());
-  }
+      Now - To.DirectorySentAt >= SendAgainAfter)
+    sendDirectory(To, To.Directory);
 }
 
 const PreparedMessage &SteeringNode::planUpdate() {
-  if (SharedPlan.Of != State.plan().Version) {
-    PlanUpdate Update{withoutKeys(State.plan(), Options.KeySecret)};
-    SharedPlan = {State.plan().Version, Ports.Peers.prepare(std::move(Update))};
+  if (SharedPlanVersion != State.plan().Version) {
+    SharedPlanVersion = State.plan().Version;
+    SharedPlan = Ports.Peers.prepare(
+        PlanUpdate{withoutKeys(State.plan(), Options.KeySecret)});
   }
-  return SharedPlan.Made;
+  return SharedPlan;
 }
 
-const PreparedMessage &SteeringNode::directoryUpdate() {
-  if (SharedDirectory.Of != directoryVersion())
-    SharedDirectory = {directoryVersion(),
-                       Ports.Peers.prepare(DirectoryUpdate{directoryVersion(),
-                                                           Directory.all()})};
-  return SharedDirectory.Made;
+const PreparedMessage &SteeringNode::SharedUpdates::of(
+    const DirectoryVersion &From, const DirectoryVersion &Version,
+    const std::function<PreparedMessage()> &Make) {
+  if (To != Version) {
+    To = Version;
+    ByFrom.clear();
+  }
+  const auto Known = ByFrom.find(From);
+  return Known != ByFrom.end() ? Known->second
+                               : ByFrom.emplace(From, Make()).first->second;
 }
 
-const PreparedMessage &SteeringNode::proxyListUpdate() {
-  if (SharedProxies.Of != proxiesVersion())
-    SharedProxies = {proxiesVersion(), Ports.Peers.prepare(ProxyListUpdate{
-                                           proxiesVersion(), Proxies.all()})};
-  return SharedProxies.Made;
+// What another leader counted says nothing here.
+DirectoryVersion SteeringNode::baseOf(const DirectoryVersion &Known) const {
+  return Known.Term == Agreement.term() ? Known : DirectoryVersion{};
 }
 
+const PreparedMessage &
+SteeringNode::directoryUpdate(const DirectoryVersion &Known) {
+  const DirectoryVersion From = baseOf(Known);
+  return SharedDirectory.of(From, directoryVersion(), [&] {
+    return Ports.Peers.prepare(
+        DirectoryUpdate{From, directoryVersion(),
+                        From == DirectoryVersion{}
+                            ? Directory.all()
+                            : Directory.changedSince(From.Revision)});
+  });
+}
+
+const PreparedMessage &
+SteeringNode::proxyListUpdate(const DirectoryVersion &Known) {
+  const DirectoryVersion From = baseOf(Known);
+  return SharedProxies.of(From, proxiesVersion(), [&] {
+    NoteProxies Changed;
+    if (From == DirectoryVersion{})
+      Changed.Present = Proxies.all();
+    else
+      Changed = Proxies.changedSince(From.Revision);
+    return Ports.Peers.prepare(ProxyListUpdate{From, proxiesVersion(),
+                                               std::move(Changed.Present),
+                                               std::move(Changed.Gone)});
+  });
+}
+
+void SteeringNode::sendDirectory(Follower &To, const DirectoryVersion &Known) {
+  To.DirectorySentAt = Ports.Time.now();
+  To.DirectorySent = directoryVersion();
+  Ports.Peers.send(To.Address, Delivery::Datagram, directoryUpdate(Known));
+}
+
+// Load pattern: hundreds of targets say that they are there within a second.
+// All that changed within one interval goes out together.
 void SteeringNode::publish() {
-  if (!Leading || Published == directoryVersion())
+  const Millis Now = Ports.Time.now();
+  if (!Leading || Published == directoryVersion() ||
+      Now - PublishedAt < PublishInterval)
     return;
-  Published = directoryVersion();
-  const PreparedMessage &Update = directoryUpdate();
-  for (auto &[Id, Each] : Followers) {
-    Each.DirectorySentAt = Ports.Time.now();
-    Ports.Peers.send(Each.Address, Delivery::Datagram, Update);
-  }
+  const DirectoryVersion Before = std::exchange(Published, directoryVersion());
+  PublishedAt = Now;
+  for (auto &[Id, Each] : Followers)
+    sendDirectory(Each, Each.DirectorySent);
   // A successor starts with what this leader knew.
+  const PreparedMessage &Update = directoryUpdate(Before);
   for (const std::string &Host : members())
     if (Host != Options.Name)
       Ports.Peers.send({Host, Options.PeerPort}, Delivery::Datagram, Update);
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -95,15 +95,24 @@
     std::uint64_t PlanVersion = 0;
     DirectoryVersion Directory;
     DirectoryVersion Proxies;
+    /// What the last update led to. The next one begins there: where it got
+    /// lost the follower's own word shows it.
+    DirectoryVersion DirectorySent;
     Millis PlanSentAt;
     Millis DirectorySentAt;
     Millis ProxiesSentAt;
   };
 
-  /// What is told to all followers alike, made once for each version of it.
-  template <class Version> struct SharedUpdate {
-    std::optional<Version> Of;
-    PreparedMessage Made;
+  /// Updates to one version, made once for all followers that have the same
+  /// one before it.
+  struct SharedUpdates {
+    DirectoryVersion To;
+    std::map<DirectoryVersion, PreparedMessage> ByFrom;
+
+    /// The update from \p From to \p Version; \p Make makes a missing one.
+    const PreparedMessage &
+    of(const DirectoryVersion &From, const DirectoryVersion &Version,
+       const std::function<PreparedMessage()> &Make);
   };
 
   /// The word of a proxy that spoke while nobody led.
@@ -136,8 +145,11 @@
   void answerWaiting();
   void bringUpToDate(Follower &To);
   const PreparedMessage &planUpdate();
-  const PreparedMessage &directoryUpdate();
-  const PreparedMessage &proxyListUpdate();
+  /// The version that an update for someone who has \p Known begins at.
+  DirectoryVersion baseOf(const DirectoryVersion &Known) const;
+  const PreparedMessage &directoryUpdate(const DirectoryVersion &Known);
+  const PreparedMessage &proxyListUpdate(const DirectoryVersion &Known);
+  void sendDirectory(Follower &To, const DirectoryVersion &Known);
   void publish();
   void dropSilentFollowers();
   void noteTargets();
@@ -168,6 +180,7 @@
   std::uint64_t RecalledIndex;
   bool IsRecalled; ///< At once where the disk was empty.
   DirectoryVersion Published;
+  Millis PublishedAt;
   bool IsNoting = false; ///< A note on targets is under way.
   bool IsNotingProxies = false;
   std::map<std::uint64_t, WaitingChange> Changes;
@@ -175,9 +188,10 @@
   std::map<ProcessId, Follower> Followers;
   std::map<ProcessId, WaitingFollow> Waiting;
   ProxyList Proxies;
-  SharedUpdate<std::uint64_t> SharedPlan;
-  SharedUpdate<DirectoryVersion> SharedDirectory;
-  SharedUpdate<DirectoryVersion> SharedProxies;
+  std::uint64_t SharedPlanVersion = 0;
+  PreparedMessage SharedPlan; ///< Of that version.
+  SharedUpdates SharedDirectory;
+  SharedUpdates SharedProxies;
   Millis LastWatch;
   Millis LeadingSince;
   bool DiskRefuses = false;
--- a/Tests/Support/FakeFleet.h
+++ b/Tests/Support/FakeFleet.h
@@ -105,9 +105,9 @@
 /// heartbeats go to whoever leads.
 class Fleet {
 public:
-  explicit Fleet(std::uint64_t Seed, std::size_t Proxies = 3)
+  explicit Fleet(std::uint64_t Seed, std::size_t Proxies = 3, int Controls = 5)
       : Net(Loop, Seed), Targets(Loop), Random(Seed) {
-    for (int Each = 1; Each <= 5; ++Each)
+    for (int Each = 1; Each <= Controls; ++Each)
       Names.push_back("10.0.0." + std::to_string(Each));
     for (const std::string &Name : Names)
       startControl(Name, true);
@@ -195,7 +195,7 @@
     return Loop.runUntilTrue(
         [this] {
           return leader() != nullptr &&
-                 leader()->consensus().voters().size() == 5;
+                 leader()->consensus().voters().size() == Names.size();
         },
         Millis(10000));
   }
