Bound each organisation's operations by its quota, over all proxies

Each quota has three seats, held by the three proxies that a hash of the organisation names. A holder gives out permits from a token bucket with a third of rate and burst; a proxy asks the holders in turn, once for all operations that wait, refuses at once what can't have one within its objective, and says when to come back. Seats are leases from the leading control host, which has the group note a holder's name before it's granted, so that a later leader knows whom to wait for; a restarted holder has its seat back at once, a lost one leaves two thirds for as long as its lease lasts. Operators' tolerance (overage, slack) is a setting.

The other way that was built first: parts of the quota at every proxy, moved by demand through control.

Routes and groups are found by an index.

--- a/Source/App/SteeringMetrics.cpp
+++ b/Source/App/SteeringMetrics.cpp
@@ -87,6 +87,11 @@
     Count("corianderdyke_statement_refusals_total", "code", Code, Each);
   To.add("corianderdyke_read_retries_total",
          static_cast<double>(Counts.Retries));
+  To.add("corianderdyke_over_quota_refusals_total",
+         static_cast<double>(Counts.OverQuota));
+  if (From.Quotas != nullptr)
+    To.add("corianderdyke_quota_seats",
+           static_cast<double>(From.Quotas->held(From.Time.now())));
   To.add("corianderdyke_sessions",
          static_cast<double>(From.Pipeline->sessions()));
   OpeningCounts Openings = Counts.Openings;
--- a/Source/App/SteeringMetrics.h
+++ b/Source/App/SteeringMetrics.h
@@ -20,6 +20,7 @@
   const Transport &Peers;
   SessionPipeline *Pipeline = nullptr;
   const TargetBroker *Broker = nullptr;
+  const QuotaSeats *Quotas = nullptr;
   const ControlFeed *Feed = nullptr;
   SteeringNode *Control = nullptr;
   std::function<bool()> IsReady;
--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -59,8 +59,8 @@
 
 Expected<void> SteeringProcess::openMetrics() {
   Metrics = std::make_unique<SteeringMetrics>(
-      SteeringSources{Time, *Peers, Pipeline.get(), Broker.get(), Feed.get(),
-                      Control.get(), [this] { return isReady(); }});
+      SteeringSources{Time, *Peers, Pipeline.get(), Broker.get(), Quotas.get(),
+                      Feed.get(), Control.get(), [this] { return isReady(); }});
   if (Options.Operators.Port == 0)
     return {};
   auto Opened = listen(Options.Operators, *Metrics);
@@ -132,17 +132,24 @@
     if (auto Done = openRelay(); !Done)
       return Done;
   TargetConnector &Connections = Shared ? *Shared : *Targets;
+  const ProcessId Self{Options.Name, randomNumber()};
+  Quotas = std::make_unique<QuotaSeats>(
+      Self, QuotaTolerance{Options.QuotaOverage, Options.QuotaSlack});
+  Permits = std::make_unique<OperationPermits>(
+      OperationPermits::Ports{Time, Loop, *Peers}, Options.Name,
+      Options.Peers.Port, *Quotas);
   Pipeline = std::make_unique<SessionPipeline>(
       SessionPipeline::Ports{Time, Loop, Connections, Floors,
                              [this] { return Feed && Feed->isCurrent(); },
-                             Options.PeerKey},
+                             Options.PeerKey, Permits.get()},
       Options.Where);
   Feed = std::make_unique<ControlFeed>(
-      FeedOptions{{Options.Name, randomNumber()},
+      FeedOptions{Self,
                   Options.Peers.Port,
                   addressesOf(Options.Seeds),
                   {Options.Name, Options.Relay, Options.Where.FailureDomain}},
       Time, Loop, *Peers);
+  Feed->setQuotas(Quotas.get());
   auto Callers = Outer->listenForCallers(Loop, Options.Sessions, *Pipeline);
   if (!Callers)
     return tl::unexpected(Callers.error());
@@ -207,6 +214,7 @@
               {"before", std::to_string(Pipeline->plan().Version)}});
     if (Shared)
       Shared->adopt(Feed->plan());
+    Permits->adopt(Feed->plan());
     Pipeline->adopt(Feed->plan());
     Pipeline->update(Feed->directory());
   });
@@ -217,6 +225,7 @@
   });
   Feed->signalProxies().connect(
       [this](std::size_t Count) { Pipeline->setProxyCount(Count); });
+  Feed->signalQuotas().connect([this] { Permits->seatsChanged(); });
   if (Shared)
     connectRelay();
   Feed->signalContact().connect([](bool HasContact) {
@@ -233,6 +242,7 @@
   Feed->signalProxyList().connect([this](const std::vector<ProxyRecord> &All) {
     logEvent(EventId::ProxiesKnown, {{"proxies", std::to_string(All.size())}});
     Shared->setProxies(All);
+    Permits->setProxies(All);
     Pipeline->setProxyCount(All.size());
     // Statements may have waited for the list.
     Pipeline->update(Feed->directory());
--- a/Source/App/SteeringProcess.h
+++ b/Source/App/SteeringProcess.h
@@ -9,6 +9,7 @@
 #include "Common/SystemClock.h"
 #include "Http/EventHttpConnector.h"
 #include "Http/EventHttpServer.h"
+#include "Quota/OperationPermits.h"
 #include "Relay/RelayHost.h"
 #include "Relay/SharedConnector.h"
 #include "Settings/Settings.h"
@@ -72,6 +73,8 @@
   std::unique_ptr<EventHttpServer> DirectoryPort;
   // Proxy.
   FloorTable Floors;
+  std::unique_ptr<QuotaSeats> Quotas;
+  std::unique_ptr<OperationPermits> Permits;
   std::unique_ptr<SocketPeerStreams> Streams;
   std::unique_ptr<RelayFrames> Frames;
   std::unique_ptr<TargetBroker> Broker;
--- a/Source/Operators/MetricSet.cpp
+++ b/Source/Operators/MetricSet.cpp
@@ -70,6 +70,12 @@
        "Statements that were refused, or given up, in the queue."},
       {"corianderdyke_read_retries_total", MetricType::Counter, "", "proxy",
        "Reads that were sent again after an answer was lost."},
+      {"corianderdyke_over_quota_refusals_total", MetricType::Counter, "",
+       "proxy",
+       "Operations that were refused since their organisation was over "
+       "its quota."},
+      {"corianderdyke_quota_seats", MetricType::Gauge, "", "proxy",
+       "Parts of organisations' quotas that this proxy gives out permits of."},
       {"corianderdyke_target_age_seconds", MetricType::Gauge, "target", "proxy",
        "How old the target's data may be at the most, as this proxy knows; "
        "missing where that can't be told."},
--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -53,6 +53,7 @@
   Millis RetryAt;  ///< Waits until then after a refusal.
   TargetConnectionPtr Connection;
   bool Writes = false;
+  std::uint64_t Permit = 0; ///< Asked for its operation; 0: none.
 };
 
 using SessionJobPtr = std::shared_ptr<SessionJob>;
@@ -64,6 +65,7 @@
   TargetConnectionPtr Connection; ///< From its first statement on.
   bool AtLeader = false;
   bool HasWritten = false;
+  bool HasBegun = false; ///< Its organisation's quota counts it.
   bool HasSetValues = false;
 };
 
--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -35,12 +35,12 @@
 
 void SessionPipeline::adopt(const RoutePlan &New) {
   // Never back: callers have seen the later one.
-  if (New.Version <= Plan.Version)
+  if (New.Version <= plan().Version)
     return;
-  if (Plan.Version == 0)
+  if (plan().Version == 0)
     PlannedAt = Outside.Time.now();
-  Plan = New;
-  Organisations = OrganisationTable(Plan);
+  Plan.set(New);
+  Organisations = OrganisationTable(plan());
   setProxyCount(Proxies);
   revokeSessions();
   admitWaiting();
@@ -56,7 +56,7 @@
     const bool IsShared = Outside.Targets.sharesConnections(Name);
     for (auto &[Id, Pool] : Each.Pools) {
       Pool.setShare(std::max(LeastShare, All / Proxies));
-      Pool.setDivided(!Plan.Organisations.empty());
+      Pool.setDivided(!plan().Organisations.empty());
       Pool.setShared(IsShared, Outside.Time.now());
     }
   }
@@ -215,8 +215,7 @@
                      [this](const TargetPool *Each) { return isFull(*Each); }),
       Choices.end());
   const std::string &Organisation = Session->Organisation;
-  if (!Choices.empty() &&
-      !Choices.front()->idle(Organisation, Session->Values))
+  if (!Choices.empty() && !Choices.front()->idle(Organisation, Session->Values))
     openIfAllowed(Job->Route.Group, *Choices.front(), Organisation, Waited);
   for (TargetPool *Pool : Choices) {
     if (const TargetConnectionPtr Free =
@@ -244,7 +243,7 @@
 // longer than most statements.
 void SessionPipeline::warmUp(const std::string &GroupName, TargetPool &Pool,
                              Millis Now) {
-  if (Plan.Version == 0 || Pool.isShared() || Pool.opening() > 0 ||
+  if (plan().Version == 0 || Pool.isShared() || Pool.opening() > 0 ||
       !Pool.mayTakeWork(Now) || !mayOpen(Pool, ""))
     return;
   if (Pool.wantsFirstConnections())
--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -157,7 +157,7 @@
     if (!Each->Transaction || Each->Current)
       continue;
     const bool TooLong =
-        Now - Each->Transaction->LastUsed > Plan.TransactionIdle ||
+        Now - Each->Transaction->LastUsed > plan().TransactionIdle ||
         outlastsRevocation(*Each, Now);
     const bool Stops = IsStopping && Now >= TransactionsUntil;
     if (!TooLong && !Stops)
--- a/Source/Pipeline/SessionOpenings.cpp
+++ b/Source/Pipeline/SessionOpenings.cpp
@@ -29,7 +29,7 @@
   Session->KeyDigest = callerKeyDigest(Outside.KeySecret, Key);
   Session->Link = std::move(Link);
   Sessions[Session->Id] = Session;
-  if (Plan.Version > 0)
+  if (plan().Version > 0)
     admit(Session);
   else
     waitForPlan(Session);
@@ -89,7 +89,7 @@
                       "no plan that is known to be the newest has this; come "
                       "back after " +
                           std::to_string(PlanPatience.count()) + " ms"});
-    else if (Plan.Version > 0 && isPlanCurrent())
+    else if (plan().Version > 0 && isPlanCurrent())
       admit(Each);
     else
       Ticker.within(WaitingInterval);
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -243,6 +243,7 @@
     if (Job->At == SessionJob::Stage::Waiting) {
       Groups[Job->Route.Group].Waiting.remove(Job);
       Groups[Job->Route.Group].WantFloor.remove(Job);
+      stopWaitingForPermit(Job);
       Job->At = SessionJob::Stage::Done;
       Session->Current.reset();
     } else {
@@ -291,7 +292,7 @@
   place(*Session, *Job);
   Session->Current = Job;
   if (!IsBound)
-    return wantsFloor(*Session, *Job) ? waitForFloor(Job) : enqueue(Job);
+    return beginOperation(Session, Job) ? seekTarget(Job) : void();
   SessionTransaction &Within = *Session->Transaction;
   Within.LastUsed = Job->ArrivedAt;
   Job->Connection = Within.Connection;
@@ -353,6 +354,13 @@
          Job.Where == Placement::Leader && !Job.HasAskedForFloor;
 }
 
+void SessionPipeline::seekTarget(const SessionJobPtr &Job) {
+  const CallerSessionPtr Session = Job->Of.lock();
+  if (Session && wantsFloor(*Session, *Job))
+    return waitForFloor(Job);
+  enqueue(Job);
+}
+
 void SessionPipeline::enqueue(const SessionJobPtr &Job) {
   Job->At = SessionJob::Stage::Waiting;
   Job->QueuedAt = Outside.Time.now();
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -20,6 +20,8 @@
 #include "Pipeline/LeaderOutage.h"
 #include "Pipeline/TargetPool.h"
 #include "Pipeline/WaitForecast.h"
+#include "Plan/PlanIndex.h"
+#include "Quota/PermitSource.h"
 
 #include <list>
 #include <sigc++/sigc++.h>
@@ -37,7 +39,8 @@
   std::uint64_t Failed = 0;  ///< Ran and failed, or ran out of time.
   std::uint64_t Unknown = 0; ///< May have run.
   std::uint64_t Retries = 0;
-  OpeningCounts Openings; ///< Of own connections, not of shared links.
+  std::uint64_t OverQuota = 0; ///< Refused for their organisation's quota.
+  OpeningCounts Openings;      ///< Of own connections, not of shared links.
 
   auto operator<=>(const PipelineCounts &) const = default;
 };
@@ -64,6 +67,8 @@
     std::function<bool()> IsPlanCurrent = nullptr;
     /// What callers' keys are digested with, the same as at control hosts.
     std::string KeySecret = {};
+    /// Null: no organisation is limited.
+    PermitSource *Permits = nullptr;
   };
 
   SessionPipeline(Ports Outside, Place Where);
@@ -87,7 +92,7 @@
   bool isQuiet() const { return Sessions.empty(); }
   std::size_t sessions() const { return Sessions.size(); }
 
-  const RoutePlan &plan() const { return Plan; }
+  const RoutePlan &plan() const { return Plan.plan(); }
   const PipelineCounts &counts() const { return Counts; }
   std::vector<PoolReport> pools() const;
 
@@ -197,6 +202,15 @@
 
   // Assigning connections.
   void enqueue(const SessionJobPtr &Job);
+  void seekTarget(const SessionJobPtr &Job);
+  // Quotas of organisations.
+  /// True where a statement's operation may begin. Else it waits or is
+  /// refused.
+  bool beginOperation(const CallerSessionPtr &Session,
+                      const SessionJobPtr &Job);
+  void beginPermitted(const SessionJobPtr &Job);
+  void refuseOverQuota(const SessionJobPtr &Job, Millis ComeBack);
+  void stopWaitingForPermit(const SessionJobPtr &Job);
   // Asking the leader for a floor.
   void waitForFloor(const SessionJobPtr &Job);
   void askForFloor(const std::string &Name);
@@ -297,9 +311,9 @@
 
   Ports Outside;
   Place Where;
-  RoutePlan Plan;
+  PlanIndex Plan;
   OrganisationTable Organisations; ///< Of the plan.
-  Millis PlannedAt; ///< When the first plan was adopted.
+  Millis PlannedAt;                ///< When the first plan was adopted.
   std::map<std::string, Group> Groups;
   std::map<std::uint64_t, CallerSessionPtr> Sessions;
   std::set<SessionJobPtr> Running;
--- /dev/null
+++ b/Source/Quota/Messages.h
@@ -0,0 +1,105 @@
+/// \file
+/// What proxies and control tell each other about organisations' quotas.
+
+#ifndef CORIANDERDYKE_QUOTA_MESSAGES_H
+#define CORIANDERDYKE_QUOTA_MESSAGES_H
+
+#include "Common/Identity.h"
+#include "Common/Millis.h"
+
+#include <string>
+#include <vector>
+
+namespace corianderdyke {
+
+/// Equal parts of each organisation's quota. Few, so that a proxy which gives
+/// out permits for one sees most of what comes; several, so that losing one
+/// leaves most of the quota.
+constexpr std::uint32_t SeatsPerOrganisation = 3;
+
+/// How long a seat lasts without being renewed. A proxy that is cut off or
+/// frozen keeps it unused for others for this long; a control group that is
+/// gone for less than this stops no permits.
+constexpr Millis SeatLease(8000);
+
+/// One part of an organisation's quota.
+struct QuotaSeat {
+  std::string Organisation;
+  std::uint32_t Index = 0;
+
+  auto operator<=>(const QuotaSeat &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Organisation, Index);
+  }
+};
+
+/// Seats of an organisation that a proxy is to hold.
+struct SeatDemand {
+  std::string Organisation;
+  std::uint32_t Count = 0;
+
+  auto operator<=>(const SeatDemand &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Organisation, Count);
+  }
+};
+
+/// Renews seats and asks for others.
+struct SeatRequest {
+  std::uint64_t Sequence = 0; ///< 0: no request.
+  Millis SentAt; ///< By the proxy's clock; echoed and not interpreted.
+  /// Term of the leader whose grants the proxy follows.
+  std::uint64_t LeaderTerm = 0;
+  std::uint64_t AppliedGrant = 0; ///< The last grant contained in Held.
+  std::vector<QuotaSeat> Held;
+  std::vector<SeatDemand> Wanted;
+
+  auto operator<=>(const SeatRequest &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Sequence, SentAt, LeaderTerm, AppliedGrant, Held, Wanted);
+  }
+};
+
+/// All seats of a proxy, counted from SentAt by its own clock. Without a
+/// duration it only names the new leader's term.
+struct SeatGrant {
+  ProcessId Proxy;
+  std::uint64_t Sequence = 0; ///< Of the request that it answers.
+  Millis SentAt;
+  Millis Duration;
+  std::uint64_t LeaderTerm = 0;
+  std::vector<QuotaSeat> Seats;
+
+  auto operator<=>(const SeatGrant &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Proxy, Sequence, SentAt, Duration, LeaderTerm, Seats);
+  }
+};
+
+/// A proxy asks the holder of a seat for permits to begin operations.
+struct PermitRequest {
+  std::uint64_t Number = 0; ///< New for each request of a proxy.
+  std::string Organisation;
+  std::uint32_t Count = 0;
+
+  auto operator<=>(const PermitRequest &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Number, Organisation, Count);
+  }
+};
+
+struct PermitReply {
+  std::uint64_t Number = 0; ///< Of the request that it answers.
+  std::uint32_t Granted = 0;
+  bool HasSeat = false;
+  Millis ComeBackAfter; ///< Until there is another; only with a seat.
+
+  auto operator<=>(const PermitReply &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Number, Granted, HasSeat, ComeBackAfter);
+  }
+};
+
+} // namespace corianderdyke
+
+#endif
--- /dev/null
+++ b/Source/Quota/QuotaSeats.cpp
@@ -0,0 +1,136 @@
+/// \file
+/// The parts of organisations' quotas that this proxy gives out permits of.
+
+#include "Quota/QuotaSeats.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace corianderdyke {
+
+namespace {
+
+constexpr double MillisPerSecond = 1000;
+/// Part of the tolerated share of rate and burst that permits use. The rest is
+/// for operations whose permits were given shortly before a window.
+constexpr double TolerancePartUsed = 0.5;
+/// Part of the tolerated operations that each seat's bucket may hold beside
+/// its burst, and that a seat begins with. All three seats may begin anew
+/// twice within a window.
+constexpr double ToleranceOfSeat = 0.1;
+
+} // namespace
+
+void QuotaSeats::adopt(const RoutePlan &Plan) {
+  Limits.clear();
+  for (const PlannedOrganisation &Each : Plan.Organisations)
+    if (Each.Limit)
+      Limits[Each.Name] = *Each.Limit;
+}
+
+std::vector<std::string> QuotaSeats::limited() const {
+  std::vector<std::string> Out;
+  for (const auto &[Name, Each] : Limits)
+    Out.push_back(Name);
+  return Out;
+}
+
+void QuotaSeats::setWanted(std::map<std::string, std::uint32_t> New) {
+  Wanted = std::move(New);
+}
+
+bool QuotaSeats::lacksSeat(Millis Now) const {
+  for (const auto &[Name, Count] : Wanted) {
+    std::uint32_t Here = 0;
+    for (std::uint32_t Index = 0; Index < SeatsPerOrganisation; ++Index)
+      Here += Now < End && Seats.count({Name, Index}) != 0 ? 1 : 0;
+    if (Here < Count)
+      return true;
+  }
+  return false;
+}
+
+Quota QuotaSeats::limitOfSeat(const std::string &Organisation) const {
+  const auto Found = Limits.find(Organisation);
+  if (Found == Limits.end())
+    return {};
+  const double Part =
+      (1 + Tolerance.Part * TolerancePartUsed) / SeatsPerOrganisation;
+  return {Found->second.PerSecond * Part,
+          Found->second.Burst * Part + Tolerance.Operations * ToleranceOfSeat};
+}
+
+PermitReply QuotaSeats::take(const std::string &Organisation,
+                             std::uint32_t Count, Millis Now) {
+  PermitReply Out;
+  if (Now >= End)
+    return Out;
+  const Quota Limit = limitOfSeat(Organisation);
+  double Soonest = -1;
+  for (std::uint32_t Index = 0; Index < SeatsPerOrganisation; ++Index) {
+    const auto Found = Seats.find({Organisation, Index});
+    if (Found == Seats.end())
+      continue;
+    Out.HasSeat = true;
+    Bucket &Of = Found->second;
+    const double Passed =
+        static_cast<double>((Now - Of.CountedAt).count()) / MillisPerSecond;
+    // A bucket that holds less than one token never gives any.
+    Of.Tokens = std::min(std::max(1.0, Limit.Burst),
+                         Of.Tokens + Passed * Limit.PerSecond);
+    Of.CountedAt = Now;
+    const auto Given = std::min<std::uint32_t>(
+        Count - Out.Granted, static_cast<std::uint32_t>(Of.Tokens));
+    Of.Tokens -= Given;
+    Out.Granted += Given;
+    const double Lacking = 1 - Of.Tokens;
+    const double Wait = Limit.PerSecond > 0
+                            ? std::max(0.0, Lacking) / Limit.PerSecond
+                            : static_cast<double>(SeatLease.count());
+    Soonest = Soonest < 0 ? Wait : std::min(Soonest, Wait);
+  }
+  if (Out.HasSeat)
+    Out.ComeBackAfter =
+        std::min(SeatLease, Millis(static_cast<std::int64_t>(
+                                std::ceil(Soonest * MillisPerSecond))));
+  return Out;
+}
+
+SeatRequest QuotaSeats::request(Millis Now) {
+  if (Limits.empty() && Seats.empty())
+    return {};
+  SeatRequest Out{++Sequence, Now, LeaderTerm, AppliedGrant, {}, {}};
+  if (Now < End)
+    for (const auto &[Which, Each] : Seats)
+      Out.Held.push_back(Which);
+  for (const auto &[Name, Count] : Wanted)
+    Out.Wanted.push_back({Name, Count});
+  return Out;
+}
+
+bool QuotaSeats::apply(const SeatGrant &Grant, Millis Now) {
+  if (Grant.Proxy != Self || Grant.LeaderTerm < LeaderTerm)
+    return false;
+  const bool IsNewLeader = Grant.LeaderTerm > LeaderTerm;
+  LeaderTerm = Grant.LeaderTerm;
+  if (Grant.Duration == Millis())
+    return IsNewLeader;
+  if (Grant.Sequence <= AppliedGrant || Grant.Sequence > Sequence)
+    return false;
+  // What had ended begins anew.
+  if (Now >= End)
+    Seats.clear();
+  std::map<QuotaSeat, Bucket> New;
+  for (const QuotaSeat &Each : Grant.Seats) {
+    const auto Before = Seats.find(Each);
+    New[Each] = Before != Seats.end()
+                    ? Before->second
+                    : Bucket{Tolerance.Operations * ToleranceOfSeat, Now};
+  }
+  AppliedGrant = Grant.Sequence;
+  End = Grant.SentAt + Grant.Duration;
+  Seats = std::move(New);
+  return false;
+}
+
+} // namespace corianderdyke
--- /dev/null
+++ b/Source/Quota/SeatLedger.cpp
@@ -0,0 +1,134 @@
+/// \file
+/// The control leader's record of who holds which part of a quota.
+
+#include "Quota/SeatLedger.h"
+
+#include "Lease/LeaseRegistry.h"
+
+#include <algorithm>
+
+namespace corianderdyke {
+
+namespace {
+
+/// Two clocks differ by this much of a span at most, in parts of a million.
+constexpr std::uint32_t ClockDriftPpm = 1000;
+
+/// A seat waits this long for the one that it was noted for: several times as
+/// long as a proxy that lacks one takes to ask again.
+constexpr Millis NotedKept(1500);
+
+Millis longestSeat() { return longestLease(SeatLease, ClockDriftPpm); }
+
+} // namespace
+
+void SeatLedger::begin(std::uint64_t LeaderTerm, const NotedSeats &Noted,
+                       Millis Now) {
+  *this = SeatLedger();
+  Term = LeaderTerm;
+  UnheardUntil = Now + longestSeat();
+  for (const auto &[Which, Name] : Noted)
+    Seats[Which].Name = Name;
+}
+
+bool SeatLedger::isFree(const Seat &Of, Millis Now) const {
+  if (Of.IsReserved)
+    return false;
+  if (Of.Name.empty())
+    return true;
+  return Of.IsHeard ? Of.BusyUntil <= Now : Now >= UnheardUntil;
+}
+
+void SeatLedger::takeReport(const ProcessId &Proxy, const SeatRequest &Request,
+                            Millis Now) {
+  for (auto &[Which, Each] : Seats) {
+    if (Each.Name != Proxy.Name)
+      continue;
+    const bool IsHeld = std::find(Request.Held.begin(), Request.Held.end(),
+                                  Which) != Request.Held.end();
+    const bool IsFormers = Each.IsHeard && Each.Holder != Proxy;
+    const bool IsUnderWay =
+        Each.IsHeard && !IsFormers && Each.GrantedWith > Request.AppliedGrant;
+    Each.IsHeard = true;
+    if (!IsHeld && !IsUnderWay)
+      Each.BusyUntil = Millis();
+    else if (IsHeld)
+      Each.BusyUntil = std::max(Each.BusyUntil, Now + longestSeat());
+    if (Each.Holder != Proxy)
+      Each.GrantedWith = 0;
+    Each.Holder = Proxy;
+  }
+}
+
+void SeatLedger::grant(const ProcessId &Proxy, const SeatRequest &Request,
+                       const SeatDemand &Wanted, Millis Now, SeatGrant &Out) {
+  std::uint32_t Given = 0;
+  const std::uint32_t Most = std::min(Wanted.Count, SeatsPerOrganisation);
+  for (std::uint32_t Index = 0; Index < SeatsPerOrganisation; ++Index) {
+    const QuotaSeat Which{Wanted.Organisation, Index};
+    const auto Known = Seats.find(Which);
+    if (Given >= Most || Known == Seats.end() || Known->second.IsReserved ||
+        Known->second.Name != Proxy.Name)
+      continue;
+    Known->second.BusyUntil = Now + longestSeat();
+    Known->second.GrantedWith = Request.Sequence;
+    Out.Seats.push_back(Which);
+    ++Given;
+  }
+  // What lacks is noted first, and granted with a later request.
+  for (std::uint32_t Index = 0; Index < SeatsPerOrganisation && Given < Most;
+       ++Index) {
+    Seat &Other = Seats[{Wanted.Organisation, Index}];
+    if (!isFree(Other, Now) || Other.Name == Proxy.Name)
+      continue;
+    Other.IsReserved = true;
+    News[{Wanted.Organisation, Index}] = Proxy.Name;
+    ++Given;
+  }
+}
+
+std::optional<SeatGrant> SeatLedger::answer(const ProcessId &Proxy,
+                                            const SeatRequest &Request,
+                                            Millis ReceivedAt) {
+  std::erase_if(Ended, [ReceivedAt](const auto &Each) {
+    return ReceivedAt - Each.second >= longestSeat();
+  });
+  if (Request.LeaderTerm > Term || Ended.count(Proxy) != 0)
+    return std::nullopt;
+  SeatGrant Out{Proxy, Request.Sequence, Request.SentAt, Millis(), Term, {}};
+  if (Request.LeaderTerm < Term)
+    return Out;
+  const auto Before = Latest.find(Proxy.Name);
+  if (Before != Latest.end() && Before->second != Proxy) {
+    Ended[Before->second] = ReceivedAt;
+    LastRequests.erase(Before->second);
+  }
+  Latest[Proxy.Name] = Proxy;
+  std::uint64_t &Last = LastRequests[Proxy];
+  if (Request.Sequence <= Last)
+    return std::nullopt;
+  Last = Request.Sequence;
+  takeReport(Proxy, Request, ReceivedAt);
+  Out.Duration = SeatLease;
+  for (const SeatDemand &Each : Request.Wanted)
+    grant(Proxy, Request, Each, ReceivedAt, Out);
+  return Out;
+}
+
+NotedSeats SeatLedger::takeNews() { return std::exchange(News, {}); }
+
+void SeatLedger::noted(const NotedSeats &Done, Millis Now) {
+  for (const auto &[Which, Name] : Done) {
+    Seat &Of = Seats[Which];
+    Of = Seat();
+    Of.Name = Name;
+    // Nobody of that name was granted it before.
+    Of.IsHeard = true;
+    Of.BusyUntil = Now + NotedKept;
+    const auto Process = Latest.find(Name);
+    if (Process != Latest.end())
+      Of.Holder = Process->second;
+  }
+}
+
+} // namespace corianderdyke
--- a/Source/Relay/RelayFrames.h
+++ b/Source/Relay/RelayFrames.h
@@ -29,7 +29,7 @@
   /// The first byte of a frame. It changes with the messages and with the
   /// sample: a frame that was packed against another would unpack to something
   /// that nobody has said.
-  static constexpr char Format = 2;
+  static constexpr char Format = 3;
   /// What frames are packed against.
   static std::string sample();
 
--- a/Source/Settings/Settings.cpp
+++ b/Source/Settings/Settings.cpp
@@ -157,6 +157,17 @@
        .Default = "none",
        .Meaning = "Who carries out changes of primary; control hosts need it "
                   "where leadership is \"targets\"."},
+      {.Table = "[group]",
+       .Key = "quota_overage",
+       .Default = "none",
+       .Meaning = "Part by which organisations may pass their quotas, like "
+                  "\"0.1\", where leadership is \"targets\". Proxies use most "
+                  "of it, and refuse less for want of an exact count."},
+      {.Table = "[group]",
+       .Key = "quota_slack",
+       .Default = "none",
+       .Meaning = "Operations by which an organisation may pass its quota in "
+                  "any window, beside quota_overage."},
       {.Table = "[[control]]",
        .Key = "name",
        .Meaning = "Name of a control host; one table for each."},
@@ -232,6 +243,8 @@
   Out.MayFound = Group.flag("may_found");
   Out.LostDisksBorne = Group.count("lost_disks_borne");
   Out.Promotions = Group.endpoint("promotions");
+  Out.QuotaOverage = Group.decimal("quota_overage");
+  Out.QuotaSlack = Group.decimal("quota_slack");
   Listen.finish();
   Group.finish();
 }
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -55,6 +55,8 @@
   std::vector<Endpoint> Seeds; ///< Control hosts to start from.
   bool MayFound = false;       ///< Control: the system starts anew.
   std::size_t LostDisksBorne = 1; ///< Control: at once, without any loss.
+  double QuotaOverage = 0; ///< Proxy: part of a quota that may be passed.
+  double QuotaSlack = 0;   ///< Proxy: operations that may be passed by.
   bool JsonLogs = false;
   LogLevel Level = LogLevel::Info;
   /// How long a stopping proxy still takes new callers, so that the balancer
--- a/Source/Settings/TomlReader.cpp
+++ b/Source/Settings/TomlReader.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cmath>
 #include <cstdlib>
 #include <numeric>
 #include <stdexcept>
@@ -220,6 +221,16 @@
       static_cast<std::int64_t>(Word == "s" ? Count * MillisPerSecond : Count));
 }
 
+double TomlReader::decimal(const std::string &Key) {
+  const std::string Text = text(Key);
+  char *End = nullptr;
+  const double Value = std::strtod(Text.c_str(), &End);
+  if (Text.empty() || (*End == 0 && Value >= 0 && std::isfinite(Value)))
+    return Value;
+  report(Key, "'" + Key + "' is no number from 0 on", "write it like 0.1");
+  return 0;
+}
+
 bool TomlReader::flag(const std::string &Key) {
   const bool Otherwise = describe(Key).Default == "true";
   const toml::node *At = node(Key);
--- a/Source/Settings/TomlReader.h
+++ b/Source/Settings/TomlReader.h
@@ -39,6 +39,8 @@
   Millis millis(const std::string &Key) { return Millis(number(Key)); }
   /// A span like "6s" or "4500ms"; 0 where it's missing and may be.
   Millis duration(const std::string &Key);
+  /// A number from 0 on in a string, like "0.1"; 0 where it's missing.
+  double decimal(const std::string &Key);
   bool flag(const std::string &Key);
   std::vector<std::string> texts(const std::string &Key);
   /// An address; no address where it's missing and may be.
--- a/Source/Steering/AgreedState.cpp
+++ b/Source/Steering/AgreedState.cpp
@@ -62,6 +62,16 @@
   return !Body.Present.empty() || !Body.Gone.empty();
 }
 
+bool AgreedState::on(const NoteSeats &Body, AuditRecord &Line) {
+  Line.Actor = "control";
+  Line.Action = "quota-seats-noted";
+  for (const auto &[Which, Name] : Body.Holders)
+    Seats[Which] = Name;
+  Line.Subject = std::to_string(Body.Holders.size()) + " changed";
+  Line.To = std::to_string(Seats.size()) + " in all";
+  return !Body.Holders.empty();
+}
+
 bool AgreedState::on(const OrderPromotion &Body, AuditRecord &Line) {
   Line.Actor = Body.Holder;
   Line.Action = "promotion-ordered";
--- a/Source/Steering/AgreedState.h
+++ b/Source/Steering/AgreedState.h
@@ -7,6 +7,7 @@
 
 #include "Directory/TargetDirectory.h"
 #include "Plan/RoutePlan.h"
+#include "Quota/SeatLedger.h"
 #include "Relay/GatewayTable.h"
 #include "State/ControlState.h"
 
@@ -57,9 +58,18 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(Present, Gone); }
 };
 
+/// Who may hold which part of organisations' quotas from now on.
+struct NoteSeats {
+  NotedSeats Holders;
+
+  bool operator==(const NoteSeats &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Holders); }
+};
+
 struct AgreedCommand {
   Millis WallTime; ///< For people only.
-  std::variant<AcceptPlan, OrderPromotion, NoteTargets, NoteProxies> Body;
+  std::variant<AcceptPlan, OrderPromotion, NoteTargets, NoteProxies, NoteSeats>
+      Body;
 
   bool operator==(const AgreedCommand &) const = default;
   template <class Archive> void serialize(Archive &Ar) { Ar(WallTime, Body); }
@@ -75,12 +85,14 @@
   const std::map<std::string, TargetRecord> &targets() const { return Targets; }
   /// Proxies by name, as last noted.
   const std::map<std::string, ProxyRecord> &proxies() const { return Proxies; }
+  /// Holders of parts of quotas, as last noted.
+  const NotedSeats &seats() const { return Seats; }
   /// Decisions, the oldest first; the oldest are dropped.
   const std::vector<AuditRecord> &audit() const { return Audit; }
 
   bool operator==(const AgreedState &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Plan, Targets, Proxies, Audit);
+    Ar(Plan, Targets, Proxies, Seats, Audit);
   }
 
 private:
@@ -88,6 +100,7 @@
   bool on(const OrderPromotion &Body, AuditRecord &Line);
   bool on(const NoteTargets &Body, AuditRecord &Line);
   bool on(const NoteProxies &Body, AuditRecord &Line);
+  bool on(const NoteSeats &Body, AuditRecord &Line);
 
   /// A month of primary changes and a day of plans at the target size.
   static constexpr std::size_t MaxAuditRecords = 1600;
@@ -95,6 +108,7 @@
   RoutePlan Plan;
   std::map<std::string, TargetRecord> Targets;
   std::map<std::string, ProxyRecord> Proxies;
+  NotedSeats Seats;
   std::vector<AuditRecord> Audit;
 };
 
--- a/Source/Steering/ControlFeed.cpp
+++ b/Source/Steering/ControlFeed.cpp
@@ -54,8 +54,9 @@
 void ControlFeed::tick() {
   const Millis Now = Time.now();
   const bool IsLost = Now - LastAnswer > Patience;
+  const bool LacksSeat = Quotas != nullptr && Quotas->lacksSeat(Now);
   const Millis Interval =
-      IsLost || !IsProven ? AskIntervalWhenLost : AskInterval;
+      IsLost || !IsProven || LacksSeat ? AskIntervalWhenLost : AskInterval;
   if (Now - LastAsked >= Interval)
     ask(IsLost);
   if (HasContact && Now - LastAnswer > LostAfter) {
@@ -69,7 +70,9 @@
   LastAsked = Time.now();
   FollowRequest Request{Options.Self, ++Sequence, Plan.Version,      Seen,
                         !IsProven,    {},         Options.AsGateway, IsLeaving,
-                        ProxiesSeen};
+                        ProxiesSeen,  {}};
+  if (Quotas != nullptr)
+    Request.Seats = Quotas->request(LastAsked);
   for (const auto &[Target, Seen] : std::exchange(Sightings, {}))
     if (!Seen.What.IsReached || LastAsked - Seen.At < ReachedCounts)
       Request.Sightings.push_back(Seen.What);
@@ -143,6 +146,14 @@
 
 void ControlFeed::on(const TellSightings &, const Envelope &) { ask(false); }
 
+void ControlFeed::on(const SeatGrant &Body, const Envelope &) {
+  if (Quotas == nullptr)
+    return;
+  if (Quotas->apply(Body, Time.now()))
+    ask(false);
+  QuotasChanged.emit();
+}
+
 void ControlFeed::on(const PlanUpdate &Body, const Envelope &) {
   // Never back within one life: callers have seen the later one.
   if (Body.Plan.Version <= Plan.Version)
--- a/Source/Steering/ControlFeed.h
+++ b/Source/Steering/ControlFeed.h
@@ -6,6 +6,7 @@
 
 #include "Common/Clock.h"
 #include "Loop/Scheduler.h"
+#include "Quota/QuotaSeats.h"
 #include "Transport/Transport.h"
 
 #include <map>
@@ -36,6 +37,10 @@
   void noteReached(const std::string &Target);
   void noteFailed(const std::string &Target);
 
+  /// Requests for seats of quotas go along with what is told to control.
+  /// Without seats there are none.
+  void setQuotas(QuotaSeats *Seats) { Quotas = Seats; }
+
   /// This proxy stops: no other should send anything through it.
   void announceStop();
 
@@ -55,6 +60,8 @@
   }
   /// Emitted when control is lost or found again.
   sigc::signal<void(bool)> &signalContact() { return ContactChanged; }
+  /// Emitted when seats of quotas were granted.
+  sigc::signal<void()> &signalQuotas() { return QuotasChanged; }
 
 private:
   void tick();
@@ -67,6 +74,7 @@
   void on(const DirectoryUpdate &Body, const Envelope &From);
   void on(const ProxyListUpdate &Body, const Envelope &From);
   void on(const TellSightings &Body, const Envelope &From);
+  void on(const SeatGrant &Body, const Envelope &From);
   template <class Other> void on(const Other &, const Envelope &) {}
 
   FeedOptions Options;
@@ -95,9 +103,11 @@
   DirectoryVersion ProxiesSeen;
   std::vector<ProxyRecord> ProxyRecords;
   bool IsLeaving = false;
+  QuotaSeats *Quotas = nullptr;
   sigc::signal<void(std::size_t)> ProxiesChanged;
   sigc::signal<void(const std::vector<ProxyRecord> &)> ProxyListChanged;
   sigc::signal<void(bool)> ContactChanged;
+  sigc::signal<void()> QuotasChanged;
 };
 
 } // namespace corianderdyke
--- a/Source/Steering/Messages.h
+++ b/Source/Steering/Messages.h
@@ -7,6 +7,7 @@
 
 #include "Directory/TargetDirectory.h"
 #include "Plan/RoutePlan.h"
+#include "Quota/Messages.h"
 #include "Relay/GatewayTable.h"
 
 namespace corianderdyke {
@@ -48,11 +49,12 @@
   ProxyRecord Self;
   bool IsLeaving = false;
   DirectoryVersion Proxies; ///< Of the list that it has.
+  SeatRequest Seats;
 
   bool operator==(const FollowRequest &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Proxy, Sequence, PlanVersion, Directory, NeedsProof, Sightings, Self,
-       IsLeaving, Proxies);
+       IsLeaving, Proxies, Seats);
   }
 };
 
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -21,6 +21,8 @@
 /// Between two rounds of news on targets: a few percent of the time in which
 /// proxies must have stopped to use one that leaves.
 constexpr Millis PublishInterval(50);
+/// Between two confirmations of this host's lead for requests for seats.
+constexpr Millis SeatsPause(50);
 /// What a follower didn't confirm is sent again after this long.
 constexpr Millis SendAgainAfter(400);
 /// A proxy that asked longer ago has asked again by now.
@@ -83,6 +85,8 @@
     dropSilentFollowers();
     noteTargets();
     noteProxies();
+    answerSeats();
+    noteSeats();
     Coordinator.tick(State.plan(), Followers.size());
   }
   settle();
@@ -123,6 +127,7 @@
   Proxies.hear(Body.Self, Body.IsLeaving, Ports.Time.now());
   Coordinator.noteSightings(Body.Proxy, Body.Sightings);
   bringUpToDate(Known);
+  takeSeatRequest(From, Body);
   if (!Body.NeedsProof)
     return answer(From.ReplyTo, Body, false);
   barrier([this, To = From.ReplyTo, Body](const Expected<void> &Done) {
@@ -189,9 +194,10 @@
   return SharedPlan;
 }
 
-const PreparedMessage &SteeringNode::SharedUpdates::of(
-    const DirectoryVersion &From, const DirectoryVersion &Version,
-    const std::function<PreparedMessage()> &Make) {
+const PreparedMessage &
+SteeringNode::SharedUpdates::of(const DirectoryVersion &From,
+                                const DirectoryVersion &Version,
+                                const std::function<PreparedMessage()> &Make) {
   if (To != Version) {
     To = Version;
     ByFrom.clear();
@@ -210,11 +216,10 @@
 SteeringNode::directoryUpdate(const DirectoryVersion &Known) {
   const DirectoryVersion From = baseOf(Known);
   return SharedDirectory.of(From, directoryVersion(), [&] {
-    return Ports.Peers.prepare(
-        DirectoryUpdate{From, directoryVersion(),
-                        From == DirectoryVersion{}
-                            ? Directory.all()
-                            : Directory.changedSince(From.Revision)});
+    return Ports.Peers.prepare(DirectoryUpdate{
+        From, directoryVersion(),
+        From == DirectoryVersion{} ? Directory.all()
+                                   : Directory.changedSince(From.Revision)});
   });
 }
 
@@ -261,6 +266,52 @@
   Directory.merge(Body.Targets, Ports.Time.now());
 }
 
+void SteeringNode::takeSeatRequest(const Envelope &From,
+                                   const FollowRequest &Body) {
+  if (Body.Seats.Sequence == 0)
+    return;
+  SeatRequests[Body.Proxy] = {From.ReplyTo, Body.Seats};
+  answerSeats();
+}
+
+// One confirmation of this host's lead serves all requests that came before
+// it: it costs a message to each control host and back.
+void SteeringNode::answerSeats() {
+  const Millis Now = Ports.Time.now();
+  if (SeatRequests.empty() || IsConfirmingSeats ||
+      Now - SeatsAnsweredAt < SeatsPause)
+    return;
+  SeatsAnsweredAt = Now;
+  IsConfirmingSeats = true;
+  barrier(
+      [this, ReceivedAt = Now, Term = Agreement.term(),
+       Requests = std::exchange(SeatRequests, {})](const Expected<void> &Done) {
+        if (Term != Agreement.term())
+          return;
+        IsConfirmingSeats = false;
+        if (!Done)
+          return;
+        for (const auto &[Proxy, Each] : Requests)
+          if (auto Grant = Seats.answer(Proxy, Each.Request, ReceivedAt))
+            Ports.Peers.send(Each.From, Delivery::Datagram, std::move(*Grant));
+      });
+}
+
+void SteeringNode::noteSeats() {
+  if (IsNotingSeats)
+    return;
+  NotedSeats News = Seats.takeNews();
+  if (News.empty())
+    return;
+  IsNotingSeats = true;
+  propose({Ports.Time.wallTime(), NoteSeats{News}},
+          [this, News](std::optional<std::uint64_t> Index) {
+            IsNotingSeats = false;
+            if (Index)
+              Seats.noted(News, Ports.Time.now());
+          });
+}
+
 void SteeringNode::dropSilentFollowers() {
   for (auto Each = Followers.begin(); Each != Followers.end();)
     if (Ports.Time.now() - Each->second.LastHeard > FollowerKept)
@@ -334,21 +385,28 @@
 // Heartbeats come every second and change nothing; joining, leaving and
 // changes of role are few. All since the last note go into one entry.
 void SteeringNode::noteTargets() {
-  if (IsNoting)
+  if (IsNoting || NotedTo == Directory.revision())
     return;
   NoteTargets News;
-  for (const TargetRecord &Each : Directory.all()) {
+  const std::uint64_t Revision = Directory.revision();
+  for (const TargetRecord &Each : Directory.changedSince(NotedTo)) {
     const auto Noted = State.targets().find(Each.Id);
     if (Noted == State.targets().end() ? Each.IsGone
                                        : Each.saysTheSame(Noted->second))
       continue;
     News.Targets.push_back(Each);
   }
-  if (News.Targets.empty())
+  if (News.Targets.empty()) {
+    NotedTo = Revision;
     return;
+  }
   IsNoting = true;
   propose({Ports.Time.wallTime(), std::move(News)},
-          [this](std::optional<std::uint64_t>) { IsNoting = false; });
+          [this, Revision](std::optional<std::uint64_t> Index) {
+            IsNoting = false;
+            if (Index)
+              NotedTo = Revision;
+          });
 }
 
 // Restarts in turn and whole failure domains come together in one entry.
@@ -495,6 +553,10 @@
   LeadingSince = Ports.Time.now();
   Followers.clear();
   Proxies.begin(State.proxies(), LeadingSince);
+  Seats.begin(Agreement.term(), State.seats(), LeadingSince);
+  SeatRequests.clear();
+  IsConfirmingSeats = false;
+  IsNotingSeats = false;
   Published = {};
   if (Leading) {
     std::vector<TargetRecord> Known;
@@ -503,6 +565,7 @@
     Directory.merge(Known, Ports.Time.now());
     Directory.beginTerm(Agreement.term());
     IsNoting = false;
+    NotedTo = 0;
     IsNotingProxies = false;
     Coordinator.begin();
   } else {
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -8,6 +8,7 @@
 
 #include "Consensus/ReadBarriers.h"
 #include "Loop/Scheduler.h"
+#include "Quota/SeatLedger.h"
 #include "Steering/PromotionCoordinator.h"
 #include "Steering/ProxyList.h"
 #include "Transport/Transport.h"
@@ -110,9 +111,15 @@
     std::map<DirectoryVersion, PreparedMessage> ByFrom;
 
     /// The update from \p From to \p Version; \p Make makes a missing one.
-    const PreparedMessage &
-    of(const DirectoryVersion &From, const DirectoryVersion &Version,
-       const std::function<PreparedMessage()> &Make);
+    const PreparedMessage &of(const DirectoryVersion &From,
+                              const DirectoryVersion &Version,
+                              const std::function<PreparedMessage()> &Make);
+  };
+
+  /// A request for seats that waits until this host is known to lead still.
+  struct WaitingSeats {
+    Endpoint From;
+    SeatRequest Request;
   };
 
   /// The word of a proxy that spoke while nobody led.
@@ -151,6 +158,9 @@
   const PreparedMessage &proxyListUpdate(const DirectoryVersion &Known);
   void sendDirectory(Follower &To, const DirectoryVersion &Known);
   void publish();
+  void takeSeatRequest(const Envelope &From, const FollowRequest &Body);
+  void answerSeats();
+  void noteSeats();
   void dropSilentFollowers();
   void noteTargets();
   void noteProxies();
@@ -181,13 +191,19 @@
   bool IsRecalled; ///< At once where the disk was empty.
   DirectoryVersion Published;
   Millis PublishedAt;
-  bool IsNoting = false; ///< A note on targets is under way.
+  bool IsNoting = false;     ///< A note on targets is under way.
+  std::uint64_t NotedTo = 0; ///< Revision of the directory that was noted.
   bool IsNotingProxies = false;
   std::map<std::uint64_t, WaitingChange> Changes;
   ReadBarriers Barriers;
   std::map<ProcessId, Follower> Followers;
   std::map<ProcessId, WaitingFollow> Waiting;
   ProxyList Proxies;
+  SeatLedger Seats;
+  std::map<ProcessId, WaitingSeats> SeatRequests;
+  bool IsConfirmingSeats = false;
+  bool IsNotingSeats = false;
+  Millis SeatsAnsweredAt;
   std::uint64_t SharedPlanVersion = 0;
   PreparedMessage SharedPlan; ///< Of that version.
   SharedUpdates SharedDirectory;
--- a/Source/Transport/Envelope.h
+++ b/Source/Transport/Envelope.h
@@ -21,7 +21,7 @@
                  ViewUpdate, ViewApplied, ForwardedAnnouncement, ViewDelta,
                  RightsRequest, RightsGrant, FollowRequest, FollowReply,
                  FollowElsewhere, PlanUpdate, DirectoryUpdate, ProxyListUpdate,
-                 TellSightings>;
+                 TellSightings, SeatGrant, PermitRequest, PermitReply>;
 
 /// The longest message before it's packed.
 constexpr std::size_t MaxUnpackedBytes = 64U << 20U;
--- a/Tests/Unit/RelayFramesTest.cpp
+++ b/Tests/Unit/RelayFramesTest.cpp
@@ -108,8 +108,8 @@
   // Where this fails, messages or the sample have changed: raise the format,
   // so that builds before and after refuse each other's frames.
   const std::string Sample = RelayFrames::sample();
-  REQUIRE(RelayFrames::Format == 2);
-  CHECK(XXH64(Sample.data(), Sample.size(), 0) == 0xc484a77db0689152);
+  REQUIRE(RelayFrames::Format == 3);
+  CHECK(XXH64(Sample.data(), Sample.size(), 0) == 0x8b0d47f98bfaa1bb);
 }
 
 TEST_CASE("All that is said within one turn travels in one frame",
