Look up a group's targets, and a target's gateways, without passing over all

Each look at the groups passed over all targets for each of 1,150 groups, each change sorted 300 proxies for each target anew, and notes on targets compared all of them twenty times a second.

--- a/Source/Directory/TargetDirectory.cpp
+++ b/Source/Directory/TargetDirectory.cpp
@@ -13,12 +13,19 @@
 
 std::uint64_t TargetDirectory::nextPrimary(const std::string &Group) const {
   std::uint64_t Last = FirstPrimary - 1;
-  for (const auto &[Id, Each] : Targets)
-    if (Each.Record.Group == Group)
-      Last = std::max(Last, Each.Record.PrimarySince);
+  const auto Members = ByGroup.find(Group);
+  if (Members != ByGroup.end())
+    for (const std::string &Id : Members->second)
+      if (const TargetRecord *Each = find(Id))
+        Last = std::max(Last, Each->PrimarySince);
   return Last + 1;
 }
 
+void TargetDirectory::put(const std::string &Id, Known New) {
+  ByGroup[New.Record.Group].insert(Id);
+  Targets[Id] = std::move(New);
+}
+
 bool TargetDirectory::hear(TargetRecord Said, Millis Now) {
   const auto Found = Targets.find(Said.Id);
   const bool IsNewLife =
@@ -30,7 +37,7 @@
       Said.PrimarySince = nextPrimary(Said.Group);
     ++Revision;
     supersede(Said, Now);
-    Targets[Said.Id] = {Said, Now, Millis(), Revision};
+    put(Said.Id, {Said, Now, Millis(), Revision});
     return true;
   }
   Known &Old = Found->second;
@@ -44,6 +51,7 @@
   // Leaving can't be taken back: a proxy that was told so has closed its
   // connections for good.
   Said.IsLeaving = Said.IsLeaving || Old.Record.IsLeaving;
+  ByGroup[Said.Group].insert(Said.Id);
   const bool IsNews = !Said.saysTheSame(Old.Record);
   Old.Record = std::move(Said);
   if (IsNews)
@@ -88,7 +96,7 @@
   for (const TargetRecord &Each : Others) {
     const auto Found = Targets.find(Each.Id);
     if (Found == Targets.end()) {
-      Targets[Each.Id] = {Each, Now, Each.IsGone ? Now : Millis(), Next};
+      put(Each.Id, {Each, Now, Each.IsGone ? Now : Millis(), Next});
       IsNews = true;
       continue;
     }
@@ -96,7 +104,7 @@
     if (Each.BornAt < Old.Record.BornAt)
       continue;
     if (Each.BornAt > Old.Record.BornAt) {
-      Old = {Each, Now, Each.IsGone ? Now : Millis(), Next};
+      put(Each.Id, {Each, Now, Each.IsGone ? Now : Millis(), Next});
       IsNews = true;
       continue;
     }
@@ -121,10 +129,12 @@
 
 void TargetDirectory::forgetGone(Millis Now) {
   for (auto Each = Targets.begin(); Each != Targets.end();)
-    if (Each->second.Record.IsGone && Now - Each->second.GoneAt > GoneKept)
+    if (Each->second.Record.IsGone && Now - Each->second.GoneAt > GoneKept) {
+      ByGroup[Each->second.Record.Group].erase(Each->first);
       Each = Targets.erase(Each);
-    else
+    } else {
       ++Each;
+    }
 }
 
 std::vector<TargetRecord> TargetDirectory::all() const {
@@ -152,9 +162,15 @@
 std::vector<TargetRecord>
 TargetDirectory::ofGroup(const std::string &Group) const {
   std::vector<TargetRecord> Out;
-  for (const auto &[Id, Each] : Targets)
-    if (Each.Record.Group == Group && !Each.Record.IsGone)
-      Out.push_back(Each.Record);
+  const auto Members = ByGroup.find(Group);
+  if (Members == ByGroup.end())
+    return Out;
+  for (const std::string &Id : Members->second) {
+    const TargetRecord *Each = find(Id);
+    // A later life may serve another group.
+    if (Each != nullptr && Each->Group == Group && !Each->IsGone)
+      Out.push_back(*Each);
+  }
   return Out;
 }
 
--- a/Source/Directory/TargetDirectory.h
+++ b/Source/Directory/TargetDirectory.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace corianderdyke {
@@ -96,6 +97,7 @@
     std::uint64_t ChangedIn = 0; ///< The revision of its last change.
   };
 
+  void put(const std::string &Id, Known New);
   /// True where a later life is known at the same address.
   bool isSuperseded(const TargetRecord &Said) const;
   void supersede(const TargetRecord &Newer, Millis Now);
@@ -105,6 +107,9 @@
   static constexpr std::uint64_t PrimariesPerTerm = 1U << 20U;
 
   std::map<std::string, Known> Targets;
+  /// Identities by group; those of targets that were forgotten are left out
+  /// when they're met.
+  std::map<std::string, std::set<std::string>> ByGroup;
   std::uint64_t FirstPrimary = 1;
   std::uint64_t Revision = 0;
 };
--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -169,16 +169,18 @@
     if (++*Seen.Limit >= Share + Burst)
       Seen.Limit.reset();
   }
+  if (All.empty())
+    return;
   const bool ServesOn =
       Record.IsLeaving ? Record.IsPrimary && mayTakeWork(Now) : !Record.IsGone;
   const std::size_t Kept = ServesOn ? kept() : 0;
   const Millis IdleBorne = IsDivided ? IdleWhereDivided : IdleBeyondWarm;
   std::vector<TargetConnectionPtr> Before = All;
-  std::sort(Before.begin(), Before.end(),
-            [](const TargetConnectionPtr &Left,
-               const TargetConnectionPtr &Right) {
-              return Left->idleSince() < Right->idleSince();
-            });
+  std::sort(
+      Before.begin(), Before.end(),
+      [](const TargetConnectionPtr &Left, const TargetConnectionPtr &Right) {
+        return Left->idleSince() < Right->idleSince();
+      });
   for (const TargetConnectionPtr &Each : Before) {
     if (Each->isShared() != IsShared &&
         Each->stage() == TargetConnection::Stage::Idle) {
--- a/Source/Relay/GatewayTable.cpp
+++ b/Source/Relay/GatewayTable.cpp
@@ -30,8 +30,10 @@
   std::uint64_t Score = 0;
 };
 
-std::vector<Candidate> inOrder(const std::vector<ProxyRecord> &Proxies,
-                               const TargetRecord &Target) {
+/// The \p Most first proxies of a target's order.
+std::vector<Candidate> firstInOrder(const std::vector<ProxyRecord> &Proxies,
+                                    const TargetRecord &Target,
+                                    std::size_t Most) {
   std::vector<Candidate> Out;
   Out.reserve(Proxies.size());
   const std::uint64_t Seed = XXH64(Target.Id.data(), Target.Id.size(), 0);
@@ -42,12 +44,15 @@
   }
   // A gateway beside its target costs bytes between failure domains once on
   // the way, one elsewhere twice.
-  std::sort(Out.begin(), Out.end(),
-            [](const Candidate &Left, const Candidate &Right) {
-              if (Left.IsNear != Right.IsNear)
-                return Left.IsNear;
-              return Left.Score > Right.Score;
-            });
+  Most = std::min(Most, Out.size());
+  std::partial_sort(Out.begin(),
+                    Out.begin() + static_cast<std::ptrdiff_t>(Most), Out.end(),
+                    [](const Candidate &Left, const Candidate &Right) {
+                      if (Left.IsNear != Right.IsNear)
+                        return Left.IsNear;
+                      return Left.Score > Right.Score;
+                    });
+  Out.resize(Most);
   return Out;
 }
 
@@ -82,13 +87,25 @@
     const std::size_t Count = Gateways.at(Each.Group);
     std::vector<ProxyRecord> &Chosen = ByTarget[Each.Id];
     std::vector<ProxyRecord> Others;
-    for (const Candidate &Next : inOrder(Proxies, Each)) {
-      if (Chosen.size() < Count && Load[Next.Index] < Mean * LoadParts) {
-        ++Load[Next.Index];
-        Chosen.push_back(Proxies[Next.Index]);
-      } else if (Others.size() < SpareGateways) {
-        Others.push_back(Proxies[Next.Index]);
+    // Enough of them for nearly all targets; where too many are fully loaded
+    // all are looked at.
+    for (const std::size_t Most :
+         {Count * LoadParts + SpareGateways, Proxies.size()}) {
+      std::vector<std::size_t> Taken;
+      Others.clear();
+      for (const Candidate &Next : firstInOrder(Proxies, Each, Most)) {
+        if (Taken.size() < Count && Load[Next.Index] < Mean * LoadParts)
+          Taken.push_back(Next.Index);
+        else if (Others.size() < SpareGateways)
+          Others.push_back(Proxies[Next.Index]);
+      }
+      if (Taken.size() < Count && Most < Proxies.size())
+        continue;
+      for (const std::size_t Index : Taken) {
+        ++Load[Index];
+        Chosen.push_back(Proxies[Index]);
       }
+      break;
     }
     Chosen.insert(Chosen.end(), Others.begin(), Others.end());
   }
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -192,11 +192,24 @@
 }
 
 void SharedConnector::update(const TargetDirectory &Known) {
-  Targets = Known.all();
-  rebuild();
+  std::vector<TargetRecord> New = Known.all();
+  const bool IsAlike = isPlacedAlike(New, Targets);
+  Targets = std::move(New);
+  if (!IsAlike)
+    rebuild();
   Outside.Broker.update(Known);
 }
 
+bool SharedConnector::isPlacedAlike(const std::vector<TargetRecord> &Left,
+                                    const std::vector<TargetRecord> &Right) {
+  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
+                    [](const TargetRecord &One, const TargetRecord &Other) {
+                      return One.Id == Other.Id && One.Group == Other.Group &&
+                             One.FailureDomain == Other.FailureDomain &&
+                             One.IsGone == Other.IsGone;
+                    });
+}
+
 void SharedConnector::decide() {
   for (const GroupPolicy &Each : Plan.Groups) {
     const std::size_t Usable = Each.usableConnections();
--- a/Source/Relay/SharedConnector.h
+++ b/Source/Relay/SharedConnector.h
@@ -63,6 +63,9 @@
   Gateway gatewayOf(const ProxyRecord &Which);
   void decide();
   void rebuild();
+  /// True where the list says the same of where targets are.
+  static bool isPlacedAlike(const std::vector<TargetRecord> &Left,
+                            const std::vector<TargetRecord> &Right);
 
   Ports Outside;
   std::string Self;
