Send an organisation's statements to a target through one of its gateways

An opening takes 12 ms of a slot, and the one target that serves a group whose replicas lag has none spare.

The gateway that a hash of organisation and target names comes first now. Also: no burst beyond the share and none kept idle by former gateways where connections belong to organisations; the limit that a refusal taught is raised every 250 ms there.

--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -77,7 +77,7 @@
 }
 
 std::size_t TargetPool::mostConnections() const {
-  return IsShared ? MaxLinks : Seen.Limit.value_or(Share + Burst);
+  return IsShared ? MaxLinks : Seen.Limit.value_or(Share + burst());
 }
 
 void TargetPool::setShared(bool New, Millis Now) {
@@ -164,9 +164,11 @@
 }
 
 void TargetPool::tend(Millis Now) {
-  if (Seen.Limit && Now - Seen.LimitRaisedAt >= LimitRecovery) {
+  const Millis Recovery =
+      IsDivided ? LimitRecoveryWhereDivided : LimitRecovery;
+  if (Seen.Limit && Now - Seen.LimitRaisedAt >= Recovery) {
     Seen.LimitRaisedAt = Now;
-    if (++*Seen.Limit >= Share + Burst)
+    if (++*Seen.Limit >= Share + burst())
       Seen.Limit.reset();
   }
   if (All.empty())
@@ -174,7 +176,8 @@
   const bool ServesOn =
       Record.IsLeaving ? Record.IsPrimary && mayTakeWork(Now) : !Record.IsGone;
   const std::size_t Kept = ServesOn ? kept() : 0;
-  const Millis IdleBorne = IsDivided ? IdleWhereDivided : IdleBeyondWarm;
+  const Millis IdleBorne =
+      IsDivided && !IsRetiring ? IdleWhereDivided : IdleBeyondWarm;
   std::vector<TargetConnectionPtr> Before = All;
   std::sort(
       Before.begin(), Before.end(),
@@ -191,7 +194,7 @@
       continue;
     if (Each->stage() != TargetConnection::Stage::Idle)
       continue;
-    if (Kept > 0 && Now - Each->idleSince() < IdleBorne)
+    if (ServesOn && Now - Each->idleSince() < IdleBorne)
       continue;
     Each->close();
     remove(Each);
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -68,6 +68,8 @@
   void setShare(std::size_t New) { Share = New; }
   /// Connections belong to organisations: none is opened ahead of need.
   void setDivided(bool New) { IsDivided = New; }
+  /// Others hold the target's connections now: what is idle here is closed.
+  void setRetiring(bool New) { IsRetiring = New; }
   /// From now on connections are links to those that all proxies share, or
   /// no longer; the ones of the other kind are closed as they come free.
   void setShared(bool New, Millis Now);
@@ -143,8 +145,11 @@
 
 private:
   std::size_t kept() const {
-    return std::max<std::size_t>(1, Share / WarmPart);
+    return IsRetiring ? 0 : std::max<std::size_t>(1, Share / WarmPart);
   }
+  /// Where connections belong to organisations all of the share is in use, at
+  /// all proxies: nobody leaves any to others.
+  std::size_t burst() const { return IsDivided ? 0 : Burst; }
   std::size_t count(TargetConnection::Stage Which) const;
   std::size_t mostConnections() const;
   /// The connection that was idle for longest and may go for another
@@ -174,6 +179,7 @@
   static constexpr Millis RefusedPause = Millis(50);
   /// The limit is raised by one this often after a refusal.
   static constexpr Millis LimitRecovery = Millis(1000);
+  static constexpr Millis LimitRecoveryWhereDivided = Millis(250);
   static constexpr Millis FirstAvoid = Millis(50);
   static constexpr Millis LongestAvoid = Millis(800);
   /// A target that doesn't lead is asked again after this long, in case the
@@ -201,6 +207,7 @@
   std::size_t Share;
   bool IsShared = false;
   bool IsDivided = false;
+  bool IsRetiring = false;
   std::vector<TargetConnectionPtr> All;
   Observations Seen;
 };
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -271,14 +271,24 @@
   });
 }
 
+// Load pattern: many organisations, few connections. At the same gateway of a
+// target from all proxies, an organisation needs one connection where it would
+// need one at each gateway, and finds it open more often. Who belongs to no
+// organisation begins at another one each time, so that all carry the same.
+std::size_t SharedConnector::firstTurn(const TargetAddress &To) {
+  if (To.Organisation.empty())
+    return NextTurn++;
+  return XXH64(To.Organisation.data(), To.Organisation.size(),
+               XXH64(To.Id.data(), To.Id.size(), 0));
+}
+
 std::optional<SharedConnector::Gateway>
 SharedConnector::choose(const TargetAddress &To) {
   const std::vector<ProxyRecord> &Known = Table.of(To.Id);
   const auto Count = Gateways.find(To.Group);
   const std::size_t First =
       std::min(Known.size(), Count == Gateways.end() ? 0 : Count->second);
-  // Each proxy begins at another one, so that all carry the same.
-  const std::size_t Turn = NextTurn++;
+  const std::size_t Turn = firstTurn(To);
   for (std::size_t Each = 0; Each < First; ++Each) {
     const Gateway Next = gatewayOf(Known[(Turn + Each) % First]);
     if (isUsable(Next, To.Id))
--- a/Source/Relay/SharedConnector.h
+++ b/Source/Relay/SharedConnector.h
@@ -53,6 +53,8 @@
   /// The gateway that should carry the next statement of a link; nothing
   /// where none is believed to reach the target.
   std::optional<Gateway> choose(const TargetAddress &To);
+  /// Where among a target's gateways the search for one begins.
+  std::size_t firstTurn(const TargetAddress &To);
   bool isUsable(const Gateway &Which, const std::string &Target) const;
   /// The gateway said that it doesn't reach the target.
   void avoid(const std::string &Gateway, const std::string &Target);
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -334,6 +334,7 @@
   for (auto &[Id, Each] : Targets) {
     giveUpWaiting(Each);
     noticeSilence(Each);
+    Each.Pool.setRetiring(IsDivided && Own.count(Id) == 0);
     Each.Pool.tend(Now);
     warmUp(Each);
     const auto Open = Each.Pool.connections();
