Let quotas use what operators tolerate, and seats begin with a part of it

What is tolerated in a window is divided now: most of the share raises rate and burst, the rest and most of the operations are for seats that begin anew, twice in a window.

--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -134,7 +134,8 @@
   TargetConnector &Connections = Shared ? *Shared : *Targets;
   const ProcessId Self{Options.Name, randomNumber()};
   Quotas = std::make_unique<QuotaSeats>(
-      Self, QuotaTolerance{Options.QuotaOverage, Options.QuotaSlack});
+      Self, QuotaTolerance{Options.QuotaOverage, Options.QuotaSlack,
+                           Options.QuotaWindow});
   Permits = std::make_unique<OperationPermits>(
       OperationPermits::Ports{Time, Loop, *Peers}, Options.Name,
       Options.Peers.Port, *Quotas);
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -174,7 +174,7 @@
   static constexpr Millis IdleBeyondWarm = Millis(250);
   /// The same where connections belong to organisations: one that is closed
   /// serves nobody of its organisation, who then wait for another.
-  static constexpr Millis IdleWhereDivided = Millis(1000);
+  static constexpr Millis IdleWhereDivided = Millis(250);
   /// After a refused connection the next is tried this much later.
   static constexpr Millis RefusedPause = Millis(50);
   /// The limit is raised by one this often after a refusal.
--- a/Source/Quota/QuotaSeats.cpp
+++ b/Source/Quota/QuotaSeats.cpp
@@ -11,13 +11,16 @@
 namespace {
 
 constexpr double MillisPerSecond = 1000;
-/// Part of the tolerated share of rate and burst that permits use. The rest is
-/// for operations whose permits were given shortly before a window.
-constexpr double TolerancePartUsed = 0.5;
+// What is tolerated in a window is divided: seats may begin anew twice in one.
+/// Part of the tolerated share by which rate and burst are raised.
+constexpr double ShareOfRate = 0.6;
+/// Part of the tolerated share with which all seats together begin.
+constexpr double ShareOfStart = 0.15;
 /// Part of the tolerated operations that each seat's bucket may hold beside
-/// its burst, and that a seat begins with. All three seats may begin anew
-/// twice within a window.
-constexpr double ToleranceOfSeat = 0.1;
+/// its burst.
+constexpr double OperationsOfBucket = 0.1;
+/// Part of the tolerated operations with which all seats together begin.
+constexpr double OperationsOfStart = 0.3;
 
 } // namespace
 
@@ -54,10 +57,23 @@
   const auto Found = Limits.find(Organisation);
   if (Found == Limits.end())
     return {};
-  const double Part =
-      (1 + Tolerance.Part * TolerancePartUsed) / SeatsPerOrganisation;
+  const double Part = (1 + Tolerance.Part * ShareOfRate) / SeatsPerOrganisation;
   return {Found->second.PerSecond * Part,
-          Found->second.Burst * Part + Tolerance.Operations * ToleranceOfSeat};
+          Found->second.Burst * Part +
+              Tolerance.Operations * OperationsOfBucket};
+}
+
+double QuotaSeats::firstTokens(const std::string &Organisation) const {
+  const auto Found = Limits.find(Organisation);
+  if (Found == Limits.end())
+    return 0;
+  const double InWindow =
+      Found->second.PerSecond *
+          static_cast<double>(Tolerance.Window.count()) / MillisPerSecond +
+      Found->second.Burst;
+  return (InWindow * Tolerance.Part * ShareOfStart +
+          Tolerance.Operations * OperationsOfStart) /
+         SeatsPerOrganisation;
 }
 
 PermitReply QuotaSeats::take(const std::string &Organisation,
@@ -125,7 +141,7 @@
     const auto Before = Seats.find(Each);
     New[Each] = Before != Seats.end()
                     ? Before->second
-                    : Bucket{Tolerance.Operations * ToleranceOfSeat, Now};
+                    : Bucket{firstTokens(Each.Organisation), Now};
   }
   AppliedGrant = Grant.Sequence;
   End = Grant.SentAt + Grant.Duration;
--- a/Source/Quota/QuotaSeats.h
+++ b/Source/Quota/QuotaSeats.h
@@ -17,6 +17,7 @@
 struct QuotaTolerance {
   double Part = 0;       ///< Of rate and burst.
   double Operations = 0; ///< Beside it.
+  Millis Window = Millis(5000);
 
   auto operator<=>(const QuotaTolerance &) const = default;
 };
@@ -61,6 +62,9 @@
   };
 
   Quota limitOfSeat(const std::string &Organisation) const;
+  /// Tokens that a seat begins with, where what its former holder gave out
+  /// lately isn't known.
+  double firstTokens(const std::string &Organisation) const;
 
   ProcessId Self;
   QuotaTolerance Tolerance;
--- a/Source/Settings/Settings.cpp
+++ b/Source/Settings/Settings.cpp
@@ -161,13 +161,18 @@
        .Key = "quota_overage",
        .Default = "none",
        .Meaning = "Part by which organisations may pass their quotas, like "
-                  "\"0.1\", where leadership is \"targets\". Proxies use most "
-                  "of it, and refuse less for want of an exact count."},
+                  "\"0.1\", where leadership is \"targets\". Permits use it "
+                  "where their former count is lost."},
       {.Table = "[group]",
        .Key = "quota_slack",
        .Default = "none",
        .Meaning = "Operations by which an organisation may pass its quota in "
                   "any window, beside quota_overage."},
+      {.Table = "[group]",
+       .Key = "quota_window",
+       .Default = "none",
+       .Meaning = "The window of quota_overage and quota_slack, like \"5s\"; "
+                  "5 s where it's left out."},
       {.Table = "[[control]]",
        .Key = "name",
        .Meaning = "Name of a control host; one table for each."},
@@ -245,6 +250,9 @@
   Out.Promotions = Group.endpoint("promotions");
   Out.QuotaOverage = Group.decimal("quota_overage");
   Out.QuotaSlack = Group.decimal("quota_slack");
+  if (const Millis Window = Group.duration("quota_window");
+      Window > Millis(0))
+    Out.QuotaWindow = Window;
   Listen.finish();
   Group.finish();
 }
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -57,6 +57,7 @@
   std::size_t LostDisksBorne = 1; ///< Control: at once, without any loss.
   double QuotaOverage = 0; ///< Proxy: part of a quota that may be passed.
   double QuotaSlack = 0;   ///< Proxy: operations that may be passed by.
+  Millis QuotaWindow = Millis(5000); ///< Proxy: in which both are meant.
   bool JsonLogs = false;
   LogLevel Level = LogLevel::Info;
   /// How long a stopping proxy still takes new callers, so that the balancer
