Keep organisations' idle connections longer while their target is busy

An opening takes 12 ms of a slot. Where a target has all the work that it may get, connections beyond half of a share are closed after 4 s in place of 250 ms; elsewhere as before, since after a loss of power a target counts those that stood for three seconds.

--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -164,8 +164,7 @@
 }
 
 void TargetPool::tend(Millis Now) {
-  const Millis Recovery =
-      IsDivided ? LimitRecoveryWhereDivided : LimitRecovery;
+  const Millis Recovery = IsDivided ? LimitRecoveryWhereDivided : LimitRecovery;
   if (Seen.Limit && Now - Seen.LimitRaisedAt >= Recovery) {
     Seen.LimitRaisedAt = Now;
     if (++*Seen.Limit >= Share + burst())
@@ -177,7 +176,7 @@
       Record.IsLeaving ? Record.IsPrimary && mayTakeWork(Now) : !Record.IsGone;
   const std::size_t Kept = ServesOn ? kept() : 0;
   const Millis IdleBorne =
-      IsDivided && !IsRetiring ? IdleWhereDivided : IdleBeyondWarm;
+      IsDivided && IsPressed && !IsRetiring ? IdleWherePressed : IdleBeyondWarm;
   std::vector<TargetConnectionPtr> Before = All;
   std::sort(
       Before.begin(), Before.end(),
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -68,6 +68,9 @@
   void setShare(std::size_t New) { Share = New; }
   /// Connections belong to organisations: none is opened ahead of need.
   void setDivided(bool New) { IsDivided = New; }
+  /// The target has all the work that it may get: what an opening takes of it
+  /// is dearer than an idle connection.
+  void setPressed(bool New) { IsPressed = New; }
   /// Others hold the target's connections now: what is idle here is closed.
   void setRetiring(bool New) { IsRetiring = New; }
   /// From now on connections are links to those that all proxies share, or
@@ -172,9 +175,9 @@
   /// than most gaps within a burst. Four times as long leaves so many open at
   /// a loss of power that callers find none for two seconds after it.
   static constexpr Millis IdleBeyondWarm = Millis(250);
-  /// The same where connections belong to organisations: one that is closed
-  /// serves nobody of its organisation, who then wait for another.
-  static constexpr Millis IdleWhereDivided = Millis(250);
+  /// The same where connections belong to organisations and the target
+  /// has none of its slots to spare.
+  static constexpr Millis IdleWherePressed = Millis(4000);
   /// After a refused connection the next is tried this much later.
   static constexpr Millis RefusedPause = Millis(50);
   /// The limit is raised by one this often after a refusal.
@@ -208,6 +211,7 @@
   bool IsShared = false;
   bool IsDivided = false;
   bool IsRetiring = false;
+  bool IsPressed = false;
   std::vector<TargetConnectionPtr> All;
   Observations Seen;
 };
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -22,6 +22,9 @@
 /// How long the first in the queue waits before another connection is opened:
 /// most statements end sooner, and a new connection costs the target a slot.
 constexpr Millis WaitBeforeOpening(10);
+/// A target that had all the work it may get this lately is busy, though not at
+/// this moment.
+constexpr Millis PressureLasts(2000);
 /// Pause between two connections that are opened ahead of need. With 12 ms an
 /// opening four gateways together take a tenth of what two slots can do.
 constexpr Millis WarmPause(250);
@@ -253,8 +256,7 @@
   openConnection(At, "");
 }
 
-void TargetBroker::openConnection(Target &At,
-                                  const std::string &Organisation) {
+void TargetBroker::openConnection(Target &At, const std::string &Organisation) {
   ++Openings.Begun;
   At.OpenedAt = Time.now();
   At.Pool.open(Direct, {Organisation}, Time.now(),
@@ -334,6 +336,9 @@
   for (auto &[Id, Each] : Targets) {
     giveUpWaiting(Each);
     noticeSilence(Each);
+    if (Each.AtWork >= mostAtWork(Each))
+      Each.FullAt = Now;
+    Each.Pool.setPressed(Now - Each.FullAt < PressureLasts);
     Each.Pool.setRetiring(IsDivided && Own.count(Id) == 0);
     Each.Pool.tend(Now);
     warmUp(Each);
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -77,6 +77,7 @@
     std::size_t AtWork = 0; ///< Statements that were sent and not answered.
     bool IsPumping = false;
     Millis OpenedAt = {}; ///< When the last connection was begun.
+    Millis FullAt = Millis(-1000000); ///< When it last had all it may get.
   };
 
   Target &targetOf(const TargetAddress &To);
