Use the permits of late answers

Holders of seats answer late while everybody comes back; their answers were dropped with the permits in them, and the next holder was asked for more.

A late answer's permits go to whoever waits, and a holder has 60 ms in place of 40.

--- a/Source/Quota/OperationPermits.cpp
+++ b/Source/Quota/OperationPermits.cpp
@@ -12,8 +12,10 @@
 
 /// A holder that hasn't answered after this long is passed over: well above
 /// the way there and back on a slow link.
-constexpr Millis ReplyPatience(40);
-/// It's asked last for this long then.
+constexpr Millis ReplyPatience(60);
+/// An answer isn't expected any more after this long.
+constexpr Millis LatestReply(2000);
+/// A holder that didn't answer is asked last for this long.
 constexpr Millis AvoidFor(500);
 /// Between two rounds while no holder is known to have a seat, and at least.
 constexpr Millis PauseWithoutSeat(40);
@@ -147,7 +149,10 @@
   Of.Asked = NextNumber++;
   if (Next.Name == Self)
     return answered(Organisation, Seats.take(Organisation, Count, Now));
-  Requests[Of.Asked] = Organisation;
+  std::erase_if(Requests, [Now](const auto &Each) {
+    return Now - Each.second.At >= LatestReply;
+  });
+  Requests[Of.Asked] = {Organisation, Now};
   Outside.Peers.send({Next.Relay.Address, PeerPort}, Delivery::Datagram,
                      PermitRequest{Of.Asked, Organisation, Count});
   setTimer(Of, Organisation, ReplyPatience, &OperationPermits::timedOut);
@@ -155,7 +160,6 @@
 
 void OperationPermits::timedOut(const std::string &Organisation) {
   Queue &Of = Queues[Organisation];
-  Requests.erase(Of.Asked);
   Of.Asked = 0;
   const std::vector<ProxyRecord> &Known = Holders[Organisation];
   if (Of.Rank < Known.size())
@@ -179,31 +183,47 @@
   const auto Found = Requests.find(Body.Number);
   if (Found == Requests.end())
     return;
-  const std::string Organisation = Found->second;
+  const std::string Organisation = Found->second.Organisation;
   Requests.erase(Found);
+  if (Queues[Organisation].Asked != Body.Number)
+    return giveOut(Organisation, Body.Granted);
   stopTimer(Queues[Organisation]);
   answered(Organisation, Body);
 }
 
-void OperationPermits::answered(const std::string &Organisation,
-                                const PermitReply &Answer) {
+void OperationPermits::giveOut(const std::string &Organisation,
+                               std::uint32_t Permits) {
   Queue &Of = Queues[Organisation];
-  Of.Asked = 0;
   std::vector<Handler> Permitted;
-  while (Permitted.size() < Answer.Granted && !Of.All.empty()) {
+  while (Permitted.size() < Permits && !Of.All.empty()) {
     Permitted.push_back(std::move(Of.All.front().OnAnswer));
     Of.All.pop_front();
   }
+  // Handlers may ask for others.
+  for (const Handler &Each : Permitted)
+    Each(std::nullopt);
+}
+
+void OperationPermits::answered(const std::string &Organisation,
+                                const PermitReply &Answer) {
+  Queue &Of = Queues[Organisation];
+  Of.Asked = 0;
   if (Answer.HasSeat)
     Of.Soonest = Of.Soonest ? std::min(*Of.Soonest, Answer.ComeBackAfter)
                             : Answer.ComeBackAfter;
   ++Of.Rank;
-  // Handlers may ask for others.
   Of.NextRoundAt = Outside.Time.now();
-  if (!Of.All.empty())
+  if (Of.All.size() > Answer.Granted) {
+    // Those behind them don't wait for what the handlers do.
+    std::list<Waiting> Permitted;
+    Permitted.splice(Permitted.begin(), Of.All, Of.All.begin(),
+                     std::next(Of.All.begin(), Answer.Granted));
     askNext(Organisation);
-  for (const Handler &Each : Permitted)
-    Each(std::nullopt);
+    for (const Waiting &Each : Permitted)
+      Each.OnAnswer(std::nullopt);
+    return;
+  }
+  giveOut(Organisation, Answer.Granted);
 }
 
 void OperationPermits::endRound(const std::string &Organisation) {
--- a/Source/Quota/OperationPermits.h
+++ b/Source/Quota/OperationPermits.h
@@ -73,6 +73,11 @@
     Scheduler::TimerId Timer = 0;
   };
 
+  struct SentRequest {
+    std::string Organisation;
+    Millis At;
+  };
+
   void receive(const Envelope &Arrived);
   void on(const PermitRequest &Body, const Envelope &From);
   void on(const PermitReply &Body, const Envelope &From);
@@ -82,6 +87,8 @@
   void beginRound(const std::string &Organisation);
   void askNext(const std::string &Organisation);
   void answered(const std::string &Organisation, const PermitReply &Answer);
+  /// Lets as many operations begin, the oldest first.
+  void giveOut(const std::string &Organisation, std::uint32_t Permits);
   void endRound(const std::string &Organisation);
   /// Refuses those whose time is over by then.
   void refuseBefore(const std::string &Organisation, Millis When);
@@ -98,7 +105,8 @@
   std::map<std::string, std::vector<ProxyRecord>> Holders;
   std::map<std::string, Millis> AvoidUntil; ///< Holders that didn't answer.
   std::map<std::string, Queue> Queues;
-  std::map<std::uint64_t, std::string> Requests; ///< Under way.
+  /// Sent and not answered, by number. A late answer's permits are used too.
+  std::map<std::uint64_t, SentRequest> Requests;
   std::uint64_t NextNumber = 1;
 };
 
--- a/Source/Quota/QuotaSeats.cpp
+++ b/Source/Quota/QuotaSeats.cpp
@@ -67,10 +67,10 @@
   const auto Found = Limits.find(Organisation);
   if (Found == Limits.end())
     return 0;
-  const double InWindow =
-      Found->second.PerSecond *
-          static_cast<double>(Tolerance.Window.count()) / MillisPerSecond +
-      Found->second.Burst;
+  const double InWindow = Found->second.PerSecond *
+                              static_cast<double>(Tolerance.Window.count()) /
+                              MillisPerSecond +
+                          Found->second.Burst;
   return (InWindow * Tolerance.Part * ShareOfStart +
           Tolerance.Operations * OperationsOfStart) /
          SeatsPerOrganisation;
