--- a/Source/Pipeline/SessionOpenings.cpp
+++ b/Source/Pipeline/SessionOpenings.cpp
@@ -9,11 +9,9 @@
 namespace {
 
 /// How long an opening waits for this process's first plan, or for word that
-/// the plan which doesn't know its key is the newest. After all processes were
-/// down the plan comes within 50 to 300 ms, and a caller that was refused
-/// meanwhile had used up a try: 157 of 930 callers lost all three of theirs
-/// within two seconds. Well below the two seconds for which callers wait for
-/// an opening.
+/// the plan which doesn't know its key is the newest. Well below the time for
+/// which callers wait for an opening: after all processes were down the plan
+/// comes sooner, and a caller that is refused meanwhile has used up a try.
 constexpr Millis PlanPatience(1000);
 /// How long a transaction goes on after its session's key was taken away.
 constexpr Millis RevokedTransactionLasts(1000);
--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -77,7 +77,7 @@
 }
 
 std::size_t TargetPool::mostConnections() const {
-  return IsShared ? MaxLinks : Seen.Limit.value_or(Share + burst());
+  return IsShared ? MaxLinks : Seen.Limit.value_or(Share + Burst);
 }
 
 void TargetPool::setShared(bool New, Millis Now) {
@@ -167,7 +167,7 @@
   const Millis Recovery = IsDivided ? LimitRecoveryWhereDivided : LimitRecovery;
   if (Seen.Limit && Now - Seen.LimitRaisedAt >= Recovery) {
     Seen.LimitRaisedAt = Now;
-    if (++*Seen.Limit >= Share + burst())
+    if (++*Seen.Limit >= Share + Burst)
       Seen.Limit.reset();
   }
   if (All.empty())
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -68,6 +68,9 @@
   void setShare(std::size_t New) { Share = New; }
   /// Connections belong to organisations: none is opened ahead of need.
   void setDivided(bool New) { IsDivided = New; }
+  /// All shares together are in use, so that nobody leaves any to others: none
+  /// is passed.
+  void keepToShare(bool New) { Burst = New ? 0 : UsualBurst; }
   /// The target has all the work that it may get: what an opening takes of it
   /// is dearer than an idle connection.
   void setPressed(bool New) { IsPressed = New; }
@@ -150,9 +153,6 @@
   std::size_t kept() const {
     return IsRetiring ? 0 : std::max<std::size_t>(1, Share / WarmPart);
   }
-  /// Where connections belong to organisations all of the share is in use, at
-  /// all proxies: nobody leaves any to others.
-  std::size_t burst() const { return IsDivided ? 0 : Burst; }
   std::size_t count(TargetConnection::Stage Which) const;
   std::size_t mostConnections() const;
   /// The connection that was idle for longest and may go for another
@@ -166,7 +166,7 @@
   /// only bounds the memory.
   static constexpr std::size_t MaxLinks = 256;
   /// Above the share by this many, while nobody else needs them.
-  static constexpr std::size_t Burst = 2;
+  static constexpr std::size_t UsualBurst = 2;
   /// Part of the share that is kept warm. After a loss of power the target
   /// counts the former connections for seconds; there must be room for new
   /// ones beside them.
@@ -212,6 +212,7 @@
   bool IsDivided = false;
   bool IsRetiring = false;
   bool IsPressed = false;
+  std::size_t Burst = UsualBurst;
   std::vector<TargetConnectionPtr> All;
   Observations Seen;
 };
--- a/Source/Quota/OperationPermits.cpp
+++ b/Source/Quota/OperationPermits.cpp
@@ -147,6 +147,7 @@
   const ProxyRecord &Next = Known[Of.Rank];
   const auto Count = static_cast<std::uint32_t>(Of.All.size());
   Of.Asked = NextNumber++;
+  Of.Holder = Next.Name;
   if (Next.Name == Self)
     return answered(Organisation, Seats.take(Organisation, Count, Now));
   std::erase_if(Requests, [Now](const auto &Each) {
@@ -161,9 +162,7 @@
 void OperationPermits::timedOut(const std::string &Organisation) {
   Queue &Of = Queues[Organisation];
   Of.Asked = 0;
-  const std::vector<ProxyRecord> &Known = Holders[Organisation];
-  if (Of.Rank < Known.size())
-    AvoidUntil[Known[Of.Rank].Name] = Outside.Time.now() + AvoidFor;
+  AvoidUntil[Of.Holder] = Outside.Time.now() + AvoidFor;
   ++Of.Rank;
   askNext(Organisation);
 }
--- a/Source/Quota/OperationPermits.h
+++ b/Source/Quota/OperationPermits.h
@@ -68,6 +68,7 @@
     std::list<Waiting> All;
     std::uint64_t Asked = 0; ///< Number of the request under way; 0: none.
     std::size_t Rank = 0;    ///< Of the holder that is asked.
+    std::string Holder;      ///< Its name.
     std::optional<Millis> Soonest; ///< Until one of those asked has a permit.
     Millis NextRoundAt;
     Scheduler::TimerId Timer = 0;
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -69,7 +69,7 @@
                    Target{TargetPool(Record, Divisions[To.Group].Connections,
                                      Time.now())})
           .first->second;
-  Made.Pool.setDivided(IsDivided);
+  divide(Made.Pool);
   return Made;
 }
 
@@ -126,10 +126,16 @@
       Each.Pool.setShare(Connections);
 }
 
+// Where connections belong to organisations each gateway uses all of its share.
+void TargetBroker::divide(TargetPool &Pool) const {
+  Pool.setDivided(IsDivided);
+  Pool.keepToShare(IsDivided);
+}
+
 void TargetBroker::setDivided(bool New) {
   IsDivided = New;
   for (auto &[Id, Each] : Targets)
-    Each.Pool.setDivided(New);
+    divide(Each.Pool);
 }
 
 bool TargetBroker::isBusy() const {
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -76,10 +76,11 @@
     std::list<Link *> Ready = {};
     std::size_t AtWork = 0; ///< Statements that were sent and not answered.
     bool IsPumping = false;
-    Millis OpenedAt = {}; ///< When the last connection was begun.
+    Millis OpenedAt = {};             ///< When the last connection was begun.
     Millis FullAt = Millis(-1000000); ///< When it last had all it may get.
   };
 
+  void divide(TargetPool &Pool) const;
   Target &targetOf(const TargetAddress &To);
   Target *find(const std::string &Id);
   /// Null once that link is destroyed.
--- a/Source/Settings/Settings.cpp
+++ b/Source/Settings/Settings.cpp
@@ -250,8 +250,7 @@
   Out.Promotions = Group.endpoint("promotions");
   Out.QuotaOverage = Group.decimal("quota_overage");
   Out.QuotaSlack = Group.decimal("quota_slack");
-  if (const Millis Window = Group.duration("quota_window");
-      Window > Millis(0))
+  if (const Millis Window = Group.duration("quota_window"); Window > Millis(0))
     Out.QuotaWindow = Window;
   Listen.finish();
   Group.finish();
