--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -242,11 +242,11 @@
                                   });
   if (Found == Running.end())
     return;
-  const SessionJobPtr Job = *Found;
-  const CallerSessionPtr Session = Job->Of.lock();
-  if (Job->Writes || !Session || Session->Transaction)
+  const CallerSessionPtr Session = (*Found)->Of.lock();
+  if ((*Found)->Writes || !Session || Session->Transaction)
     return;
-  Running.erase(Found);
+  const auto Taken = Running.extract(Found);
+  const SessionJobPtr &Job = Taken.value();
   discard(Silent);
   Job->WaitsSince = Outside.Time.now();
   tryAgain(Job,
