--- a/Tests/Support/FakeGroup.cpp
+++ b/Tests/Support/FakeGroup.cpp
@@ -32,8 +32,8 @@
 public:
   Link(FakeGroup &Owner, const TargetAddress &To, Events Handlers)
       : Owner(Owner), Name(To.Id), Organisation(To.Organisation),
-        Handlers(std::move(Handlers)),
-        Alive(std::make_shared<bool>(true)), Number(Owner.NextConnection++) {
+        Handlers(std::move(Handlers)), Alive(std::make_shared<bool>(true)),
+        Number(Owner.NextConnection++) {
     Owner.Links.insert(this);
     later(Owner.Latency * 2, [this] { arrive(); });
   }
