--- a/Tests/Support/FakeGroup.h
+++ b/Tests/Support/FakeGroup.h
@@ -22,7 +22,7 @@
 struct FakeRun {
   std::string Id;
   std::string Target;
-  std::string Text; ///< With the shape in place of a prepared name.
+  std::string Text;         ///< With the shape in place of a prepared name.
   std::string Organisation; ///< As the target was told on opening.
   SessionValues Values;
   std::uint64_t Connection = 0;
--- a/Tests/Unit/OrganisationTest.cpp
+++ b/Tests/Unit/OrganisationTest.cpp
@@ -53,8 +53,7 @@
   Setup On;
   for (int Round = 0; Round < 20; ++Round)
     for (const char *Name : {"mills", "clerks"}) {
-      const auto Session =
-          On.Proxy.connect("own", std::string(Name) + "-key");
+      const auto Session = On.Proxy.connect("own", std::string(Name) + "-key");
       const std::string Id = Name + std::to_string(Round);
       REQUIRE_FALSE(
           On.Proxy.ask(Session, Kind::Write, Id, "STORE x 1").Refusal);
@@ -111,8 +110,9 @@
   for (std::size_t Each = 0; Each < All.size(); ++Each) {
     const auto Session =
         On.System.connect(Each % 12, "primary", All[Each] + "-key");
-    Served += On.System.ask(Session, Kind::Write, "w" + std::to_string(Each),
-                            "STORE x 1")
+    Served += On.System
+                      .ask(Session, Kind::Write, "w" + std::to_string(Each),
+                           "STORE x 1")
                       .Refusal
                   ? 0
                   : 1;
@@ -176,10 +176,10 @@
   const auto Other = On.Proxy.connect("primary", "clerks-key");
   for (const auto &Each : {Inside, Resting}) {
     On.Proxy.ask(Each, Kind::Begin);
-    REQUIRE_FALSE(On.Proxy
-                      .ask(Each, Kind::Write, "t" + std::to_string(Each.Id),
-                           "STORE x 1")
-                      .Refusal);
+    REQUIRE_FALSE(
+        On.Proxy
+            .ask(Each, Kind::Write, "t" + std::to_string(Each.Id), "STORE x 1")
+            .Refusal);
   }
   On.Proxy.send(Busy, Kind::Write, "busy", "STORE x 1");
   On.Loop.runFor(Millis(2));
@@ -204,8 +204,7 @@
   CHECK(On.Group.runs("late") == 0);
   On.Proxy.send(Resting, Kind::Rollback);
   CHECK(Resting.Caller->IsClosed);
-  CHECK_FALSE(
-      On.Proxy.ask(Other, Kind::Write, "other", "STORE x 1").Refusal);
+  CHECK_FALSE(On.Proxy.ask(Other, Kind::Write, "other", "STORE x 1").Refusal);
 }
 
 TEST_CASE("Statements sent ahead don't run once the key is gone",
@@ -234,8 +233,7 @@
   On.adopt(swappedKeys());
   CHECK(Before.Caller->IsClosed);
   const auto After = On.Proxy.connect("primary", "mills-key");
-  REQUIRE_FALSE(
-      On.Proxy.ask(After, Kind::Write, "after", "STORE x 1").Refusal);
+  REQUIRE_FALSE(On.Proxy.ask(After, Kind::Write, "after", "STORE x 1").Refusal);
   CHECK(On.Group.run("before")->Organisation == "mills");
   CHECK(On.Group.run("after")->Organisation == "clerks");
 }
