--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -16,13 +16,6 @@
   Record = New;
 }
 
-std::size_t TargetPool::count(TargetConnection::Stage Which) const {
-  return static_cast<std::size_t>(
-      std::count_if(All.begin(), All.end(), [Which](const auto &Each) {
-        return Each->stage() == Which;
-      }));
-}
-
 TargetConnectionPtr TargetPool::idle(const std::string &Organisation,
                                      const SessionValues &Wanted) const {
   TargetConnectionPtr Best;
@@ -51,18 +44,16 @@
 }
 
 std::size_t TargetPool::size(const std::string &Organisation) const {
-  return static_cast<std::size_t>(
-      std::count_if(All.begin(), All.end(), [&](const auto &Each) {
-        return Each->to().Organisation == Organisation;
-      }));
+  return count([&](const TargetConnection &Each) {
+    return Each.to().Organisation == Organisation;
+  });
 }
 
 std::size_t TargetPool::opening(const std::string &Organisation) const {
-  return static_cast<std::size_t>(
-      std::count_if(All.begin(), All.end(), [&](const auto &Each) {
-        return Each->stage() == TargetConnection::Stage::Opening &&
-               Each->to().Organisation == Organisation;
-      }));
+  return count([&](const TargetConnection &Each) {
+    return Each.stage() == TargetConnection::Stage::Opening &&
+           Each.to().Organisation == Organisation;
+  });
 }
 
 TargetConnectionPtr
@@ -178,11 +169,13 @@
   const Millis IdleBorne =
       IsDivided && IsPressed && !IsRetiring ? IdleWherePressed : IdleBeyondWarm;
   std::vector<TargetConnectionPtr> Before = All;
-  std::sort(
-      Before.begin(), Before.end(),
-      [](const TargetConnectionPtr &Left, const TargetConnectionPtr &Right) {
-        return Left->idleSince() < Right->idleSince();
-      });
+  // The one that was idle for longest goes first; links all stay or all go.
+  if (!IsShared)
+    std::sort(
+        Before.begin(), Before.end(),
+        [](const TargetConnectionPtr &Left, const TargetConnectionPtr &Right) {
+          return Left->idleSince() < Right->idleSince();
+        });
   for (const TargetConnectionPtr &Each : Before) {
     if (Each->isShared() != IsShared &&
         Each->stage() == TargetConnection::Stage::Idle) {
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -108,9 +108,9 @@
   /// Closes all of them; whoever waits on one is still to be told.
   std::vector<TargetConnectionPtr> closeAll();
   std::size_t opening() const {
-    return count(TargetConnection::Stage::Opening);
+    return inStage(TargetConnection::Stage::Opening);
   }
-  std::size_t busy() const { return count(TargetConnection::Stage::Busy); }
+  std::size_t busy() const { return inStage(TargetConnection::Stage::Busy); }
   std::size_t size() const { return All.size(); }
   const std::vector<TargetConnectionPtr> &connections() const { return All; }
 
@@ -153,7 +153,15 @@
   std::size_t kept() const {
     return IsRetiring ? 0 : std::max<std::size_t>(1, Share / WarmPart);
   }
-  std::size_t count(TargetConnection::Stage Which) const;
+  template <class Predicate> std::size_t count(Predicate Is) const {
+    return static_cast<std::size_t>(std::count_if(
+        All.begin(), All.end(), [&Is](const auto &Each) { return Is(*Each); }));
+  }
+  std::size_t inStage(TargetConnection::Stage Which) const {
+    return count([Which](const TargetConnection &Each) {
+      return Each.stage() == Which;
+    });
+  }
   std::size_t mostConnections() const;
   /// The connection that was idle for longest and may go for another
   /// organisation's; null where there is none.
--- a/Source/Plan/RoutePlan.cpp
+++ b/Source/Plan/RoutePlan.cpp
@@ -12,15 +12,6 @@
 
 namespace {
 
-template <class T, class Member>
-const T *find(const std::vector<T> &All, Member Field,
-              const std::string &Wanted) {
-  const auto Found = std::find_if(All.begin(), All.end(), [&](const T &Each) {
-    return Each.*Field == Wanted;
-  });
-  return Found == All.end() ? nullptr : &*Found;
-}
-
 /// Names and keys travel as words of a line.
 bool isWord(const std::string &Text) {
   return !Text.empty() &&
@@ -56,19 +47,6 @@
 
 } // namespace
 
-const RoutePolicy *RoutePlan::route(const std::string &Database) const {
-  return find(Routes, &RoutePolicy::Database, Database);
-}
-
-const GroupPolicy *RoutePlan::group(const std::string &Name) const {
-  return find(Groups, &GroupPolicy::Name, Name);
-}
-
-const PlannedOrganisation *
-RoutePlan::organisation(const std::string &Name) const {
-  return find(Organisations, &PlannedOrganisation::Name, Name);
-}
-
 std::vector<std::string> faultsOf(const RoutePlan &Plan) {
   std::vector<std::string> Out;
   if (Plan.Version == 0)
--- a/Source/Plan/RoutePlan.h
+++ b/Source/Plan/RoutePlan.h
@@ -108,10 +108,6 @@
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Version, Routes, Groups, Organisations, TransactionIdle, Document);
   }
-
-  const RoutePolicy *route(const std::string &Database) const;
-  const GroupPolicy *group(const std::string &Name) const;
-  const PlannedOrganisation *organisation(const std::string &Name) const;
 };
 
 /// All that keeps a plan from being accepted; empty where nothing does.
--- a/Source/Quota/OperationPermits.cpp
+++ b/Source/Quota/OperationPermits.cpp
@@ -3,8 +3,9 @@
 
 #include "Quota/OperationPermits.h"
 
+#include "Common/TextHash.h"
+
 #include <algorithm>
-#include <xxhash.h>
 
 namespace corianderdyke {
 
@@ -21,19 +22,15 @@
 constexpr Millis PauseWithoutSeat(40);
 constexpr Millis LeastPause(5);
 
-std::uint64_t hashOf(const std::string &Text, std::uint64_t Seed) {
-  return XXH64(Text.data(), Text.size(), Seed);
-}
-
 } // namespace
 
 std::vector<ProxyRecord> seatHolders(const std::string &Organisation,
                                      const std::vector<ProxyRecord> &Proxies) {
-  const std::uint64_t Seed = hashOf(Organisation, 0);
+  const std::uint64_t Seed = textHash(Organisation, 0);
   std::vector<std::pair<std::uint64_t, std::size_t>> Order;
   Order.reserve(Proxies.size());
   for (std::size_t Each = 0; Each < Proxies.size(); ++Each)
-    Order.emplace_back(hashOf(Proxies[Each].Name, Seed), Each);
+    Order.emplace_back(textHash(Proxies[Each].Name, Seed), Each);
   const std::size_t Count =
       std::min<std::size_t>(Order.size(), SeatsPerOrganisation);
   std::partial_sort(Order.begin(),
@@ -79,8 +76,8 @@
     // Each proxy begins elsewhere, so that all holders are asked alike.
     if (!Known.empty())
       std::rotate(Known.begin(),
-                  Known.begin() + static_cast<std::ptrdiff_t>(hashOf(Self, 0) %
-                                                              Known.size()),
+                  Known.begin() + static_cast<std::ptrdiff_t>(
+                                      textHash(Self, 0) % Known.size()),
                   Known.end());
     Holders[Each] = std::move(Known);
   }
@@ -123,11 +120,8 @@
   if (Of.All.empty())
     return;
   // The plan may have taken the limit away meanwhile.
-  if (!isLimited(Organisation)) {
-    for (const Waiting &Each : std::exchange(Of.All, {}))
-      Each.OnAnswer(std::nullopt);
-    return;
-  }
+  if (!isLimited(Organisation))
+    return begin(takeOut(Of, static_cast<std::uint32_t>(Of.All.size())));
   Of.Rank = 0;
   Of.Soonest.reset();
   askNext(Organisation);
@@ -184,21 +178,24 @@
     return;
   const std::string Organisation = Found->second.Organisation;
   Requests.erase(Found);
-  if (Queues[Organisation].Asked != Body.Number)
-    return giveOut(Organisation, Body.Granted);
-  stopTimer(Queues[Organisation]);
+  Queue &Of = Queues[Organisation];
+  if (Of.Asked != Body.Number)
+    return begin(takeOut(Of, Body.Granted));
+  stopTimer(Of);
   answered(Organisation, Body);
 }
 
-void OperationPermits::giveOut(const std::string &Organisation,
-                               std::uint32_t Permits) {
-  Queue &Of = Queues[Organisation];
-  std::vector<Handler> Permitted;
-  while (Permitted.size() < Permits && !Of.All.empty()) {
-    Permitted.push_back(std::move(Of.All.front().OnAnswer));
+std::vector<PermitSource::Handler>
+OperationPermits::takeOut(Queue &Of, std::uint32_t Permits) {
+  std::vector<Handler> Out;
+  while (Out.size() < Permits && !Of.All.empty()) {
+    Out.push_back(std::move(Of.All.front().OnAnswer));
     Of.All.pop_front();
   }
-  // Handlers may ask for others.
+  return Out;
+}
+
+void OperationPermits::begin(const std::vector<Handler> &Permitted) {
   for (const Handler &Each : Permitted)
     Each(std::nullopt);
 }
@@ -212,17 +209,11 @@
                             : Answer.ComeBackAfter;
   ++Of.Rank;
   Of.NextRoundAt = Outside.Time.now();
-  if (Of.All.size() > Answer.Granted) {
-    // Those behind them don't wait for what the handlers do.
-    std::list<Waiting> Permitted;
-    Permitted.splice(Permitted.begin(), Of.All, Of.All.begin(),
-                     std::next(Of.All.begin(), Answer.Granted));
+  const std::vector<Handler> Permitted = takeOut(Of, Answer.Granted);
+  // Those behind them don't wait for what the handlers do.
+  if (!Of.All.empty())
     askNext(Organisation);
-    for (const Waiting &Each : Permitted)
-      Each.OnAnswer(std::nullopt);
-    return;
-  }
-  giveOut(Organisation, Answer.Granted);
+  begin(Permitted);
 }
 
 void OperationPermits::endRound(const std::string &Organisation) {
--- a/Source/Quota/OperationPermits.h
+++ b/Source/Quota/OperationPermits.h
@@ -88,8 +88,10 @@
   void beginRound(const std::string &Organisation);
   void askNext(const std::string &Organisation);
   void answered(const std::string &Organisation, const PermitReply &Answer);
-  /// Lets as many operations begin, the oldest first.
-  void giveOut(const std::string &Organisation, std::uint32_t Permits);
+  /// Takes as many operations out of a queue, the oldest first.
+  static std::vector<Handler> takeOut(Queue &Of, std::uint32_t Permits);
+  /// Lets them begin; the handlers may ask for others.
+  static void begin(const std::vector<Handler> &Permitted);
   void endRound(const std::string &Organisation);
   /// Refuses those whose time is over by then.
   void refuseBefore(const std::string &Organisation, Millis When);
--- a/Source/Quota/QuotaSeats.cpp
+++ b/Source/Quota/QuotaSeats.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr double MillisPerSecond = 1000;
-// What is tolerated in a window is divided: seats may begin anew twice in one.
-/// Part of the tolerated share by which rate and burst are raised.
+/// What is tolerated in a window is divided, since seats may begin anew twice
+/// in one. Part of the tolerated share by which rate and burst are raised.
 constexpr double ShareOfRate = 0.6;
 /// Part of the tolerated share with which all seats together begin.
 constexpr double ShareOfStart = 0.15;
--- a/Source/Quota/QuotaSeats.h
+++ b/Source/Quota/QuotaSeats.h
@@ -8,8 +8,6 @@
 #include "Quota/Messages.h"
 
 #include <map>
-#include <optional>
-#include <set>
 
 namespace corianderdyke {
 
--- a/Source/Relay/GatewayTable.cpp
+++ b/Source/Relay/GatewayTable.cpp
@@ -3,8 +3,9 @@
 
 #include "Relay/GatewayTable.h"
 
+#include "Common/TextHash.h"
+
 #include <algorithm>
-#include <xxhash.h>
 
 namespace corianderdyke {
 
@@ -36,11 +37,11 @@
                                     std::size_t Most) {
   std::vector<Candidate> Out;
   Out.reserve(Proxies.size());
-  const std::uint64_t Seed = XXH64(Target.Id.data(), Target.Id.size(), 0);
+  const std::uint64_t Seed = textHash(Target.Id);
   for (std::size_t Index = 0; Index < Proxies.size(); ++Index) {
     const ProxyRecord &Each = Proxies[Index];
     Out.push_back({Index, Each.FailureDomain == Target.FailureDomain,
-                   XXH64(Each.Name.data(), Each.Name.size(), Seed)});
+                   textHash(Each.Name, Seed)});
   }
   // A gateway beside its target costs bytes between failure domains once on
   // the way, one elsewhere twice.
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -3,8 +3,9 @@
 
 #include "Relay/SharedConnector.h"
 
+#include "Common/TextHash.h"
+
 #include <algorithm>
-#include <xxhash.h>
 
 namespace corianderdyke {
 
@@ -153,8 +154,7 @@
 };
 
 SharedConnector::SharedConnector(Ports Outside, std::string Self)
-    : Outside(Outside), Self(std::move(Self)),
-      NextTurn(XXH64(this->Self.data(), this->Self.size(), 0)) {}
+    : Outside(Outside), Self(std::move(Self)), NextTurn(textHash(this->Self)) {}
 
 SharedConnector::~SharedConnector() = default;
 
@@ -169,10 +169,9 @@
   return Gateways.count(Group) != 0;
 }
 
-// Load pattern: everything starts at the same moment. Proxies that opened
-// connections of their own before they knew of each other made targets that
-// take 88 refuse 12,200 of 15,800 openings, and each that was taken cost 12 ms
-// of a slot.
+// Load pattern: everything starts at the same moment. Proxies that
+// opened connections of their own before they know of each other would exceed
+// the targets' limits, and each opening takes a slot.
 bool SharedConnector::knowsShares() const {
   return !Proxies.empty() ||
          (PlannedAt && Outside.Time.now() - *PlannedAt >= ListPatience);
@@ -278,8 +277,7 @@
 std::size_t SharedConnector::firstTurn(const TargetAddress &To) {
   if (To.Organisation.empty())
     return NextTurn++;
-  return XXH64(To.Organisation.data(), To.Organisation.size(),
-               XXH64(To.Id.data(), To.Id.size(), 0));
+  return textHash(To.Organisation, textHash(To.Id));
 }
 
 std::optional<SharedConnector::Gateway>
--- a/Source/Session/SessionToken.cpp
+++ b/Source/Session/SessionToken.cpp
@@ -5,17 +5,15 @@
 
 #include "Common/Codec.h"
 #include "Common/KeyedDigest.h"
+#include "Common/TextHash.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace corianderdyke {
 
 namespace {
 
-std::uint64_t hashOf(const std::string &Name) {
-  return XXH64(Name.data(), Name.size(), 0);
-}
+std::uint64_t hashOf(const std::string &Name) { return textHash(Name); }
 
 } // namespace
 
--- a/Source/Steering/ControlFeed.cpp
+++ b/Source/Steering/ControlFeed.cpp
@@ -27,7 +27,8 @@
 /// True where an update that begins at \p From leaves nothing out for someone
 /// who has \p Known.
 bool continues(const DirectoryVersion &From, const DirectoryVersion &Known) {
-  return From.Term == Known.Term && From.Revision <= Known.Revision;
+  return From == DirectoryVersion{} ||
+         (From.Term == Known.Term && From.Revision <= Known.Revision);
 }
 
 } // namespace
@@ -167,20 +168,18 @@
 void ControlFeed::on(const DirectoryUpdate &Body, const Envelope &) {
   // Records replace older ones wherever they come from. What lies between is
   // missing where this update begins later than what is known.
-  if (Body.From == DirectoryVersion{} || continues(Body.From, Seen))
+  if (continues(Body.From, Seen))
     Seen = std::max(Seen, Body.Version);
   if (Directory.merge(Body.Targets, Time.now()))
     DirectoryChanged.emit();
 }
 
 void ControlFeed::on(const ProxyListUpdate &Body, const Envelope &) {
-  const bool IsWhole = Body.From == DirectoryVersion{};
-  if (Body.Version <= ProxiesSeen ||
-      (!IsWhole && !continues(Body.From, ProxiesSeen)))
+  if (Body.Version <= ProxiesSeen || !continues(Body.From, ProxiesSeen))
     return;
   ProxiesSeen = Body.Version;
   std::map<std::string, ProxyRecord> ByName;
-  if (!IsWhole)
+  if (Body.From != DirectoryVersion{})
     for (const ProxyRecord &Each : ProxyRecords)
       ByName[Each.Name] = Each;
   for (const ProxyRecord &Each : Body.Present)
--- a/Tests/Unit/LineProtocolTest.cpp
+++ b/Tests/Unit/LineProtocolTest.cpp
@@ -3,6 +3,7 @@
 /// operators' documents.
 
 #include "LineProtocol.h"
+#include "Plan/PlanIndex.h"
 #include "PlanDocument.h"
 
 #include <catch2/catch.hpp>
@@ -211,10 +212,12 @@
   CHECK(Plan->Version == 7);
   CHECK(Plan->Document == PlanText);
   CHECK(Plan->TransactionIdle == Millis(4000));
-  REQUIRE(Plan->route("lepu") != nullptr);
-  CHECK(Plan->route("lepu")->Reads == Freshness::ReadYourWrites);
-  CHECK(Plan->route("lepu")->AcceptedAge == Millis(2500));
-  CHECK(Plan->group("huvo")->SyncReplicas == 1);
+  PlanIndex Found;
+  Found.set(*Plan);
+  REQUIRE(Found.route("lepu") != nullptr);
+  CHECK(Found.route("lepu")->Reads == Freshness::ReadYourWrites);
+  CHECK(Found.route("lepu")->AcceptedAge == Millis(2500));
+  CHECK(Found.group("huvo")->SyncReplicas == 1);
 }
 
 TEST_CASE("A plan that can't be in force is refused", "[platform]") {
