--- a/Source/Pipeline/QueueLimits.cpp
+++ b/Source/Pipeline/QueueLimits.cpp
@@ -2,10 +2,7 @@
 /// How long statements may wait for a connection, and who is told at once that
 /// it would take too long.
 ///
-/// Load pattern: more comes than targets can do, for seconds. With four times
-/// the load on three targets of three slots, 920 of some 3,300 operations a two
-/// seconds were answered within their objective with these limits and the
-/// window of \c StatementWindow off, 1,370 with both.
+/// Load pattern: more comes than targets can do, for seconds.
 
 #include "Pipeline/SessionPipeline.h"
 
@@ -23,8 +20,7 @@
 
 /// A statement that waits for a connection for as long as its whole objective
 /// is late already. Refused then, its caller has time for other proxies; held
-/// to two fifths of the timeout, a burst made all that waited run out of time
-/// (2,214 of 76,000 operations with 1.7 times the load, 108 with this bound).
+/// to two fifths of the timeout, a burst makes all that waits run out of time.
 /// Objectives of less than this are met by none that waits.
 constexpr Millis LeastObjective(100);
 
@@ -33,15 +29,11 @@
 constexpr std::int64_t AnswerMargin = 3;
 /// Part of the time left for it that a statement may wait in the queue. With
 /// all of it everyone who is served under overload has waited it out, and those
-/// who were refused come back too late for another try: with four times the
-/// load 0.20 of the worst seconds' worth was earned with all, 0.27 with half
-/// and with a quarter, which also refuses sooner.
+/// who were refused come back too late for another try.
 constexpr std::int64_t QueuePart = 4;
-/// From its first plan on a proxy lets statements wait for their whole
-/// objective for this long. After a loss of power all callers come back within
-/// a second, and connections to targets stand only by then: the queue is long
-/// and gets shorter by itself. Refused after a quarter of it, callers use up
-/// their three tries before there is anything to be had.
+/// For this long after a proxy's first plan, statements may wait for their
+/// whole objective. After a loss of power all callers reconnect at once, before
+/// the connections to targets are open: the queue is long, but it drains.
 constexpr Millis ReturnLasts(800);
 /// A statement may wait this long even where its objective is shorter than
 /// what answers take: load changes within it.
@@ -76,9 +68,8 @@
     Wait = std::max((Objective - Answer) / QueuePart,
                     std::min(Objective, LeastWait));
   }
-  // One whose answer got lost hasn't waited in a queue yet. Measured from its
-  // arrival its wait would be over, and it were refused though others could
-  // serve it at once.
+  // Time spent on an earlier try whose answer was lost doesn't count as
+  // waiting.
   return std::min(Job.WaitsSince + Wait,
                   std::max(Job.WaitUntil, Job.ArrivedAt + Wait));
 }
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -60,10 +60,8 @@
   startNext(Session);
 }
 
-// A statement that is refused as it starts asks for the next one here, inside
-// the loop that started it. Started from there, each would stand on the stack
-// until the last one is refused: a caller who sent 200,000 ahead could end the
-// process.
+// Iterates instead of recursing: a caller can pipeline enough statements that
+// are refused as they start to overflow the stack.
 void SessionPipeline::startNext(const CallerSessionPtr &Session) {
   if (std::exchange(Session->IsStarting, true))
     return;
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -289,8 +289,8 @@
   void noGateway(const SessionJobPtr &Job, const TargetConnectionPtr &Used,
                  const StatementRefusal &Why);
   void lost(const SessionJobPtr &Job, const std::string &Grounds);
-  /// No sign of life comes on the way to the target. A read on its own is sent
-  /// elsewhere; all else waits for its answer.
+  /// The gateway has answered no keepalive. Retries a read outside a
+  /// transaction elsewhere; everything else waits for its answer.
   void noteDoubt(const TargetConnectionPtr &Silent);
   void tryAgain(const SessionJobPtr &Job, const StatementRefusal &Why,
                 Millis After);
--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -223,15 +223,12 @@
   tryAgain(Job, Why, Millis(0));
 }
 
-// Load pattern: many proxies end at the same moment, and with half of them half
-// of all gateways. Each of the others meets each dead gateway for itself, so
-// nearly every statement that goes through one is the first to find out. Its
-// caller would be refused after 250 to 400 ms; a read that is sent through
-// another gateway after 120 ms is answered within an objective of 200.
+// Load pattern: many gateways end at the same moment, and each proxy detects
+// each of them by itself. A read that is retried through another gateway before
+// the failed one is given up can still meet its objective.
 //
-// Not while answers are slow everywhere: then the gateway has more than it can
-// do, and each read that is sent again makes it worse. With four times the load
-// 0.02 of the worst seconds' worth was earned without this bound.
+// Not while answers are slow everywhere: the gateway is then overloaded, and
+// retries add to its load.
 void SessionPipeline::noteDoubt(const TargetConnectionPtr &Silent) {
   if (!AnswerTimes.isCalm())
     return;
--- a/Source/Relay/Messages.h
+++ b/Source/Relay/Messages.h
@@ -63,7 +63,7 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(Link); }
 };
 
-/// Asks for a sign of life.
+/// A keepalive.
 struct RelayPing {
   bool operator==(const RelayPing &) const = default;
   template <class Archive> void serialize(Archive &) {}
--- a/Source/Relay/RelayPeer.cpp
+++ b/Source/Relay/RelayPeer.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// A gateway that owes answers and was silent for this long is asked for a
-/// sign of life; nine of ten statements are answered sooner.
+/// A gateway that owes answers and was silent for this long is sent a
+/// keepalive: longer than most statements take.
 constexpr Millis PingAfter(60);
 /// Silent for this long although asked, those that wait for reads are told.
 constexpr Millis DoubtAfter(120);
--- a/Source/Statements/Links.h
+++ b/Source/Statements/Links.h
@@ -85,8 +85,8 @@
     /// No answer will come any more; the refusal tells what the target said
     /// on opening, where it said anything.
     std::function<void(std::optional<StatementRefusal>)> OnClose;
-    /// Answers are due and the other side gives no sign of life though asked.
-    /// They may still come. Not told by every link; may be empty.
+    /// Answers are due and the other side doesn't answer keepalives either.
+    /// They may still come. Not raised by every link; may be empty.
     std::function<void()> OnSilent = nullptr;
   };
 
--- a/Source/Steering/SteeringFollowers.cpp
+++ b/Source/Steering/SteeringFollowers.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// Between two rounds of news on targets: a few percent of the time in which
-/// proxies must have stopped to use one that leaves.
+/// Least time between two directory updates, well below the time within which
+/// proxies must stop using a target that leaves.
 constexpr Millis PublishInterval(50);
 /// Between two confirmations of this host's lead for requests for seats.
 constexpr Millis SeatsPause(50);
@@ -56,8 +56,8 @@
 }
 
 // Load pattern: all processes start together, and every proxy asks before
-// there is a leader. If each waited for its next turn to ask, callers would
-// find no proxy that serves for up to 150 ms longer.
+// there is a leader. Answered only when it asks again, a proxy
+// would become ready later.
 void SteeringNode::answerWaiting() {
   if (Waiting.empty() ||
       (!Leading && (leader().empty() || leader() == Options.Name)))
--- a/Source/Transport/Transport.h
+++ b/Source/Transport/Transport.h
@@ -26,9 +26,8 @@
 
 /// A message that goes to many. Load pattern: everything starts at the same
 /// moment and hundreds of proxies ask the new leader for the same three long
-/// messages. Encoding, packing and sealing them took 0.55 ms of a full core
-/// for each proxy, 0.2 s in which the leader did nothing else; once for all,
-/// what remains is the sending.
+/// messages. They are encoded, packed and sealed once for all, not once for
+/// each receiver.
 struct PreparedMessage {
   Message Body;
   std::string Sealed; ///< Empty where the transport seals none.
