Report a crash as one log line with its address and calls

A proxy that ended with signal 11 left the last lines of its output, and the report was one line a call, innermost first: what was kept were the outermost calls, which say nothing. The event "crashed" (108) is one line on standard output: signal, address accessed, program counter, then the calls, innermost first, as offsets into the program or a named library. The handler allocates nothing and asks the loader nothing; the modules are collected at the start.

The test sends a signal no longer to one waiting process alone: a program of its own ends by a null access, an exhausted stack and an abort, and the test checks the event, the signal, the address, that addr2line finds the calls, and that the process still ends by the signal. It replaces the check for text on standard error, which is gone.

--- a/Source/App/CrashReport.cpp
+++ b/Source/App/CrashReport.cpp
@@ -1,32 +1,164 @@
 /// \file
-/// What a process says when a fault of its own ends it.
+/// Reports a fatal signal as one log line before the process ends by it.
 
 #include "App/CrashReport.h"
 
+#include "Logs/LogEvents.h"
+
+#include <algorithm>
 #include <array>
 #include <csignal>
+#include <cstdint>
 #include <execinfo.h>
+#include <link.h>
 #include <string_view>
+#include <ucontext.h>
 #include <unistd.h>
 
 namespace corianderdyke {
 
 namespace {
 
-/// Deeper calls are left out; an endless recursion shows within these.
-constexpr int MaxCalls = 48;
-/// The handler's own stack: the fault may be that the usual one is full.
+/// Innermost first; outer calls beyond these are left out.
+constexpr int MaxCalls = 40;
+constexpr std::size_t MaxModules = 48;
+constexpr std::size_t MaxModuleNameBytes = 20;
+/// Calls in libraries take up to MaxModuleNameBytes more than others.
+constexpr std::size_t MaxLineBytes = 2048;
+/// The handler's own stack: the usual one may be exhausted.
 constexpr std::size_t StackBytes = 64UL << 10U;
 constexpr std::array Fatal = {SIGSEGV, SIGBUS, SIGILL, SIGFPE, SIGABRT};
 
-// Only what may be called inside a signal handler is used here.
-void report(int Signal) {
-  constexpr std::string_view Said = "fatal signal; calls, latest first:\n";
-  const auto Written = write(STDERR_FILENO, Said.data(), Said.size());
-  static_cast<void>(Written); // There is nobody left to tell.
+/// A part of the address space that was loaded from one file.
+struct Module {
+  std::uintptr_t Base = 0;  ///< What file offsets are relative to.
+  std::uintptr_t Begin = 0; ///< Of the executable segment.
+  std::uintptr_t End = 0;
+  std::array<char, MaxModuleNameBytes + 1> Name = {}; ///< Empty: the program.
+};
+
+/// Collected at the start: the loader can't be asked inside a signal handler.
+std::array<Module, MaxModules> Modules;
+std::size_t ModuleCount = 0;
+
+int addModule(dl_phdr_info *Info, std::size_t, void *) {
+  std::string_view Name = Info->dlpi_name;
+  Name.remove_prefix(Name.rfind('/') + 1);
+  Name = Name.substr(0, std::min(Name.find(".so"), MaxModuleNameBytes));
+  for (int Each = 0; Each < Info->dlpi_phnum; ++Each) {
+    const ElfW(Phdr) &Segment = Info->dlpi_phdr[Each];
+    if (Segment.p_type != PT_LOAD || (Segment.p_flags & PF_X) == 0 ||
+        ModuleCount == MaxModules)
+      continue;
+    Module &Made = Modules[ModuleCount++];
+    Made.Base = Info->dlpi_addr;
+    Made.Begin = Info->dlpi_addr + Segment.p_vaddr;
+    Made.End = Made.Begin + Segment.p_memsz;
+    std::copy(Name.begin(), Name.end(), Made.Name.begin());
+  }
+  return 0;
+}
+
+/// A line of bounded length, written without allocating.
+class ReportLine {
+public:
+  void text(std::string_view What) {
+    const std::size_t Fits = std::min(What.size(), Bytes.size() - Length);
+    std::copy_n(What.begin(), Fits, Bytes.begin() + Length);
+    Length += Fits;
+  }
+
+  void number(std::uintptr_t What, unsigned Base) {
+    constexpr std::string_view Digits = "0123456789abcdef";
+    std::array<char, 20> Reversed = {};
+    std::size_t Count = 0;
+    do {
+      Reversed[Count++] = Digits[What % Base];
+      What /= Base;
+    } while (What != 0);
+    std::reverse(Reversed.begin(), Reversed.begin() + Count);
+    text({Reversed.data(), Count});
+  }
+
+  void hex(std::uintptr_t What) {
+    text("0x");
+    number(What, 16);
+  }
+
+  /// An address as an offset into the file that it was loaded from.
+  void code(std::uintptr_t Address) {
+    for (std::size_t Each = 0; Each < ModuleCount; ++Each) {
+      const Module &In = Modules[Each];
+      if (Address < In.Begin || Address >= In.End)
+        continue;
+      if (In.Name.front() != '\0') {
+        text(In.Name.data());
+        text("+");
+      }
+      return hex(Address - In.Base);
+    }
+    text("?");
+    hex(Address);
+  }
+
+  void write(int Descriptor) {
+    if (Length == Bytes.size())
+      --Length;
+    text("\n");
+    const auto Written = ::write(Descriptor, Bytes.data(), Length);
+    static_cast<void>(Written); // There is nobody left to tell.
+  }
+
+private:
+  std::array<char, MaxLineBytes> Bytes = {};
+  std::size_t Length = 0;
+};
+
+std::uintptr_t programCounter(const void *Context) {
+  const auto &Machine = static_cast<const ucontext_t *>(Context)->uc_mcontext;
+#if defined(__x86_64__)
+  return static_cast<std::uintptr_t>(Machine.gregs[REG_RIP]);
+#elif defined(__aarch64__)
+  return static_cast<std::uintptr_t>(Machine.pc);
+#else
+  static_cast<void>(Machine);
+  return 0;
+#endif
+}
+
+void addCalls(ReportLine &To, std::uintptr_t Counter) {
   std::array<void *, MaxCalls> Calls = {};
   const int Count = backtrace(Calls.data(), MaxCalls);
-  backtrace_symbols_fd(Calls.data(), Count, STDERR_FILENO);
+  const auto End = Calls.begin() + Count;
+  // The frames before the counter's are the handler's own.
+  const auto Found =
+      std::find(Calls.begin(), End, reinterpret_cast<void *>(Counter));
+  for (auto Each = Found == End ? Calls.begin() : std::next(Found); Each != End;
+       ++Each) {
+    To.text(" ");
+    To.code(reinterpret_cast<std::uintptr_t>(*Each));
+  }
+}
+
+// Uses only what may be called inside a signal handler; backtrace() is, once
+// its library is loaded.
+void report(int Signal, siginfo_t *Info, void *Context) {
+  const std::uintptr_t Counter = programCounter(Context);
+  const bool IsJson = writesJsonLogs();
+  ReportLine Line;
+  Line.text(IsJson ? R"({"event":)" : "error CD");
+  Line.number(static_cast<std::uintptr_t>(EventId::Crashed), 10);
+  Line.text(IsJson ? R"(,"level":"error","name":"crashed","signal":")"
+                   : " crashed signal=\"");
+  Line.number(static_cast<std::uintptr_t>(Signal), 10);
+  Line.text(IsJson ? R"(","address":")" : "\" address=\"");
+  Line.hex(reinterpret_cast<std::uintptr_t>(Info->si_addr));
+  Line.text(IsJson ? R"(","counter":")" : "\" counter=\"");
+  Line.code(Counter);
+  Line.text(IsJson ? R"(","calls":")" : "\" calls=\"");
+  addCalls(Line, Counter);
+  Line.text(IsJson ? "\"}" : "\"");
+  Line.write(STDOUT_FILENO);
   std::signal(Signal, SIG_DFL);
   std::raise(Signal);
 }
@@ -37,6 +169,8 @@
   // The first call loads a library, which a handler must not.
   std::array<void *, 1> Unused = {};
   backtrace(Unused.data(), 1);
+  ModuleCount = 0;
+  dl_iterate_phdr(addModule, nullptr);
   static std::array<char, StackBytes> Stack;
   stack_t Aside = {};
   Aside.ss_sp = Stack.data();
@@ -44,8 +178,8 @@
   if (sigaltstack(&Aside, nullptr) != 0)
     return;
   struct sigaction Action = {};
-  Action.sa_handler = report;
-  Action.sa_flags = SA_ONSTACK;
+  Action.sa_sigaction = report;
+  Action.sa_flags = SA_ONSTACK | SA_SIGINFO;
   for (const int Each : Fatal)
     sigaction(Each, &Action, nullptr);
 }
--- a/Source/Logs/LogEvents.cpp
+++ b/Source/Logs/LogEvents.cpp
@@ -109,6 +109,10 @@
        "The settings file has a finding; the process goes on as before."},
       {EventId::RestartNeeded, Severity::Warning, "restart-needed",
        "A setting changed in the file that takes effect at the next start."},
+      {EventId::Crashed, Severity::Error, "crashed",
+       "A fatal signal ends the process; the fields are the signal, the "
+       "address accessed, the program counter and the calls that led there, "
+       "innermost first, as offsets for addr2line."},
       {EventId::StateChanged, Severity::Info, "state-changed",
        "A change was committed; the fields are those of the audit trail."},
       {EventId::LeadershipGained, Severity::Info, "leadership-gained",
@@ -176,6 +180,8 @@
   spdlog::set_default_logger(std::move(Logger));
 }
 
+bool writesJsonLogs() { return JsonLines; }
+
 bool wantsEvent(EventId Id) {
   const EventDescription &Event = describe(Id);
   return Event.PerSecond == 0 || budgetOf(Event).allow(SystemClock().now());
--- a/Source/Logs/LogEvents.h
+++ b/Source/Logs/LogEvents.h
@@ -21,6 +21,7 @@
   SettingsReloaded = 105,
   SettingsRefused = 106,
   RestartNeeded = 107,
+  Crashed = 108,
   StateChanged = 200,
   LeadershipGained = 201,
   LeadershipLost = 202,
@@ -62,6 +63,8 @@
 /// Sends later events of \p Least severity or more to standard output, as
 /// lines for people or as one JSON object a line.
 void setUpLogs(bool Json, Severity Least);
+/// True where lines are JSON objects. May be called inside a signal handler.
+bool writesJsonLogs();
 
 /// True where an event would be written now; else it's counted as left out.
 /// Saves making the fields of events that come with every statement.
--- /dev/null
+++ b/Tests/Golden/CrashingProgram.cpp
@@ -0,0 +1,42 @@
+/// \file
+/// Ends by a real crash of the kind that it's told, behind some calls.
+
+#include "App/CrashReport.h"
+#include "Logs/LogEvents.h"
+
+#include <cstdlib>
+#include <cstring>
+
+namespace {
+
+/// What a null pointer leads to, beyond the first page.
+struct Distant {
+  char Before[0x1234] = {};
+  volatile int Value = 0;
+};
+
+__attribute__((noinline)) int readThrough(const Distant *At) {
+  return At->Value;
+}
+
+__attribute__((noinline)) int exhaustStack(const char *Caller) {
+  volatile char Used[4096] = {};
+  // Never true, which the compiler can't tell.
+  if (Caller == nullptr)
+    return 0;
+  return exhaustStack(const_cast<const char *>(Used)) + Used[0];
+}
+
+} // namespace
+
+int main(int Count, char **Words) {
+  corianderdyke::setUpLogs(Count > 2, corianderdyke::Severity::Info);
+  corianderdyke::reportCrashes();
+  if (Count < 2)
+    return 2;
+  if (std::strcmp(Words[1], "access") == 0)
+    return readThrough(nullptr);
+  if (std::strcmp(Words[1], "stack") == 0)
+    return exhaustStack(Words[1]);
+  std::abort();
+}
