Rank targets by costs that don't change while they're sorted

Cause: targets were sorted by a cost that read the clock at each comparison. A replica that refused a read for its lag costs more for 150 ms. Where that time ended between two comparisons of one sort, the order contradicted itself, and std::sort's insertion, which looks for the place without checking the bounds, compared with the word before the array: the size field of its allocation, 0x31, taken for a target.

Evidence: hosts of the tests could not lose the processor between two readings of the clock.

Costs are now computed once, at one reading, and the sort is a stable one, which has no unchecked step. The order is the same: up to sixteen targets the former sort was stable as well. No other algorithm of the product has a predicate that reads a clock or anything that changes meanwhile (all uses of sort, partial_sort, stable_partition, remove_if, min_element and max_element were looked through).

--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -158,10 +158,27 @@
   }
   if (Job.Where == Placement::Replica && Out.size() > 1)
     leavePrimaryFree(In, Out);
-  std::sort(Out.begin(), Out.end(),
-            [&](const TargetPool *Left, const TargetPool *Right) {
-              return cost(In, *Left, Job) < cost(In, *Right, Job);
-            });
+  return cheapestFirst(In, Out, Job, Now);
+}
+
+// Each cost is computed once: it changes with time, and a sort whose order
+// changes while it runs reads outside the list.
+std::vector<TargetPool *>
+SessionPipeline::cheapestFirst(const Group &In,
+                               const std::vector<TargetPool *> &Among,
+                               const SessionJob &Job, Millis Now) const {
+  std::vector<std::pair<double, TargetPool *>> Ranked;
+  Ranked.reserve(Among.size());
+  for (TargetPool *Each : Among)
+    Ranked.emplace_back(cost(In, *Each, Job, Now), Each);
+  std::stable_sort(Ranked.begin(), Ranked.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.first < Right.first;
+                   });
+  std::vector<TargetPool *> Out;
+  Out.reserve(Ranked.size());
+  for (const auto &[Cost, Each] : Ranked)
+    Out.push_back(Each);
   return Out;
 }
 
@@ -179,12 +196,12 @@
 }
 
 double SessionPipeline::cost(const Group &In, const TargetPool &Pool,
-                             const SessionJob &Job) const {
+                             const SessionJob &Job, Millis Now) const {
   double Out =
       static_cast<double>(Pool.busy()) + Pool.window().mean() / LatencyUnit;
   if (Pool.record().FailureDomain != Where.FailureDomain)
     Out += DistanceCost;
-  if (Job.Floor && Pool.lag().isBehind(*Job.Floor, Outside.Time.now()))
+  if (Job.Floor && Pool.lag().isBehind(*Job.Floor, Now))
     Out += BehindCost;
   if (Pool.record().Id == In.Primary)
     Out += PrimaryCost;
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -229,8 +229,11 @@
   std::vector<TargetPool *> candidates(Group &In, const SessionJob &Job);
   static void leavePrimaryFree(const Group &In,
                                std::vector<TargetPool *> &Among);
-  double cost(const Group &In, const TargetPool &Pool,
-              const SessionJob &Job) const;
+  std::vector<TargetPool *>
+  cheapestFirst(const Group &In, const std::vector<TargetPool *> &Among,
+                const SessionJob &Job, Millis Now) const;
+  double cost(const Group &In, const TargetPool &Pool, const SessionJob &Job,
+              Millis Now) const;
   /// True where another connection to that target is this proxy's to open.
   bool mayOpen(const TargetPool &Pool, const std::string &Organisation) const;
   /// Opens what a pool keeps warm, once, ahead of the first statements.
--- a/Tests/Support/FakeLoop.h
+++ b/Tests/Support/FakeLoop.h
@@ -82,7 +82,9 @@
   Millis now() const override {
     constexpr std::int64_t Million = 1000000;
     const std::int64_t True = Loop.now().count();
-    return Millis(True + True * DriftPpm / Million);
+    if (AtReading)
+      Passed += AtReading();
+    return Millis(True + True * DriftPpm / Million) + Passed;
   }
   Millis wallTime() const override { return now() + WallOffset; }
 
@@ -136,6 +138,9 @@
   bool isDead() const { return Dead; }
   bool isFrozen() const { return Frozen; }
 
+  /// How much time passes at each reading of the clock: a process may lose the
+  /// processor between any two. Empty: none.
+  std::function<Millis()> AtReading;
   std::int64_t DriftPpm = 0;
   Millis WallOffset = Millis(1700000000000);
 
@@ -144,6 +149,7 @@
   std::string Name;
   bool Frozen = false;
   bool Dead = false;
+  mutable Millis Passed; ///< At readings.
   TimerId NextId = 1;
   std::map<TimerId, FakeLoop::Id> Timers;
   std::vector<std::function<void()>> Delayed;
--- /dev/null
+++ b/Tests/Unit/PassingTimeTest.cpp
@@ -0,0 +1,52 @@
+/// \file
+/// Decisions of a process that loses the processor while it makes them.
+
+#include "FakeGroup.h"
+
+#include <catch2/catch.hpp>
+
+using namespace corianderdyke;
+
+namespace {
+
+using Kind = StatementKind;
+
+/// Longer than what was seen of a replica's position is believed.
+constexpr int LongestAge = 160;
+
+/// Sends a read \p Age after the replica "c" refused one for its lag, while the
+/// other replica is at work, and lets time pass at each reading of the clock.
+std::size_t answersToReadAfterLag(Millis Age) {
+  FakeLoop Loop;
+  FakeGroup Group(Loop, {"a", "b", "c"});
+  FakePipeline Proxy(Loop, Group);
+  const auto Writer = Proxy.connect("primary");
+  const auto First = Proxy.connect("bounded");
+  const auto Second = Proxy.connect("bounded");
+  Group.Servers["c"].Receives = false;
+  Proxy.ask(Writer, Kind::Write, "w1", "STORE x 1");
+  Proxy.ask(Writer, Kind::Write, "w2", "STORE x 2");
+  // One at each replica; "c" refuses its own.
+  Proxy.send(First, Kind::Read, "r1", "FETCH x");
+  Proxy.send(Second, Kind::Read, "r2", "FETCH x");
+  Loop.runFor(Age);
+  Group.Work = Millis(200);
+  Proxy.send(First, Kind::Read, "r3", "FETCH x");
+  Proxy.Host.AtReading = [] { return Millis(1); };
+  Proxy.send(Second, Kind::Read, "r4", "FETCH x");
+  Proxy.Host.AtReading = nullptr;
+  Loop.runFor(Millis(1000));
+  const std::size_t Out = Second.Caller->Answers.size();
+  Loop.clear();
+  return Out;
+}
+
+} // namespace
+
+TEST_CASE("Targets are ranked by one moment though time passes meanwhile",
+          "[pipeline][time]") {
+  // Guards against an order that changes while it's sorted: the sort then reads
+  // before the first target.
+  for (int Age = 1; Age < LongestAge; ++Age)
+    CHECK(answersToReadAfterLag(Millis(Age)) == 2);
+}
--- a/Tests/Unit/RelayStressTest.cpp
+++ b/Tests/Unit/RelayStressTest.cpp
@@ -13,11 +13,20 @@
 
 using Kind = StatementKind;
 
+/// What else happens on a random day.
+struct DayKind {
+  bool LosesProcessor = false; ///< Time passes between readings of the clock.
+  bool SendsAhead = false;     ///< Callers don't wait for answers.
+};
+
 /// Callers that send at random, faults at random; the same for a seed.
 class RandomDay {
 public:
-  explicit RandomDay(std::uint64_t Seed)
-      : Random(Seed), System(Loop, Group, ProxyCount, 12) {
+  explicit RandomDay(std::uint64_t Seed, DayKind Kind = {})
+      : How(Kind), Random(Seed), System(Loop, Group, ProxyCount, 12) {
+    if (How.LosesProcessor)
+      for (std::size_t Each = 0; Each < ProxyCount; ++Each)
+        System.proxy(Each).Host.AtReading = [this] { return timeLost(); };
     Loop.runFor(Millis(100));
     for (std::size_t Each = 0; Each < SessionCount; ++Each)
       Callers.push_back({connect(), 0, 0});
@@ -53,6 +62,11 @@
 
   std::size_t below(std::size_t Bound) { return Random() % Bound; }
 
+  Millis timeLost() {
+    const std::uint64_t Draw = Interruptions() % 200;
+    return Millis(Draw == 0 ? 30 : Draw < 10 ? 1 : 0);
+  }
+
   FakeRelaySystem::Session connect() {
     static const char *const Routes[] = {"primary", "bounded", "own"};
     return System.connect(below(ProxyCount), Routes[below(3)]);
@@ -60,7 +74,8 @@
 
   void act(Caller &Who) {
     // A session has one statement under way, as callers of the platform do.
-    if (Who.On.Caller->Answers.size() < Who.Sent) {
+    const std::size_t Due = Who.Sent - Who.On.Caller->Answers.size();
+    if (Due > 0 && (!How.SendsAhead || Due > 8)) {
       if (below(40) == 0)
         leave(Who);
       return;
@@ -123,7 +138,9 @@
   static constexpr std::size_t ProxyCount = 10;
   static constexpr std::size_t SessionCount = 60;
 
+  DayKind How;
   std::mt19937_64 Random;
+  std::mt19937_64 Interruptions{1};
   FakeLoop Loop;
   FakeGroup Group{Loop, {"a", "b", "c"}};
   FakeRelaySystem System;
@@ -145,3 +162,14 @@
   Day.run(700);
   Day.checkAnswers();
 }
+
+TEST_CASE("Statements get one answer each though proxies lose the processor",
+          "[relay][stress][time]") {
+  // Guards against decisions that read the clock more than once, while callers
+  // also send ahead of their answers.
+  const auto Seed = GENERATE(range(101, 117));
+  RandomDay Day(static_cast<std::uint64_t>(Seed),
+                {.LosesProcessor = true, .SendsAhead = Seed % 2 == 0});
+  Day.run(500);
+  Day.checkAnswers();
+}
