Let a place in a broker's queues end with what the link holds

What callers could see: a gateway ends with signal 11. No proxy of this version causes it, since a session has one statement under way; a peer that sends ahead on a link does. Whether any of the recorded ends was this one isn't shown.

Cause: a statement sent while the end of its transaction was unanswered waited for a slot. The answer gave the connection back and dropped the statement, and the link stayed in the list of those that hold a connection and wait for their turn. With its turn it used a connection that it didn't have.

A link's place in a queue is now an object of its own, owned by the link, and the place among those that hold a connection is part of what holding one consists of: whoever ends the one ends the other. The answers due and the values set are part of it as well, so an answer can't be taken from a link that holds nothing. A target with links in either queue isn't forgotten. A link that sends again while it waits keeps its place instead of taking a second one.

--- a/Source/Relay/BrokerLink.cpp
+++ b/Source/Relay/BrokerLink.cpp
@@ -25,7 +25,8 @@
       break;
     case TargetCommand::Kind::SetValue:
       Values[Each.Name] = Each.Text;
-      HasSetValues = HasSetValues || Bound != nullptr;
+      if (Bound)
+        Bound->HasSetValues = true;
       break;
     case TargetCommand::Kind::Prepare:
       Prepared[Each.Name] = {Each.Text, false};
@@ -46,9 +47,9 @@
 
 void TargetBroker::Link::sendOrWait() {
   // What needs the success of a command that isn't answered yet stays here.
-  if (!Awaited.empty() && Pending.front().NeedsPrevious)
+  if (!Bound->Awaited.empty() && Pending.front().NeedsPrevious)
     return;
-  stopWaiting();
+  Bound->Turn.leave();
   if (needsSlot())
     Owner.waitForTurn(*this);
   else
@@ -56,51 +57,59 @@
 }
 
 void TargetBroker::Link::run(const TargetConnectionPtr &On) {
-  Bound = On;
+  Waiting.leave();
+  Bound.emplace(Holding{On});
+  sendPending();
+}
+
+void TargetBroker::Link::takeTurn() {
+  Bound->Turn.leave();
   sendPending();
 }
 
 void TargetBroker::Link::sendPending() {
+  const TargetConnectionPtr On = Bound->On;
   std::vector<TargetConnection::Step> Steps;
-  Bound->adjust(Values, Steps);
+  On->adjust(Values, Steps);
   const auto Count = std::distance(Pending.cbegin(), nextStop());
   for (auto Next = Pending.begin(); Next != Pending.begin() + Count; ++Next) {
     TargetCommand &Each = *Next;
     const bool TakesSlot = takesSlot(Each.What);
     if (Each.What == TargetCommand::Kind::Execute)
-      Each.Name = Bound->prepare(Prepared[Each.Name], Steps);
+      Each.Name = On->prepare(Prepared[Each.Name], Steps);
     Steps.push_back(
         {std::move(Each), [this, Still = Alive](const StatementAnswer &Answer) {
            if (*Still)
              answered(Answer);
          }});
-    Awaited.push_back(TakesSlot);
+    Bound->Awaited.push_back(TakesSlot);
     if (TakesSlot)
       ++Owner.targetOf(To).AtWork;
   }
   Pending.erase(Pending.begin(), Pending.begin() + Count);
-  SentAt = Owner.Time.now();
-  Bound->send(std::move(Steps));
+  Bound->SentAt = Owner.Time.now();
+  On->send(std::move(Steps));
 }
 
 void TargetBroker::Link::answered(const StatementAnswer &Answer) {
-  if (Awaited.front())
+  if (Bound->Awaited.front())
     --Owner.targetOf(To).AtWork;
-  Awaited.pop_front();
-  Owner.noteAnswer(Bound);
+  Bound->Awaited.pop_front();
+  Owner.noteAnswer(Bound->On);
   const bool Opens = !Answer.Refusal && Answer.Phase != SessionPhase::Idle;
-  if (Awaited.empty() && !Pending.empty() && Opens) {
+  const bool IsLast = Bound->Awaited.empty();
+  if (IsLast && !Pending.empty() && Opens) {
     Held.push_back(Answer);
     return sendOrWait();
   }
   // What needed this one's success isn't sent.
-  const std::size_t Dropped =
-      Awaited.empty() ? std::exchange(Pending, {}).size() : 0;
+  std::size_t Dropped = 0;
   TargetConnectionPtr Free;
-  if (Awaited.empty() && Answer.Phase == SessionPhase::Idle) {
-    Free = std::exchange(Bound, nullptr);
-    if (std::exchange(HasSetValues, false))
-      Free->forgetValues();
+  if (IsLast) {
+    Bound->Turn.leave();
+    Dropped = std::exchange(Pending, {}).size();
+    if (Answer.Phase == SessionPhase::Idle)
+      Free = endHolding();
   }
   const std::shared_ptr<bool> Still = Alive;
   TargetBroker &Broker = Owner;
@@ -145,50 +154,41 @@
   // One that holds a connection has sent something, or is about to.
   if (Bound)
     return;
-  stopWaiting();
+  Waiting.leave();
   const std::shared_ptr<bool> Still = Alive;
   const std::size_t Count = std::exchange(Pending, {}).size();
   for (std::size_t Each = 0; Each < Count && *Still; ++Each)
     deliver(refusal(Code, Why));
 }
 
-void TargetBroker::Link::endStatements() {
+TargetConnectionPtr TargetBroker::Link::endHolding() {
+  const Holding Ended = std::move(*std::exchange(Bound, std::nullopt));
   if (Target *At = Owner.find(To.Id))
     At->AtWork -= static_cast<std::size_t>(
-        std::count(Awaited.begin(), Awaited.end(), true));
-  Awaited.clear();
+        std::count(Ended.Awaited.begin(), Ended.Awaited.end(), true));
+  if (Ended.HasSetValues)
+    Ended.On->forgetValues();
+  return Ended.On;
 }
 
 void TargetBroker::Link::lost() {
-  stopWaiting();
-  Bound.reset();
+  endHolding();
   Pending.clear();
   Held.clear();
-  endStatements();
   const auto Handler = Handlers.OnClose;
   if (Handler)
     Handler(std::nullopt);
 }
 
-void TargetBroker::Link::stopWaiting() {
-  if (Target *At = Owner.find(To.Id)) {
-    At->Waiting.remove(this);
-    At->Ready.remove(this);
-  }
-}
-
 // Whoever used the link has left in the middle of something.
 void TargetBroker::Link::giveUpConnection() {
   if (!Bound)
     return;
-  const TargetConnectionPtr Used = std::exchange(Bound, nullptr);
+  const bool IsAnswered = Bound->Awaited.empty();
+  const TargetConnectionPtr Used = endHolding();
   // Answers that are still due may never come.
-  if (!Awaited.empty()) {
-    endStatements();
+  if (!IsAnswered)
     return Owner.discard(Used);
-  }
-  if (HasSetValues)
-    Used->forgetValues();
   TargetBroker &Broker = Owner;
   Used->send({{{.What = TargetCommand::Kind::Rollback},
                [&Broker, Used](const StatementAnswer &Answer) {
--- a/Source/Relay/BrokerLink.h
+++ b/Source/Relay/BrokerLink.h
@@ -30,7 +30,6 @@
   ~Link() override {
     *Alive = false;
     Owner.Links.erase(Number);
-    stopWaiting();
     giveUpConnection();
   }
 
@@ -57,17 +56,25 @@
   }
   Millis queuedAt() const { return QueuedAt; }
   Millis giveUpAt() const { return GiveUpAt; }
-  bool holdsConnection() const { return Bound != nullptr; }
-  bool holds(const TargetConnectionPtr &Which) const { return Bound == Which; }
+  bool holdsConnection() const { return Bound.has_value(); }
+  bool holds(const TargetConnectionPtr &Which) const {
+    return Bound && Bound->On == Which;
+  }
   /// Since when an answer is due; nothing where none is.
   std::optional<Millis> awaitingSince() const {
-    return Bound && !Awaited.empty() ? std::optional(SentAt) : std::nullopt;
+    return Bound && !Bound->Awaited.empty() ? std::optional(Bound->SentAt)
+                                            : std::nullopt;
   }
 
+  bool isWaiting() const { return Waiting.isTaken(); }
+  /// Waits for a connection.
+  void waitAt(QueuePlace<Link> At) { Waiting = std::move(At); }
+  /// Waits for its turn on the connection that it holds.
+  void waitForTurnAt(QueuePlace<Link> At) { Bound->Turn = std::move(At); }
   /// A connection came free.
   void run(const TargetConnectionPtr &On);
   /// Its turn has come on the connection that it holds.
-  void sendPending();
+  void takeTurn();
   /// Nothing that waits was sent: answers it all.
   void refuse(RefusalCode Code, const std::string &Why);
   /// The connection that it holds has ended.
@@ -83,13 +90,25 @@
         std::next(Pending.begin()), Pending.end(),
         [](const TargetCommand &Each) { return Each.NeedsPrevious; });
   }
+  /// A connection that the link holds, with all that ends with it.
+  struct Holding {
+    TargetConnectionPtr On;
+    /// Answers due; true for one that takes a slot.
+    std::deque<bool> Awaited = {};
+    /// Values changed inside a transaction may return with its rollback.
+    bool HasSetValues = false;
+    Millis SentAt = {};
+    QueuePlace<Link> Turn = {};
+  };
+
   void sendOrWait();
+  void sendPending();
   void answered(const StatementAnswer &Answer);
   void deliver(const StatementAnswer &Answer);
   void answerStateChanges();
-  void stopWaiting();
   void giveUpConnection();
-  void endStatements();
+  /// Ends what it holds: the connection, which nobody else knows to be free.
+  TargetConnectionPtr endHolding();
 
   TargetBroker &Owner;
   std::uint64_t Number;
@@ -102,13 +121,9 @@
   std::deque<bool> Unanswered;       ///< In order; true for a change of state.
   /// Delivered together with the next one, which is on its way.
   std::vector<StatementAnswer> Held;
-  TargetConnectionPtr Bound;
-  /// Answers due from the connection; true for one that takes a slot.
-  std::deque<bool> Awaited;
+  std::optional<Holding> Bound;
+  QueuePlace<Link> Waiting;
   std::uint32_t Priority = 0; ///< Of the transaction or statement under way.
-  /// Values changed inside a transaction may return with its rollback.
-  bool HasSetValues = false;
-  Millis SentAt;
   Millis QueuedAt;
   Millis GiveUpAt;
 };
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -104,7 +104,8 @@
     }
     Pool.tend(Now);
     const bool Ended = Pool.record().IsGone && Pool.size() == 0 &&
-                       Each->second.Waiting.empty();
+                       Each->second.Waiting.empty() &&
+                       Each->second.Ready.empty();
     Each = Ended ? Targets.erase(Each) : std::next(Each);
   }
   for (const std::string &Id : Own)
@@ -151,24 +152,26 @@
   return Out;
 }
 
-void TargetBroker::enqueue(Link &New, std::list<Link *> &In) {
+QueuePlace<TargetBroker::Link> TargetBroker::enqueue(Link &New,
+                                                     std::list<Link *> &In) {
   auto Place = In.end();
   while (Place != In.begin() &&
          (*std::prev(Place))->priority() > New.priority())
     --Place;
-  In.insert(Place, &New);
+  return {In, Place, New};
 }
 
 void TargetBroker::waitForConnection(Link &New) {
   Target &At = targetOf(New.to());
-  enqueue(New, At.Waiting);
+  if (!New.isWaiting())
+    New.waitAt(enqueue(New, At.Waiting));
   pump(At);
   Ticker.within(At.Waiting.empty() ? RunningInterval : WaitingInterval);
 }
 
 void TargetBroker::waitForTurn(Link &New) {
   Target &At = targetOf(New.to());
-  enqueue(New, At.Ready);
+  New.waitForTurnAt(enqueue(New, At.Ready));
   pump(At);
 }
 
@@ -189,14 +192,12 @@
     if (!Free)
       continue;
     Free->setBusy(true, Time.now());
-    At.Waiting.remove(Next);
     Next->run(Free);
     return true;
   }
   if (Inside == nullptr)
     return false;
-  At.Ready.pop_front();
-  Inside->sendPending();
+  Inside->takeTurn();
   return true;
 }
 
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -7,6 +7,7 @@
 #include "Common/Clock.h"
 #include "Loop/SoonestTimer.h"
 #include "Pipeline/TargetPool.h"
+#include "Relay/QueuePlace.h"
 
 #include <list>
 #include <sigc++/sigc++.h>
@@ -72,7 +73,7 @@
   struct Target {
     TargetPool Pool;
     std::list<Link *> Waiting = {}; ///< By priority, then arrival.
-    /// Links inside transactions that wait for their statement's turn.
+    /// Links that hold a connection and wait for their statement's turn.
     std::list<Link *> Ready = {};
     std::size_t AtWork = 0; ///< Statements that were sent and not answered.
     bool IsPumping = false;
@@ -86,7 +87,8 @@
   /// Null once that link is destroyed.
   Link *findLink(std::uint64_t Number) const;
   std::size_t mostAtWork(const Target &At) const;
-  void enqueue(Link &New, std::list<Link *> &In);
+  /// A place in the order of priority, then of arrival.
+  static QueuePlace<Link> enqueue(Link &New, std::list<Link *> &In);
   void waitForConnection(Link &New);
   void waitForTurn(Link &New);
   bool runNext(Target &At);
--- /dev/null
+++ b/Tests/Unit/BrokerLinkTest.cpp
@@ -0,0 +1,159 @@
+/// \file
+/// Links to a gateway's broker that send while answers are due.
+
+#include "FakeGroup.h"
+#include "Relay/TargetBroker.h"
+
+#include <catch2/catch.hpp>
+
+using namespace corianderdyke;
+
+namespace {
+
+constexpr const char *GroupName = "ledger";
+/// So many gateways that this one may have one statement at work.
+constexpr std::size_t ManyGateways = 6;
+constexpr std::size_t Connections = 4;
+
+TargetCommand run(const std::string &Id, const std::string &Text) {
+  TargetCommand Out;
+  Out.Id = Id;
+  Out.Text = Text;
+  Out.MayWait = Millis(100);
+  return Out;
+}
+
+/// A broker before three targets of which "a" leads, and links to "a".
+struct Setup {
+  Setup() {
+    Broker.setShare(GroupName, Connections, ManyGateways);
+    Broker.update(Group.directory());
+  }
+
+  std::unique_ptr<TargetLink> open(std::vector<StatementAnswer> &Answers) {
+    return Broker.open(
+        {GroupName, "a", {"a", 5000}},
+        {[] {},
+         [&Answers](const StatementAnswer &Each) { Answers.push_back(Each); },
+         [](const std::optional<StatementRefusal> &) {}});
+  }
+
+  FakeLoop Loop;
+  FakeGroup Group{Loop, {"a", "b", "c"}};
+  FakeHost Host{Loop, "gateway"};
+  TargetBroker Broker{Host, Host, Group};
+};
+
+} // namespace
+
+TEST_CASE("A statement that waits behind the end of its transaction is refused",
+          "[relay]") {
+  // Guards against a link that waits for its turn without a connection.
+  Setup On;
+  std::vector<StatementAnswer> Answers;
+  std::vector<StatementAnswer> Others;
+  const auto Link = On.open(Answers);
+  const auto Other = On.open(Others);
+  Link->send({{.What = TargetCommand::Kind::Begin, .MayWait = Millis(100)}});
+  On.Loop.runFor(Millis(50));
+  REQUIRE(Answers.size() == 1);
+  Link->send({run("end", "COMMIT")});
+  Link->send({run("next", "STORE x 1")});
+  On.Loop.runFor(Millis(50));
+  REQUIRE(Answers.size() == 3);
+  CHECK_FALSE(Answers[1].Refusal);
+  CHECK(Answers[2].Refusal);
+  CHECK(On.Group.run("next") == nullptr);
+  Other->send({run("other", "STORE x 1")});
+  On.Loop.runFor(Millis(50));
+  REQUIRE(Others.size() == 1);
+  CHECK_FALSE(Others[0].Refusal);
+}
+
+TEST_CASE("Links that send in any order are answered once a command",
+          "[relay][stress]") {
+  // Guards against links that wait, are answered or end in an order that a
+  // proxy with one statement a session doesn't cause.
+  const auto Seed = GENERATE(range(1, 41));
+  std::mt19937_64 Random(static_cast<std::uint64_t>(Seed));
+  Setup On;
+  struct User {
+    std::vector<StatementAnswer> Answers;
+    std::size_t Sent = 0;
+    bool IsClosed = false;
+    std::unique_ptr<TargetLink> Link;
+  };
+  std::vector<User> Users(8);
+  const auto Reopen = [&On](User &Each) {
+    Each.Link.reset();
+    Each.Answers.clear();
+    Each.Sent = 0;
+    Each.IsClosed = false;
+    Each.Link =
+        On.Broker.open({GroupName, "a", {"a", 5000}},
+                       {[] {},
+                        [&Each](const StatementAnswer &Answer) {
+                          Each.Answers.push_back(Answer);
+                        },
+                        [&Each](const std::optional<StatementRefusal> &) {
+                          Each.IsClosed = true;
+                        }});
+  };
+  for (User &Each : Users)
+    Reopen(Each);
+  std::size_t NextId = 1;
+  for (int Step = 0; Step < 600; ++Step) {
+    User &Each = Users[Random() % Users.size()];
+    if (Each.IsClosed || Random() % 60 == 0)
+      Reopen(Each);
+    std::vector<TargetCommand> Commands;
+    for (std::uint64_t Count = 1 + Random() % 3; Count > 0; --Count) {
+      TargetCommand Made;
+      switch (Random() % 7) {
+      case 0:
+        Made.What = TargetCommand::Kind::Begin;
+        break;
+      case 1:
+        Made.What = TargetCommand::Kind::Rollback;
+        break;
+      case 2:
+        Made.What = TargetCommand::Kind::SetValue;
+        Made.Name = "tenant";
+        Made.Text = std::to_string(Random() % 3);
+        break;
+      case 3:
+        Made = run("s" + std::to_string(NextId++), "COMMIT");
+        break;
+      default:
+        Made = run("s" + std::to_string(NextId++), "STORE x 1");
+      }
+      Made.MayWait = Millis(static_cast<std::int64_t>(Random() % 60));
+      Made.NeedsPrevious = !Commands.empty() && Random() % 2 == 0;
+      Commands.push_back(Made);
+    }
+    Each.Sent += Commands.size();
+    Each.Link->send(Commands);
+    FakeGroup::Server &Target = On.Group.Servers["a"];
+    if (Random() % 25 == 0)
+      Target.CutAnswers = 1;
+    if (Random() % 25 == 0)
+      Target.IsBusy = !Target.IsBusy;
+    if (Random() % 60 == 0)
+      Target.IsUp = !Target.IsUp;
+    if (Random() % 100 == 0) {
+      ++Target.BornAt;
+      On.Broker.update(On.Group.directory());
+    }
+    On.Loop.runFor(Millis(static_cast<std::int64_t>(Random() % 8)));
+  }
+  On.Group.Servers["a"].IsUp = true;
+  for (User &Each : Users)
+    if (!Each.IsClosed)
+      Each.Link->send({run("last", "STORE x 1")});
+  On.Loop.runFor(Millis(1000));
+  for (const User &Each : Users)
+    if (!Each.IsClosed)
+      CHECK(Each.Answers.size() == Each.Sent + 1);
+  Users.clear();
+  On.Loop.clear();
+}
