Hold signals back until a starting process can handle them

Cause: the handlers were installed when the loop began, after the settings were read, the data folder was opened and the ports were bound, and were gone again while the process ended.

Signals for stops and reloads are now blocked before the settings are read, released one by one as their handlers are there, and blocked again when the loop is destroyed.

--- a/Source/App/FileCommands.cpp
+++ b/Source/App/FileCommands.cpp
@@ -9,9 +9,11 @@
 #include "App/SteeringProcess.h"
 #include "Common/JsonText.h"
 #include "Logs/LogEvents.h"
+#include "Loop/HeldSignals.h"
 #include "Manifest/ManifestFile.h"
 #include "Operators/StatusReport.h"
 
+#include <csignal>
 #include <iostream>
 
 namespace corianderdyke {
@@ -42,6 +44,7 @@
 } // namespace
 
 int runProcess(const std::string &SettingsFile, const EdgeFactory &MakeEdge) {
+  holdSignals({SIGTERM, SIGINT, SIGHUP});
   const auto Text = readFile(SettingsFile);
   if (!Text)
     return report(Text.error());
--- a/Source/Loop/EventLoop.cpp
+++ b/Source/Loop/EventLoop.cpp
@@ -3,6 +3,8 @@
 
 #include "Loop/EventLoop.h"
 
+#include "Loop/HeldSignals.h"
+
 #include <event2/event.h>
 #include <utility>
 
@@ -21,10 +23,12 @@
 };
 
 struct EventLoop::SignalHandler {
+  int Signal = 0;
   event *Event = nullptr;
   std::function<void()> Action;
 
   ~SignalHandler() {
+    holdSignals({Signal});
     if (Event != nullptr)
       event_free(Event);
   }
@@ -82,6 +86,7 @@
 
 void EventLoop::onSignal(int Signal, std::function<void()> Action) {
   auto Made = std::make_unique<SignalHandler>();
+  Made->Signal = Signal;
   Made->Action = std::move(Action);
   Made->Event = evsignal_new(
       Base, Signal,
@@ -90,6 +95,7 @@
       },
       Made.get());
   event_add(Made->Event, nullptr);
+  releaseSignal(Signal);
   Signals.push_back(std::move(Made));
 }
 
--- a/Source/Loop/EventLoop.h
+++ b/Source/Loop/EventLoop.h
@@ -26,7 +26,9 @@
   TimerId after(Millis Delay, std::function<void()> Action) override;
   void cancel(TimerId Id) override;
 
-  /// Runs \p Action each time the process gets \p Signal.
+  /// Runs \p Action each time the process gets \p Signal, also for one that was
+  /// held before. Once the loop is destroyed it's held again: by then the
+  /// process ends in any case, and not by the signal.
   void onSignal(int Signal, std::function<void()> Action);
 
   /// Runs \p Action once the current callback has returned, or at the latest
