Measure how late timers run, how long disks sync, and count elections

Tests that failed beside a load of 22 found no leader within their seconds, and nothing told timers that run late from disks that sync slowly and from elections that collide. A process now has a histogram of the time from a timer's due moment to its run; a control host has one of the time of each sync, and counts the elections that it asked for and those that a majority let begin.

One more reading of the clock at the start and at the run of each timer.

--- a/Source/App/Process.cpp
+++ b/Source/App/Process.cpp
@@ -41,7 +41,9 @@
     Proxy = std::make_unique<ProxyNode>(
         Options, ProxyPorts{Time, Loop, *Peers, Connector}, randomNumber());
   Operators = std::make_unique<OperatorService>(
-      OperatorSources{Time, *Peers, Control.get(), Proxy.get()},
+      OperatorSources{
+          Time, *Peers, Control.get(), Proxy.get(),
+          ProcessDelays{&Loop.timerDelays(), Disk ? &Disk->syncs() : nullptr}},
       Options.OperatorKey);
   return openListeners();
 }
--- a/Source/App/SteeringMetrics.cpp
+++ b/Source/App/SteeringMetrics.cpp
@@ -5,6 +5,7 @@
 
 #include "App/StatementLogs.h"
 #include "Common/Version.h"
+#include "Operators/ElectionMetrics.h"
 
 namespace corianderdyke {
 
@@ -61,6 +62,7 @@
     addProxy(Out);
   if (From.Control != nullptr)
     addControl(Out);
+  Out.add(From.Delays);
   return Out.text();
 }
 
@@ -116,6 +118,7 @@
 
 void SteeringMetrics::addControl(MetricSet &To) const {
   const Consensus &Agreement = From.Control->consensus();
+  addElections(To, Agreement);
   To.add("corianderdyke_control_leader", From.Control->leads() ? 1 : 0);
   To.add("corianderdyke_control_term", static_cast<double>(Agreement.term()));
   To.add("corianderdyke_control_revision",
--- a/Source/App/SteeringMetrics.h
+++ b/Source/App/SteeringMetrics.h
@@ -24,6 +24,7 @@
   const ControlFeed *Feed = nullptr;
   SteeringNode *Control = nullptr;
   std::function<bool()> IsReady;
+  ProcessDelays Delays = {};
 };
 
 /// Serves "/metrics" in the Prometheus text format.
--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -58,9 +58,10 @@
 }
 
 Expected<void> SteeringProcess::openMetrics() {
-  Metrics = std::make_unique<SteeringMetrics>(
-      SteeringSources{Time, *Peers, Pipeline.get(), Broker.get(), Quotas.get(),
-                      Feed.get(), Control.get(), [this] { return isReady(); }});
+  Metrics = std::make_unique<SteeringMetrics>(SteeringSources{
+      Time, *Peers, Pipeline.get(), Broker.get(), Quotas.get(), Feed.get(),
+      Control.get(), [this] { return isReady(); },
+      ProcessDelays{&Loop.timerDelays(), Disk ? &Disk->syncs() : nullptr}});
   if (Options.Operators.Port == 0)
     return {};
   auto Opened = listen(Options.Operators, *Metrics);
--- a/Source/Consensus/Consensus.h
+++ b/Source/Consensus/Consensus.h
@@ -71,6 +71,14 @@
   std::vector<OutgoingConsensus> Messages;
 };
 
+/// Elections of one host since its start, for metrics.
+struct ElectionCounts {
+  std::uint64_t Asked = 0; ///< Rounds that asked for leave to begin one.
+  std::uint64_t Begun = 0; ///< Those that a majority let begin.
+
+  auto operator<=>(const ElectionCounts &) const = default;
+};
+
 enum class ConsensusRole : std::uint8_t {
   Founding, ///< No group is known yet.
   Joining,  ///< The group exists; this disk isn't a voter of it.
@@ -128,6 +136,7 @@
   const std::string &leader() const { return Leader; }
   std::uint64_t term() const { return Log.term(); }
   std::uint64_t commitIndex() const { return CommitIndex; }
+  const ElectionCounts &elections() const { return Elections; }
   const std::optional<Error> &failure() const { return Failure; }
   const ReplicatedLog &log() const { return Log; }
   /// Why this host doesn't lead, for an operator.
@@ -235,6 +244,7 @@
   Millis ElectionDeadline;
   Millis LastLeaderContact = NeverSent;
   Millis LastHeartbeat;
+  ElectionCounts Elections;
   std::set<std::string> Votes;
   std::map<std::string, Peer> Peers;
   /// When a message of a host last came in, by its name.
--- a/Source/Consensus/ConsensusElections.cpp
+++ b/Source/Consensus/ConsensusElections.cpp
@@ -113,6 +113,7 @@
   else
     resetElectionTimer(Now);
   Role = ConsensusRole::PreCandidate;
+  ++Elections.Asked;
   Leader.clear();
   countOwnVote();
   // A host that was removed while it was cut off asks voters that are no more.
@@ -139,6 +140,7 @@
   if (!check(Log.setTerm(Log.term() + 1, Options.Name)))
     return;
   Role = ConsensusRole::Candidate;
+  ++Elections.Begun;
   countOwnVote();
   for (const Member &Each : Voters)
     if (Each.Name != Options.Name && !Each.isVacant())
--- a/Source/Loop/EventLoop.cpp
+++ b/Source/Loop/EventLoop.cpp
@@ -5,6 +5,7 @@
 
 #include "Loop/HeldSignals.h"
 
+#include <algorithm>
 #include <event2/event.h>
 #include <utility>
 
@@ -14,6 +15,7 @@
   EventLoop *Owner = nullptr;
   TimerId Id = 0;
   event *Event = nullptr;
+  Millis DueAt;
   std::function<void()> Action;
 
   ~Timer() {
@@ -59,6 +61,7 @@
   auto Made = std::make_unique<Timer>();
   Made->Owner = this;
   Made->Id = NextId++;
+  Made->DueAt = Time.now() + std::max(Delay, Millis(0));
   Made->Action = std::move(Action);
   Made->Event = evtimer_new(
       Base,
@@ -68,6 +71,8 @@
         const std::unique_ptr<Timer> Held =
             std::move(Fired->Owner->Timers[Fired->Id]);
         Fired->Owner->Timers.erase(Fired->Id);
+        Fired->Owner->TimerDelays.observe(
+            std::max(Fired->Owner->Time.now() - Fired->DueAt, Millis(0)));
         Held->Action();
       },
       Made.get());
--- a/Source/Loop/EventLoop.h
+++ b/Source/Loop/EventLoop.h
@@ -4,6 +4,8 @@
 #ifndef CORIANDERDYKE_LOOP_EVENTLOOP_H
 #define CORIANDERDYKE_LOOP_EVENTLOOP_H
 
+#include "Common/DurationHistogram.h"
+#include "Common/SystemClock.h"
 #include "Loop/Scheduler.h"
 
 #include <map>
@@ -40,6 +42,8 @@
   void stop();
 
   event_base *base() const { return Base; }
+  /// How late timers ran: other callbacks, the host, or a suspension.
+  const DurationHistogram &timerDelays() const { return TimerDelays; }
 
 private:
   struct Timer;
@@ -47,9 +51,11 @@
 
   void runDeferred();
 
+  SystemClock Time;
   event_base *Base;
   TimerId NextId = 1;
   std::map<TimerId, std::unique_ptr<Timer>> Timers;
+  DurationHistogram TimerDelays;
   std::vector<std::unique_ptr<SignalHandler>> Signals;
   std::vector<std::function<void()>> Deferred;
 };
--- a/Source/Operators/MetricSet.cpp
+++ b/Source/Operators/MetricSet.cpp
@@ -133,6 +133,14 @@
       {"corianderdyke_peer_rejected_total", MetricType::Counter, "", "all",
        "Messages on the peers' port that were refused: too long, or not "
        "sealed with the peers' key."},
+      {"corianderdyke_timer_delay_seconds", MetricType::Histogram, "", "all",
+       "Time from a timer's due moment to its run: a busy process or host, or "
+       "a suspension."},
+      {"corianderdyke_disk_sync_seconds", MetricType::Histogram, "", "control",
+       "Time that the host took to make writes to the data folder last."},
+      {"corianderdyke_elections_total", MetricType::Counter, "step", "control",
+       "Elections that this host asked for, and those that a majority let it "
+       "begin."},
   };
   return All;
 }
@@ -190,6 +198,13 @@
   family(Name).metric.push_back(std::move(New));
 }
 
+void MetricSet::add(const ProcessDelays &Delays) {
+  if (Delays.Timers != nullptr)
+    add("corianderdyke_timer_delay_seconds", *Delays.Timers);
+  if (Delays.Syncs != nullptr)
+    add("corianderdyke_disk_sync_seconds", *Delays.Syncs);
+}
+
 std::string MetricSet::text() const {
   return prometheus::TextSerializer().Serialize(Families);
 }
--- a/Source/Operators/MetricSet.h
+++ b/Source/Operators/MetricSet.h
@@ -5,6 +5,7 @@
 #define CORIANDERDYKE_OPERATORS_METRICSET_H
 
 #include "Common/DurationHistogram.h"
+#include "Operators/ProcessDelays.h"
 
 #include <prometheus/metric_family.h>
 #include <string>
@@ -36,6 +37,8 @@
   void add(const std::string &Name, const DurationHistogram &Spans,
            Labels Of = {});
 
+  void add(const ProcessDelays &Delays);
+
   /// The Prometheus text format.
   std::string text() const;
 
--- a/Source/Operators/OperatorService.cpp
+++ b/Source/Operators/OperatorService.cpp
@@ -7,6 +7,7 @@
 #include "Common/KeyedDigest.h"
 #include "Common/Version.h"
 #include "Manifest/ManifestFile.h"
+#include "Operators/ElectionMetrics.h"
 #include "Operators/StatusReport.h"
 
 namespace corianderdyke {
@@ -293,6 +294,7 @@
           static_cast<double>(Peers.ReceivedBytes));
   Out.add("corianderdyke_peer_rejected_total",
           static_cast<double>(Peers.Rejected));
+  Out.add(From.Delays);
   return Out.text();
 }
 
@@ -372,6 +374,7 @@
   const Consensus &Agreement = From.Control->consensus();
   const ClusterView &View = From.Control->applied().view();
   To.add("corianderdyke_failover_seconds", Failovers);
+  addElections(To, From.Control->consensus());
   To.add("corianderdyke_control_leader", Agreement.isSettledLeader() ? 1 : 0);
   To.add("corianderdyke_control_term", static_cast<double>(Agreement.term()));
   To.add("corianderdyke_control_revision", static_cast<double>(View.Revision));
--- a/Source/Operators/OperatorService.h
+++ b/Source/Operators/OperatorService.h
@@ -25,6 +25,7 @@
   const Transport &Peers;
   ControlNode *Control = nullptr;
   ProxyNode *Proxy = nullptr;
+  ProcessDelays Delays = {};
 };
 
 /// Reading needs no key; whatever changes something needs the operators' key.
--- a/Source/Storage/FileDisk.cpp
+++ b/Source/Storage/FileDisk.cpp
@@ -3,6 +3,8 @@
 
 #include "Storage/FileDisk.h"
 
+#include "Common/SystemClock.h"
+
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
@@ -63,7 +65,7 @@
 
 FileDisk::FileDisk(FileDisk &&Other) noexcept
     : Folder(std::move(Other.Folder)), Lock(std::exchange(Other.Lock, -1)),
-      Open(std::exchange(Other.Open, {})) {}
+      Open(std::exchange(Other.Open, {})), Syncs(Other.Syncs) {}
 
 FileDisk::~FileDisk() {
   for (const auto &[Name, Descriptor] : Open)
@@ -117,7 +119,7 @@
   const Expected<int> Descriptor = descriptor(Name);
   if (!Descriptor)
     return tl::unexpected(Descriptor.error());
-  if (::fdatasync(*Descriptor) != 0)
+  if (measured(::fdatasync, *Descriptor) != 0)
     return systemError("can't sync " + Folder + "/" + Name);
   return {};
 }
@@ -127,7 +129,7 @@
   if (!Descriptor)
     return tl::unexpected(Descriptor.error());
   if (::ftruncate(*Descriptor, static_cast<off_t>(Size)) != 0 ||
-      ::fsync(*Descriptor) != 0)
+      measured(::fsync, *Descriptor) != 0)
     return systemError("can't cut " + Folder + "/" + Name);
   return {};
 }
@@ -141,7 +143,7 @@
   if (Descriptor < 0)
     return systemError("can't open " + Temporary);
   Expected<void> Written = writeAll(Descriptor, Bytes, Temporary);
-  if (Written && ::fsync(Descriptor) != 0)
+  if (Written && measured(::fsync, Descriptor) != 0)
     Written = systemError("can't sync " + Temporary);
   ::close(Descriptor);
   if (!Written)
@@ -152,12 +154,20 @@
   return syncFolder();
 }
 
+int FileDisk::measured(int (*Sync)(int), int Descriptor) {
+  const SystemClock Time;
+  const Millis Begin = Time.now();
+  const int Result = Sync(Descriptor);
+  Syncs.observe(Time.now() - Begin);
+  return Result;
+}
+
 Expected<void> FileDisk::syncFolder() {
   const int Descriptor =
       ::open(Folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (Descriptor < 0)
     return systemError("can't open " + Folder);
-  const int Result = ::fsync(Descriptor);
+  const int Result = measured(::fsync, Descriptor);
   ::close(Descriptor);
   if (Result != 0)
     return systemError("can't sync " + Folder);
--- a/Source/Storage/FileDisk.h
+++ b/Source/Storage/FileDisk.h
@@ -4,6 +4,7 @@
 #ifndef CORIANDERDYKE_STORAGE_FILEDISK_H
 #define CORIANDERDYKE_STORAGE_FILEDISK_H
 
+#include "Common/DurationHistogram.h"
 #include "Storage/Disk.h"
 
 #include <map>
@@ -29,17 +30,23 @@
   Expected<void> writeAtomically(const std::string &Name,
                                  const std::string &Bytes) override;
 
+  /// How long the host took for each sync.
+  const DurationHistogram &syncs() const { return Syncs; }
+
 private:
   FileDisk(std::string Folder, int Lock);
 
   Expected<int> descriptor(const std::string &Name);
   void forget(const std::string &Name);
   Expected<void> syncFolder();
+  /// One of the system's calls that sync, measured; its result.
+  int measured(int (*Sync)(int), int Descriptor);
 
   std::string Folder;
   int Lock = -1;
   /// Open descriptors for appending, by file name.
   std::map<std::string, int> Open;
+  DurationHistogram Syncs;
 };
 
 } // namespace corianderdyke
--- a/Utilities/loopback.sh
+++ b/Utilities/loopback.sh
@@ -25,9 +25,22 @@
 }
 trap finish EXIT
 
+# What control hosts waited for: tells late timers and slow disks from elections
+# that collide.
+show_delays() {
+  uptime
+  for each in "${port[@]:3:3}"; do
+    echo "control host with operators' port $each:"
+    curl -s --max-time 2 "http://127.0.0.1:$each/metrics" |
+      grep -E '(timer_delay|disk_sync|elections_total|control_term|leader)' |
+      grep -v '^#' || true
+  done
+}
+
 fail() {
   printf 'FAILED: %s\n' "$*" >&2
   tail -n 20 "$folder"/*.log >&2
+  show_delays >&2
   exit 1
 }
 
