Destroy what a timer holds outside the list of timers

Found by looking for lists that change while they're emptied. The product has more timers than one at all times, and none of its actions does this today, so no recorded end is laid to it.

Timers are taken out of the list first and destroyed then, also with the loop.

--- a/Source/Loop/EventLoop.cpp
+++ b/Source/Loop/EventLoop.cpp
@@ -49,9 +49,10 @@
 // its link, which frees its socket later. That must be over before the base is
 // freed, which sockets still refer to.
 EventLoop::~EventLoop() {
-  while (!Deferred.empty())
+  while (!Deferred.empty() || !Timers.empty()) {
     runDeferred();
-  Timers.clear();
+    const auto Dropped = std::exchange(Timers, {});
+  }
   Signals.clear();
   event_base_free(Base);
 }
@@ -68,12 +69,10 @@
       [](evutil_socket_t, short, void *Argument) {
         auto *Fired = static_cast<Timer *>(Argument);
         // The action may cancel or add timers: take it out first.
-        const std::unique_ptr<Timer> Held =
-            std::move(Fired->Owner->Timers[Fired->Id]);
-        Fired->Owner->Timers.erase(Fired->Id);
+        const auto Held = Fired->Owner->Timers.extract(Fired->Id);
         Fired->Owner->TimerDelays.observe(
             std::max(Fired->Owner->Time.now() - Fired->DueAt, Millis(0)));
-        Held->Action();
+        Fired->Action();
       },
       Made.get());
   constexpr std::int64_t MillisPerSecond = 1000;
@@ -87,7 +86,9 @@
   return Id;
 }
 
-void EventLoop::cancel(TimerId Id) { Timers.erase(Id); }
+// What the timer holds may begin or cancel others as it's destroyed: that must
+// happen outside the list.
+void EventLoop::cancel(TimerId Id) { const auto Ended = Timers.extract(Id); }
 
 void EventLoop::onSignal(int Signal, std::function<void()> Action) {
   auto Made = std::make_unique<SignalHandler>();
