Destroy links outside the lists that held them

Two of the suspects of the ends by signal 11: the list of links that ended is cleared in place, and a link added meanwhile would move it; a stream's links are cleared in place, and a handler that closes one of them would erase from the same map. Neither was provoked: destroying a link of either kind runs no handler (a broker's sends a rollback or closes its connection, a peer's puts a message into an outbox), which the random tests of both confirm under the sanitizers. The lists are now emptied first, so it doesn't depend on that.

--- a/Source/Relay/RelayHost.cpp
+++ b/Source/Relay/RelayHost.cpp
@@ -116,8 +116,9 @@
 void RelayHost::drop(Peer &Gone) {
   const auto Held = Gone.shared_from_this();
   Held->Outbox.reset(nullptr);
-  Held->Links.clear();
   Peers.erase(Held);
+  // Outside the list, which their handlers look at.
+  const auto Ended = std::exchange(Held->Links, {});
 }
 
 void RelayHost::beginStop() {
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -303,7 +303,10 @@
 void SharedConnector::retire(std::unique_ptr<TargetLink> Ended) {
   Retired.push_back(std::move(Ended));
   if (Retired.size() == 1)
-    Outside.Timers.after(Millis(0), [this] { Retired.clear(); });
+    Outside.Timers.after(Millis(0), [this] {
+      // Outside the list, so that one which ends with them can be added.
+      const auto Ended = std::exchange(Retired, {});
+    });
 }
 
 void SharedConnector::avoid(const std::string &Gateway,
