--- /dev/null
+++ b/Tests/Soak/Soak.cpp
@@ -0,0 +1,248 @@
+/// \file
+/// How the soak sets its processes up, watches them and reports.
+
+#include "Soak.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace corianderdyke::soak {
+
+namespace {
+
+constexpr std::uint16_t SessionPort = 5000;
+constexpr std::uint16_t ReadinessPort = 5001;
+constexpr std::uint16_t PeerPort = 5002;
+constexpr std::uint16_t RelayPort = 5003;
+constexpr std::uint16_t OperatorPort = 5004;
+constexpr std::uint16_t PromotionPort = 5006;
+constexpr std::uint16_t CallerPort = 5010;
+constexpr Millis Settling(2500);
+/// Everything is whole again; callers must be served within this time.
+constexpr Millis Recovery(6000);
+constexpr Millis Calm(3000);
+/// At the end processes have this long to tell their metrics.
+constexpr Millis DelaysTake(500);
+
+} // namespace
+
+void Soak::note(const std::string &What) const {
+  if (Given.IsVerbose)
+    std::cout << Time.now().count() << " ms " << What << std::endl;
+}
+
+std::string Soak::writeSettings(const std::string &Name,
+                                const std::string &Text) {
+  std::string File = Given.Folder + "/" + Name + ".toml";
+  std::ofstream(File) << Text;
+  return File;
+}
+
+std::string Soak::controlSettings(const Node &Of, int Number,
+                                  bool MayFound) const {
+  const std::string At = address(1, static_cast<std::size_t>(Number));
+  std::string Seeds;
+  for (const Endpoint &Each : controls())
+    Seeds += (Seeds.empty() ? "\"" : ", \"") + Each.text() + "\"";
+  return "[process]\nname = \"" + Of.Name + "\"\nfailure_domain = \"here\"\n" +
+         "host = \"" + At + "\"\nroles = [\"control\"]\ndata_folder = \"" +
+         Of.Folder + "\"\nleadership = \"targets\"\nlog_format = \"json\"\n" +
+         "stop_within = \"2s\"\n[listen]\noperators = \"" + At + ":" +
+         std::to_string(OperatorPort) + "\"\ndirectory = \"" + At + ":" +
+         std::to_string(DirectoryPort) + "\"\npeers = \"" + At + ":" +
+         std::to_string(PeerPort) + "\"\n[keys]\npeers = \"a key for soaks " +
+         "alone\"\n[group]\nseeds = [" + Seeds +
+         "]\nmay_found = " + (MayFound ? "true" : "false") +
+         "\nlost_disks_borne = 1\n" + "promotions = \"" + address(4, 1) + ":" +
+         std::to_string(PromotionPort) + "\"\n";
+}
+
+void Soak::makeControl(int Number) {
+  const std::string Name = "control-" + std::to_string(Number);
+  const std::string Data = Given.Folder + "/" + Name;
+  // A run before may have left its disks here, with hosts at other addresses.
+  std::filesystem::remove_all(Data);
+  std::filesystem::create_directories(Data);
+  auto Made = std::make_unique<Node>(
+      Node{Name, Data,
+           Program(Given.Program, Given.Folder + "/" + Name + ".toml",
+                   Given.Folder + "/" + Name + ".log")});
+  writeSettings(Name, controlSettings(*Made, Number, true));
+  Made->Process.start();
+  Controls.push_back(std::move(Made));
+}
+
+void Soak::makeProxy(std::size_t Number) {
+  const std::string Name = "proxy-" + std::to_string(Number);
+  const std::string At = address(2, Number);
+  std::string Seeds;
+  for (const Endpoint &Each : controls())
+    Seeds += (Seeds.empty() ? "\"" : ", \"") + Each.text() + "\"";
+  const auto Listen = [&At](const char *Key, std::uint16_t Port) {
+    return std::string(Key) + " = \"" + At + ":" + std::to_string(Port) +
+           "\"\n";
+  };
+  const std::string File = writeSettings(
+      Name,
+      "[process]\nname = \"" + Name +
+          "\"\nfailure_domain = \"here\"\nhost = \"" + At +
+          "\"\nroles = [\"proxy\"]\nleadership = \"targets\"\n" +
+          "log_format = \"json\"\nstop_within = \"2s\"\n[listen]\n" +
+          Listen("operators", OperatorPort) + Listen("sessions", SessionPort) +
+          Listen("readiness", ReadinessPort) + Listen("peers", PeerPort) +
+          Listen("relay", RelayPort) +
+          "[keys]\npeers = \"a key for soaks alone\"\n[group]\nseeds = [" +
+          Seeds + "]\n");
+  Proxies.push_back(std::make_unique<Node>(
+      Node{Name, "",
+           Program(Given.Program, File, Given.Folder + "/" + Name + ".log")}));
+  startProcess(*Proxies.back());
+  CallerLinks.push_back(std::make_unique<FaultyLink>(
+      Loop, Endpoint{At, CallerPort}, Endpoint{At, SessionPort}));
+}
+
+// Whatever ended without being told to is a breach; the rest is started anew.
+void Soak::watch() {
+  for (auto *All : {&Controls, &Proxies})
+    for (auto &Each : *All) {
+      if (!Each->MayRun || Each->Process.isRunning())
+        continue;
+      if (Each->IsStopping && Each->Process.lastEnd() != 0)
+        Truth.breach(Each->Name + " was asked to stop and ended with " +
+                     std::to_string(Each->Process.lastEnd()));
+      if (!Each->IsStopping)
+        Truth.breach(Each->Name + " ended by itself with " +
+                     std::to_string(Each->Process.lastEnd()));
+      Each->IsStopping = false;
+      startProcess(*Each);
+    }
+  Loop.after(Millis(50), [this] { watch(); });
+}
+
+void Soak::askDelays() {
+  for (auto *All : {&Controls, &Proxies})
+    for (std::size_t Each = 0; Each < All->size(); ++Each) {
+      const std::string &Name = (*All)[Each]->Name;
+      HttpRequest Request;
+      Request.Path = "/metrics";
+      std::shared_ptr<HttpConnection> Call = Connector.connect(
+          {address(All == &Controls ? 1 : 2, Each + 1), OperatorPort});
+      Call->request(Request, DelaysTake,
+                    [this, Call, Name](const Expected<HttpResponse> &Answer) {
+                      Loop.defer([Call] {});
+                      noteDelays(Name, Answer ? Answer->Body : "");
+                    });
+    }
+}
+
+void Soak::noteDelays(const std::string &Of, const std::string &Metrics) {
+  std::istringstream Lines(Metrics);
+  std::string Out = "delays of " + Of + ":";
+  for (std::string Line; std::getline(Lines, Line);)
+    for (const char *Wanted :
+         {"timer_delay_seconds_bucket{le=\"0.1\"}",
+          "timer_delay_seconds_bucket{le=\"0.25\"}",
+          "timer_delay_seconds_count", "disk_sync_seconds_bucket{le=\"0.1\"}",
+          "disk_sync_seconds_count", "elections_total"})
+      if (Line.front() != '#' && Line.find(Wanted) != std::string::npos)
+        Out += " " + Line.substr(std::string("corianderdyke_").size());
+  Delays.push_back(Out);
+}
+
+CallerCounts Soak::counts() const {
+  CallerCounts Out;
+  for (const auto &Each : Callers) {
+    Out.Served += Each->Counts.Served;
+    Out.Promised += Each->Counts.Promised;
+    Out.Unknown += Each->Counts.Unknown;
+    Out.Closed += Each->Counts.Closed;
+  }
+  return Out;
+}
+
+int Soak::run() {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::filesystem::create_directories(Given.Folder);
+  auto Opened =
+      EventHttpServer::listen(Loop, {address(4, 1), PromotionPort}, Targets);
+  if (!Opened) {
+    std::cerr << Opened.error().Message << "\n";
+    return 2;
+  }
+  PromotionServer = std::move(*Opened);
+  for (int Each = 1; Each <= 3; ++Each)
+    makeControl(Each);
+  for (std::size_t Each = 1; Each <= Given.Proxies; ++Each)
+    makeProxy(Each);
+  Targets.startHeartbeats();
+  Operations.start();
+  watch();
+  std::vector<Endpoint> Doors;
+  for (const auto &Each : CallerLinks)
+    Doors.push_back(Each->at());
+  for (std::size_t Each = 0; Each < Given.Callers; ++Each)
+    Callers.push_back(std::make_unique<Caller>(
+        Loop, Truth, Time, Doors, "c" + std::to_string(Each), Random()));
+  if (Given.IsSeries)
+    for (auto &Each : Callers)
+      Each->stayConnected();
+  Loop.after(Settling, [this] {
+    for (auto &Each : Callers)
+      Each->start();
+    IsHarming = true;
+    harmSomething();
+  });
+  const Millis Harming(static_cast<std::int64_t>(Given.Seconds) * 1000);
+  Loop.after(Settling + Harming, [this] {
+    IsHarming = false;
+    note("everything heals");
+    healAll();
+  });
+  // Faults that were under way end within three seconds.
+  const Millis Whole = Settling + Harming + Millis(3000);
+  CallerCounts Before;
+  Loop.after(Whole, [this] { healAll(); });
+  Loop.after(Whole + Recovery, [this, &Before] {
+    Before = counts();
+    Operations.rest();
+  });
+  Loop.after(Whole + Recovery + Calm - DelaysTake, [this] { askDelays(); });
+  Loop.after(Whole + Recovery + Calm, [this] { Loop.stop(); });
+  Loop.run();
+  const CallerCounts After = counts();
+  const std::size_t Served = After.Served - Before.Served;
+  const std::size_t Refused = After.Promised - Before.Promised + After.Unknown -
+                              Before.Unknown + After.Closed - Before.Closed;
+  if (Served == 0 || Refused * 4 > Served)
+    Truth.breach("after recovery " + std::to_string(Served) +
+                 " operations were served and " + std::to_string(Refused) +
+                 " failed");
+  if (Operations.seen() < Operations.accepted())
+    Truth.breach("the last plan read is " + std::to_string(Operations.seen()) +
+                 ", acknowledged was " + std::to_string(Operations.accepted()));
+  Truth.finish();
+  return report();
+}
+
+int Soak::report() {
+  const CallerCounts All = counts();
+  std::cout << "seed " << Given.Seed << ": " << MaxConnections
+            << " connections a server, " << Harms << " faults, "
+            << Targets.promotions() << " promotions, " << All.Served
+            << " operations served, " << All.Promised << " promised, "
+            << All.Unknown << " unknown, " << All.Closed << " closed, "
+            << Truth.acknowledgedCount() << " writes acknowledged, plan "
+            << Operations.accepted() << "\n";
+  for (const std::string &Each : Truth.breaches())
+    std::cout << "BREACH " << Each << "\n";
+  // Tells a busy host from a fault of the product.
+  if (!Truth.breaches().empty())
+    for (const std::string &Each : Delays)
+      std::cout << Each << "\n";
+  return Truth.breaches().empty() ? 0 : 1;
+}
+
+} // namespace corianderdyke::soak
