--- a/Tests/Soak/Faults.cpp
+++ b/Tests/Soak/Faults.cpp
@@ -14,6 +14,8 @@
 /// With limits: descriptors of a proxy, some below what its callers take.
 constexpr unsigned FewFiles = 60;
 constexpr int StormPlans = 12;
+/// A process has read its settings well before this.
+constexpr Millis StartTakes(1000);
 
 } // namespace
 
@@ -87,6 +89,7 @@
 // A start with broken settings is refused; only a reload may meet them.
 void Soak::startProcess(Node &Which) {
   mendSettings(Which);
+  Which.StartedAt = Time.now();
   Which.Process.start(Given.IsLimited && isProxy(Which) ? FewFiles : 0);
 }
 
@@ -158,7 +161,8 @@
 }
 
 void Soak::reloadBroken(Node &Which) {
-  if (!Which.MayRun || Which.IsStopping || Which.IsPaused)
+  if (!Which.MayRun || Which.IsStopping || Which.IsPaused ||
+      Time.now() - Which.StartedAt < StartTakes)
     return;
   note("reload broken settings at " + Which.Name);
   const std::string File = Given.Folder + "/" + Which.Name + ".toml";
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -41,6 +41,7 @@
   bool IsStopping = false;
   bool IsPaused = false;
   std::string GoodSettings = {}; ///< While its file holds broken ones.
+  Millis StartedAt = {};
 };
 
 class Soak {
