--- a/Tests/Unit/ConsensusTest.cpp
+++ b/Tests/Unit/ConsensusTest.cpp
@@ -444,3 +444,17 @@
   Group.run(Millis(100));
   CHECK(Group.ConfirmedReads == Confirmed + 50);
 }
+
+TEST_CASE("A host that is cut off asks for elections and begins none",
+          "[consensus]") {
+  // Guards against counts that don't tell elections without a majority.
+  ThreeHosts Of;
+  const std::string Name = Of.follower();
+  const ElectionCounts Before = Of.Group.host(Name)->elections();
+  CHECK(Of.Group.leader()->elections().Begun > 0);
+  Of.cutOff(Name);
+  REQUIRE(Of.Group.runUntil([&] {
+    return Of.Group.host(Name)->elections().Asked > Before.Asked + 2;
+  }));
+  CHECK(Of.Group.host(Name)->elections().Begun == Before.Begun);
+}
--- a/Tests/Unit/EventLoopTest.cpp
+++ b/Tests/Unit/EventLoopTest.cpp
@@ -1,9 +1,10 @@
 /// \file
-/// Timers whose end begins others.
+/// Timers whose end begins others, and those that run late.
 
 #include "Loop/EventLoop.h"
 
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace corianderdyke;
 
@@ -52,3 +53,16 @@
   }
   CHECK(IsDropped);
 }
+
+TEST_CASE("A timer that another one holds up is counted as late", "[loop]") {
+  // Guards against a process that can't tell that its timers run late.
+  EventLoop Loop;
+  Loop.after(Millis(1), [] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(120));
+  });
+  Loop.after(Millis(5), [&Loop] { Loop.stop(); });
+  Loop.run();
+  const DurationHistogram &Delays = Loop.timerDelays();
+  CHECK(Delays.total() == 2);
+  CHECK(Delays.sum() >= Millis(100));
+}
--- a/Tests/Unit/JournalTest.cpp
+++ b/Tests/Unit/JournalTest.cpp
@@ -259,3 +259,19 @@
     std::filesystem::remove_all(Folder);
   }
 }
+
+TEST_CASE("Each sync of a data folder is measured", "[journal]") {
+  // Guards against a slow disk that looks like an election that collides.
+  const std::string Folder =
+      std::filesystem::temp_directory_path() /
+      ("corianderdyke-syncs-" + std::to_string(getpid()));
+  {
+    auto Disk = FileDisk::open(Folder);
+    REQUIRE(Disk);
+    REQUIRE(Disk->append("log", "bytes"));
+    const std::uint64_t Before = Disk->syncs().total();
+    REQUIRE(Disk->sync("log"));
+    CHECK(Disk->syncs().total() == Before + 1);
+  }
+  std::filesystem::remove_all(Folder);
+}
