Let proxies and control hosts lose the processor in random tests

Looks for the fault of the target ranking elsewhere: decisions that read the clock more than once. The random test of truth has a second case in which time passes between readings, with seeds of its own; control hosts and proxies pass plans, a lost primary and a lost leader that way. The first case draws what it drew before.

--- a/Tests/Unit/PassingTimeTest.cpp
+++ b/Tests/Unit/PassingTimeTest.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Decisions of a process that loses the processor while it makes them.
 
+#include "FakeFleet.h"
 #include "FakeGroup.h"
 
 #include <catch2/catch.hpp>
@@ -50,3 +51,37 @@
   for (int Age = 1; Age < LongestAge; ++Age)
     CHECK(answersToReadAfterLag(Millis(Age)) == 2);
 }
+
+TEST_CASE("Control hosts and proxies lose the processor and agree all the same",
+          "[steering][time]") {
+  // Guards against decisions of control, and of proxies on what control says,
+  // that read the clock more than once.
+  const auto Seed = GENERATE(range(1, 9));
+  CAPTURE(Seed);
+  ReadySetup Setup(static_cast<std::uint64_t>(Seed));
+  Fleet &On = Setup.On;
+  std::mt19937 Random(static_cast<unsigned>(Seed));
+  const auto AtReading = [&Random] {
+    const auto Draw = Random() % 400;
+    return Millis(Draw == 0 ? 30 : Draw < 20 ? 1 : 0);
+  };
+  for (auto &[Name, Each] : On.Controls)
+    Each.Host->AtReading = AtReading;
+  for (auto &[Name, Each] : On.Proxies)
+    Each.Host->AtReading = AtReading;
+  On.runBeating(Millis(1000));
+  REQUIRE(On.awaitLeader());
+  REQUIRE(On.accept(2));
+  On.Targets.Targets["a"].IsUp = false;
+  for (int Round = 0; Round < 10; ++Round) {
+    On.report("a", On.Proxies.size());
+    On.runBeating(Millis(400));
+  }
+  CHECK_FALSE(On.Targets.Targets["a"].IsPrimary);
+  On.killControl(On.leader()->leader());
+  CHECK(On.Loop.runUntilTrue([&] { return On.leader() != nullptr; },
+                             Millis(10000)));
+  REQUIRE(On.accept(3));
+  On.runBeating(Millis(2000));
+  CHECK(On.allProxiesHave(3));
+}
--- a/Tests/Unit/PipelineTruthTest.cpp
+++ b/Tests/Unit/PipelineTruthTest.cpp
@@ -535,13 +535,15 @@
       [&] { return Ahead.Caller->Answers.size() > Count / 2; }, Millis(100)));
 }
 
-TEST_CASE("Random faults never make a success untrue", "[pipeline]") {
-  // Targets die, change places, lose answers, stop receiving and get busy
-  // while sessions of all kinds work. Each success is checked against what
-  // the targets did, each promise against what they keep.
-  const auto Seed = GENERATE(range(1, 41));
+namespace {
+
+// Targets die, change places, lose answers, stop receiving and get busy
+// while sessions of all kinds work. Each success is checked against what
+// the targets did, each promise against what they keep.
+void checkRandomFaults(int Seed, std::function<Millis()> AtReading) {
   CAPTURE(Seed);
   Setup On;
+  On.Proxy.Host.AtReading = std::move(AtReading);
   std::mt19937 Random(static_cast<unsigned>(Seed));
   const auto Chance = [&Random](unsigned Percent) {
     return Random() % 100 < Percent;
@@ -595,3 +597,19 @@
   // Busy spans of the primary leave few in some runs.
   CHECK(Done.size() > 30);
 }
+
+} // namespace
+
+TEST_CASE("Random faults never make a success untrue", "[pipeline]") {
+  checkRandomFaults(GENERATE(range(1, 41)), nullptr);
+}
+
+TEST_CASE("A proxy that loses the processor never makes a success untrue",
+          "[pipeline][time]") {
+  // Guards against truths that hold only while no time passes in a decision.
+  std::mt19937 Random(1);
+  checkRandomFaults(GENERATE(range(41, 61)), [&Random] {
+    const auto Draw = Random() % 200;
+    return Millis(Draw == 0 ? 30 : Draw < 10 ? 1 : 0);
+  });
+}
