Crash the test program by an address that sanitizers don't check

Under the undefined sanitizer the access through a null pointer ended the program by the sanitizer's report before there was a signal, and the test of the crash report failed in that preset. It now reads an address that nothing is mapped at; the checks are the same and pass in both presets.

--- a/Tests/Golden/CrashingProgram.cpp
+++ b/Tests/Golden/CrashingProgram.cpp
@@ -4,19 +4,17 @@
 #include "App/CrashReport.h"
 #include "Logs/LogEvents.h"
 
+#include <cstdint>
 #include <cstdlib>
 #include <cstring>
 
 namespace {
 
-/// What a null pointer leads to, beyond the first page.
-struct Distant {
-  char Before[0x1234] = {};
-  volatile int Value = 0;
-};
+/// Nothing is ever mapped here.
+constexpr std::uintptr_t Unmapped = 0x1234;
 
-__attribute__((noinline)) int readThrough(const Distant *At) {
-  return At->Value;
+__attribute__((noinline)) int readAt(std::uintptr_t Address) {
+  return *reinterpret_cast<const volatile int *>(Address);
 }
 
 __attribute__((noinline)) int exhaustStack(const char *Caller) {
@@ -35,7 +33,7 @@
   if (Count < 2)
     return 2;
   if (std::strcmp(Words[1], "access") == 0)
-    return readThrough(nullptr);
+    return 1 + readAt(Unmapped);
   if (std::strcmp(Words[1], "stack") == 0)
     return exhaustStack(Words[1]);
   std::abort();
