Give test interruptions, random faults and soak restarts one place each

Read once more as a whole, the change had three copies of the draw by which a host loses the processor, two ways in one test to open a broker's link, and a wipe in the soak that restarted its process by a copy of restartLater(). Each is one piece now; the soak reads a file with the product's readFile(). A comment of the disk says what its function does.

No assertion changes.

--- a/Source/Storage/FileDisk.h
+++ b/Source/Storage/FileDisk.h
@@ -39,7 +39,7 @@
   Expected<int> descriptor(const std::string &Name);
   void forget(const std::string &Name);
   Expected<void> syncFolder();
-  /// One of the system's calls that sync, measured; its result.
+  /// Calls fsync or fdatasync and records its duration; returns its result.
   int measured(int (*Sync)(int), int Descriptor);
 
   std::string Folder;
--- a/Tests/Soak/Faults.cpp
+++ b/Tests/Soak/Faults.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// The faults that the soak puts in, one by one or in series.
 
+#include "App/ReadFile.h"
 #include "Soak.h"
 
 #include <csignal>
@@ -166,8 +167,7 @@
     return;
   note("reload broken settings at " + Which.Name);
   const std::string File = Given.Folder + "/" + Which.Name + ".toml";
-  std::ifstream In(File);
-  Which.GoodSettings = {std::istreambuf_iterator<char>(In), {}};
+  Which.GoodSettings = readFile(File).value();
   std::ofstream(File) << Which.GoodSettings.substr(
                              0, Which.GoodSettings.size() / 2)
                       << "\n= broken";
@@ -234,10 +234,7 @@
   for (int Each = 1; Each <= 3; ++Each)
     if (Controls[static_cast<std::size_t>(Each - 1)].get() == &Which)
       writeSettings(Which.Name, controlSettings(Which, Each, false));
-  Loop.after(draw(50, 500), [&Which] {
-    Which.Process.start();
-    Which.MayRun = true;
-  });
+  restartLater(Which, draw(50, 500));
   // Until it has surely been taken in again, no other disk is lost.
   Loop.after(Millis(8000), [this] { IsWiping = false; });
 }
--- a/Tests/Support/FakeLoop.h
+++ b/Tests/Support/FakeLoop.h
@@ -10,6 +10,8 @@
 
 #include <functional>
 #include <map>
+#include <memory>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -69,6 +71,17 @@
   std::map<Id, std::function<void()>> Actions;
 };
 
+/// Time that a process loses at readings of its clock, the same for a seed: of
+/// \p Among readings about one takes 30 ms, and one in twenty a millisecond.
+/// Copies draw from one sequence.
+inline std::function<Millis()> interruptions(std::uint64_t Seed,
+                                             std::uint64_t Among) {
+  return [Random = std::make_shared<std::mt19937_64>(Seed), Among] {
+    const std::uint64_t Draw = (*Random)() % Among;
+    return Millis(Draw == 0 ? 30 : Draw < Among / 20 ? 1 : 0);
+  };
+}
+
 /// One host: its clock and its timers. A frozen host runs nothing until it's
 /// thawed, and its clock goes on meanwhile, as CLOCK_BOOTTIME does.
 class FakeHost final : public Clock, public Scheduler {
--- a/Tests/Unit/BrokerLinkTest.cpp
+++ b/Tests/Unit/BrokerLinkTest.cpp
@@ -30,12 +30,16 @@
     Broker.update(Group.directory());
   }
 
-  std::unique_ptr<TargetLink> open(std::vector<StatementAnswer> &Answers) {
+  /// \p IsClosed is set once no answer will come any more.
+  std::unique_ptr<TargetLink> open(std::vector<StatementAnswer> &Answers,
+                                   bool &IsClosed) {
     return Broker.open(
         {GroupName, "a", {"a", 5000}},
         {[] {},
          [&Answers](const StatementAnswer &Each) { Answers.push_back(Each); },
-         [](const std::optional<StatementRefusal> &) {}});
+         [&IsClosed](const std::optional<StatementRefusal> &) {
+           IsClosed = true;
+         }});
   }
 
   FakeLoop Loop;
@@ -52,8 +56,9 @@
   Setup On;
   std::vector<StatementAnswer> Answers;
   std::vector<StatementAnswer> Others;
-  const auto Link = On.open(Answers);
-  const auto Other = On.open(Others);
+  bool IsClosed = false;
+  const auto Link = On.open(Answers, IsClosed);
+  const auto Other = On.open(Others, IsClosed);
   Link->send({{.What = TargetCommand::Kind::Begin, .MayWait = Millis(100)}});
   On.Loop.runFor(Millis(50));
   REQUIRE(Answers.size() == 1);
@@ -89,15 +94,7 @@
     Each.Answers.clear();
     Each.Sent = 0;
     Each.IsClosed = false;
-    Each.Link =
-        On.Broker.open({GroupName, "a", {"a", 5000}},
-                       {[] {},
-                        [&Each](const StatementAnswer &Answer) {
-                          Each.Answers.push_back(Answer);
-                        },
-                        [&Each](const std::optional<StatementRefusal> &) {
-                          Each.IsClosed = true;
-                        }});
+    Each.Link = On.open(Each.Answers, Each.IsClosed);
   };
   for (User &Each : Users)
     Reopen(Each);
--- a/Tests/Unit/PassingTimeTest.cpp
+++ b/Tests/Unit/PassingTimeTest.cpp
@@ -60,11 +60,7 @@
   CAPTURE(Seed);
   ReadySetup Setup(static_cast<std::uint64_t>(Seed));
   Fleet &On = Setup.On;
-  std::mt19937 Random(static_cast<unsigned>(Seed));
-  const auto AtReading = [&Random] {
-    const auto Draw = Random() % 400;
-    return Millis(Draw == 0 ? 30 : Draw < 20 ? 1 : 0);
-  };
+  const auto AtReading = interruptions(static_cast<std::uint64_t>(Seed), 400);
   for (auto &[Name, Each] : On.Controls)
     Each.Host->AtReading = AtReading;
   for (auto &[Name, Each] : On.Proxies)
--- a/Tests/Unit/RelayStressTest.cpp
+++ b/Tests/Unit/RelayStressTest.cpp
@@ -24,9 +24,11 @@
 public:
   explicit RandomDay(std::uint64_t Seed, DayKind Kind = {})
       : How(Kind), Random(Seed), System(Loop, Group, ProxyCount, 12) {
-    if (How.LosesProcessor)
+    if (How.LosesProcessor) {
+      const auto AtReading = interruptions(1, 200);
       for (std::size_t Each = 0; Each < ProxyCount; ++Each)
-        System.proxy(Each).Host.AtReading = [this] { return timeLost(); };
+        System.proxy(Each).Host.AtReading = AtReading;
+    }
     Loop.runFor(Millis(100));
     for (std::size_t Each = 0; Each < SessionCount; ++Each)
       Callers.push_back({connect(), 0, 0});
@@ -62,11 +64,6 @@
 
   std::size_t below(std::size_t Bound) { return Random() % Bound; }
 
-  Millis timeLost() {
-    const std::uint64_t Draw = Interruptions() % 200;
-    return Millis(Draw == 0 ? 30 : Draw < 10 ? 1 : 0);
-  }
-
   FakeRelaySystem::Session connect() {
     static const char *const Routes[] = {"primary", "bounded", "own"};
     return System.connect(below(ProxyCount), Routes[below(3)]);
@@ -140,7 +137,6 @@
 
   DayKind How;
   std::mt19937_64 Random;
-  std::mt19937_64 Interruptions{1};
   FakeLoop Loop;
   FakeGroup Group{Loop, {"a", "b", "c"}};
   FakeRelaySystem System;
