Close a pool's connections in a list that can't change meanwhile

Callers would see a proxy end with signal 11, or a statement lost with a connection that had just been opened. By reading, the product can't reach it: no link of a target connection opens another one as it's destroyed.

Cause: closeAll() went through the pool's own list. A connection opened in that pool meanwhile moved the list, was closed with the others and returned as one of the earlier incarnation.

The loop goes over a copy. What is opened meanwhile stays, and isn't returned.

--- a/Source/Pipeline/TargetPool.cpp
+++ b/Source/Pipeline/TargetPool.cpp
@@ -134,9 +134,11 @@
 }
 
 std::vector<TargetConnectionPtr> TargetPool::closeAll() {
-  for (const TargetConnectionPtr &Each : All)
+  // Destroying a link may open a connection, so the list may change meanwhile.
+  std::vector<TargetConnectionPtr> Closed = All;
+  for (const TargetConnectionPtr &Each : Closed)
     Each->close();
-  return All;
+  return Closed;
 }
 
 void TargetPool::recordConnectionRefused(Millis Now) {
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -110,8 +110,8 @@
   bool handleClosed(const TargetConnectionPtr &Connection,
                     const std::optional<StatementRefusal> &Refusal, Millis Now);
   void remove(const TargetConnectionPtr &Connection);
-  /// Closes all connections and returns them; the caller must fail the
-  /// statements that wait on them.
+  /// Closes the present connections and returns them; the caller must fail the
+  /// statements that wait on them. Connections opened meanwhile stay open.
   std::vector<TargetConnectionPtr> closeAll();
   std::size_t opening() const {
     return inStage(TargetConnection::Stage::Opening);
