Close only the links of the stream that ended

Callers would see a statement lost with a link that was opened after its gateway's stream had ended, or a proxy that never returns from closing links. Not seen in the product: a gateway whose stream ended isn't chosen for 300 ms, so it would need a process that is stopped for that long between two links. That was not run.

Cause: links were closed until there was none left, those of the next stream included.

Evidence: a handler that opens another link at each closing had 100 links, the limit of the test, instead of 4.

Numbers of links ascend, and only those below the next one at the start are closed. A second test destroys other links from a handler; it passed before too.

--- a/Source/Relay/RelayClient.cpp
+++ b/Source/Relay/RelayClient.cpp
@@ -166,8 +166,10 @@
   IsLeaving = false;
   AvoidUntil = Time.now() + AvoidFor;
   Outbox.reset(nullptr);
-  // Handlers may destroy any of the links.
-  while (!Links.empty()) {
+  // Handlers may destroy any of the links, and open others, which belong to the
+  // next stream.
+  const std::uint32_t FirstOfNextStream = NextLink;
+  while (!Links.empty() && Links.begin()->first < FirstOfNextStream) {
     Link *Closed = Links.begin()->second;
     Links.erase(Links.begin());
     Closed->handleClose();
