Refuse commands whose gateway was lost while it got the state

Callers would see a statement that is never answered, up to its timeout. By reading, the product can't reach it: its streams report their end from the loop and not while they send.

Cause: a link that moves to another gateway first sends its session state. If that shows that the gateway is lost, the link has none, and dropped the commands as those of a transaction whose end had been reported; it hadn't. No null pointer is used: the check for a gateway comes first.

Evidence: with a stream that ends inside its first sending the statement got no answer. It's now refused as unreachable, since none of it was sent. The outbox holds the stream while it sends, since the end of the stream resets the outbox.

--- a/Source/Relay/RelayCodec.cpp
+++ b/Source/Relay/RelayCodec.cpp
@@ -90,8 +90,10 @@
 }
 
 void RelayOutbox::flush() {
-  if (Stream && !Batch.empty())
-    Stream->send(Frames.write(std::exchange(Batch, {})));
+  // Held, because sending may end the stream and reset the outbox.
+  const std::shared_ptr<PeerStream> Current = Stream;
+  if (Current && !Batch.empty())
+    Current->send(Frames.write(std::exchange(Batch, {})));
 }
 
 } // namespace corianderdyke
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -82,7 +82,8 @@
       Replayed = State.size();
       GatewayLink->send(State);
     }
-    return true;
+    // Sending may have shown that the gateway is lost.
+    return GatewayLink != nullptr;
   }
 
   /// Records session state for replay at the next gateway.
