Let answers reach a link only through the connection that it holds

Callers would see a gateway end with signal 11, with all that other proxies sent through it. By reading, the product can't reach it: the signal that a primary answered closes no connection there.

Cause: the answers due referred to the link, and used the connection that it held at that moment, which was right only by care. The signal between the first and the second use could end the connection.

Evidence: a handler of that signal which reports a new incarnation of the target ended the test with SIGSEGV.

The answers due now refer weakly to the held connection, which only its link owns: an answer of a connection that was given back reaches nobody. Each answer takes its own entry of those awaited with it.

Statements in flight are counted by the tokens that they hold instead of by adding and subtracting, so the count can't wrap, nor can a statement of a target that was forgotten count at its successor. That wasn't provoked: a connection leaves its pool only when it's closed, and its link gives it up in the same turn.

--- a/Source/Relay/BrokerLink.cpp
+++ b/Source/Relay/BrokerLink.cpp
@@ -58,7 +58,7 @@
 
 void TargetBroker::Link::run(const TargetConnectionPtr &On) {
   ConnectionQueueEntry.remove();
-  BoundConnection.emplace(HeldConnection{On});
+  BoundConnection = std::make_shared<HeldConnection>(HeldConnection{On});
   sendPending();
 }
 
@@ -69,6 +69,7 @@
 
 void TargetBroker::Link::sendPending() {
   const TargetConnectionPtr On = BoundConnection->Connection;
+  const std::weak_ptr<HeldConnection> Held = BoundConnection;
   std::vector<TargetConnection::Step> Steps;
   On->appendValueSteps(Values, Steps);
   const auto Count = std::distance(Pending.cbegin(), endOfBatch());
@@ -77,25 +78,28 @@
     const bool TakesSlot = takesSlot(Each.Operation);
     if (Each.Operation == TargetCommand::Kind::Execute)
       Each.Name = On->prepare(Prepared[Each.Name], Steps);
-    Steps.push_back({std::move(Each),
-                     [this, AliveFlag = Alive](const StatementAnswer &Answer) {
-                       if (*AliveFlag)
-                         handleAnswer(Answer);
-                     }});
-    BoundConnection->Awaited.push_back(TakesSlot);
-    if (TakesSlot)
-      ++Owner.targetOf(To).InFlight;
+    Steps.push_back(
+        {std::move(Each), [this, Held](const StatementAnswer &Answer) {
+           // The link exists while what it owns does.
+           if (!Held.expired())
+             handleAnswer(Held, Answer);
+         }});
+    BoundConnection->Awaited.push_back(
+        TakesSlot ? Owner.targetOf(To).InFlight.begin() : nullptr);
   }
   Pending.erase(Pending.begin(), Pending.begin() + Count);
   BoundConnection->SentAt = Owner.Time.now();
   On->send(std::move(Steps));
 }
 
-void TargetBroker::Link::handleAnswer(const StatementAnswer &Answer) {
-  if (BoundConnection->Awaited.front())
-    --Owner.targetOf(To).InFlight;
+void TargetBroker::Link::handleAnswer(const std::weak_ptr<HeldConnection> &Held,
+                                      const StatementAnswer &Answer) {
   BoundConnection->Awaited.pop_front();
-  Owner.recordAnswer(BoundConnection->Connection);
+  const TargetConnectionPtr From = BoundConnection->Connection;
+  Owner.recordAnswer(From);
+  // A handler of the signal may have ended the connection.
+  if (Held.expired())
+    return;
   const bool IsTransactionOpen =
       !Answer.Refusal && Answer.Phase != SessionPhase::Idle;
   const bool IsLast = BoundConnection->Awaited.empty();
@@ -163,14 +167,11 @@
 }
 
 TargetConnectionPtr TargetBroker::Link::detachConnection() {
-  const HeldConnection Ended =
-      std::move(*std::exchange(BoundConnection, std::nullopt));
-  if (Target *At = Owner.find(To.Id))
-    At->InFlight -= static_cast<std::size_t>(
-        std::count(Ended.Awaited.begin(), Ended.Awaited.end(), true));
-  if (Ended.HasSetValues)
-    Ended.Connection->invalidateValues();
-  return Ended.Connection;
+  const std::shared_ptr<HeldConnection> Ended =
+      std::exchange(BoundConnection, nullptr);
+  if (Ended->HasSetValues)
+    Ended->Connection->invalidateValues();
+  return Ended->Connection;
 }
 
 void TargetBroker::Link::handleConnectionLoss() {
--- a/Source/Relay/BrokerLink.h
+++ b/Source/Relay/BrokerLink.h
@@ -56,7 +56,7 @@
   }
   Millis queuedAt() const { return QueuedAt; }
   Millis deadline() const { return Deadline; }
-  bool holdsConnection() const { return BoundConnection.has_value(); }
+  bool holdsConnection() const { return BoundConnection != nullptr; }
   bool holds(const TargetConnectionPtr &Candidate) const {
     return BoundConnection && BoundConnection->Connection == Candidate;
   }
@@ -95,11 +95,13 @@
         std::next(Pending.begin()), Pending.end(),
         [](const TargetCommand &Each) { return Each.NeedsPrevious; });
   }
-  /// A connection that the link holds, with the state bound to it.
+  /// A connection that the link holds, with the state bound to it. Only the
+  /// link owns it; the answers due refer to it weakly, so that an answer of a
+  /// connection that the link no longer holds does not reach the link.
   struct HeldConnection {
     TargetConnectionPtr Connection;
-    /// Outstanding answers; true for a command that takes a slot.
-    std::deque<bool> Awaited = {};
+    /// One for each outstanding answer.
+    std::deque<InFlightCounter::Token> Awaited = {};
     /// Values changed inside a transaction may revert when it rolls back.
     bool HasSetValues = false;
     Millis SentAt = {};
@@ -108,7 +110,9 @@
 
   void sendOrWait();
   void sendPending();
-  void handleAnswer(const StatementAnswer &Answer);
+  /// Handles the answer to the oldest command sent on \p Held, which exists.
+  void handleAnswer(const std::weak_ptr<HeldConnection> &Held,
+                    const StatementAnswer &Answer);
   void deliver(const StatementAnswer &Answer);
   void answerStateChanges();
   void releaseConnection();
@@ -127,7 +131,7 @@
   std::deque<bool> Unanswered; ///< In order; true for a state change.
   /// Held back and delivered together with the next answer.
   std::vector<StatementAnswer> DeferredAnswers;
-  std::optional<HeldConnection> BoundConnection;
+  std::shared_ptr<HeldConnection> BoundConnection;
   QueueEntry<Link> ConnectionQueueEntry;
   std::uint32_t Priority = 0; ///< Of the current transaction or statement.
   Millis QueuedAt;
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -66,9 +66,9 @@
   Record.Address = To.Address;
   Target &Created =
       Targets
-          .emplace(To.Id, Target{TargetPool(Record,
-                                            GatewayShares[To.Group].Connections,
-                                            Time.now())})
+          .try_emplace(To.Id,
+                       TargetPool(Record, GatewayShares[To.Group].Connections,
+                                  Time.now()))
           .first->second;
   applySharing(Created.Pool);
   return Created;
@@ -180,7 +180,7 @@
 // At equal priority a link that holds a connection goes first, because other
 // links wait for that connection.
 bool TargetBroker::runNext(Target &At) {
-  const bool MaySend = At.InFlight < maxInFlight(At);
+  const bool MaySend = At.InFlight.count() < maxInFlight(At);
   Link *NextHolder = MaySend && !At.Ready.empty() ? At.Ready.front() : nullptr;
   for (Link *Next : At.Waiting) {
     if (NextHolder != nullptr && NextHolder->priority() <= Next->priority())
@@ -224,7 +224,7 @@
 // are at this gateway's limit, another connection could not be used. It helps
 // only if the open connections are held by idle transactions.
 void TargetBroker::openIfAllowed(Target &At) {
-  if (At.InFlight >= maxInFlight(At))
+  if (At.InFlight.count() >= maxInFlight(At))
     return;
   const std::size_t MaxOpenings =
       IsPerOrganisation ? MaxOpeningsWhenPerOrganisation : 1;
@@ -264,7 +264,7 @@
       !At.Pool.needsWarmConnections() || At.Pool.opening() > 0 ||
       !At.Pool.mayOpen("", Now))
     return;
-  const bool IsIdle = At.InFlight == 0 && At.Waiting.empty();
+  const bool IsIdle = At.InFlight.count() == 0 && At.Waiting.empty();
   if (At.Pool.size() > 0 && (!IsIdle || Now - At.OpenedAt < WarmUpInterval))
     return;
   openConnection(At, "");
@@ -350,7 +350,7 @@
   for (auto &[Id, Each] : Targets) {
     expireWaiting(Each);
     detectSilence(Each);
-    if (Each.InFlight >= maxInFlight(Each))
+    if (Each.InFlight.count() >= maxInFlight(Each))
       Each.SaturatedAt = Now;
     Each.Pool.setSaturated(Now - Each.SaturatedAt < SaturationHold);
     Each.Pool.setRetiring(IsPerOrganisation && GatewayTargets.count(Id) == 0);
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -7,6 +7,7 @@
 #include "Common/Clock.h"
 #include "Loop/CoalescingTimer.h"
 #include "Pipeline/TargetPool.h"
+#include "Relay/InFlightCounter.h"
 #include "Relay/QueueEntry.h"
 
 #include <list>
@@ -78,12 +79,14 @@
 
   /// A target with its connections and the links that wait for one.
   struct Target {
+    explicit Target(TargetPool Initial) : Pool(std::move(Initial)) {}
+
     TargetPool Pool;
     std::list<Link *> Waiting = {}; ///< By priority, then arrival.
     /// Links that hold a connection and wait until their statement may be
     /// sent.
     std::list<Link *> Ready = {};
-    std::size_t InFlight = 0; ///< Statements sent and not yet answered.
+    InFlightCounter InFlight = {}; ///< Statements sent and not yet answered.
     bool IsDispatching = false;
     Millis OpenedAt = {}; ///< When the last opening began.
     Millis SaturatedAt =
--- a/Tests/Unit/BrokerLinkTest.cpp
+++ b/Tests/Unit/BrokerLinkTest.cpp
@@ -76,6 +76,29 @@
   CHECK_FALSE(Others[0].Refusal);
 }
 
+TEST_CASE("A connection may be lost while its answer is reported", "[relay]") {
+  // Guards against an answer that continues with the connection that its link
+  // no longer holds.
+  Setup Fixture;
+  std::vector<StatementAnswer> Answers;
+  bool IsClosed = false;
+  const auto Link = Fixture.open(Answers, IsClosed);
+  Link->send({run("first", "STORE x 1")});
+  Fixture.Loop.runFor(Millis(50));
+  REQUIRE(Answers.size() == 1);
+  Fixture.Broker.update(Fixture.Group.directory());
+  Fixture.Broker.signalPrimaryAnswered().connect([&](const std::string &Id) {
+    ++Fixture.Group.Servers[Id].BornAt;
+    Fixture.Broker.update(Fixture.Group.directory());
+  });
+  Link->send({run("second", "STORE x 1")});
+  Fixture.Loop.runFor(Millis(50));
+  CHECK(IsClosed);
+  CHECK(Answers.size() == 1);
+  CHECK_FALSE(Fixture.Broker.isBusy());
+  Fixture.Loop.clear();
+}
+
 TEST_CASE("Links that send in any order get one answer per command",
           "[relay][stress]") {
   // Guards against faults when links wait, are answered or end in an order that
