Forget a broker's targets only when none is in use

Callers would see a gateway end with signal 11. By reading, the product can't reach it: the directory arrives from the loop, not from a link's handler.

Cause: update() erased targets that had gone, while a function further up the stack might use one: the end of a connection tells its link, whose handler might apply a directory, and then assigns work at the target.

Evidence: a link's handler that reports its target as gone; the address sanitizer reported a use after free in dispatch(), called from handleClose(). Without sanitizers the test passed.

--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -118,6 +118,8 @@
   }
   std::size_t busy() const { return inStage(TargetConnection::Stage::Busy); }
   std::size_t size() const { return All.size(); }
+  /// True if the target has gone and no connection to it is left.
+  bool hasEnded() const { return Record.IsGone && All.empty(); }
   const std::vector<TargetConnectionPtr> &connections() const { return All; }
 
   /// The target refused a connection at its limit: lowers the limit here for a
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -96,18 +96,13 @@
 
 void TargetBroker::update(const TargetDirectory &Directory) {
   const Millis Now = Time.now();
-  for (auto Each = Targets.begin(); Each != Targets.end();) {
-    TargetPool &Pool = Each->second.Pool;
-    if (const TargetRecord *Record = Directory.find(Each->first)) {
-      if (Pool.isNewIncarnation(*Record))
-        closeStaleConnections(Each->second);
-      Pool.update(*Record, Now);
+  for (auto &[Id, Each] : Targets) {
+    if (const TargetRecord *Record = Directory.find(Id)) {
+      if (Each.Pool.isNewIncarnation(*Record))
+        closeStaleConnections(Each);
+      Each.Pool.update(*Record, Now);
     }
-    Pool.maintain(Now);
-    const bool Ended = Pool.record().IsGone && Pool.size() == 0 &&
-                       Each->second.Waiting.empty() &&
-                       Each->second.Ready.empty();
-    Each = Ended ? Targets.erase(Each) : std::next(Each);
+    Each.Pool.maintain(Now);
   }
   for (const std::string &Id : GatewayTargets)
     if (const TargetRecord *Record = Directory.find(Id))
@@ -347,6 +342,8 @@
 void TargetBroker::tick() {
   const Millis Now = Time.now();
   bool IsUrgent = false;
+  std::erase_if(Targets,
+                [](const auto &Each) { return Each.second.hasEnded(); });
   for (auto &[Id, Each] : Targets) {
     expireWaiting(Each);
     detectSilence(Each);
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -91,6 +91,11 @@
     Millis OpenedAt = {}; ///< When the last opening began.
     Millis SaturatedAt =
         Millis(-1000000); ///< When InFlight last was at its limit.
+
+    /// True if the target has gone and nothing refers to it.
+    bool hasEnded() const {
+      return Pool.hasEnded() && Waiting.empty() && Ready.empty();
+    }
   };
 
   void applySharing(TargetPool &Pool) const;
@@ -125,7 +130,9 @@
 
   Clock &Time;
   TargetConnector &Direct;
-  std::map<std::string, Target> Targets;             ///< By identity.
+  /// By identity. Only the timer erases targets, since all other functions may
+  /// run while one further up the stack uses a target.
+  std::map<std::string, Target> Targets;
   std::map<std::string, GatewayShare> GatewayShares; ///< By group.
   bool IsPerOrganisation = false; ///< Each connection serves one organisation.
   std::set<std::string> GatewayTargets;
--- a/Tests/Unit/BrokerLinkTest.cpp
+++ b/Tests/Unit/BrokerLinkTest.cpp
@@ -99,6 +99,33 @@
   Fixture.Loop.clear();
 }
 
+TEST_CASE("A target may go while its last connection is lost", "[relay]") {
+  // Guards against forgetting a target that is in use further up the stack.
+  Setup Fixture;
+  bool IsClosed = false;
+  const auto Link =
+      Fixture.Broker.open({GroupName, "a", {"a", 5000}},
+                          {[] {}, [](const StatementAnswer &) {},
+                           [&](const std::optional<StatementRefusal> &) {
+                             IsClosed = true;
+                             std::vector<TargetRecord> All =
+                                 Fixture.Group.directory().all();
+                             for (TargetRecord &Each : All) {
+                               Each.IsGone = true;
+                               ++Each.Sequence;
+                             }
+                             TargetDirectory Directory;
+                             Directory.merge(All, Fixture.Loop.now());
+                             Fixture.Broker.update(Directory);
+                           }});
+  Fixture.Group.Servers["a"].AnswersToCut = 1;
+  Link->send({run("s", "STORE x 1")});
+  Fixture.Loop.runFor(Millis(1000));
+  CHECK(IsClosed);
+  CHECK(Fixture.Broker.connections() == 0);
+  Fixture.Loop.clear();
+}
+
 TEST_CASE("Links that send in any order get one answer per command",
           "[relay][stress]") {
   // Guards against faults when links wait, are answered or end in an order that
