Let waiting statements be removed while others are sent

Callers would see a proxy end with signal 11. By reading, the product can't reach it: while a statement is sent, a session ends only after its own statement was answered, so none that another pass would visit next is removed.

Cause: dispatchWaiting() held an iterator into the waiting statements while it sent one of them, and whatever ran meanwhile might remove the next.

Evidence: a link that ends two waiting sessions while the first one's statement is sent: SIGSEGV, and a use after free in dispatchWaiting() under the address sanitizer.

The statements wait in a class of their own. A pass over them is known to the queue, and a removal moves it on; nothing is copied. A statement that was removed while its connection was opened gets none.

--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -121,13 +121,11 @@
     return;
   G.IsDispatching = true;
   const Millis Now = Deps.Time.now();
-  for (auto Each = G.Waiting.begin(); Each != G.Waiting.end();) {
-    const SessionJobPtr Job = *Each;
-    if (Job->RetryAt > Now || !assign(G, Job)) {
-      ++Each;
+  JobQueue::Pass Pass(G.Waiting);
+  while (const SessionJobPtr Job = Pass.next()) {
+    if (Job->RetryAt > Now || !assign(G, Job))
       continue;
-    }
-    Each = G.Waiting.erase(Each);
+    Pass.removeCurrent();
     G.forecast(*Job).recordDeparture(G.waiting(*Job), Now);
     const TargetConnectionPtr Connection = Job->Connection;
     run(Job, Connection);
@@ -236,6 +234,9 @@
   const std::string &Organisation = Session->Organisation;
   if (!Choices.empty() && !Choices.front()->idle(Organisation, Session->Values))
     openIfAllowed(Job->Route.Group, *Choices.front(), Organisation, Waited);
+  // Its session may have ended meanwhile.
+  if (Job->CurrentStage != SessionJob::Stage::Waiting)
+    return false;
   for (TargetPool *Pool : Choices) {
     if (const TargetConnectionPtr Free =
             Pool->idle(Organisation, Session->Values)) {
--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -66,7 +66,7 @@
 }
 
 void SessionPipeline::expireWaiting(Group &G, Millis Now) {
-  const std::list<SessionJobPtr> Waiting = G.Waiting;
+  const JobQueue::List Waiting = G.Waiting.jobs();
   for (const SessionJobPtr &Job : Waiting) {
     // A refusal below may start the caller's next statement, which assigns
     // connections again. A job that got a connection that way has been sent:
--- a/Source/Pipeline/QueueLimits.cpp
+++ b/Source/Pipeline/QueueLimits.cpp
@@ -98,7 +98,7 @@
     return false;
   const Millis Now = Deps.Time.now();
   std::size_t Ahead = 0;
-  for (const SessionJobPtr &Each : G.Waiting) {
+  for (const SessionJobPtr &Each : G.Waiting.jobs()) {
     if (Each == Job)
       break;
     Ahead += Each->Destination == Job->Destination ? 1 : 0;
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -369,12 +369,7 @@
   Job->CurrentStage = SessionJob::Stage::Waiting;
   Job->QueuedAt = Deps.Time.now();
   Group &G = Groups[Job->Route.Group];
-  // Ordered by priority, then by arrival.
-  auto Place = G.Waiting.end();
-  while (Place != G.Waiting.begin() &&
-         (*std::prev(Place))->Route.Priority > Job->Route.Priority)
-    --Place;
-  G.Waiting.insert(Place, Job);
+  G.Waiting.insert(Job);
   dispatchWaiting(Job->Route.Group);
   if (Job->CurrentStage != SessionJob::Stage::Waiting ||
       refuseIfTooLate(G, Job))
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -16,6 +16,7 @@
 #include "Organisations/OrganisationTable.h"
 #include "Pipeline/CallerSession.h"
 #include "Pipeline/FloorTable.h"
+#include "Pipeline/JobQueue.h"
 #include "Pipeline/PrimaryOutage.h"
 #include "Pipeline/TargetPool.h"
 #include "Pipeline/WaitForecast.h"
@@ -153,7 +154,7 @@
     std::string DiscoveredPrimary;
     std::uint64_t ControlPrimaryEpoch = 0; ///< Epoch reported by control.
     Millis SearchAgainAt;
-    std::list<SessionJobPtr> Waiting;
+    JobQueue Waiting;
     /// Bounded reads that wait for a recent floor.
     std::list<SessionJobPtr> AwaitingFloor;
     FloorProbe Probe;
@@ -168,8 +169,9 @@
     }
     /// Number of waiting statements with the same placement.
     std::size_t waiting(const SessionJob &Job) const {
+      const JobQueue::List &Jobs = Waiting.jobs();
       return static_cast<std::size_t>(std::count_if(
-          Waiting.begin(), Waiting.end(), [&Job](const SessionJobPtr &Each) {
+          Jobs.begin(), Jobs.end(), [&Job](const SessionJobPtr &Each) {
             return Each->Destination == Job.Destination;
           }));
     }
--- /dev/null
+++ b/Tests/Unit/PipelineOrderTest.cpp
@@ -0,0 +1,74 @@
+/// \file
+/// A session pipeline whose target links run handlers while it uses them.
+
+#include "FakeGroup.h"
+#include "HookedConnector.h"
+
+#include <catch2/catch.hpp>
+
+using namespace corianderdyke;
+
+namespace {
+
+/// A pipeline in front of the primary "a", and its callers.
+struct Setup {
+  Setup() { Pipeline.adopt(planOfThreeRoutes()); }
+  ~Setup() { Loop.clear(); }
+
+  std::uint64_t connect(const std::shared_ptr<FakeCaller> &Caller) {
+    return Pipeline.open("primary", "", Caller);
+  }
+  void write(std::uint64_t Session, const std::string &Id) {
+    Statement Stmt;
+    Stmt.Kind = StatementKind::Write;
+    Stmt.Id = Id;
+    Stmt.Text = "STORE x 1";
+    Pipeline.receive(Session, Stmt);
+  }
+  /// Reports that the target has gone.
+  void removeTarget() {
+    std::vector<TargetRecord> All = Group.directory().all();
+    for (TargetRecord &Each : All) {
+      Each.IsGone = true;
+      ++Each.Sequence;
+    }
+    TargetDirectory Directory;
+    Directory.merge(All, Loop.now());
+    Pipeline.updateTargets(Directory);
+  }
+
+  FakeLoop Loop;
+  FakeGroup Group{Loop, {"a"}};
+  FakeHost Host{Loop, "proxy"};
+  HookedConnector Connector{Group};
+  FloorTable Floors;
+  SessionPipeline Pipeline{{Host, Host, Connector, Floors},
+                           {"region", "here", "proxy"}};
+};
+
+} // namespace
+
+TEST_CASE("A waiting statement may be removed while another one is sent",
+          "[pipeline]") {
+  // Guards against a loop over waiting statements that continues at a removed
+  // one.
+  Setup Fixture;
+  std::vector<std::shared_ptr<FakeCaller>> Callers;
+  std::vector<std::uint64_t> Sessions;
+  for (int Each = 0; Each < 4; ++Each) {
+    Callers.push_back(std::make_shared<FakeCaller>());
+    Sessions.push_back(Fixture.connect(Callers.back()));
+    Fixture.write(Sessions.back(), "w" + std::to_string(Each));
+  }
+  Fixture.Connector.AtSend = [&] {
+    Fixture.Pipeline.handleDisconnect(Sessions[1]);
+    Fixture.Pipeline.handleDisconnect(Sessions[2]);
+  };
+  Fixture.Pipeline.updateTargets(Fixture.Group.directory());
+  Fixture.Loop.runFor(Millis(300));
+  CHECK(Callers[0]->Answers.size() == 1);
+  CHECK(Fixture.Group.run("w1") == nullptr);
+  CHECK(Fixture.Group.run("w2") == nullptr);
+  REQUIRE(Callers[3]->Answers.size() == 1);
+  CHECK_FALSE(Callers[3]->last().Refusal);
+}
