Forget a proxy's targets only when none is in use

Callers would see a proxy end with signal 11. By reading, the product can't reach it: opening a connection answers from the loop, and so does the directory.

Cause: updateTargets() erased pools without connections, and assign(), warmUp() and the update itself hold one while a connection to it is opened.

Evidence: a connector that reports the target as gone inside an opening. During the opening in advance the test ended with SIGSEGV; for a statement the address sanitizer reported a use after free in TargetPool::open(), called from assign(), while the test passed without it.

Only the timer erases pools now, when nothing of the pipeline is on the stack.

--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -82,12 +82,11 @@
   }
   for (auto &[Name, Each] : Groups) {
     adoptPrimary(Name, Each, Directory);
-    for (auto Pool = Each.Pools.begin(); Pool != Each.Pools.end();) {
-      Pool->second.maintain(Now);
-      warmUp(Name, Pool->second, Now);
-      const bool Ended =
-          Pool->second.record().IsGone && Pool->second.size() == 0;
-      Pool = Ended ? Each.Pools.erase(Pool) : std::next(Pool);
+    for (auto &[Id, Pool] : Each.Pools) {
+      Pool.maintain(Now);
+      warmUp(Name, Pool, Now);
+      if (Pool.hasEnded())
+        Ticker.requestWithin(WaitingInterval);
     }
   }
   setProxyCount(Proxies);
--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -24,6 +24,9 @@
 void SessionPipeline::tick() {
   const Millis Now = Deps.Time.now();
   bool IsUrgent = IsStopping;
+  for (auto &[Name, Each] : Groups)
+    std::erase_if(Each.Pools,
+                  [](const auto &Pool) { return Pool.second.hasEnded(); });
   for (auto &[Name, Each] : Groups) {
     expireProbe(Name, Each, Now);
     searchPrimary(Name, Each, Now);
@@ -36,6 +39,7 @@
     for (auto &[Id, Pool] : Each.Pools) {
       Pool.maintain(Now);
       warmUp(Name, Pool, Now);
+      IsUrgent = IsUrgent || Pool.hasEnded();
       const auto Open = Pool.connections();
       for (const TargetConnectionPtr &Connection : Open)
         if (Connection->stage() == TargetConnection::Stage::Opening) {
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -147,8 +147,10 @@
   };
 
   struct Group {
-    std::map<std::string, TargetPool> Pools; ///< By target.
-    std::string Primary;                     ///< Empty if none is known.
+    /// By target. Only the timer erases pools, since all other functions may
+    /// run while one further up the stack uses a pool.
+    std::map<std::string, TargetPool> Pools;
+    std::string Primary; ///< Empty if none is known.
     /// The primary found by this proxy, if it differs from the one that
     /// control reported last; else empty.
     std::string DiscoveredPrimary;
--- a/Tests/Unit/PipelineOrderTest.cpp
+++ b/Tests/Unit/PipelineOrderTest.cpp
@@ -72,3 +72,38 @@
   REQUIRE(Callers[3]->Answers.size() == 1);
   CHECK_FALSE(Callers[3]->last().Refusal);
 }
+
+TEST_CASE("A target may go while a connection to it is opened in advance",
+          "[pipeline]") {
+  // Guards against forgetting a target that is in use further up the stack.
+  Setup Fixture;
+  Fixture.Connector.AtOpen = [&] { Fixture.removeTarget(); };
+  Fixture.Pipeline.updateTargets(Fixture.Group.directory());
+  Fixture.Loop.runFor(Millis(1000));
+  CHECK(Fixture.Pipeline.pools().empty());
+}
+
+TEST_CASE("A target may go while a statement's connection to it is opened",
+          "[pipeline]") {
+  // Guards against forgetting a target that is a choice for a statement.
+  Setup Fixture;
+  const auto Caller = std::make_shared<FakeCaller>();
+  const std::uint64_t Session = Fixture.connect(Caller);
+  Fixture.Pipeline.updateTargets(Fixture.Group.directory());
+  Fixture.Loop.runFor(Millis(50));
+  Fixture.Group.Servers["a"].AnswersToCut = 1;
+  Fixture.write(Session, "w0");
+  Fixture.Loop.runFor(Millis(50));
+  REQUIRE(Caller->Answers.size() == 1);
+  REQUIRE(Fixture.Pipeline.pools().front().Connections == 0);
+  bool HasOpened = false;
+  Fixture.Connector.AtOpen = [&] {
+    HasOpened = true;
+    Fixture.removeTarget();
+  };
+  Fixture.write(Session, "w1");
+  CHECK(HasOpened);
+  Fixture.Loop.runFor(Millis(1000));
+  CHECK(Caller->Answers.size() == 2);
+  CHECK(Fixture.Pipeline.pools().empty());
+}
