End idle transactions outside the loop over sessions

Callers would see a proxy end with signal 11. By reading, the product can't reach it: what a rollback answers at once belongs to other sessions, and ending those doesn't move this loop.

Cause: endIdleTransactions() sent rollbacks within a loop over the sessions. If the session that it's at ended meanwhile, the loop continued at a freed entry.

Evidence: a link that ends the session while its rollback is sent: SIGSEGV, and a use after free in endIdleTransactions() under the address sanitizer.

The sessions whose transactions end are collected first.

--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -164,7 +164,9 @@
 }
 
 void SessionPipeline::endIdleTransactions(Millis Now) {
-  // Ending a transaction does not end its session.
+  // Ending a transaction does not end its session, but the pipeline's answers
+  // to other statements may end any session.
+  std::vector<CallerSessionPtr> Ended;
   for (const auto &[Id, Each] : Sessions) {
     if (!Each->Transaction || Each->Current)
       continue;
@@ -172,7 +174,11 @@
         Now - Each->Transaction->LastUsed > plan().TransactionIdleTimeout ||
         exceedsRevocationGrace(*Each, Now);
     const bool MustStop = IsStopping && Now >= TransactionsUntil;
-    if (!HasTimedOut && !MustStop)
+    if (HasTimedOut || MustStop)
+      Ended.push_back(Each);
+  }
+  for (const CallerSessionPtr &Each : Ended) {
+    if (!Each->Transaction || Each->Current)
       continue;
     endTransaction(std::move(*Each->Transaction));
     Each->Transaction.reset();
--- a/Tests/Unit/PipelineOrderTest.cpp
+++ b/Tests/Unit/PipelineOrderTest.cpp
@@ -107,3 +107,27 @@
   CHECK(Caller->Answers.size() == 2);
   CHECK(Fixture.Pipeline.pools().empty());
 }
+
+TEST_CASE("A session may end while its idle transaction is ended",
+          "[pipeline]") {
+  // Guards against a loop over sessions that continues at an ended one.
+  Setup Fixture;
+  const auto Caller = std::make_shared<FakeCaller>();
+  const std::uint64_t Session = Fixture.connect(Caller);
+  Fixture.Pipeline.updateTargets(Fixture.Group.directory());
+  Statement Begin;
+  Begin.Kind = StatementKind::Begin;
+  Begin.Text = "BEGIN";
+  Fixture.Pipeline.receive(Session, Begin);
+  Fixture.write(Session, "w0");
+  Fixture.Loop.runFor(Millis(50));
+  REQUIRE(Caller->Answers.size() == 2);
+  bool HasEnded = false;
+  Fixture.Connector.AtSend = [&] {
+    HasEnded = true;
+    Fixture.Pipeline.handleDisconnect(Session);
+  };
+  Fixture.Loop.runFor(Fixture.Pipeline.plan().TransactionIdleTimeout * 2);
+  CHECK(HasEnded);
+  CHECK(Fixture.Pipeline.hasNoSessions());
+}
