--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -82,12 +82,11 @@
   }
   for (auto &[Name, Each] : Groups) {
     adoptPrimary(Name, Each, Directory);
-    for (auto Pool = Each.Pools.begin(); Pool != Each.Pools.end();) {
-      Pool->second.maintain(Now);
-      warmUp(Name, Pool->second, Now);
-      const bool Ended =
-          Pool->second.record().IsGone && Pool->second.size() == 0;
-      Pool = Ended ? Each.Pools.erase(Pool) : std::next(Pool);
+    for (auto &[Id, Pool] : Each.Pools) {
+      Pool.maintain(Now);
+      warmUp(Name, Pool, Now);
+      if (Pool.hasEnded())
+        Ticker.requestWithin(WaitingInterval);
     }
   }
   setProxyCount(Proxies);
@@ -121,13 +120,11 @@
     return;
   G.IsDispatching = true;
   const Millis Now = Deps.Time.now();
-  for (auto Each = G.Waiting.begin(); Each != G.Waiting.end();) {
-    const SessionJobPtr Job = *Each;
-    if (Job->RetryAt > Now || !assign(G, Job)) {
-      ++Each;
+  JobQueue::Pass Pass(G.Waiting);
+  while (const SessionJobPtr Job = Pass.next()) {
+    if (Job->RetryAt > Now || !assign(G, Job))
       continue;
-    }
-    Each = G.Waiting.erase(Each);
+    Pass.removeCurrent();
     G.forecast(*Job).recordDeparture(G.waiting(*Job), Now);
     const TargetConnectionPtr Connection = Job->Connection;
     run(Job, Connection);
@@ -236,6 +233,9 @@
   const std::string &Organisation = Session->Organisation;
   if (!Choices.empty() && !Choices.front()->idle(Organisation, Session->Values))
     openIfAllowed(Job->Route.Group, *Choices.front(), Organisation, Waited);
+  // Its session may have ended meanwhile.
+  if (Job->CurrentStage != SessionJob::Stage::Waiting)
+    return false;
   for (TargetPool *Pool : Choices) {
     if (const TargetConnectionPtr Free =
             Pool->idle(Organisation, Session->Values)) {
--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -24,6 +24,9 @@
 void SessionPipeline::tick() {
   const Millis Now = Deps.Time.now();
   bool IsUrgent = IsStopping;
+  for (auto &[Name, Each] : Groups)
+    std::erase_if(Each.Pools,
+                  [](const auto &Pool) { return Pool.second.hasEnded(); });
   for (auto &[Name, Each] : Groups) {
     expireProbe(Name, Each, Now);
     searchPrimary(Name, Each, Now);
@@ -36,6 +39,7 @@
     for (auto &[Id, Pool] : Each.Pools) {
       Pool.maintain(Now);
       warmUp(Name, Pool, Now);
+      IsUrgent = IsUrgent || Pool.hasEnded();
       const auto Open = Pool.connections();
       for (const TargetConnectionPtr &Connection : Open)
         if (Connection->stage() == TargetConnection::Stage::Opening) {
@@ -66,7 +70,7 @@
 }
 
 void SessionPipeline::expireWaiting(Group &G, Millis Now) {
-  const std::list<SessionJobPtr> Waiting = G.Waiting;
+  const JobQueue::List Waiting = G.Waiting.jobs();
   for (const SessionJobPtr &Job : Waiting) {
     // A refusal below may start the caller's next statement, which assigns
     // connections again. A job that got a connection that way has been sent:
@@ -160,7 +164,9 @@
 }
 
 void SessionPipeline::endIdleTransactions(Millis Now) {
-  // Ending a transaction does not end its session.
+  // Ending a transaction does not end its session, but the pipeline's answers
+  // to other statements may end any session.
+  std::vector<CallerSessionPtr> Ended;
   for (const auto &[Id, Each] : Sessions) {
     if (!Each->Transaction || Each->Current)
       continue;
@@ -168,7 +174,11 @@
         Now - Each->Transaction->LastUsed > plan().TransactionIdleTimeout ||
         exceedsRevocationGrace(*Each, Now);
     const bool MustStop = IsStopping && Now >= TransactionsUntil;
-    if (!HasTimedOut && !MustStop)
+    if (HasTimedOut || MustStop)
+      Ended.push_back(Each);
+  }
+  for (const CallerSessionPtr &Each : Ended) {
+    if (!Each->Transaction || Each->Current)
       continue;
     endTransaction(std::move(*Each->Transaction));
     Each->Transaction.reset();
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -16,6 +16,7 @@
 #include "Organisations/OrganisationTable.h"
 #include "Pipeline/CallerSession.h"
 #include "Pipeline/FloorTable.h"
+#include "Pipeline/JobQueue.h"
 #include "Pipeline/PrimaryOutage.h"
 #include "Pipeline/TargetPool.h"
 #include "Pipeline/WaitForecast.h"
@@ -146,14 +147,16 @@
   };
 
   struct Group {
-    std::map<std::string, TargetPool> Pools; ///< By target.
-    std::string Primary;                     ///< Empty if none is known.
+    /// By target. Only the timer erases pools, since all other functions may
+    /// run while one further up the stack uses a pool.
+    std::map<std::string, TargetPool> Pools;
+    std::string Primary; ///< Empty if none is known.
     /// The primary found by this proxy, if it differs from the one that
     /// control reported last; else empty.
     std::string DiscoveredPrimary;
     std::uint64_t ControlPrimaryEpoch = 0; ///< Epoch reported by control.
     Millis SearchAgainAt;
-    std::list<SessionJobPtr> Waiting;
+    JobQueue Waiting;
     /// Bounded reads that wait for a recent floor.
     std::list<SessionJobPtr> AwaitingFloor;
     FloorProbe Probe;
@@ -168,8 +171,9 @@
     }
     /// Number of waiting statements with the same placement.
     std::size_t waiting(const SessionJob &Job) const {
+      const JobQueue::List &Jobs = Waiting.jobs();
       return static_cast<std::size_t>(std::count_if(
-          Waiting.begin(), Waiting.end(), [&Job](const SessionJobPtr &Each) {
+          Jobs.begin(), Jobs.end(), [&Job](const SessionJobPtr &Each) {
             return Each->Destination == Job.Destination;
           }));
     }
--- a/Source/Pipeline/TargetPool.h
+++ b/Source/Pipeline/TargetPool.h
@@ -110,14 +110,16 @@
   bool handleClosed(const TargetConnectionPtr &Connection,
                     const std::optional<StatementRefusal> &Refusal, Millis Now);
   void remove(const TargetConnectionPtr &Connection);
-  /// Closes all connections and returns them; the caller must fail the
-  /// statements that wait on them.
+  /// Closes the present connections and returns them; the caller must fail the
+  /// statements that wait on them. Connections opened meanwhile stay open.
   std::vector<TargetConnectionPtr> closeAll();
   std::size_t opening() const {
     return inStage(TargetConnection::Stage::Opening);
   }
   std::size_t busy() const { return inStage(TargetConnection::Stage::Busy); }
   std::size_t size() const { return All.size(); }
+  /// True if the target has gone and no connection to it is left.
+  bool hasEnded() const { return Record.IsGone && All.empty(); }
   const std::vector<TargetConnectionPtr> &connections() const { return All; }
 
   /// The target refused a connection at its limit: lowers the limit here for a
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -7,6 +7,7 @@
 #include "Common/Clock.h"
 #include "Loop/CoalescingTimer.h"
 #include "Pipeline/TargetPool.h"
+#include "Relay/InFlightCounter.h"
 #include "Relay/QueueEntry.h"
 
 #include <list>
@@ -78,16 +79,23 @@
 
   /// A target with its connections and the links that wait for one.
   struct Target {
+    explicit Target(TargetPool Initial) : Pool(std::move(Initial)) {}
+
     TargetPool Pool;
     std::list<Link *> Waiting = {}; ///< By priority, then arrival.
     /// Links that hold a connection and wait until their statement may be
     /// sent.
     std::list<Link *> Ready = {};
-    std::size_t InFlight = 0; ///< Statements sent and not yet answered.
+    InFlightCounter InFlight = {}; ///< Statements sent and not yet answered.
     bool IsDispatching = false;
     Millis OpenedAt = {}; ///< When the last opening began.
     Millis SaturatedAt =
         Millis(-1000000); ///< When InFlight last was at its limit.
+
+    /// True if the target has gone and nothing refers to it.
+    bool hasEnded() const {
+      return Pool.hasEnded() && Waiting.empty() && Ready.empty();
+    }
   };
 
   void applySharing(TargetPool &Pool) const;
@@ -122,7 +130,9 @@
 
   Clock &Time;
   TargetConnector &Direct;
-  std::map<std::string, Target> Targets;             ///< By identity.
+  /// By identity. Only the timer erases targets, since all other functions may
+  /// run while one further up the stack uses a target.
+  std::map<std::string, Target> Targets;
   std::map<std::string, GatewayShare> GatewayShares; ///< By group.
   bool IsPerOrganisation = false; ///< Each connection serves one organisation.
   std::set<std::string> GatewayTargets;
