Set the timer of a gateway's check before its links are notified

What callers saw: with organisations, reads through a hanging gateway were refused although others could serve them, 13 of 60 in the test.

Cause: checkLiveness() notified links while no timer was set. A handler that retried its read through the same gateway began another check, which took the present for the time of the last answer. The silence was forgotten, and two chains of timers ran.

The timer is set first now, so that a handler finds a check under way.

--- a/Source/Relay/RelayClient.cpp
+++ b/Source/Relay/RelayClient.cpp
@@ -217,12 +217,14 @@
   // hundreds of proxies at each check.
   if (Silence >= PingAfter && !std::exchange(IsPingPending, true))
     send(RelayPing{});
-  if (Silence >= NotifyAfter)
-    notifySilent();
   LivenessTimer = Timers.after(CheckInterval, [this] {
     LivenessTimer = 0;
     checkLiveness();
   });
+  // Last, because handlers may send on this stream again. Without a timer that
+  // would start another check and discard the silence so far.
+  if (Silence >= NotifyAfter)
+    notifySilent();
 }
 
 } // namespace corianderdyke
--- a/Tests/Unit/RelayLoadTest.cpp
+++ b/Tests/Unit/RelayLoadTest.cpp
@@ -2,6 +2,7 @@
 /// Queueing, refusal and retries of relayed statements under overload or when
 /// gateways do not answer.
 
+#include "Common/TextHash.h"
 #include "FakeRelay.h"
 
 #include <catch2/catch.hpp>
@@ -306,3 +307,38 @@
     CHECK(Answers.size() == Expected);
   }
 }
+
+TEST_CASE("A silent gateway is given up while reads are retried", "[relay]") {
+  // One gateway carries all statements of an organisation to a target, and
+  // hangs while the proxy has idle links through it. Guards against retries on
+  // these links that extend the time until the gateway counts as failed.
+  Setup Fixture;
+  Fixture.System.applyPlan(planOfOrganisations(2, {"mills"}));
+  Fixture.Loop.runFor(Millis(300));
+  constexpr std::size_t Count = 60;
+  const std::size_t Proxy = Fixture.System.nonGateway("a");
+  std::vector<FakeRelaySystem::Session> Sessions;
+  for (std::size_t Each = 0; Each < Count; ++Each) {
+    Sessions.push_back(Fixture.System.connect(Proxy, "primary", "mills-key"));
+    Fixture.System.send(Sessions.back(), Kind::Read,
+                        "warm" + std::to_string(Each), "FETCH x");
+  }
+  Fixture.Loop.runFor(Millis(500));
+  // Enough quick answers that the targets count as uncongested.
+  for (std::size_t Each = 0; Each < Count; ++Each)
+    Fixture.System.ask(Sessions[Each], Kind::Read,
+                       "again" + std::to_string(Each), "FETCH x");
+  const std::vector<std::size_t> Gateways = Fixture.System.gateways("a");
+  const std::size_t Used = hashText("mills", hashText("a")) % Gateways.size();
+  Fixture.System.proxy(Gateways[Used]).Host.freeze();
+  for (std::size_t Each = 0; Each < Count; ++Each) {
+    Fixture.System.send(Sessions[Each], Kind::Read, "r" + std::to_string(Each),
+                        "FETCH x");
+    Fixture.Loop.runFor(Millis(20));
+  }
+  Fixture.Loop.runFor(Millis(1000));
+  std::size_t Served = 0;
+  for (const auto &Each : Sessions)
+    Served += Each.Caller->Answers.size() == 3 && !Each.Caller->last().Refusal;
+  CHECK(Served == Count);
+}
