Ask each holder of permits once in a round

What callers saw: an operation within its quota was refused while a proxy had permits for it.

Cause: a round kept an index into an order that was computed again for each question, with silent holders last. When a holder fell silent in the round, the others moved up by one, and the index skipped the next of them.

Evidence: the new test failed before, 0 given and 1 refused, with permits at the second of three holders.

A round keeps the names that it has asked, and the next holder is the first of the present order that is not among them. The order may change in between.

--- a/Source/Quota/OperationPermits.cpp
+++ b/Source/Quota/OperationPermits.cpp
@@ -123,23 +123,39 @@
   // The plan may have removed the limit in the meantime.
   if (!isLimited(Organisation))
     return begin(dequeue(Q, static_cast<std::uint32_t>(Q.Waiters.size())));
-  Q.HolderIndex = 0;
+  Q.Asked.clear();
   Q.MinRetryAfter.reset();
   askNext(Organisation);
 }
 
+// Chosen anew each time, since holders change and fall silent within a round.
+const ProxyRecord *OperationPermits::nextHolder(const std::string &Organisation,
+                                                const Queue &Q,
+                                                Millis Now) const {
+  const auto Known = Holders.find(Organisation);
+  if (Known == Holders.end())
+    return nullptr;
+  const ProxyRecord *Silent = nullptr;
+  for (const ProxyRecord &Each : Known->second) {
+    if (Q.Asked.count(Each.Name) != 0)
+      continue;
+    const auto Until = BackoffUntil.find(Each.Name);
+    if (Until == BackoffUntil.end() || Now >= Until->second)
+      return &Each;
+    if (Silent == nullptr)
+      Silent = &Each;
+  }
+  return Silent;
+}
+
 void OperationPermits::askNext(const std::string &Organisation) {
   Queue &Q = Queues[Organisation];
-  std::vector<ProxyRecord> Known = Holders[Organisation];
   const Millis Now = Deps.Time.now();
-  std::stable_partition(
-      Known.begin(), Known.end(), [&](const ProxyRecord &Each) {
-        const auto Until = BackoffUntil.find(Each.Name);
-        return Until == BackoffUntil.end() || Now >= Until->second;
-      });
-  if (Q.Waiters.empty() || Q.HolderIndex >= Known.size())
+  const ProxyRecord *Chosen = nextHolder(Organisation, Q, Now);
+  if (Q.Waiters.empty() || Chosen == nullptr)
     return endRound(Organisation);
-  const ProxyRecord &Next = Known[Q.HolderIndex];
+  const ProxyRecord &Next = *Chosen;
+  Q.Asked.insert(Next.Name);
   const auto Count = static_cast<std::uint32_t>(Q.Waiters.size());
   Q.RequestNumber = NextNumber++;
   Q.Holder = Next.Name;
@@ -159,7 +175,6 @@
   Queue &Q = Queues[Organisation];
   Q.RequestNumber = 0;
   BackoffUntil[Q.Holder] = Deps.Time.now() + HolderBackoff;
-  ++Q.HolderIndex;
   askNext(Organisation);
 }
 
@@ -210,7 +225,6 @@
     Q.MinRetryAfter = Q.MinRetryAfter
                           ? std::min(*Q.MinRetryAfter, Answer.RetryAfter)
                           : Answer.RetryAfter;
-  ++Q.HolderIndex;
   Q.NextRoundAt = Deps.Time.now();
   const std::vector<Handler> Permitted = dequeue(Q, Answer.Granted);
   // The next request is sent before the handlers run, so that operations
--- a/Source/Quota/OperationPermits.h
+++ b/Source/Quota/OperationPermits.h
@@ -23,6 +23,7 @@
 #include "Transport/Transport.h"
 
 #include <list>
+#include <set>
 
 namespace corianderdyke {
 
@@ -68,8 +69,8 @@
   struct Queue {
     std::list<Waiting> Waiters;
     std::uint64_t RequestNumber = 0; ///< In flight; 0: none.
-    std::size_t HolderIndex = 0;     ///< Of the holder that is asked.
-    std::string Holder;              ///< Its name.
+    std::string Holder;              ///< Name of the one that is asked.
+    std::set<std::string> Asked;     ///< Names of holders, in this round.
     /// Shortest time until one of the holders asked has a permit.
     std::optional<Millis> MinRetryAfter;
     Millis NextRoundAt;
@@ -88,6 +89,10 @@
 
   void recomputeHolders();
   void beginRound(const std::string &Organisation);
+  /// Returns the next holder to ask in this round, silent ones last; null if
+  /// all have been asked.
+  const ProxyRecord *nextHolder(const std::string &Organisation, const Queue &Q,
+                                Millis Now) const;
   void askNext(const std::string &Organisation);
   void handleReply(const std::string &Organisation, const PermitReply &Answer);
   /// Removes up to \p Permits operations from a queue, the oldest first.
--- a/Tests/Unit/QuotaTest.cpp
+++ b/Tests/Unit/QuotaTest.cpp
@@ -2,6 +2,7 @@
 /// Enforcement of the quota of an organisation over all proxies, under faults
 /// of proxies and of control.
 
+#include "Common/TextHash.h"
 #include "FakeGroup.h"
 #include "FakeNetwork.h"
 #include "Quota/OperationPermits.h"
@@ -413,6 +414,35 @@
   CHECK(Fleet.Given * 100 >= Fleet.Requested * 97);
 }
 
+TEST_CASE("Each holder is asked once while another does not answer",
+          "[quota]") {
+  // The first holder asked has crashed, the last has no permits left. Guards
+  // against a round that skips the holder between them and refuses although it
+  // has permits.
+  PermitFleet Fleet(20, 60, 60);
+  const std::vector<ProxyRecord> Holders = seatHolders(Mills, Fleet.Records);
+  const auto IndexOf = [](const ProxyRecord &Each) {
+    return static_cast<std::size_t>(std::stoi(Each.Name.substr(1)));
+  };
+  std::size_t At = 0;
+  while (std::any_of(Holders.begin(), Holders.end(),
+                     [&](const auto &Each) { return IndexOf(Each) == At; }))
+    ++At;
+  const std::size_t First = static_cast<std::size_t>(
+      hashText(Fleet.Records[At].Name, 0) % Holders.size());
+  const auto HolderAt = [&](std::size_t Place) -> PermitFleet::Proxy & {
+    return *Fleet.Proxies[IndexOf(Holders[(First + Place) % Holders.size()])];
+  };
+  HolderAt(0).Host.kill();
+  Fleet.requestPermit(At, Millis(100));
+  // Shortly before the first holder counts as silent.
+  Fleet.Loop.runFor(Millis(58));
+  HolderAt(2).Seats.takePermits(Mills, 1000, Fleet.Loop.now());
+  Fleet.Loop.runFor(Millis(500));
+  CHECK(Fleet.Given == 1);
+  CHECK(Fleet.Refused == 0);
+}
+
 TEST_CASE("A flood is refused at once and causes few messages", "[quota]") {
   // An organisation sends twenty times its quota. Guards against operations
   // that wait without a chance of a permit, and against a message for each of
