Never release a connection that lost its prepared statements

What callers would see: a write whose outcome is unknown, because another caller's prepared statement had been refused as unknown by the target.

Cause: the answer released the connection, which sends the next waiting statement on it, and closed it afterwards. No handler of that statement ran; it waited for its timeout.

Such a connection is only closed.

--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -156,10 +156,14 @@
   recordAnswer(Job, Answer, AtPrimary);
   const TargetConnectionPtr Connection = std::move(Job->Connection);
   const std::string Target = Connection->address().Id;
+  // The prepared statements that the target holds for this connection differ
+  // from the recorded ones, so no other statement may use it.
+  const bool HasLostPrepared =
+      Answer.Refusal && Answer.Refusal->Code == RefusalCode::NoStatement;
   // The rollback that follows a read at the leader releases its connection.
-  if (AtPrimary && !Job->Writes) {
+  if (AtPrimary && !Job->Writes && !HasLostPrepared) {
     // Released by the answer to the rollback.
-  } else if (Answer.Phase == SessionPhase::Idle) {
+  } else if (Answer.Phase == SessionPhase::Idle && !HasLostPrepared) {
     release(Connection);
   } else {
     discard(Connection);
@@ -177,9 +181,6 @@
       Job->ExcludedTargets.insert(Target);
       return tryAgain(Job, *Answer.Refusal, Millis(0));
     case RefusalCode::NoStatement:
-      // The prepared statements that the target holds for this connection
-      // differ from the recorded ones.
-      discard(Connection);
       return tryAgain(Job, *Answer.Refusal, Millis(0));
     default:
       return finishRefused(Job, *Answer.Refusal, "target " + Target);
--- a/Tests/Unit/PipelineTruthTest.cpp
+++ b/Tests/Unit/PipelineTruthTest.cpp
@@ -420,6 +420,62 @@
         RefusalCode::NoStatement);
 }
 
+TEST_CASE("A connection that lost a prepared name takes no statement with it",
+          "[pipeline]") {
+  // A target answers that it does not know a prepared name while another
+  // statement waits for the connection. Guards against closing the connection
+  // after that statement was sent on it.
+  class ForgetfulTarget final : public TargetConnector {
+  public:
+    explicit ForgetfulTarget(TargetConnector &Group) : Group(Group) {}
+
+    std::unique_ptr<TargetLink> open(const TargetAddress &To,
+                                     TargetLink::Events Events) override {
+      const auto OnAnswer = Events.OnAnswer;
+      Events.OnAnswer = [this, OnAnswer](const StatementAnswer &Answer) {
+        StatementAnswer Out = Answer;
+        if (std::exchange(ForgetsNext, false))
+          Out.Refusal = StatementRefusal{RefusalCode::NoStatement, "forgotten"};
+        OnAnswer(Out);
+      };
+      return Group.open(To, std::move(Events));
+    }
+
+    TargetConnector &Group;
+    bool ForgetsNext = false;
+  };
+  FakeLoop Loop;
+  FakeGroup Group{Loop, {"a"}};
+  Group.Servers["a"].MaxConnections = 1;
+  ForgetfulTarget Target(Group);
+  FakeHost Host(Loop, "proxy");
+  FloorTable Floors;
+  SessionPipeline Pipeline({Host, Host, Target, Floors},
+                           {"region", "here", "proxy"});
+  Pipeline.adopt(planOfThreeRoutes());
+  Pipeline.updateTargets(Group.directory());
+  const auto One = std::make_shared<FakeCaller>();
+  const auto Other = std::make_shared<FakeCaller>();
+  const std::uint64_t OneId = Pipeline.open("primary", "", One);
+  const std::uint64_t OtherId = Pipeline.open("primary", "", Other);
+  Pipeline.receive(OneId, prepare("s1", "STORE q"));
+  Pipeline.receive(OneId, execute("e1", "s1", "x 1"));
+  Loop.runFor(Millis(100));
+  REQUIRE(One->Answers.size() == 2);
+  REQUIRE_FALSE(One->last().Refusal);
+  Target.ForgetsNext = true;
+  Pipeline.receive(OneId, execute("e2", "s1", "x 2"));
+  Statement Write;
+  Write.Kind = Kind::Write;
+  Write.Id = "w";
+  Write.Text = "STORE y 1";
+  Pipeline.receive(OtherId, Write);
+  Loop.runFor(Millis(2000));
+  REQUIRE(Other->Answers.size() == 1);
+  CHECK_FALSE(Other->last().Refusal);
+  Loop.clear();
+}
+
 TEST_CASE("A transaction has one connection to itself", "[pipeline]") {
   // Several sessions hold transactions open while another sends single
   // statements. No statement runs inside the transaction of another session.
