Record when a statement inside a transaction arrived

What operators saw: the metric corianderdyke_statement_seconds contained the uptime of the host for each later statement of a transaction, commits included.

Cause: the metric counts from when a statement was queued. A statement whose transaction has a connection is never queued, so that time was the origin of the clock.

The time is set when the statement arrives, and again when it is queued.

--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -279,6 +279,7 @@
   Job->Stmt = Stmt;
   Job->Session = Session;
   Job->ArrivedAt = Deps.Time.now();
+  Job->QueuedAt = Job->ArrivedAt;
   if (Route != nullptr)
     Job->Route = *Route;
   else
--- a/Tests/Unit/PipelineTruthTest.cpp
+++ b/Tests/Unit/PipelineTruthTest.cpp
@@ -476,6 +476,26 @@
   Loop.clear();
 }
 
+TEST_CASE("A statement inside a transaction is queued when it arrives",
+          "[pipeline]") {
+  // Metrics count the duration of a statement from when it was queued. Guards
+  // against durations that begin at the origin of the clock.
+  Setup Fixture;
+  std::vector<Millis> Durations;
+  Fixture.Proxy.Pipeline.signalServed().connect(
+      [&](const SessionJob &Job, const std::string &) {
+        Durations.push_back(Fixture.Loop.now() - Job.QueuedAt);
+      });
+  const auto Session = Fixture.Proxy.connect("primary");
+  Fixture.Proxy.ask(Session, Kind::Begin);
+  Fixture.Proxy.ask(Session, Kind::Write, "w1", "STORE x 1");
+  Fixture.Proxy.ask(Session, Kind::Write, "w2", "STORE x 2");
+  Fixture.Proxy.ask(Session, Kind::Commit, "c");
+  REQUIRE(Durations.size() == 3);
+  for (const Millis Each : Durations)
+    CHECK(Each < Millis(100));
+}
+
 TEST_CASE("A transaction has one connection to itself", "[pipeline]") {
   // Several sessions hold transactions open while another sends single
   // statements. No statement runs inside the transaction of another session.
