Count votes that arrive after a candidate's next pre-vote

Callers of a control group whose disks sync slowly would find no leader for as long as that lasts.

Cause: a vote costs one sync at the candidate and two at the voter. With 100 ms each it takes 300 ms, but a candidate starts its next pre-vote after 150 to 300 ms and dropped votes for its current term from then on. Each election was lost and the term rose.

A vote now counts until the host asks for votes in another term. Pre-votes and votes are kept apart; votes exist only while they may be counted.

Simulated hosts can have slow syncs.

--- a/Source/Consensus/Consensus.cpp
+++ b/Source/Consensus/Consensus.cpp
@@ -126,7 +126,7 @@
   Failure.reset();
   reloadVoters();
   Leader.clear();
-  Votes.clear();
+  Votes.reset();
   Peers.clear();
   resetElectionTimer(Now);
   initializeRole();
--- a/Source/Consensus/Consensus.h
+++ b/Source/Consensus/Consensus.h
@@ -206,7 +206,8 @@
   std::set<std::string> knownHosts() const;
   void sendDiscovery();
   void startPreVote(Millis Now);
-  void countOwnVote();
+  /// The votes that a candidate has without asking: its own if it is a voter.
+  std::set<std::string> ownVote() const;
   void startElection(Millis Now);
   void becomeLeader(Millis Now);
   void failReads();
@@ -254,7 +255,10 @@
   Millis LastLeaderContact = NeverSent;
   Millis LastHeartbeat;
   ElectionCounts Elections;
-  std::set<std::string> Votes;
+  std::set<std::string> PreVotes; ///< Granted to the current pre-vote.
+  /// Granted to this host in the current term; empty if it has not asked for
+  /// votes in this term, or has since become a leader or follower.
+  std::optional<std::set<std::string>> Votes;
   std::map<std::string, Peer> Peers;
   /// When the last message of each host arrived, by host name.
   std::map<std::string, Millis> LastReceived;
--- a/Source/Consensus/ConsensusElections.cpp
+++ b/Source/Consensus/ConsensusElections.cpp
@@ -96,7 +96,7 @@
     failReads();
   Role = isVoter(self()) ? ConsensusRole::Follower : ConsensusRole::Joining;
   Leader = NewLeader;
-  Votes.clear();
+  Votes.reset();
   Peers.clear();
   resetElectionTimer(Now);
 }
@@ -116,7 +116,7 @@
   Role = ConsensusRole::PreCandidate;
   ++Elections.PreVoteRounds;
   Leader.clear();
-  countOwnVote();
+  PreVotes = ownVote();
   // A host that was removed during a partition asks voters that no longer
   // exist. Discovery lets the leader replicate to it, so that it receives the
   // entry of its removal.
@@ -125,30 +125,31 @@
     if (Each.Name != Options.Name && !Each.isVacant())
       send(Each.Name,
            VoteRequest{Log.term() + 1, true, Log.lastIndex(), Log.lastTerm()});
-  if (Votes.size() >= majority())
+  if (PreVotes.size() >= majority())
     startElection(Now);
 }
 
-void Consensus::countOwnVote() {
-  Votes.clear();
-  if (isVoter(self()))
-    Votes.insert(Options.Name);
+std::set<std::string> Consensus::ownVote() const {
+  if (!isVoter(self()))
+    return {};
+  return {Options.Name};
 }
 
 void Consensus::startElection(Millis Now) {
   // A majority has just confirmed that there is no leader, so a lost election
   // is retried without waiting for the full election timeout.
   setElectionTimer(Now, Options.ElectionTimeout / 2);
+  Votes.reset();
   if (!check(Log.setTerm(Log.term() + 1, Options.Name)))
     return;
   Role = ConsensusRole::Candidate;
   ++Elections.Started;
-  countOwnVote();
+  Votes = ownVote();
   for (const Member &Each : Voters)
     if (Each.Name != Options.Name && !Each.isVacant())
       send(Each.Name,
            VoteRequest{Log.term(), false, Log.lastIndex(), Log.lastTerm()});
-  if (Votes.size() >= majority())
+  if (Votes->size() >= majority())
     becomeLeader(Now);
 }
 
@@ -203,25 +204,30 @@
     becomeFollower(Reply.Term, "", Now);
     return;
   }
-  const bool IsCurrent =
-      Reply.Granted && ((Reply.PreVote && Role == ConsensusRole::PreCandidate &&
-                         Reply.Term == Log.term() + 1) ||
-                        (!Reply.PreVote && Role == ConsensusRole::Candidate &&
-                         Reply.Term == Log.term()));
-  if (!IsCurrent)
+  if (!Reply.Granted)
     return;
-  Votes.insert(From.Name);
-  if (Votes.size() < majority())
+  if (Reply.PreVote) {
+    if (Role != ConsensusRole::PreCandidate || Reply.Term != Log.term() + 1)
+      return;
+    PreVotes.insert(From.Name);
+    if (PreVotes.size() >= majority())
+      startElection(Now);
     return;
-  if (Reply.PreVote)
-    startElection(Now);
-  else
+  }
+  // The vote may arrive after this host has started its next pre-vote. It is
+  // still valid, because the term is the same. If such votes were dropped, no
+  // election could be won while a vote takes longer than the election timer.
+  if (!Votes || Reply.Term != Log.term())
+    return;
+  Votes->insert(From.Name);
+  if (Votes->size() >= majority())
     becomeLeader(Now);
 }
 
 void Consensus::becomeLeader(Millis Now) {
   Role = ConsensusRole::Leader;
   Leader = Options.Name;
+  Votes.reset();
   Peers.clear();
   for (const Member &Each : Voters)
     if (Each.Name != Options.Name && !Each.isVacant())
--- a/Tests/Support/FakeControlGroup.cpp
+++ b/Tests/Support/FakeControlGroup.cpp
@@ -67,6 +67,7 @@
   if (!Disk)
     Disk = std::make_shared<FakeDisk>();
   Made->Disk = Disk;
+  Made->Syncs = Disk->syncs();
   Made->Records = std::make_unique<Journal>(*Disk);
   Made->Log = std::make_unique<ReplicatedLog>(*Made->Records);
   const auto Loaded = Made->Log->load("disk-" + std::to_string(NextDisk++));
@@ -177,8 +178,13 @@
   for (auto &[Name, Each] : Hosts) {
     if (Frozen.count(Name) != 0)
       continue;
-    for (const ConsensusMessage &Late : std::exchange(Each->WhileFrozen, {}))
-      Each->Node->receive(Late, Now);
+    while (!Each->WhileStopped.empty() && !isSyncing(*Each)) {
+      Each->Node->receive(Each->WhileStopped.front(), Now);
+      Each->WhileStopped.pop_front();
+      collect(Name);
+    }
+    if (isSyncing(*Each))
+      continue;
     Each->Node->tick(Now);
     collect(Name);
     // A host whose disk refused a sync keeps running until the disk works.
@@ -200,8 +206,8 @@
     const ConsensusMessage &Message = Next.mapped().Message;
     if (To == Hosts.end() || Cuts.count({Message.From.Name, To->first}) != 0)
       continue;
-    if (Frozen.count(To->first) != 0) {
-      To->second->WhileFrozen.push_back(Message);
+    if (Frozen.count(To->first) != 0 || isSyncing(*To->second)) {
+      To->second->WhileStopped.push_back(Message);
       continue;
     }
     To->second->Node->receive(Message, Now);
@@ -210,14 +216,14 @@
 }
 
 void FakeControlGroup::post(const std::string &From,
-                            const OutgoingConsensusMessage &Each) {
+                            const OutgoingConsensusMessage &Each, Millis At) {
   if (Cuts.count({From, Each.To}) != 0 || chance() < Faults.Lost)
     return;
   const int Copies = chance() < Faults.Duplicated ? 2 : 1;
   for (int Copy = 0; Copy < Copies; ++Copy) {
     const auto Delay =
         1 + Random() % static_cast<std::uint64_t>(Faults.MaxDelay.count());
-    Network.emplace(Now + Millis(static_cast<std::int64_t>(Delay)),
+    Network.emplace(At + Millis(static_cast<std::int64_t>(Delay)),
                     InFlight{Each.To, Each.Message});
   }
 }
@@ -226,6 +232,9 @@
   Host &At = *Hosts.at(Name);
   const ConsensusOutputs Out = At.Node->takeOutputs();
   SentMessages += Out.Messages.size();
+  const auto NewSyncs = static_cast<std::int64_t>(At.Disk->syncs() - At.Syncs);
+  At.Syncs = At.Disk->syncs();
+  At.SyncingUntil = std::max(At.SyncingUntil, Now) + SyncDuration * NewSyncs;
   if (Out.RestoredState) {
     At.Applied = At.Log->snapshotIndex();
     At.State = *Out.RestoredState;
@@ -243,7 +252,7 @@
                 " was committed");
   }
   for (const OutgoingConsensusMessage &Each : Out.Messages)
-    post(Name, Each);
+    post(Name, Each, At.SyncingUntil);
   if (!At.Node->isLeader() || At.Node->failure())
     return;
   const Member Self{Name, At.Log->diskId()};
--- a/Tests/Support/FakeControlGroup.h
+++ b/Tests/Support/FakeControlGroup.h
@@ -8,6 +8,7 @@
 #include "Consensus/Consensus.h"
 #include "FakeDisk.h"
 
+#include <deque>
 #include <memory>
 
 namespace corianderdyke {
@@ -67,6 +68,9 @@
   /// Pairs (from, to) between which all messages are lost.
   std::set<std::pair<std::string, std::string>> Cuts;
   MessageFaults Faults;
+  /// Duration of each disk sync. A host that syncs processes no messages and
+  /// timers meanwhile, and sends its messages afterwards.
+  Millis SyncDuration = Millis(0);
   std::mt19937_64 Random;
   Millis Now = Millis(1000);
   std::uint64_t ConfirmedReads = 0;
@@ -82,7 +86,9 @@
     std::string State;
     /// Highest index committed on any host when the read began, by ticket.
     std::map<std::uint64_t, std::uint64_t> Reads;
-    std::vector<ConsensusMessage> WhileFrozen;
+    std::deque<ConsensusMessage> WhileStopped;
+    std::size_t Syncs = 0; ///< Of the disk, up to the last collect().
+    Millis SyncingUntil;
   };
   struct InFlight {
     std::string To;
@@ -93,7 +99,9 @@
   void deliver();
   void collect(const std::string &Name);
   void apply(const std::string &Name, Host &At, const Entry &Each);
-  void post(const std::string &From, const OutgoingConsensusMessage &Each);
+  void post(const std::string &From, const OutgoingConsensusMessage &Each,
+            Millis At);
+  bool isSyncing(const Host &Which) const { return Now < Which.SyncingUntil; }
   int chance() { return static_cast<int>(Random() % 1000); }
 
   MembershipMode Membership;
--- a/Tests/Support/FakeDisk.h
+++ b/Tests/Support/FakeDisk.h
@@ -35,6 +35,7 @@
     const bool Lost = losesPower();
     if (!Lost)
       Files[Name].Synced = Files[Name].Content.size();
+    ++Syncs;
     return outcome(Lost);
   }
 
@@ -46,6 +47,7 @@
       Files[Name].Content.resize(Size);
       Files[Name].Synced = Size;
     }
+    ++Syncs;
     return outcome(Lost);
   }
 
@@ -56,6 +58,7 @@
       return outcome(true);
     const bool Lost = losesPower();
     Files[Name] = {Bytes, Bytes.size()};
+    ++Syncs;
     return outcome(Lost);
   }
 
@@ -80,6 +83,8 @@
   }
   bool hasLostPower() const { return Operations >= PowerLostAt; }
   std::size_t operations() const { return Operations; }
+  /// Number of operations that waited until the disk held their bytes.
+  std::size_t syncs() const { return Syncs; }
 
   std::string &content(const std::string &Name) { return Files[Name].Content; }
 
@@ -103,6 +108,7 @@
   };
   std::map<std::string, File> Files;
   std::size_t Operations = 0;
+  std::size_t Syncs = 0;
   std::size_t PowerLostAt = Never;
 };
 
--- a/Tests/Unit/ConsensusTest.cpp
+++ b/Tests/Unit/ConsensusTest.cpp
@@ -466,3 +466,22 @@
   }));
   CHECK(Three.Group.host(Name)->elections().Started == Before.Started);
 }
+
+TEST_CASE("Hosts with slow disks elect a leader", "[consensus]") {
+  // A sync of a busy host's disk takes longer than a candidate waits for votes.
+  // Each vote then arrives in the candidate's next pre-vote. If it were
+  // dropped, all elections would be lost and the group would have no leader for
+  // as long as the disks are slow.
+  const auto Seed = GENERATE(range(1, 21));
+  CAPTURE(Seed);
+  FakeControlGroup Group(static_cast<std::uint64_t>(Seed), 3);
+  Group.Faults.MaxDelay = Millis(1);
+  Group.SyncDuration = Millis(100);
+  REQUIRE(
+      Group.runUntil([&] { return Group.leader() != nullptr; }, Millis(5000)));
+  // The leader keeps its office while the disks are no slower.
+  const std::uint64_t Term = Group.leader()->term();
+  Group.run(Millis(10000));
+  REQUIRE(Group.leader() != nullptr);
+  CHECK(Group.leader()->term() == Term);
+}
