--- a/Tests/Golden/CrashingProgram.cpp
+++ b/Tests/Golden/CrashingProgram.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Crashes in the way that the first argument names: by a bad access, by stack
-/// exhaustion or by abort.
+/// exhaustion, by access to an empty container or by abort.
 
 #include "App/CrashReport.h"
 #include "Logs/LogEvents.h"
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <cstdlib>
 #include <cstring>
+#include <vector>
 
 namespace {
 
@@ -28,6 +29,11 @@
   return exhaustStack(const_cast<const char *>(Used)) + Used[0];
 }
 
+// Not inlined, so that the compiler does not know that the container is empty.
+__attribute__((noinline)) int firstOf(const std::vector<int> &Values) {
+  return Values.front();
+}
+
 } // namespace
 
 int main(int Count, char **Words) {
@@ -39,5 +45,7 @@
     return 1 + readAt(Unmapped);
   if (std::strcmp(Words[1], "stack") == 0)
     return exhaustStack(Words[1]);
+  if (std::strcmp(Words[1], "empty") == 0)
+    return 1 + firstOf({});
   std::abort();
 }
--- a/Tests/Golden/crash-report.sh
+++ b/Tests/Golden/crash-report.sh
@@ -76,6 +76,15 @@
 check_line ABRT
 check_call "$crashing" main
 
+# The run-time checks of the library (CORIANDERDYKE_HARDENING). Its message,
+# which names the violated condition, must stay beside the report.
+crash empty
+check_end $status ABRT
+check_line ABRT
+check_call "$crashing" firstOf
+grep -q "Assertion '.*empty.*' failed" "$folder/errors" ||
+  fail "the message of the library is missing"
+
 crash access --json
 check_end $status SEGV
 jq -e '.event == 108 and .name == "crashed" and .address == "0x1234"' \
