Print delays and elections when any command of a session fails

What maintainers saw: a golden session that ended at a command under errexit had no message and none of the figures that tell late timers, slow disks and lost elections apart. One beside 32 busy loops could not be explained for that.

Cause: only the function fail printed them.

They are printed whenever a session ends with an error, while its processes still run. Seen with a failing command at the end of a session: three control hosts' figures, none before.

--- a/Tests/Golden/run.sh
+++ b/Tests/Golden/run.sh
@@ -33,7 +33,7 @@
 # would be disabled.
 set +e
 (
-  trap stop_processes EXIT
+  trap end_session EXIT
   set -e
   source "$case_folder/steps.sh"
 ) >"$folder/output" 2>"$folder/errors"
--- a/Utilities/loopback.sh
+++ b/Utilities/loopback.sh
@@ -19,8 +19,16 @@
   done
 }
 
-finish() {
+# Ends the processes of a session. If the session has failed, also at a command
+# without a message of its own, their metrics are printed before.
+end_session() {
+  local code=$?
+  [ $code -eq 0 ] || [ ${#processes[@]} -eq 0 ] || show_delays >&2
   stop_processes
+}
+
+finish() {
+  end_session
   rm -rf "$folder"
 }
 trap finish EXIT
@@ -40,7 +48,6 @@
 fail() {
   printf 'FAILED: %s\n' "$*" >&2
   tail -n 20 "$folder"/*.log >&2
-  show_delays >&2
   exit 1
 }
 
