Test that slower disks lose no election, which they still do

What was found: with syncs of 150 ms one of 20 seeds (18) has no leader within 5 s, and with 200 ms leadership moves or isn't found at most seeds.

Cause, by the order of messages: a voter counts the time of its own syncs as silence of the leader or candidate and starts an election.

The two tests keep the bound of the one for 100 ms and are marked as allowed to fail; KNOWN-RED.txt lists them.

--- a/Tests/Unit/ConsensusTest.cpp
+++ b/Tests/Unit/ConsensusTest.cpp
@@ -467,21 +467,44 @@
   CHECK(Three.Group.host(Name)->elections().Started == Before.Started);
 }
 
-TEST_CASE("Hosts with slow disks elect a leader", "[consensus]") {
-  // A sync of a busy host's disk takes longer than a candidate waits for votes.
-  // Each vote then arrives in the candidate's next pre-vote. If it were
-  // dropped, all elections would be lost and the group would have no leader for
-  // as long as the disks are slow.
-  const auto Seed = GENERATE(range(1, 21));
+namespace {
+
+/// Runs hosts whose disk syncs take \p Sync until a leader is elected, and then
+/// on: the leader stays in office while the disks are no slower.
+void checkLeaderWithSlowDisks(std::uint64_t Seed, Millis Sync) {
   CAPTURE(Seed);
-  FakeControlGroup Group(static_cast<std::uint64_t>(Seed), 3);
+  FakeControlGroup Group(Seed, 3);
   Group.Faults.MaxDelay = Millis(1);
-  Group.SyncDuration = Millis(100);
+  Group.SyncDuration = Sync;
   REQUIRE(
       Group.runUntil([&] { return Group.leader() != nullptr; }, Millis(5000)));
-  // The leader keeps its office while the disks are no slower.
   const std::uint64_t Term = Group.leader()->term();
   Group.run(Millis(10000));
   REQUIRE(Group.leader() != nullptr);
   CHECK(Group.leader()->term() == Term);
 }
+
+} // namespace
+
+TEST_CASE("Hosts with slow disks elect a leader", "[consensus]") {
+  // A sync of a busy host's disk takes longer than a candidate waits for votes.
+  // Each vote then arrives in the candidate's next pre-vote. If it were
+  // dropped, all elections would be lost and the group would have no leader for
+  // as long as the disks are slow.
+  checkLeaderWithSlowDisks(GENERATE(range<std::uint64_t>(1, 21)), Millis(100));
+}
+
+// Listed in KNOWN-RED.txt, as is the next one.
+TEST_CASE("Hosts with slower disks elect a leader within seconds",
+          "[consensus][!mayfail]") {
+  // Guards against elections that a voter begins because of its own slow sync.
+  checkLeaderWithSlowDisks(18, Millis(150));
+}
+
+TEST_CASE("A voter that waits for its disk starts no election",
+          "[consensus][!mayfail]") {
+  // A voter writes its vote, and the leader its first entry, before the voter
+  // hears from the leader. If the time of the voter's own syncs counts as
+  // silence, it starts the next election at once.
+  checkLeaderWithSlowDisks(GENERATE(range<std::uint64_t>(1, 21)), Millis(200));
+}
