Refuse no database as unknown without a current plan

A proxy that had lost contact with control answered that a database has no route although a newer plan declares it, and its callers did not retry.

Such a proxy now waits for a plan as it does for unknown keys and then refuses as busy, so the caller retries elsewhere.

The new test fails without the change (two checks); with it the tests of organisations pass.

--- a/Source/Pipeline/SessionOpenings.cpp
+++ b/Source/Pipeline/SessionOpenings.cpp
@@ -43,6 +43,9 @@
 
 void SessionPipeline::admit(const CallerSessionPtr &Session) {
   const RoutePolicy *Route = Plan.route(Session->Database);
+  // A newer plan may declare a database or a key that this one lacks.
+  if (Route == nullptr && !isPlanCurrent())
+    return waitForPlan(Session);
   if (Route == nullptr)
     return rejectSession(Session,
                          {RefusalCode::NoDatabase,
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -272,7 +272,7 @@
   if (Route == nullptr && !IsBound)
     return replyRefused(
         Session, Stmt,
-        refused(RefusalCode::NoDatabase,
+        refused(isPlanCurrent() ? RefusalCode::NoDatabase : RefusalCode::Busy,
                 "no route has the name '" + Session->Database + "' any more"),
         "route removed");
   auto Job = std::make_shared<SessionJob>();
--- a/Tests/Unit/OrganisationTest.cpp
+++ b/Tests/Unit/OrganisationTest.cpp
@@ -167,6 +167,40 @@
   CHECK(Late->Rejected->Code == RefusalCode::Unauthorised);
 }
 
+TEST_CASE("An unknown database is refused only by a proxy with a current plan",
+          "[organisations]") {
+  // Guards against a proxy without contact to control that refuses a database
+  // as unknown although a newer plan declares it: its callers would not retry
+  // at a proxy that has that plan.
+  FakeLoop Loop;
+  FakeGroup Group{Loop, {"a"}};
+  FakeHost Host(Loop, "proxy");
+  FloorTable Floors;
+  bool IsCurrent = false;
+  SessionPipeline Pipeline(
+      {Host, Host, Group, Floors, [&IsCurrent] { return IsCurrent; }, ""},
+      {"region", "here", "proxy"});
+  Pipeline.adopt(planOfThreeRoutes());
+  const auto Open = [&](const std::string &Database) {
+    auto Caller = std::make_shared<FakeCaller>();
+    Pipeline.open(Database, "", Caller);
+    return Caller;
+  };
+
+  CHECK(Open("primary")->IsOpen);
+  const auto Unknown = Open("added-later");
+  Loop.runFor(Millis(100));
+  CHECK_FALSE(Unknown->Rejected);
+  Loop.runFor(Millis(2000));
+  REQUIRE(Unknown->Rejected);
+  CHECK(Unknown->Rejected->Code == RefusalCode::Busy);
+
+  IsCurrent = true;
+  const auto Late = Open("added-later");
+  REQUIRE(Late->Rejected);
+  CHECK(Late->Rejected->Code == RefusalCode::NoDatabase);
+}
+
 TEST_CASE("Removing a key ends its sessions gracefully", "[organisations]") {
   // Guards against executing statements for a key that was removed from the
   // plan, and against losing the answers of statements in flight.
