Add settings for decisions under hard load

The bound below which proxies share a target's connections is the first: it was a constant, one connection a proxy. The default keeps its value, and sharing still ends at three times the bound.

--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -127,7 +127,7 @@
   Broker = std::make_unique<TargetBroker>(Time, Loop, *Targets);
   ConnectionSharing = std::make_unique<SharedConnector>(
       SharedConnector::Dependencies{Time, Loop, *Targets, *Broker, *Streams,
-                                    *Frames, SessionFloors},
+                                    *Frames, SessionFloors, Options.Load},
       Options.Name);
   Relay = std::make_unique<RelayServer>(Time, Loop, *Streams, *Frames, *Broker,
                                         SessionFloors);
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -12,16 +12,10 @@
 namespace {
 
 /// A group is shared if each proxy would have fewer connections to a target
-/// than this, in tenths, because some proxies would have none. From one
-/// connection on, the detour through a gateway costs callers more than waiting
-/// for the proxy's own connection (with 1.4 connections per proxy in five
-/// failure domains 1.4 ms apart: 0.03 to 0.08 of the service).
-constexpr std::size_t ShareBelow = 10;
-/// Sharing ends at this many connections per proxy, in tenths. It is far above
-/// ShareBelow so that a few restarts do not move every connection of the system
-/// back and forth.
-constexpr std::size_t ShareUntil = 30;
-constexpr std::size_t PartsPerConnection = 10;
+/// than configured, because some proxies would have none. Sharing ends at this
+/// many times as many, so that a few restarts do not move every connection of
+/// the system back and forth.
+constexpr double ShareHysteresis = 3;
 /// A proxy that has had a plan but no list of proxies for this long opens its
 /// own connections. It is well above the time that a new leader needs to
 /// collect the list.
@@ -217,9 +211,10 @@
 void SharedConnector::decideSharing() {
   for (const GroupPolicy &Each : Plan.Groups) {
     const std::size_t Usable = Each.usableConnections();
-    const std::size_t Bound =
-        sharesConnections(Each.Name) ? ShareUntil : ShareBelow;
-    if (Usable * PartsPerConnection >= Bound * Proxies.size()) {
+    const double Bound = Deps.Load.ShareBelow *
+                         (sharesConnections(Each.Name) ? ShareHysteresis : 1);
+    if (static_cast<double>(Usable) >=
+        Bound * static_cast<double>(Proxies.size())) {
       Gateways.erase(Each.Name);
       continue;
     }
--- a/Source/Relay/SharedConnector.h
+++ b/Source/Relay/SharedConnector.h
@@ -6,6 +6,7 @@
 #ifndef CORIANDERDYKE_RELAY_SHAREDCONNECTOR_H
 #define CORIANDERDYKE_RELAY_SHAREDCONNECTOR_H
 
+#include "Admission/LoadOptions.h"
 #include "Plan/RoutePlan.h"
 #include "Relay/GatewayTable.h"
 #include "Relay/RelayClient.h"
@@ -23,6 +24,7 @@
     PeerStreams &Streams;
     RelayCodec &Frames;
     FloorTable &Floors;
+    LoadOptions Load = {};
   };
 
   /// \p Self is this proxy's name in the list of proxies.
--- a/Source/Settings/Settings.cpp
+++ b/Source/Settings/Settings.cpp
@@ -176,6 +176,57 @@
        .Default = "none",
        .Meaning = "The window of quota_overage and quota_slack, like \"5s\"; 5 "
                   "s if omitted."},
+      {.Table = "[load]",
+       .Key = "late_service",
+       .Type = Type::Boolean,
+       .Default = "false",
+       .Meaning = "Whether statements that miss their objective wait "
+                  "for capacity that others leave, if they can still "
+                  "meet their timeout."},
+      {.Table = "[load]",
+       .Key = "urgent_room",
+       .Type = Type::Boolean,
+       .Default = "false",
+       .Meaning = "Whether less urgent statements leave capacity at a "
+                  "target while urgent ones arrive."},
+      {.Table = "[load]",
+       .Key = "lead_relief",
+       .Type = Type::Boolean,
+       .Default = "false",
+       .Meaning = "Whether the lead of a group whose replicas all lag "
+                  "is moved off its saturated primary; on proxies and "
+                  "control hosts."},
+      {.Table = "[load]",
+       .Key = "replica_progress",
+       .Type = Type::Boolean,
+       .Default = "false",
+       .Meaning = "Whether reads go only to replicas that are "
+                  "expected to hold their floor."},
+      {.Table = "[load]",
+       .Key = "reach_reports",
+       .Type = Type::Boolean,
+       .Default = "false",
+       .Meaning = "Whether proxies report which targets they reach, "
+                  "and probe silent proxies before they send them "
+                  "statements."},
+      {.Table = "[load]",
+       .Key = "kept_places",
+       .Type = Type::Boolean,
+       .Default = "false",
+       .Meaning = "Whether refused callers get a place in order for a "
+                  "short time."},
+      {.Table = "[load]",
+       .Key = "permit_forwarding",
+       .Type = Type::Boolean,
+       .Default = "false",
+       .Meaning = "Whether permits are requested through control "
+                  "hosts where no holder of a quota's seats is "
+                  "reachable."},
+      {.Table = "[load]",
+       .Key = "share_below",
+       .Default = "none",
+       .Meaning = "Proxies share the connections to a target below this many "
+                  "connections for each proxy, like \"1.5\"; 1 if omitted."},
       {.Table = "[[control]]",
        .Key = "name",
        .Meaning = "Name of a control host; one table per host."},
@@ -260,6 +311,19 @@
   Group.reportUnknownKeys();
 }
 
+void readLoad(TomlReader In, LoadOptions &Out) {
+  Out.LateService = In.flag("late_service");
+  Out.UrgentRoom = In.flag("urgent_room");
+  Out.LeadRelief = In.flag("lead_relief");
+  Out.ReplicaProgress = In.flag("replica_progress");
+  Out.ReachReports = In.flag("reach_reports");
+  Out.KeptPlaces = In.flag("kept_places");
+  Out.PermitForwarding = In.flag("permit_forwarding");
+  if (In.has("share_below"))
+    Out.ShareBelow = In.decimal("share_below");
+  In.reportUnknownKeys();
+}
+
 void readListen(TomlReader In, Settings &Out) {
   Out.CallerEndpoint = In.endpoint("callers");
   Out.OperatorEndpoint = In.endpoint("operators");
@@ -357,6 +421,7 @@
     TomlReader Keys = In.table("keys");
     Out.PeerKey = readKey(Keys, "peers");
     Keys.reportUnknownKeys();
+    readLoad(In.table("load"), Out.Load);
   } else {
     readListen(In.table("listen"), Out);
     readKeys(In.table("keys"), Out);
--- a/Source/Settings/Settings.h
+++ b/Source/Settings/Settings.h
@@ -4,6 +4,7 @@
 #ifndef CORIANDERDYKE_SETTINGS_SETTINGS_H
 #define CORIANDERDYKE_SETTINGS_SETTINGS_H
 
+#include "Admission/LoadOptions.h"
 #include "Common/Finding.h"
 #include "Common/Identity.h"
 #include "Common/Millis.h"
@@ -63,6 +64,7 @@
   /// Proxy: operations by which a quota may be exceeded.
   double QuotaOverageOperations = 0;
   Millis QuotaWindow = Millis(5000); ///< Proxy: window of both overages.
+  LoadOptions Load;
   bool JsonLogs = false;
   LogLevel Level = LogLevel::Info;
   /// How long a stopping proxy still accepts new callers, so that the load
--- a/Tests/Unit/SettingsTest.cpp
+++ b/Tests/Unit/SettingsTest.cpp
@@ -88,3 +88,33 @@
   CHECK(settingKeys().find("[process]", "log_level")->IsReloadable);
   CHECK_FALSE(settingKeys().find("[listen]", "peers")->IsReloadable);
 }
+
+TEST_CASE("Decisions under hard load are off unless configured", "[settings]") {
+  // Guards against a deployment whose behaviour changes without a change of its
+  // settings, and against a misspelt key that is silently ignored.
+  const std::string Proxy = R"([process]
+name = "proxy-1"
+failure_domain = "here"
+roles = ["proxy"]
+leadership = "targets"
+[listen]
+sessions = "127.0.0.1:7100"
+readiness = "127.0.0.1:7101"
+peers = "127.0.0.1:7000"
+[keys]
+peers = "the key of all peers"
+[group]
+seeds = ["127.0.0.1:7001"]
+)";
+  const auto Plain = parseSettings("f", Proxy);
+  REQUIRE(Plain);
+  CHECK(Plain->Load == LoadOptions{});
+  const auto Configured =
+      parseSettings("f", Proxy + "[load]\nlate_service = true\n"
+                                 "share_below = \"1.5\"\n");
+  REQUIRE(Configured);
+  CHECK(Configured->Load.LateService);
+  CHECK_FALSE(Configured->Load.LeadRelief);
+  CHECK(Configured->Load.ShareBelow == 1.5);
+  CHECK_FALSE(parseSettings("f", Proxy + "[load]\nlate_servise = true\n"));
+}
