Refuse operations over a quota by forecast

With [load] quota_forecast an operation waits for a quarter of its time while the holders are out of permits, and is refused on arrival if the rate of permits won't give it one by then. The wait forecast moves to Admission, since queues of targets and quotas use it.

--- a/Source/Admission/LoadOptions.h
+++ b/Source/Admission/LoadOptions.h
@@ -23,8 +23,9 @@
   /// Proxies report which targets they reach and probe silent proxies before
   /// they send them statements.
   bool ReachReports = false;
-  /// Refused callers get a place in order for a short time.
-  bool KeptPlaces = false;
+  /// Operations over their organisation's quota are refused once the forecast
+  /// gives them no permit in time.
+  bool QuotaForecast = false;
   /// Permits are requested through control where no seat holder is reachable.
   bool PermitForwarding = false;
   /// Proxies share a target's connections below this many connections a proxy.
--- a/Source/Pipeline/WaitForecast.h
+++ b/Source/Admission/WaitForecast.h
@@ -8,8 +8,8 @@
 /// retry, and its caller has time for another proxy; statements that are queued
 /// are served in time.
 
-#ifndef CORIANDERDYKE_PIPELINE_WAITFORECAST_H
-#define CORIANDERDYKE_PIPELINE_WAITFORECAST_H
+#ifndef CORIANDERDYKE_ADMISSION_WAITFORECAST_H
+#define CORIANDERDYKE_ADMISSION_WAITFORECAST_H
 
 #include "Common/Millis.h"
 
--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -146,8 +146,9 @@
       QuotaTolerance{Options.QuotaOverageRatio, Options.QuotaOverageOperations,
                      Options.QuotaWindow});
   Permits = std::make_unique<OperationPermits>(
-      OperationPermits::Dependencies{Time, Loop, *Peers}, Options.Name,
-      Options.PeerEndpoint.Port, *Quotas);
+      OperationPermits::Dependencies{Time, Loop, *Peers,
+                                     Options.Load.QuotaForecast},
+      Options.Name, Options.PeerEndpoint.Port, *Quotas);
   Pipeline = std::make_unique<SessionPipeline>(
       SessionPipeline::Dependencies{
           Time, Loop, Connections, SessionFloors,
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -19,7 +19,7 @@
 #include "Pipeline/JobQueue.h"
 #include "Pipeline/PrimaryOutage.h"
 #include "Pipeline/TargetPool.h"
-#include "Pipeline/WaitForecast.h"
+#include "Admission/WaitForecast.h"
 #include "Plan/PlanIndex.h"
 #include "Quota/PermitSource.h"
 
--- a/Source/Quota/OperationPermits.cpp
+++ b/Source/Quota/OperationPermits.cpp
@@ -22,6 +22,10 @@
 /// shortest pause.
 constexpr Millis NoSeatPause(40);
 constexpr Millis MinPause(5);
+/// While an organisation is out of permits, an operation waits for this part of
+/// its time: as much as statements wait in the queue of an overloaded target,
+/// so that one that gets its permit last can still meet its objective.
+constexpr std::int64_t ExhaustedDivisor = 4;
 
 } // namespace
 
@@ -89,10 +93,11 @@
                                               Millis Until, Handler OnAnswer) {
   const std::uint64_t Number = NextNumber++;
   Queue &Q = Queues[Organisation];
-  Q.Waiters.push_back({Number, Until, std::move(OnAnswer)});
-  if (Q.RequestNumber != 0)
-    return Number;
   const Millis Now = Deps.Time.now();
+  Q.Waiters.push_back({Number, Until, Now + (Until - Now) / ExhaustedDivisor,
+                       std::move(OnAnswer)});
+  if (refuseByForecast(Q) || Q.RequestNumber != 0)
+    return Number;
   if (Now >= Q.NextRoundAt)
     beginRound(Organisation);
   else
@@ -203,15 +208,33 @@
 }
 
 std::vector<PermitSource::Handler>
-OperationPermits::dequeue(Queue &Q, std::uint32_t Permits) {
+OperationPermits::dequeue(Queue &Q, std::uint32_t Permits) const {
   std::vector<Handler> Out;
   while (Out.size() < Permits && !Q.Waiters.empty()) {
     Out.push_back(std::move(Q.Waiters.front().OnAnswer));
     Q.Waiters.pop_front();
+    Q.Forecast.recordDeparture(Q.Waiters.size(), Deps.Time.now());
   }
   return Out;
 }
 
+Millis OperationPermits::deadline(const Queue &Q, const Waiting &Waiter) const {
+  return Deps.RefusesByForecast && Q.IsExhausted ? Waiter.UntilIfExhausted
+                                                 : Waiter.Until;
+}
+
+bool OperationPermits::refuseByForecast(Queue &Q) {
+  const Millis Now = Deps.Time.now();
+  const Millis Wait = Q.Forecast.expectedWait(Q.Waiters.size() - 1, Now);
+  if (!Deps.RefusesByForecast || !Q.IsExhausted ||
+      Now + Wait <= deadline(Q, Q.Waiters.back()))
+    return false;
+  const Handler Refused = std::move(Q.Waiters.back().OnAnswer);
+  Q.Waiters.pop_back();
+  Refused(Wait);
+  return true;
+}
+
 void OperationPermits::begin(const std::vector<Handler> &Permitted) {
   for (const Handler &Each : Permitted)
     Each(std::nullopt);
@@ -227,6 +250,7 @@
                           : Answer.RetryAfter;
   Q.NextRoundAt = Deps.Time.now();
   const std::vector<Handler> Permitted = dequeue(Q, Answer.Granted);
+  Q.IsExhausted = Q.IsExhausted && !Q.Waiters.empty();
   // The next request is sent before the handlers run, so that operations
   // further back do not wait for them.
   if (!Q.Waiters.empty())
@@ -240,6 +264,7 @@
     return;
   const Millis Pause =
       std::max(MinPause, Q.MinRetryAfter.value_or(NoSeatPause));
+  Q.IsExhausted = Q.MinRetryAfter.has_value();
   Q.NextRoundAt = Deps.Time.now() + Pause;
   setTimer(Q, Organisation, Pause, &OperationPermits::beginRound);
   refuseExpiringBefore(Organisation, Q.NextRoundAt);
@@ -248,10 +273,14 @@
 void OperationPermits::refuseExpiringBefore(const std::string &Organisation,
                                             Millis When) {
   Queue &Q = Queues[Organisation];
-  const Millis RetryAfter = When - Deps.Time.now();
+  const Millis Now = Deps.Time.now();
+  Millis RetryAfter = When - Now;
+  if (Deps.RefusesByForecast)
+    RetryAfter =
+        std::max(RetryAfter, Q.Forecast.expectedWait(Q.Waiters.size(), Now));
   std::vector<Handler> Refused;
   for (auto Each = Q.Waiters.begin(); Each != Q.Waiters.end();) {
-    if (Each->Until >= When) {
+    if (deadline(Q, *Each) >= When) {
       ++Each;
       continue;
     }
--- a/Source/Quota/OperationPermits.h
+++ b/Source/Quota/OperationPermits.h
@@ -10,11 +10,17 @@
 /// If one organisation sends far more than its quota, a proxy has only one
 /// request in flight for all of its waiting operations, and while no holder has
 /// a permit, operations that cannot wait until one is available are refused at
-/// once.
+/// once. With RefusesByForecast, an operation of an organisation whose holders
+/// are out of permits waits for a quarter of its time at most, and is refused
+/// on arrival if the rate at which permits came lately won't give it one by
+/// then: otherwise every permit goes to an operation that has waited for its
+/// whole objective, and all others learn at the end of their time that they
+/// are over the quota.
 
 #ifndef CORIANDERDYKE_QUOTA_OPERATIONPERMITS_H
 #define CORIANDERDYKE_QUOTA_OPERATIONPERMITS_H
 
+#include "Admission/WaitForecast.h"
 #include "Common/Clock.h"
 #include "Loop/Scheduler.h"
 #include "Quota/PermitSource.h"
@@ -38,6 +44,7 @@
     Clock &Time;
     Scheduler &Timers;
     Transport &Peers;
+    bool RefusesByForecast = false;
   };
 
   /// \p PeerPort is the same at all proxies.
@@ -62,6 +69,8 @@
   struct Waiting {
     std::uint64_t Number = 0;
     Millis Until;
+    /// The same while the holders are out of permits.
+    Millis UntilIfExhausted;
     Handler OnAnswer;
   };
 
@@ -75,6 +84,9 @@
     std::optional<Millis> MinRetryAfter;
     Millis NextRoundAt;
     Scheduler::TimerId Timer = 0;
+    /// The last round ended at holders with seats that had no permits left.
+    bool IsExhausted = false;
+    WaitForecast Forecast; ///< Of the operations that got a permit.
   };
 
   struct SentRequest {
@@ -96,7 +108,12 @@
   void askNext(const std::string &Organisation);
   void handleReply(const std::string &Organisation, const PermitReply &Answer);
   /// Removes up to \p Permits operations from a queue, the oldest first.
-  static std::vector<Handler> dequeue(Queue &Q, std::uint32_t Permits);
+  std::vector<Handler> dequeue(Queue &Q, std::uint32_t Permits) const;
+  /// Time at which an operation that has no permit by then is refused.
+  Millis deadline(const Queue &Q, const Waiting &Waiter) const;
+  /// Refuses the operation that arrived last if the forecast gives it no
+  /// permit in time. Returns true if it did.
+  bool refuseByForecast(Queue &Q);
   /// Begins operations; the handlers may request further permits.
   static void begin(const std::vector<Handler> &Permitted);
   void endRound(const std::string &Organisation);
--- a/Source/Settings/Settings.cpp
+++ b/Source/Settings/Settings.cpp
@@ -210,7 +210,7 @@
                   "and probe silent proxies before they send them "
                   "statements."},
       {.Table = "[load]",
-       .Key = "kept_places",
+       .Key = "quota_forecast",
        .Type = Type::Boolean,
        .Default = "false",
        .Meaning = "Whether refused callers get a place in order for a "
@@ -317,7 +317,7 @@
   Out.LeadRelief = In.flag("lead_relief");
   Out.ReplicaProgress = In.flag("replica_progress");
   Out.ReachReports = In.flag("reach_reports");
-  Out.KeptPlaces = In.flag("kept_places");
+  Out.QuotaForecast = In.flag("quota_forecast");
   Out.PermitForwarding = In.flag("permit_forwarding");
   if (In.has("share_below"))
     Out.ShareBelow = In.decimal("share_below");
--- a/Tests/Unit/LoadPatternTest.cpp
+++ b/Tests/Unit/LoadPatternTest.cpp
@@ -5,7 +5,7 @@
 
 #include "FakeGroup.h"
 #include "Pipeline/StatementWindow.h"
-#include "Pipeline/WaitForecast.h"
+#include "Admission/WaitForecast.h"
 
 #include <catch2/catch.hpp>
 
--- a/Tests/Unit/QuotaTest.cpp
+++ b/Tests/Unit/QuotaTest.cpp
@@ -169,10 +169,12 @@
 class PermitFleet {
 public:
   struct Proxy {
-    Proxy(FakeLoop &Loop, FakeNetwork &Net, const std::string &Name)
+    Proxy(FakeLoop &Loop, FakeNetwork &Net, const std::string &Name,
+          bool RefusesByForecast)
         : Host(Loop, Name), Peers(Net.attach(Host, {Name, PeerPort})),
           Seats(ProcessId{Name, 1}),
-          Permits({Host, Host, *Peers}, Name, PeerPort, Seats) {}
+          Permits({Host, Host, *Peers, RefusesByForecast}, Name, PeerPort,
+                  Seats) {}
 
     static constexpr std::uint16_t PeerPort = 7000;
     FakeHost Host;
@@ -181,12 +183,14 @@
     OperationPermits Permits;
   };
 
-  PermitFleet(std::size_t Count, double PerSecond, double Burst)
+  PermitFleet(std::size_t Count, double PerSecond, double Burst,
+              bool RefusesByForecast = false)
       : Net(Loop, 1) {
     for (std::size_t Each = 0; Each < Count; ++Each) {
       const std::string Name = "p" + std::to_string(Each);
       Records.push_back({Name, {Name, 7001}, "here"});
-      Proxies.push_back(std::make_unique<Proxy>(Loop, Net, Name));
+      Proxies.push_back(
+          std::make_unique<Proxy>(Loop, Net, Name, RefusesByForecast));
     }
     for (auto &Each : Proxies) {
       Each->Permits.adopt(planWith(1, PerSecond, Burst));
@@ -213,8 +217,11 @@
   void requestPermit(std::size_t At, Millis Within) {
     ++Requested;
     Proxies[At]->Permits.requestPermit(
-        Mills, Loop.now() + Within, [this](std::optional<Millis> RetryAfter) {
+        Mills, Loop.now() + Within,
+        [this, Since = Loop.now()](std::optional<Millis> RetryAfter) {
           ++(RetryAfter ? Refused : Given);
+          auto &Waits = RetryAfter ? RefusedAfter : GivenAfter;
+          Waits.push_back(Loop.now() - Since);
         });
   }
 
@@ -231,6 +238,8 @@
   std::size_t Requested = 0;
   std::size_t Given = 0;
   std::size_t Refused = 0;
+  std::vector<Millis> GivenAfter;   ///< Waits of the permitted operations.
+  std::vector<Millis> RefusedAfter; ///< Waits of the refused operations.
 };
 
 } // namespace
@@ -464,6 +473,43 @@
   CHECK(Messages <= 2 * Fleet.Requested);
 }
 
+TEST_CASE("A flood over the quota is refused without a long wait", "[quota]") {
+  // An organisation sends four times its quota for 5 s, and its operations may
+  // wait for 400 ms. Guards against a queue in which each permitted operation
+  // has waited for nearly all of that time and each refused one for all of it.
+  const auto Run = [](PermitFleet &Fleet) {
+    for (int Step = 0; Step < 1250; ++Step) {
+      Fleet.requestPermit(static_cast<std::size_t>(Step * 5) % 12, Millis(400));
+      Fleet.Loop.runFor(Millis(4));
+    }
+    const std::size_t GivenDuringFlood = Fleet.Given;
+    Fleet.Loop.runFor(Millis(600));
+    CHECK(Fleet.Given + Fleet.Refused == Fleet.Requested);
+    return GivenDuringFlood;
+  };
+  const auto Mean = [](const std::vector<Millis> &Waits) {
+    Millis Sum;
+    for (const Millis Each : Waits)
+      Sum = Sum + Each;
+    return Sum.count() /
+           std::max<std::int64_t>(1, static_cast<std::int64_t>(Waits.size()));
+  };
+  PermitFleet Waiting(12, 60, 60);
+  const std::size_t GivenWaiting = Run(Waiting);
+  PermitFleet Forecasting(12, 60, 60, true);
+  const std::size_t GivenForecasting = Run(Forecasting);
+  CAPTURE(GivenWaiting, GivenForecasting, Mean(Waiting.RefusedAfter),
+          Mean(Forecasting.RefusedAfter), Mean(Forecasting.GivenAfter));
+  CHECK(GivenForecasting * 100 >= GivenWaiting * 97);
+  CHECK(Mean(Waiting.RefusedAfter) > 200);
+  // A quarter of the time that they may wait.
+  CHECK(Mean(Forecasting.RefusedAfter) < 100);
+  CHECK(Mean(Forecasting.GivenAfter) < 100);
+  const auto Longest = std::max_element(Forecasting.RefusedAfter.begin(),
+                                        Forecasting.RefusedAfter.end());
+  CHECK(*Longest <= Millis(200));
+}
+
 TEST_CASE("An operation without a permit is refused and not executed",
           "[quota][pipeline]") {
   // Guards against executing refused operations, and against transactions that
