Serve statements late that miss their objective

A statement was refused after a quarter of the time left to its objective, even where the target had free slots some hundred ms later and its caller could wait longer. With [load] late_service it becomes late instead, behind all statements in time, if a forecast says that it will start early enough to be answered before its timeout. With [load] urgent_room, less urgent statements leave slots free while urgent ones arrive. Both are off by default.

--- a/Source/App/SteeringMetrics.cpp
+++ b/Source/App/SteeringMetrics.cpp
@@ -102,6 +102,23 @@
     Openings.Begun += From.Broker->openings().Begun;
     Openings.RefusedAtLimit += From.Broker->openings().RefusedAtLimit;
   }
+  LateCounts Late = Counts.Late;
+  std::size_t LateWaiting = From.Pipeline->lateWaiting();
+  if (From.Broker != nullptr) {
+    Late.Started += From.Broker->lateCounts().Started;
+    Late.Refused += From.Broker->lateCounts().Refused;
+    LateWaiting += From.Broker->lateWaiting();
+  }
+  To.add("corianderdyke_late_statements_waiting",
+         static_cast<double>(LateWaiting));
+  To.add("corianderdyke_late_statements_started_total",
+         static_cast<double>(Late.Started));
+  To.add("corianderdyke_late_statements_refused_total",
+         static_cast<double>(Late.Refused));
+  Count("corianderdyke_served_late_total", "outcome", "read",
+        Counts.ReadsServedLate);
+  Count("corianderdyke_served_late_total", "outcome", "write",
+        Counts.WritesServedLate);
   To.add("corianderdyke_target_connections_opened_total",
          static_cast<double>(Openings.Begun));
   To.add("corianderdyke_target_connections_refused_total",
--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -124,7 +124,7 @@
     return tl::unexpected(Opened.error());
   Streams = std::move(*Opened);
   Frames = std::make_unique<RelayCodec>();
-  Broker = std::make_unique<TargetBroker>(Time, Loop, *Targets);
+  Broker = std::make_unique<TargetBroker>(Time, Loop, *Targets, Options.Load);
   ConnectionSharing = std::make_unique<SharedConnector>(
       SharedConnector::Dependencies{Time, Loop, *Targets, *Broker, *Streams,
                                     *Frames, SessionFloors, Options.Load},
@@ -152,7 +152,7 @@
       SessionPipeline::Dependencies{
           Time, Loop, Connections, SessionFloors,
           [this] { return Client && Client->isCurrent(); }, Options.PeerKey,
-          Permits.get()},
+          Permits.get(), Options.Load},
       Options.OwnLocality);
   Client = std::make_unique<ControlClient>(
       ControlClientOptions{Self,
--- a/Source/Operators/MetricSet.cpp
+++ b/Source/Operators/MetricSet.cpp
@@ -74,6 +74,19 @@
        "proxy",
        "Operations that were refused since their organisation was over "
        "its quota."},
+      {"corianderdyke_late_statements_waiting", MetricType::Gauge, "", "proxy",
+       "Statements past their objective that wait here for capacity that "
+       "others leave."},
+      {"corianderdyke_late_statements_started_total", MetricType::Counter, "",
+       "proxy", "Statements that started here after such a wait."},
+      {"corianderdyke_late_statements_refused_total", MetricType::Counter, "",
+       "proxy",
+       "Statements refused here because they could not start early enough to "
+       "be answered before their timeout."},
+      {"corianderdyke_served_late_total", MetricType::Counter, "outcome",
+       "proxy",
+       "Reads and writes answered after their objective, where targets enforce "
+       "leadership."},
       {"corianderdyke_quota_seats", MetricType::Gauge, "", "proxy",
        "Parts of organisations' quotas that this proxy gives out permits of."},
       {"corianderdyke_target_age_seconds", MetricType::Gauge, "target", "proxy",
--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -4,6 +4,7 @@
 #ifndef CORIANDERDYKE_PIPELINE_CALLERSESSION_H
 #define CORIANDERDYKE_PIPELINE_CALLERSESSION_H
 
+#include "Admission/ServiceClass.h"
 #include "Loop/Scheduler.h"
 #include "Pipeline/TargetConnection.h"
 #include "Plan/RoutePlan.h"
@@ -50,11 +51,17 @@
   Millis SentAt;
   /// How long the sent command may wait for a shared connection before it runs.
   Millis MaxQueueTime;
+  /// How long it may wait beyond that, as a late statement.
+  Millis MaxLateTime;
+  /// While it waits in this process.
+  ServiceClass Class = ServiceClass::InTime;
   Millis QueuedAt; ///< When it began to wait for a connection.
   Millis RetryAt;  ///< Not retried before then after a refusal.
   TargetConnectionPtr Connection;
   bool Writes = false;
   std::uint64_t PermitRequestId = 0; ///< Of its operation; 0: none.
+
+  ServiceRank rank() const { return {Class, Route.Priority}; }
 };
 
 using SessionJobPtr = std::shared_ptr<SessionJob>;
--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -125,7 +125,13 @@
     if (Job->RetryAt > Now || !assign(G, Job))
       continue;
     Pass.removeCurrent();
-    G.forecast(*Job).recordDeparture(G.waiting(*Job), Now);
+    if (Job->Class == ServiceClass::Late) {
+      ++Counts.Late.Started;
+      G.lateForecast(*Job).recordStart(G.waiting(*Job), Now);
+    } else {
+      G.forecast(*Job).recordDeparture(G.waiting(*Job), Now);
+      recordIfFree(G, *Job);
+    }
     const TargetConnectionPtr Connection = Job->Connection;
     run(Job, Connection);
   }
--- a/Source/Pipeline/JobQueue.h
+++ b/Source/Pipeline/JobQueue.h
@@ -11,7 +11,7 @@
 
 namespace corianderdyke {
 
-/// Ordered by priority, then by arrival.
+/// Ordered by rank, then by arrival.
 class JobQueue {
 public:
   using List = std::list<SessionJobPtr>;
@@ -62,7 +62,7 @@
   void insert(const SessionJobPtr &New) {
     auto Place = Jobs.end();
     while (Place != Jobs.begin() &&
-           (*std::prev(Place))->Route.Priority > New->Route.Priority)
+           (*std::prev(Place))->rank() > New->rank())
       --Place;
     Jobs.insert(Place, New);
   }
--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -80,9 +80,20 @@
     const bool IsOutageTooLong =
         Job->Destination == Placement::Primary &&
         !G.Outage.isWorthWaiting(Now, Job->RetryDeadline);
-    if (!IsOutageTooLong && Now < effectiveQueueDeadline(*Job))
+    const bool IsLate = Job->Class == ServiceClass::Late;
+    if (!IsOutageTooLong &&
+        Now < (IsLate ? latestStartOf(*Job) : effectiveQueueDeadline(*Job)))
       continue;
     G.Waiting.remove(Job);
+    if (!IsOutageTooLong && !IsLate && becomeLate(G, *Job)) {
+      G.Waiting.insert(Job);
+      continue;
+    }
+    if (!IsOutageTooLong && Deps.Load.LateService) {
+      refuseAfterWait(G, Job, "no connection came free",
+                      "waited for a connection");
+      continue;
+    }
     const Millis RetryAfter =
         G.forecast(*Job).expectedWait(G.waiting(*Job) + 1, Now);
     std::string Reason = "no connection came free; come back after " +
@@ -152,7 +163,7 @@
 Millis SessionPipeline::answerTimeout(const SessionJob &Job,
                                       bool IsOutsideTransaction) const {
   if (!Job.IsSent)
-    return BeginTimeout + Job.MaxQueueTime;
+    return BeginTimeout + Job.MaxQueueTime + Job.MaxLateTime;
   const bool DecidesOutcome = Job.Stmt.Kind == StatementKind::Commit ||
                               (IsOutsideTransaction && Job.Writes);
   const Millis Remaining = Job.DeadlineAt - Job.SentAt;
@@ -160,7 +171,7 @@
       (IsOutsideTransaction && Deps.Time.now() >= Job.RetryDeadline))
     return Remaining;
   return std::min(Remaining, std::max(MinAnswerTimeout, Job.Route.Objective) +
-                                 Job.MaxQueueTime);
+                                 Job.MaxQueueTime + Job.MaxLateTime);
 }
 
 void SessionPipeline::endIdleTransactions(Millis Now) {
--- a/Source/Pipeline/QueueLimits.cpp
+++ b/Source/Pipeline/QueueLimits.cpp
@@ -96,6 +96,9 @@
   // change takes.
   if (Job->Destination == Placement::Primary && G.Outage.isActive())
     return false;
+  // A late statement was admitted by its own forecast.
+  if (Job->Class == ServiceClass::Late)
+    return false;
   const Millis Now = Deps.Time.now();
   std::size_t Ahead = 0;
   for (const SessionJobPtr &Each : G.Waiting.jobs()) {
@@ -107,6 +110,14 @@
   if (Now + Wait <= effectiveQueueDeadline(*Job))
     return false;
   G.Waiting.remove(Job);
+  if (becomeLate(G, *Job)) {
+    G.Waiting.insert(Job);
+    return false;
+  }
+  if (Deps.Load.LateService) {
+    refuseAfterWait(G, Job, "too many wait", "queue longer than its objective");
+    return true;
+  }
   finishRefused(Job,
                 {RefusalCode::Busy, "too many wait; come back after " +
                                         std::to_string(Wait.count()) + " ms"},
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -370,6 +370,7 @@
   Job->CurrentStage = SessionJob::Stage::Waiting;
   Job->QueuedAt = Deps.Time.now();
   Group &G = Groups[Job->Route.Group];
+  recordIfFree(G, *Job);
   G.Waiting.insert(Job);
   dispatchWaiting(Job->Route.Group);
   if (Job->CurrentStage != SessionJob::Stage::Waiting ||
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -11,6 +11,9 @@
 #ifndef CORIANDERDYKE_PIPELINE_SESSIONPIPELINE_H
 #define CORIANDERDYKE_PIPELINE_SESSIONPIPELINE_H
 
+#include "Admission/LateForecast.h"
+#include "Admission/LoadOptions.h"
+#include "Admission/UrgentRoom.h"
 #include "Common/Clock.h"
 #include "Loop/CoalescingTimer.h"
 #include "Organisations/OrganisationTable.h"
@@ -40,7 +43,10 @@
   std::uint64_t Unknown = 0; ///< May have run.
   std::uint64_t Retries = 0;
   std::uint64_t OverQuota = 0; ///< Refused for their organisation's quota.
-  OpeningCounts Openings;      ///< Of own connections, not of shared links.
+  std::uint64_t ReadsServedLate = 0;  ///< Answered after their objective.
+  std::uint64_t WritesServedLate = 0; ///< Answered after their objective.
+  LateCounts Late;                    ///< Of this process's own queue.
+  OpeningCounts Openings; ///< Of own connections, not of shared links.
 
   auto operator<=>(const PipelineCounts &) const = default;
 };
@@ -69,6 +75,7 @@
     std::string KeySecret = {};
     /// Null: no organisation is limited.
     PermitSource *Permits = nullptr;
+    LoadOptions Load = {};
   };
 
   SessionPipeline(Dependencies Deps, Locality OwnLocality);
@@ -94,6 +101,8 @@
   const RoutePlan &plan() const { return Plan.plan(); }
   const PipelineCounts &counts() const { return Counts; }
   std::vector<PoolReport> pools() const;
+  /// Returns how many late statements wait in this process's own queue.
+  std::size_t lateWaiting() const;
 
   /// Emitted when a target could not be reached.
   sigc::signal<void(const TargetFailure &)> &signalTargetFailure() {
@@ -163,18 +172,24 @@
     PrimaryOutage Outage;
     WaitForecast PrimaryForecast;
     WaitForecast ReplicaForecast;
+    LateForecast PrimaryLate;
+    LateForecast ReplicaLate;
     bool IsDispatching = false;
 
     WaitForecast &forecast(const SessionJob &Job) {
       return Job.Destination == Placement::Primary ? PrimaryForecast
                                                    : ReplicaForecast;
     }
-    /// Number of waiting statements with the same placement.
+    LateForecast &lateForecast(const SessionJob &Job) {
+      return Job.Destination == Placement::Primary ? PrimaryLate : ReplicaLate;
+    }
+    /// Number of waiting statements with the same placement and class.
     std::size_t waiting(const SessionJob &Job) const {
       const JobQueue::List &Jobs = Waiting.jobs();
       return static_cast<std::size_t>(std::count_if(
           Jobs.begin(), Jobs.end(), [&Job](const SessionJobPtr &Each) {
-            return Each->Destination == Job.Destination;
+            return Each->Destination == Job.Destination &&
+                   Each->Class == Job.Class;
           }));
     }
   };
@@ -237,6 +252,36 @@
   bool refuseIfTooLate(Group &G, const SessionJobPtr &Job);
   /// Usual time from sending a statement to its answer.
   Millis answerTime(const Group &G, const SessionJob &Job) const;
+  // Late service.
+  /// Returns the last time at which the statement can start and be answered
+  /// before its timeout.
+  Millis latestStartOf(const SessionJob &Job) const;
+  /// Makes a statement late that is not queued. Returns false if it has to be
+  /// refused.
+  bool becomeLate(Group &G, SessionJob &Job);
+  /// Decides whether a statement whose wait in time is over is tried again as
+  /// late.
+  bool tryAgainLate(const SessionJobPtr &Job, const StatementRefusal &Refusal,
+                    Millis After);
+  /// Refuses a statement for which no time is left, with a retry-after time.
+  void refuseUntried(const SessionJobPtr &Job, StatementRefusal Refusal);
+  /// Returns how many late statements can run together.
+  std::size_t lateWidth(const Group &G, const SessionJob &Job) const;
+  Millis lateRetryAfter(Group &G, const SessionJob &Job) const;
+  /// Refuses a statement that would wait or has waited for too long.
+  void refuseAfterWait(Group &G, const SessionJobPtr &Job,
+                       const std::string &What, const std::string &Grounds);
+  /// Informs the forecast of late statements if none waits with the placement
+  /// of \p Job, in time or late.
+  void recordIfFree(Group &G, const SessionJob &Job) const;
+  /// Sets how long the next command may wait at a gateway.
+  void setQueueTimes(SessionJob &Job) const;
+  /// Ends the time for waiting of a statement whose transaction has opened.
+  void handleWaitEnd(SessionJob &Job) const;
+  /// Returns the time from sending to the answer that just arrived, limited if
+  /// the statement may have waited late.
+  Millis targetAnswerTime(const SessionJob &Job, TargetPool &From) const;
+  void countIfLate(const SessionJob &Job);
   std::vector<TargetPool *> candidates(Group &G, const SessionJob &Job);
   static void excludeCongestedPrimary(const Group &G,
                                       std::vector<TargetPool *> &Candidates);
--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -28,7 +28,7 @@
     if (Pool->record().IsPrimary && !Pool->isShared())
       PrimaryAnswered.emit(Pool->record().Id);
     if (!Answer.Refusal) {
-      const Millis AnswerTime = Deps.Time.now() - Job->SentAt;
+      const Millis AnswerTime = targetAnswerTime(*Job, *Pool);
       Pool->window().recordAnswerTime(AnswerTime, Deps.Time.now());
       AnswerTimes.recordAnswerTime(AnswerTime, Deps.Time.now());
     }
@@ -138,6 +138,7 @@
       else
         discard(Connection);
     }
+    countIfLate(*Job);
     if (Job->Connection)
       Served.emit(*Job, Job->Connection->address().Id);
     StatementAnswer Out = Answer;
@@ -197,6 +198,7 @@
   } else {
     ++Counts.ReadsByReplica;
   }
+  countIfLate(*Job);
   Served.emit(*Job, Target);
   StatementAnswer Out = Answer;
   Out.Phase = Session->Phase;
@@ -213,8 +215,9 @@
       Refusal.Code != RefusalCode::Busy &&
       Refusal.Code != RefusalCode::Unreachable)
     return finishRefused(Job, Refusal, "tried at several targets");
-  if (Now >= effectiveQueueDeadline(*Job))
-    return finishRefused(Job, Refusal, "no time for another try");
+  Job->Class = ServiceClass::InTime;
+  if (Now >= effectiveQueueDeadline(*Job) && !tryAgainLate(Job, Refusal, After))
+    return refuseUntried(Job, Refusal);
   ++Counts.Retries;
   Retried.emit(*Job, Refusal);
   Job->RetryAt = Now + After;
@@ -255,6 +258,7 @@
   const auto Taken = Running.extract(Found);
   const SessionJobPtr &Job = Taken.value();
   discard(Connection);
+  Job->MaxLateTime = Millis(0);
   Job->WaitingSince = Deps.Time.now();
   tryAgain(Job,
            refused(RefusalCode::Busy, "no sign of life on the way to target " +
@@ -302,6 +306,8 @@
     Job->ExcludedTargets.insert(Job->Connection->address().Id);
   if (AnswerTimes.isUncongested())
     Job->WaitingSince = Deps.Time.now();
+  // Another gateway may let it wait late.
+  Job->MaxLateTime = Millis(0);
   tryAgain(Job, refused(RefusalCode::Busy, Grounds), Millis(0));
 }
 
--- a/Source/Pipeline/StatementRuns.cpp
+++ b/Source/Pipeline/StatementRuns.cpp
@@ -43,14 +43,15 @@
 
 TargetConnection::Step
 SessionPipeline::makeOpeningStep(const SessionJobPtr &Job, bool AtPrimary) {
-  Job->MaxQueueTime = remainingQueueTime(*Job);
+  setQueueTimes(*Job);
   const CallerSessionPtr Session = Job->Session.lock();
   const bool IsOutsideTransaction = !Session->Transaction;
   return {{.Operation = AtPrimary ? TargetCommand::Kind::Begin
                                   : TargetCommand::Kind::BeginRead,
            .MinPosition = AtPrimary ? std::nullopt : Job->Floor,
            .Priority = Job->Route.Priority,
-           .MaxQueueTime = Job->MaxQueueTime},
+           .MaxQueueTime = Job->MaxQueueTime,
+           .MaxLateTime = Job->MaxLateTime},
           [this, Job, AtPrimary,
            IsOutsideTransaction](const StatementAnswer &Answer) {
             if (IsOutsideTransaction)
@@ -83,7 +84,7 @@
   }
   Session->Transaction->Connection = Job->Connection;
   Session->Transaction->AtPrimary = AtPrimary;
-  Job->MaxQueueTime = Millis(0);
+  handleWaitEnd(*Job);
   // A gateway sends the statement itself.
   if (!Job->IsSent)
     runStatement(Job, false);
@@ -180,7 +181,7 @@
   if (hasLostLog(Job, Answer))
     return handleLostLog(Job);
   if (!Answer.Refusal && Answer.Phase == SessionPhase::InTransaction) {
-    Job->MaxQueueTime = Millis(0);
+    handleWaitEnd(*Job);
     // A gateway sends the statement itself.
     if (!Job->IsSent)
       runStatement(Job, true);
@@ -202,9 +203,10 @@
     Out.MinPosition = Job->Floor;
   if (IsOutsideTransaction &&
       (Job->Writes || Job->Destination == Placement::AnyFresh)) {
-    Job->MaxQueueTime = remainingQueueTime(*Job);
+    setQueueTimes(*Job);
     Out.Priority = Job->Route.Priority;
     Out.MaxQueueTime = Job->MaxQueueTime;
+    Out.MaxLateTime = Job->MaxLateTime;
   }
   if (Job->Stmt.Kind == StatementKind::Execute && Session) {
     Out.Operation = TargetCommand::Kind::Execute;
--- a/Source/Relay/BrokerLink.cpp
+++ b/Source/Relay/BrokerLink.cpp
@@ -38,10 +38,25 @@
   if (Pending.empty())
     return;
   QueuedAt = Owner.Time.now();
-  if (BoundConnection)
+  const auto IsSlotCommand = [](const TargetCommand &Each) {
+    return takesSlot(Each.Operation);
+  };
+  const bool TakesSlot =
+      !To.IsInternal &&
+      std::any_of(Commands.begin(), Commands.end(), IsSlotCommand);
+  if (BoundConnection) {
+    if (TakesSlot)
+      Owner.targetOf(To).Arrivals.recordArrival(Priority, QueuedAt);
     return sendOrWait();
-  Priority = Pending.front().Priority;
-  Deadline = QueuedAt + Pending.front().MaxQueueTime;
+  }
+  const TargetCommand &First = Pending.front();
+  Priority = First.Priority;
+  Deadline = QueuedAt + First.MaxQueueTime;
+  // Commands that arrive behind a waiting one do not extend its late wait.
+  if (!isWaiting())
+    LateDeadline = Deadline + First.MaxLateTime;
+  if (TakesSlot)
+    Owner.targetOf(To).Arrivals.recordArrival(Priority, QueuedAt);
   Owner.waitForConnection(*this);
 }
 
@@ -58,7 +73,10 @@
 
 void TargetBroker::Link::run(const TargetConnectionPtr &On) {
   ConnectionQueueEntry.remove();
+  Class = ServiceClass::InTime;
   BoundConnection = std::make_shared<HeldConnection>(HeldConnection{On});
+  if (hasSlotCommands() && !needsSlot())
+    BoundConnection->Opening = Owner.targetOf(To).OpeningTransactions.begin();
   sendPending();
 }
 
@@ -84,8 +102,13 @@
            if (!Held.expired())
              handleAnswer(Held, Answer);
          }});
-    BoundConnection->Awaited.push_back(
-        TakesSlot ? Owner.targetOf(To).InFlight.begin() : nullptr);
+    SlotTokens Tokens;
+    if (TakesSlot) {
+      Target &At = Owner.targetOf(To);
+      Tokens = {At.InFlight.begin(), At.InFlightOf[Priority].begin()};
+      BoundConnection->Opening.reset();
+    }
+    BoundConnection->Awaited.push_back(std::move(Tokens));
   }
   Pending.erase(Pending.begin(), Pending.begin() + Count);
   BoundConnection->SentAt = Owner.Time.now();
@@ -160,6 +183,7 @@
   if (BoundConnection)
     return;
   ConnectionQueueEntry.remove();
+  Class = ServiceClass::InTime;
   const std::shared_ptr<bool> AliveFlag = Alive;
   const std::size_t Count = std::exchange(Pending, {}).size();
   for (std::size_t Each = 0; Each < Count && *AliveFlag; ++Each)
--- a/Source/Relay/BrokerLink.h
+++ b/Source/Relay/BrokerLink.h
@@ -5,6 +5,7 @@
 #ifndef CORIANDERDYKE_RELAY_BROKERLINK_H
 #define CORIANDERDYKE_RELAY_BROKERLINK_H
 
+#include "Admission/ServiceClass.h"
 #include "Relay/TargetBroker.h"
 
 #include <algorithm>
@@ -56,6 +57,10 @@
   }
   Millis queuedAt() const { return QueuedAt; }
   Millis deadline() const { return Deadline; }
+  /// Until when it may wait as late; its deadline if it may not.
+  Millis lateDeadline() const { return LateDeadline; }
+  bool isLate() const { return Class == ServiceClass::Late; }
+  void setClass(ServiceClass New) { Class = New; }
   bool holdsConnection() const { return BoundConnection != nullptr; }
   bool holds(const TargetConnectionPtr &Candidate) const {
     return BoundConnection && BoundConnection->Connection == Candidate;
@@ -95,17 +100,24 @@
         std::next(Pending.begin()), Pending.end(),
         [](const TargetCommand &Each) { return Each.NeedsPrevious; });
   }
+  /// Count a statement in flight; null for a command that takes no slot.
+  struct SlotTokens {
+    InFlightCounter::Token OfTarget = {};
+    InFlightCounter::Token OfPriority = {};
+  };
   /// A connection that the link holds, with the state bound to it. Only the
   /// link owns it; the answers due refer to it weakly, so that an answer of a
   /// connection that the link no longer holds does not reach the link.
   struct HeldConnection {
     TargetConnectionPtr Connection;
     /// One for each outstanding answer.
-    std::deque<InFlightCounter::Token> Awaited = {};
+    std::deque<SlotTokens> Awaited = {};
     /// Values changed inside a transaction may revert when it rolls back.
     bool HasSetValues = false;
     Millis SentAt = {};
     QueueEntry<Link> Turn = {};
+    /// While a transaction opens whose first statement will take a slot.
+    InFlightCounter::Token Opening = {};
   };
 
   void sendOrWait();
@@ -136,6 +148,8 @@
   std::uint32_t Priority = 0; ///< Of the current transaction or statement.
   Millis QueuedAt;
   Millis Deadline;
+  Millis LateDeadline;
+  ServiceClass Class = ServiceClass::InTime; ///< While it waits.
 };
 
 } // namespace corianderdyke
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -9,41 +9,26 @@
 
 namespace {
 
-/// Intervals between checks of the timeouts: while links wait or connections
-/// are being opened, while statements run, and while connections are idle.
-constexpr Millis WaitingInterval(20);
-constexpr Millis RunningInterval(50);
+/// Interval between checks of the timeouts while connections are idle.
 constexpr Millis IdleInterval(250);
 /// Timeout for opening a connection.
 constexpr Millis OpenTimeout(400);
 /// A target that sends nothing for this long while answers are outstanding is
 /// reported as silent. Most statements take a tenth of this.
 constexpr Millis SilenceTimeout(250);
-/// How long the first link in the queue waits before another connection is
-/// opened: most statements end sooner, and opening a connection occupies a slot
-/// of the target.
-constexpr Millis WaitBeforeOpening(10);
 /// A target counts as saturated for this long after its statements in flight
 /// last reached the limit.
 constexpr Millis SaturationHold(2000);
 /// Pause between two connections that are opened in advance. An opening takes
 /// 12 ms, so four gateways together use a tenth of the capacity of two slots.
 constexpr Millis WarmUpInterval(250);
-/// Statements that all gateways together send to a target beyond its slots, as
-/// a multiple of the slots: enough that a slot that becomes free has a next
-/// statement, although each gateway counts only its own.
-constexpr std::size_t ExtraPerSlot = 2;
-/// Connections to one target that are opened concurrently if each belongs to
-/// an organisation, since several organisations may each wait for their own.
-constexpr std::size_t MaxOpeningsWhenPerOrganisation = 3;
-/// Assumed slots of a target that does not report their number.
-constexpr std::size_t DefaultSlots = 2;
 
 } // namespace
 
 TargetBroker::TargetBroker(Clock &Time, Scheduler &Timers,
-                           TargetConnector &Direct)
-    : Time(Time), Direct(Direct), Ticker(Time, Timers, [this] { tick(); }) {}
+                           TargetConnector &Direct, LoadOptions Load)
+    : Time(Time), Direct(Direct), Load(Load),
+      Ticker(Time, Timers, [this] { tick(); }) {}
 
 TargetBroker::~TargetBroker() {
   for (auto &[Id, Each] : Targets)
@@ -84,16 +69,6 @@
   return Found == Links.end() ? nullptr : Found->second;
 }
 
-std::size_t TargetBroker::maxInFlight(const Target &At) const {
-  const TargetRecord &Of = At.Pool.record();
-  const std::size_t Slots = Of.Slots > 0 ? Of.Slots : DefaultSlots;
-  const auto Share = GatewayShares.find(Of.Group);
-  const std::size_t Gateways =
-      Share == GatewayShares.end() ? 1 : Share->second.Gateways;
-  return std::max<std::size_t>(1, (Slots * (1 + ExtraPerSlot) + Gateways - 1) /
-                                      Gateways);
-}
-
 void TargetBroker::update(const TargetDirectory &Directory) {
   const Millis Now = Time.now();
   for (auto &[Id, Each] : Targets) {
@@ -142,113 +117,18 @@
   });
 }
 
-std::size_t TargetBroker::connections() const {
+std::size_t TargetBroker::lateWaiting() const {
   std::size_t Out = 0;
   for (const auto &[Id, Each] : Targets)
-    Out += Each.Pool.size();
+    Out += Each.Late.size();
   return Out;
 }
 
-QueueEntry<TargetBroker::Link> TargetBroker::enqueue(Link &New,
-                                                     std::list<Link *> &In) {
-  auto Position = In.end();
-  while (Position != In.begin() &&
-         (*std::prev(Position))->priority() > New.priority())
-    --Position;
-  return {In, Position, New};
-}
-
-void TargetBroker::waitForConnection(Link &New) {
-  Target &At = targetOf(New.to());
-  if (!New.isWaiting())
-    New.setConnectionQueueEntry(enqueue(New, At.Waiting));
-  dispatch(At);
-  Ticker.requestWithin(At.Waiting.empty() ? RunningInterval : WaitingInterval);
-}
-
-void TargetBroker::waitForTurn(Link &New) {
-  Target &At = targetOf(New.to());
-  New.setTurnQueueEntry(enqueue(New, At.Ready));
-  dispatch(At);
-}
-
-// At equal priority a link that holds a connection goes first, because other
-// links wait for that connection.
-bool TargetBroker::runNext(Target &At) {
-  const bool MaySend = At.InFlight.count() < maxInFlight(At);
-  Link *NextHolder = MaySend && !At.Ready.empty() ? At.Ready.front() : nullptr;
-  for (Link *Next : At.Waiting) {
-    if (NextHolder != nullptr && NextHolder->priority() <= Next->priority())
-      break;
-    if (!MaySend && Next->hasSlotCommands())
-      continue;
-    const TargetConnectionPtr Free =
-        Next->to().IsInternal
-            ? At.Pool.idleForInternalUse()
-            : At.Pool.idle(Next->to().Organisation, Next->values());
-    // Idle connections may all belong to other organisations.
-    if (!Free)
-      continue;
-    Free->setBusy(true, Time.now());
-    Next->run(Free);
-    return true;
-  }
-  if (NextHolder == nullptr)
-    return false;
-  NextHolder->takeTurn();
-  return true;
-}
-
-void TargetBroker::dispatch(Target &At) {
-  if (std::exchange(At.IsDispatching, true))
-    return;
-  const Millis Now = Time.now();
-  while (runNext(At)) {
-  }
-  At.IsDispatching = false;
-  if (At.Waiting.empty())
-    return;
-  if (At.Pool.size() == 0 && At.Pool.isBackingOff(Now))
-    return refuseAll(At, RefusalCode::Unreachable,
-                     "the target can't be reached");
-  openIfAllowed(At);
-}
-
-// After a full outage all callers reconnect at once. Each opening occupies a
-// slot for as long as several statements do, and while the statements in flight
-// are at this gateway's limit, another connection could not be used. It helps
-// only if the open connections are held by idle transactions.
-void TargetBroker::openIfAllowed(Target &At) {
-  if (At.InFlight.count() >= maxInFlight(At))
-    return;
-  const std::size_t MaxOpenings =
-      IsPerOrganisation ? MaxOpeningsWhenPerOrganisation : 1;
-  while (At.Pool.opening() < MaxOpenings) {
-    const Link *Next = firstToOpenFor(At);
-    if (Next == nullptr)
-      return;
-    openConnection(At, Next->to().Organisation);
-  }
-}
-
-TargetBroker::Link *TargetBroker::firstToOpenFor(const Target &At) const {
-  const Millis Now = Time.now();
-  std::set<std::string> Organisations;
-  for (Link *Each : At.Waiting) {
-    const std::string &Organisation = Each->to().Organisation;
-    // The first link of an organisation uses the connection that is idle or
-    // being opened.
-    if (!Organisations.insert(Organisation).second ||
-        At.Pool.opening(Organisation) > 0 ||
-        At.Pool.idle(Organisation, Each->values()) != nullptr)
-      continue;
-    if (At.Pool.size(Organisation) > 0 &&
-        Now - Each->queuedAt() < WaitBeforeOpening)
-      continue;
-    if (At.Pool.mayOpen(Organisation, Now))
-      return Each;
-  }
-  return nullptr;
+std::size_t TargetBroker::connections() const {
+  std::size_t Out = 0;
+  for (const auto &[Id, Each] : Targets)
+    Out += Each.Pool.size();
+  return Out;
 }
 
 // Opens the first connection immediately and the others while the target is
@@ -259,7 +139,7 @@
       !At.Pool.needsWarmConnections() || At.Pool.opening() > 0 ||
       !At.Pool.mayOpen("", Now))
     return;
-  const bool IsIdle = At.InFlight.count() == 0 && At.Waiting.empty();
+  const bool IsIdle = At.InFlight.count() == 0 && !At.hasWaiting();
   if (At.Pool.size() > 0 && (!IsIdle || Now - At.OpenedAt < WarmUpInterval))
     return;
   openConnection(At, "");
@@ -329,16 +209,6 @@
     PrimaryAnswered.emit(Pool.record().Id);
 }
 
-void TargetBroker::refuseAll(Target &At, RefusalCode Code,
-                             const std::string &Reason) {
-  std::vector<std::uint64_t> Refused;
-  for (const Link *Each : At.Waiting)
-    Refused.push_back(Each->number());
-  for (const std::uint64_t Number : Refused)
-    if (Link *Each = findLink(Number))
-      Each->refuse(Code, Reason);
-}
-
 void TargetBroker::tick() {
   const Millis Now = Time.now();
   bool IsUrgent = false;
@@ -364,7 +234,7 @@
       TargetFailed.emit({Id, false});
       handleClose(Connection, std::nullopt);
     }
-    if (!Each.Waiting.empty()) {
+    if (Each.hasWaiting()) {
       IsUrgent = true;
       dispatch(Each);
     }
@@ -377,17 +247,6 @@
     Ticker.requestWithin(IdleInterval);
 }
 
-void TargetBroker::expireWaiting(Target &At) {
-  const Millis Now = Time.now();
-  std::vector<std::uint64_t> Expired;
-  for (const Link *Each : At.Waiting)
-    if (Now >= Each->deadline())
-      Expired.push_back(Each->number());
-  for (const std::uint64_t Number : Expired)
-    if (Link *Each = findLink(Number))
-      Each->refuse(RefusalCode::Busy, "no connection came free");
-}
-
 void TargetBroker::detectSilence(Target &At) {
   const Millis Now = Time.now();
   for (const auto &[Number, Each] : Links) {
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -4,6 +4,9 @@
 #ifndef CORIANDERDYKE_RELAY_TARGETBROKER_H
 #define CORIANDERDYKE_RELAY_TARGETBROKER_H
 
+#include "Admission/LateForecast.h"
+#include "Admission/LoadOptions.h"
+#include "Admission/UrgentRoom.h"
 #include "Common/Clock.h"
 #include "Loop/CoalescingTimer.h"
 #include "Pipeline/TargetPool.h"
@@ -33,9 +36,13 @@
 /// The broker sends only a few more than the target executes and queues the
 /// rest, where a statement inside a transaction precedes one that would begin
 /// a transaction.
+///
+/// With late service, a link whose queue deadline has passed may wait longer,
+/// behind all others, for slots that they leave.
 class TargetBroker final : public TargetConnector, public sigc::trackable {
 public:
-  TargetBroker(Clock &Time, Scheduler &Timers, TargetConnector &Direct);
+  TargetBroker(Clock &Time, Scheduler &Timers, TargetConnector &Direct,
+               LoadOptions Load = {});
   ~TargetBroker() override;
 
   /// A link is open immediately; commands that only change session state are
@@ -58,6 +65,9 @@
   bool isBusy() const;
   std::size_t connections() const;
   const OpeningCounts &openings() const { return Openings; }
+  const LateCounts &lateCounts() const { return LateStatements; }
+  /// Returns how many late statements wait.
+  std::size_t lateWaiting() const;
 
   /// Emitted when a target is unreachable, and when a primary has answered.
   sigc::signal<void(const TargetFailure &)> &signalTargetFailure() {
@@ -86,7 +96,16 @@
     /// Links that hold a connection and wait until their statement may be
     /// sent.
     std::list<Link *> Ready = {};
+    /// Links whose queue deadline has passed, by priority, then the time when
+    /// it passed.
+    std::list<Link *> Late = {};
     InFlightCounter InFlight = {}; ///< Statements sent and not yet answered.
+    /// The same by priority.
+    std::map<std::uint32_t, InFlightCounter> InFlightOf = {};
+    /// Transactions being opened whose first statement will take a slot.
+    InFlightCounter OpeningTransactions = {};
+    LateForecast LateStarts = {};
+    UrgentRoom Arrivals = {};
     bool IsDispatching = false;
     Millis OpenedAt = {}; ///< When the last opening began.
     Millis SaturatedAt =
@@ -94,8 +113,10 @@
 
     /// True if the target has gone and nothing refers to it.
     bool hasEnded() const {
-      return Pool.hasEnded() && Waiting.empty() && Ready.empty();
+      return Pool.hasEnded() && !hasWaiting() && Ready.empty();
     }
+    /// True if links wait for a connection.
+    bool hasWaiting() const { return !Waiting.empty() || !Late.empty(); }
   };
 
   void applySharing(TargetPool &Pool) const;
@@ -103,12 +124,24 @@
   Target *find(const std::string &Id);
   /// Returns null if the link has been destroyed.
   Link *findLink(std::uint64_t Number) const;
+  SlotShare slotShare(const Target &At) const;
   std::size_t maxInFlight(const Target &At) const;
+  /// True if another statement of this priority may be sent to the target.
+  bool maySend(const Target &At, std::uint32_t Priority) const;
+  /// True if the target has a slot that statements in time leave.
+  bool hasSlotForLate(const Target &At) const;
   /// Inserts \p New by priority, then arrival.
   static QueueEntry<Link> enqueue(Link &New, std::list<Link *> &In);
   void waitForConnection(Link &New);
   void waitForTurn(Link &New);
+  /// Queues a link whose queue deadline has passed as late. Returns false if it
+  /// has to be refused.
+  bool waitLate(Target &At, Link &Waiter);
+  void refuseAfterWait(Target &At, Link &Waiter);
+  void recordIfFree(Target &At);
+  TargetConnectionPtr idleFor(Target &At, const Link &Waiter) const;
   bool runNext(Target &At);
+  bool runNextLate(Target &At);
   void dispatch(Target &At);
   void openIfAllowed(Target &At);
   /// Returns the first waiting link for which a connection may be opened: no
@@ -128,8 +161,14 @@
   void expireWaiting(Target &At);
   void detectSilence(Target &At);
 
+  /// Intervals between checks of the timeouts: while links wait or connections
+  /// are being opened, and while statements run.
+  static constexpr Millis WaitingInterval = Millis(20);
+  static constexpr Millis RunningInterval = Millis(50);
+
   Clock &Time;
   TargetConnector &Direct;
+  LoadOptions Load;
   /// By identity. Only the timer erases targets, since all other functions may
   /// run while one further up the stack uses a target.
   std::map<std::string, Target> Targets;
@@ -141,6 +180,7 @@
   std::map<std::uint64_t, Link *> Links;
   std::uint64_t NextLink = 1;
   OpeningCounts Openings;
+  LateCounts LateStatements;
   CoalescingTimer Ticker;
   sigc::signal<void(const TargetFailure &)> TargetFailed;
   sigc::signal<void(const std::string &)> PrimaryAnswered;
--- a/Source/Statements/Links.h
+++ b/Source/Statements/Links.h
@@ -62,11 +62,15 @@
   /// same write are sent only if the command before it succeeded. It saves a
   /// round trip to the gateway.
   bool NeedsPrevious = false;
+  /// If connections are shared: how long the command may wait beyond
+  /// MaxQueueTime for capacity that commands in time leave. 0: it is refused at
+  /// the end of MaxQueueTime.
+  Millis MaxLateTime = {};
 
   bool operator==(const TargetCommand &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Operation, Id, Text, Name, MinPosition, Term, Priority, MaxQueueTime,
-       NeedsPrevious);
+       NeedsPrevious, MaxLateTime);
   }
 };
 
--- a/Tests/Support/FakeGroup.cpp
+++ b/Tests/Support/FakeGroup.cpp
@@ -12,7 +12,8 @@
 constexpr const char *GroupName = "ledger";
 
 TargetRecord recordOf(const std::string &Name, bool IsPrimary,
-                      std::uint64_t Changes, std::uint64_t BornAt) {
+                      std::uint64_t Changes, std::uint64_t BornAt,
+                      std::uint32_t Slots = 0) {
   TargetRecord Out;
   Out.Id = Name;
   Out.Group = GroupName;
@@ -22,6 +23,7 @@
   Out.Sequence = Changes;
   Out.IsPrimary = IsPrimary;
   Out.PrimaryEpoch = IsPrimary ? Changes : 0;
+  Out.Slots = Slots;
   return Out;
 }
 
@@ -132,14 +134,30 @@
     }
     // Answers keep their order.
     const Millis Now = Owner.Loop.now();
-    AnswerAt =
-        std::max(AnswerAt, Now + (IsCallers ? Owner.ExecutionTime : Millis(0)));
+    AnswerAt = std::max(AnswerAt, IsCallers ? endOf(Command, Now) : Now);
     later(AnswerAt - Now + Owner.Latency, [this, Answer] {
       const auto Handler = Handlers.OnAnswer;
       Handler(Answer);
     });
   }
 
+  /// Occupies a slot for a statement and returns when it will be free.
+  Millis endOf(const TargetCommand &Command, Millis Now) {
+    const auto Own = Owner.ExecutionTimes.find(Command.Text);
+    const Millis Work =
+        Own == Owner.ExecutionTimes.end() ? Owner.ExecutionTime : Own->second;
+    if (server().Slots == 0)
+      return Now + Work;
+    std::multiset<Millis> &Slots = server().SlotsFreeAt;
+    Millis Start = Now;
+    if (Slots.size() >= server().Slots) {
+      Start = std::max(Now, *Slots.begin());
+      Slots.erase(Slots.begin());
+    }
+    Slots.insert(Start + Work);
+    return Start + Work;
+  }
+
   StatementAnswer execute(const TargetCommand &Command) {
     using Kind = TargetCommand::Kind;
     switch (Command.Operation) {
@@ -270,7 +288,8 @@
   TargetDirectory Out;
   std::vector<TargetRecord> All;
   for (const auto &[Name, Each] : Servers)
-    All.push_back(recordOf(Name, Each.IsPrimary, Changes, Each.BornAt));
+    All.push_back(
+        recordOf(Name, Each.IsPrimary, Changes, Each.BornAt, Each.Slots));
   Out.merge(All, Loop.now());
   return Out;
 }
@@ -288,9 +307,14 @@
                     [&](const FakeExecution &Each) { return Each.Id == Id; }));
 }
 
-FakePipeline::FakePipeline(FakeLoop &Loop, FakeGroup &Group)
+FakePipeline::FakePipeline(FakeLoop &Loop, FakeGroup &Group, LoadOptions Load)
     : Loop(Loop), Group(Group), Host(Loop, "proxy"),
-      Pipeline({Host, Host, Group, Floors}, {"region", "here", "proxy"}) {
+      Pipeline({.Time = Host,
+                .Timers = Host,
+                .Targets = Group,
+                .Floors = Floors,
+                .Load = Load},
+               {"region", "here", "proxy"}) {
   Pipeline.adopt(planOfThreeRoutes());
   updateDirectory();
 }
--- a/Tests/Support/FakeGroup.h
+++ b/Tests/Support/FakeGroup.h
@@ -45,6 +45,9 @@
     std::size_t BeginsToRefuse = 0;    ///< Number of transactions not opened.
     std::size_t AnswersToCut = 0;      ///< Connections closed before answering.
     std::size_t MaxConnections = 16;
+    /// Statements executed at a time, in order of arrival; 0: all at once.
+    std::uint32_t Slots = 0;
+    std::multiset<Millis> SlotsFreeAt; ///< One per used slot.
     LogPosition Log{1, 1};
     std::size_t OpenConnections = 0;
     std::size_t ConnectionAttempts = 0; ///< Accepted and refused.
@@ -71,6 +74,8 @@
   std::map<std::string, LogPosition> Committed;
   Millis Latency = Millis(1);
   Millis ExecutionTime = Millis(3);
+  /// Of single statements, by text; ExecutionTime for all others.
+  std::map<std::string, Millis> ExecutionTimes;
 
 private:
   class Link;
@@ -103,7 +108,7 @@
 /// The session pipeline of one proxy in front of a group, and its callers.
 class FakePipeline {
 public:
-  FakePipeline(FakeLoop &Loop, FakeGroup &Group);
+  FakePipeline(FakeLoop &Loop, FakeGroup &Group, LoadOptions Load = {});
 
   struct Session {
     std::uint64_t Id = 0;
