Parse a target's lag and busy slots

The decision whether to move the lead of a group needs to know how far its replicas lag and whether its primary is saturated. A STATUS row has both, but they were ignored.

A status has both now, and 0 for either if the target does not report it. The test of the row compared the whole status without these fields; it is replaced by one that requires their values, and one row without them.

--- a/Source/Steering/Ports.h
+++ b/Source/Steering/Ports.h
@@ -14,6 +14,9 @@
   bool IsPrimary = false;
   std::uint64_t Term = 0; ///< The newest known to the target.
   LogPosition Received;
+  /// Age of the newest record that a replica has applied; 0 if not reported.
+  Millis Lag = Millis(0);
+  std::uint32_t Busy = 0; ///< Slots in use; 0 if not reported.
 
   auto operator<=>(const TargetStatus &) const = default;
 };
--- a/Tests/Unit/LineProtocolTest.cpp
+++ b/Tests/Unit/LineProtocolTest.cpp
@@ -198,9 +198,14 @@
   CHECK(encodeAnswer(Refused) == "ERROR BUSY full\r\nREADY E -\r\n");
 }
 
-TEST_CASE("A status contains role, term and position", "[platform]") {
+TEST_CASE("A status contains role, term, position, lag and busy slots",
+          "[platform]") {
   StatementAnswer Answer;
   Answer.Rows = {"replica 3 3.1209 0 12 2 17"};
+  CHECK(*parseStatus(Answer) ==
+        TargetStatus{false, 3, {3, 1209}, Millis(12), 2});
+  // Without these fields a target counts as neither lagging nor busy.
+  Answer.Rows = {"replica 3 3.1209"};
   CHECK(*parseStatus(Answer) == TargetStatus{false, 3, {3, 1209}});
   Answer.Rows = {"replica x 3.1209"};
   CHECK_FALSE(parseStatus(Answer));
