Count reads that suffer at the leader while every replica lags

When all replicas of a group lag, its leader alone gets all reads, and nothing tells control about it.

A proxy counts, for each group, reads below Primary freshness that it refused as busy, or that the leader served after their objective, while every replica was skipped for its lag or had refused the read for it. The counts go to control with the regular requests, and every 250 ms while refusals grow. Nothing is counted unless something is connected to the signal.

--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -42,6 +42,8 @@
   /// may not have yet.
   bool IsFloorOwnCommit = false;
   std::set<std::string> ExcludedTargets; ///< Targets that refused it.
+  std::set<std::string> LaggingTargets;  ///< Those that lacked its floor.
+  bool HaveAllLagged = false; ///< All replicas, when it was last queued.
   unsigned LaggingRefusals = 0;
   bool HasAskedForFloor = false; ///< A floor was requested; done at most once.
   unsigned Tries = 0;
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -369,6 +369,7 @@
 void SessionPipeline::enqueue(const SessionJobPtr &Job) {
   Job->CurrentStage = SessionJob::Stage::Waiting;
   Job->QueuedAt = Deps.Time.now();
+  recordLag(*Job);
   Group &G = Groups[Job->Route.Group];
   G.Waiting.insert(Job);
   dispatchWaiting(Job->Route.Group);
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -115,6 +115,12 @@
   signalRetried() {
     return Retried;
   }
+  /// Emitted with the group of each read that was refused as busy (true), or
+  /// served after its objective (false), at the leader because every replica
+  /// lagged.
+  sigc::signal<void(const std::string &, bool)> &signalReadPressure() {
+    return ReadPressure;
+  }
   /// Emitted with each result of a target.
   sigc::signal<void(const SessionJob &, const std::string &)> &signalServed() {
     return Served;
@@ -325,6 +331,15 @@
   void recordAnswer(const SessionJobPtr &Job, const StatementAnswer &Answer,
                     bool ProvesLead);
 
+  // Reads that suffer because every replica lags.
+  void recordLag(SessionJob &Job) const;
+  void recordRefusedRead(const SessionJob &Job, const StatementRefusal &Why);
+  void recordServedRead(const SessionJob &Job, const std::string &Target);
+  bool isReadBelowPrimary(const SessionJob &Job) const;
+  /// True if the group has replicas, and each one was skipped for its lag or
+  /// refused the read for it.
+  bool lagsEverywhere(const SessionJob &Job) const;
+
   // Time.
   void tick();
   void expireWaiting(Group &G, Millis Now);
@@ -362,6 +377,7 @@
   sigc::signal<void(const CallerSession &, const Statement &,
                     const StatementRefusal &, const std::string &)>
       RefusedSignal;
+  sigc::signal<void(const std::string &, bool)> ReadPressure;
 };
 
 } // namespace corianderdyke
--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -138,8 +138,10 @@
       else
         discard(Connection);
     }
-    if (Job->Connection)
+    if (Job->Connection) {
+      recordServedRead(*Job, Job->Connection->address().Id);
       Served.emit(*Job, Job->Connection->address().Id);
+    }
     StatementAnswer Out = Answer;
     Out.Phase = Session->Phase;
     reply(Session, Out);
@@ -178,6 +180,7 @@
       return tryAgain(Job, *Answer.Refusal, Millis(0));
     case RefusalCode::Lagging:
       ++Job->LaggingRefusals;
+      Job->LaggingTargets.insert(Target);
       Job->ExcludedTargets.insert(Target);
       return tryAgain(Job, *Answer.Refusal, Millis(0));
     case RefusalCode::NoStatement:
@@ -197,6 +200,7 @@
   } else {
     ++Counts.ReadsByReplica;
   }
+  recordServedRead(*Job, Target);
   Served.emit(*Job, Target);
   StatementAnswer Out = Answer;
   Out.Phase = Session->Phase;
@@ -308,6 +312,7 @@
 void SessionPipeline::finishRefused(const SessionJobPtr &Job,
                                     StatementRefusal Refusal,
                                     const std::string &Grounds) {
+  recordRefusedRead(*Job, Refusal);
   Running.erase(Job);
   Job->CurrentStage = SessionJob::Stage::Done;
   const CallerSessionPtr Session = Job->Session.lock();
--- a/Source/Steering/ControlClient.cpp
+++ b/Source/Steering/ControlClient.cpp
@@ -21,6 +21,10 @@
 /// Delay of a report of a failed target, so that the failures within this time
 /// share one request.
 constexpr Millis ReportDelay(40);
+/// Counts of refused reads are sent at least this often while they grow.
+/// Control sums them over one second, so the regular interval would delay its
+/// decision by half of that.
+constexpr Millis PressureInterval(250);
 /// Without an answer for this long all hosts are asked.
 constexpr Millis AnswerTimeout(700);
 /// Without an answer for this long contact counts as lost.
@@ -72,16 +76,25 @@
 
 void ControlClient::sendRequest(bool ToAllHosts) {
   LastRequestAt = Time.now();
-  SubscribeRequest Request{
-      Options.Self,     ++Sequence, Plan.Version,          DirectoryHeld,
-      !IsPlanConfirmed, {},         Options.GatewayRecord, IsLeaving,
-      ProxiesHeld,      {}};
+  SubscribeRequest Request{Options.Self,
+                           ++Sequence,
+                           Plan.Version,
+                           DirectoryHeld,
+                           !IsPlanConfirmed,
+                           {},
+                           Options.GatewayRecord,
+                           IsLeaving,
+                           ProxiesHeld,
+                           {},
+                           {}};
   if (Quotas != nullptr)
     Request.Seats = Quotas->request(LastRequestAt);
   for (const auto &[Target, Pending] : std::exchange(PendingReports, {}))
     if (!Pending.Report.IsReachable ||
         LastRequestAt - Pending.RecordedAt < ReachedValidity)
       Request.Reports.push_back(Pending.Report);
+  for (auto &[Group, Each] : std::exchange(PendingPressure, {}))
+    Request.Pressure.push_back(Each);
   // Hosts that do not lead answer with the leader's address if they know it.
   const std::vector<std::string> To =
       ToAllHosts ? Hosts : std::vector<std::string>{Leader};
@@ -114,6 +127,20 @@
     });
 }
 
+void ControlClient::recordPressure(const std::string &Group, bool IsRefused) {
+  GroupPressure &Known = PendingPressure[Group];
+  Known.Group = Group;
+  ++(IsRefused ? Known.RefusedReads : Known.LaggingReads);
+  if (!IsRefused || std::exchange(IsPressureDue, true))
+    return;
+  const Millis Since = Time.now() - LastRequestAt;
+  Timers.after(std::max(PressureInterval - Since, Millis(0)), [this] {
+    IsPressureDue = false;
+    if (!PendingPressure.empty())
+      sendRequest(false);
+  });
+}
+
 void ControlClient::receive(const Envelope &Arrived) {
   std::visit([&](const auto &Body) { on(Body, Arrived); }, Arrived.Body);
 }
--- a/Source/Steering/ControlClient.h
+++ b/Source/Steering/ControlClient.h
@@ -40,6 +40,10 @@
   void recordReachable(const std::string &Target);
   void recordUnreachable(const std::string &Target);
 
+  /// Counts a read that was refused, or served too late, at a group's leader
+  /// while every replica lagged.
+  void recordPressure(const std::string &Group, bool IsRefused);
+
   /// Sets the source of quota seat requests, which are sent with the requests
   /// to control. Null if there are none.
   void setQuotaSeats(QuotaSeats *Seats) { Quotas = Seats; }
@@ -102,6 +106,8 @@
   };
   /// Reports since the last request, by target.
   std::map<std::string, PendingReport> PendingReports;
+  std::map<std::string, GroupPressure> PendingPressure; ///< By group.
+  bool IsPressureDue = false; ///< A request with the counts is scheduled.
   sigc::signal<void()> PlanChanged;
   sigc::signal<void()> DirectoryChanged;
   DirectoryVersion ProxiesHeld;
--- a/Source/Steering/Messages.h
+++ b/Source/Steering/Messages.h
@@ -34,6 +34,19 @@
   }
 };
 
+/// Reads of a group that suffered at its leader while every replica lagged, at
+/// one proxy since its last request.
+struct GroupPressure {
+  std::string Group;
+  std::uint64_t RefusedReads = 0; ///< Refused as busy.
+  std::uint64_t LaggingReads = 0; ///< Served by the leader, but too late.
+
+  auto operator<=>(const GroupPressure &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Group, RefusedReads, LaggingReads);
+  }
+};
+
 /// A proxy's periodic request to control: the versions it holds and its reports
 /// on targets.
 struct SubscribeRequest {
@@ -51,11 +64,12 @@
   bool IsLeaving = false;
   DirectoryVersion ProxiesHeld; ///< Version of its list of proxies.
   SeatRequest Seats;
+  std::vector<GroupPressure> Pressure;
 
   bool operator==(const SubscribeRequest &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Proxy, Sequence, PlanVersion, DirectoryHeld, NeedsConfirmation, Reports,
-       Self, IsLeaving, ProxiesHeld, Seats);
+       Self, IsLeaving, ProxiesHeld, Seats, Pressure);
   }
 };
 
