Move the lead off a saturated primary whose replicas lag

One delayed record keeps a replica seconds behind. If all replicas of a group lag for long, its primary alone serves all reads and refuses most.

With [load] lead_relief, the leading control host sums the refused reads that proxies report, queries the group's targets, and moves the lead to a replica that receives the log, if the primary is saturated and every replica lags. The primary steps down first, and only a replica with its whole log is promoted. If there is none in time, the old primary leads again: promoting another would roll back acknowledged writes. Off by default.

--- a/Source/App/SteeringMetrics.cpp
+++ b/Source/App/SteeringMetrics.cpp
@@ -134,6 +134,8 @@
   for (const auto &[Step, Each] : Steps)
     To.add("corianderdyke_promotion_steps_total", static_cast<double>(Each),
            {{"step", Step}});
+  To.add("corianderdyke_lead_reliefs_total",
+         static_cast<double>(From.Control->promotionCoordinator().reliefs()));
 }
 
 } // namespace corianderdyke
--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -104,6 +104,7 @@
   NodeOptions.MayBootstrap = Options.MayBootstrap;
   NodeOptions.ToleratedDiskLosses = Options.ToleratedDiskLosses;
   NodeOptions.KeySecret = Options.PeerKey;
+  NodeOptions.LeadRelief = Options.Load.LeadRelief;
   Control = std::make_unique<SteeringNode>(
       NodeOptions,
       SteeringDependencies{Time, Loop, *Peers, *TargetCommands, *Promotions},
@@ -251,6 +252,11 @@
       sigc::mem_fun(*this, &SteeringProcess::reportTargetFailure));
   Pipeline->signalPrimaryAnswered().connect(
       [this](const std::string &Id) { Client->recordReachable(Id); });
+  if (Options.Load.LeadRelief)
+    Pipeline->signalReadPressure().connect(
+        [this](const std::string &Group, bool IsRefused) {
+          Client->recordPressure(Group, IsRefused);
+        });
   subscribeStatementLogs(*Pipeline, Time);
 }
 
--- a/Source/Operators/MetricSet.cpp
+++ b/Source/Operators/MetricSet.cpp
@@ -126,6 +126,9 @@
        "Voters of the control group as this host knows them."},
       {"corianderdyke_promotion_steps_total", MetricType::Counter, "step",
        "control", "Steps of changes of primary, on the leading control host."},
+      {"corianderdyke_lead_reliefs_total", MetricType::Counter, "", "control",
+       "Times that the lead of a group was ordered off a saturated primary "
+       "whose replicas lagged, on the leading control host."},
       {"corianderdyke_peer_sent_bytes_total", MetricType::Counter, "", "all",
        "Bytes sent to the system's other processes."},
       {"corianderdyke_peer_received_bytes_total", MetricType::Counter, "",
--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -32,6 +32,8 @@
   LeadingSince = Time.now();
   for (auto &[Name, Each] : Groups)
     resumeWatching(Each, Millis(0));
+  Pressure.clear();
+  StalenessVersion = 0;
   MayBeStopped.clear();
   for (const TargetRecord &Each : Directory.all()) {
     if (!Each.IsGone && !Each.IsPrimary)
@@ -41,6 +43,8 @@
       Groups[Each.Group].LastPrimaryIncarnation = Each.Incarnation;
     }
   }
+  for (auto &[Name, Each] : Groups)
+    Each.History.start(Rules, LeadingSince);
 }
 
 void PromotionCoordinator::stopLeading() {
@@ -105,6 +109,7 @@
 
 void PromotionCoordinator::enter(Group &In, Stage Next) {
   In.CurrentStage = Next;
+  In.Query.reset();
   In.StageSince = Time.now();
   ++In.Round;
 }
@@ -119,6 +124,8 @@
   if (IsActive)
     resumeReceiving(In);
   In.NextQueryAt.reset();
+  In.Relief.reset();
+  In.IsReturning = false;
   enter(In, Stage::Watching);
   In.RetryAt = Time.now() + Pause;
 }
@@ -134,10 +141,15 @@
 void PromotionCoordinator::tick(const RoutePlan &Plan, std::size_t Proxies) {
   if (!IsActive)
     return;
+  if (IsReliefEnabled)
+    updateStaleness(Plan);
   for (const GroupPolicy &Each : Plan.Groups) {
     Group &In = Groups[Each.Name];
     In.SyncReplicas = Each.SyncReplicas;
-    if (In.NextQueryAt && Time.now() >= *In.NextQueryAt)
+    if (In.NextQueryAt && Time.now() >= *In.NextQueryAt &&
+        In.CurrentStage == Stage::SteppingDown)
+      continueStepDown(Each.Name);
+    else if (In.NextQueryAt && Time.now() >= *In.NextQueryAt)
       queryPositions(Each.Name);
     else if (In.CurrentStage == Stage::Watching)
       watch(Each.Name, In, Proxies);
@@ -153,7 +165,7 @@
   const Millis Now = Time.now();
   if ((In.CurrentStage == Stage::Awaiting ||
        In.CurrentStage == Stage::Ordering) &&
-      Primary && Primary->Id == In.Successor) {
+      Primary && isPromoted(In, *Primary)) {
     Step.emit(Name, "promoted",
               In.Successor + " leads after " +
                   std::to_string((Now - In.ChangeBeganAt).count()) + " ms");
@@ -217,7 +229,7 @@
       std::max(Directory.lastUpdate(Primary->Id), LeadingSince);
   const bool IsSilent = Now - LastUpdateAt > Times.SuspectAfter && Reached == 0;
   if (!Reported && !IsSilent)
-    return;
+    return considerRelief(Name, In, *Primary);
   In.ChangeBeganAt = Now;
   probe(Name, *Primary, Proxies);
 }
@@ -325,6 +337,8 @@
   for (const TargetRecord &Each : Directory.ofGroup(Name)) {
     if (Each.Id == In.OldPrimary || In.Excluded.count(Each.Id) != 0)
       continue;
+    if (In.Relief && !mayRelieve(*In.Relief, Each))
+      continue;
     // A leaving replica may hold acknowledged commits and counts until it ends.
     if (!Each.IsLeaving || In.SyncReplicas > 0)
       Out.push_back(Each);
@@ -339,6 +353,8 @@
     In.RequiredPosition.reset();
   In.NextQueryAt.reset();
   const std::vector<TargetRecord> All = candidates(Name);
+  if (All.empty() && In.Relief)
+    return returnLead(Name, "no replica is left");
   if (All.empty()) {
     In.Excluded.clear();
     return resumeWatching(In, AttemptPause);
@@ -372,8 +388,10 @@
   In.Asked = All.size();
   In.Answered = 0;
   In.IsIncomplete = false;
-  const bool IsFinalQuery =
-      In.SyncReplicas == 0 || What == TargetCommand::Kind::StopReceiving;
+  // In a relief the old primary has stepped down and acknowledges nothing, and
+  // the successor still has to receive the rest of its log.
+  const bool IsFinalQuery = In.SyncReplicas == 0 || In.Relief ||
+                            What == TargetCommand::Kind::StopReceiving;
   for (const TargetRecord &Each : All)
     Commands.send(addressOf(Each), What, Term, Times.QueryTimeout,
                   [this, Name, Round = In.Round, Each,
@@ -404,6 +422,8 @@
 
 void PromotionCoordinator::chooseSuccessor(const std::string &Name) {
   Group &In = Groups[Name];
+  if (In.Relief)
+    return chooseForRelief(Name);
   const auto Best =
       std::max_element(In.Statuses.begin(), In.Statuses.end(),
                        [](const auto &Left, const auto &Right) {
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -7,7 +7,8 @@
 /// it does not answer control. Control queries the positions of its replicas
 /// and promotes the one with the highest. A primary that announces that it is
 /// leaving steps down first, and its successor receives its whole log before
-/// the promotion, so that no write is rolled back.
+/// the promotion, so that no write is rolled back. The same change moves the
+/// lead off a saturated primary whose replicas all lag, if that is enabled.
 ///
 /// The class is driven by ticks and answers; its owner executes its requests.
 
@@ -15,8 +16,7 @@
 #define CORIANDERDYKE_STEERING_PROMOTIONCOORDINATOR_H
 
 #include "Common/Clock.h"
-#include "Steering/Messages.h"
-#include "Steering/Ports.h"
+#include "Steering/LeadRelief.h"
 #include "Steering/ReplicatedState.h"
 
 #include <functional>
@@ -68,6 +68,13 @@
   /// Records a proxy's reports on targets.
   void recordReports(const ProcessId &Proxy,
                      const std::vector<ReachabilityReport> &Reports);
+  /// Sets whether the lead is moved off saturated primaries.
+  void enableRelief(bool New) { IsReliefEnabled = New; }
+  /// Records a proxy's counts of reads that suffer at leaders.
+  void recordPressure(const ProcessId &Proxy, std::uint64_t Sequence,
+                      const std::vector<GroupPressure> &Counts);
+  /// Number of reliefs begun by this process, for metrics.
+  std::uint64_t reliefs() const { return Reliefs; }
   /// Must be called every few tens of milliseconds while leading.
   void tick(const RoutePlan &Plan, std::size_t Proxies);
 
@@ -116,6 +123,17 @@
     std::set<std::string> StoppedReplicas; ///< Ordered to stop receiving.
     std::optional<Millis> NextQueryAt;
     Millis RetryAt;
+    /// The smallest accepted age of reads that replicas may serve, according to
+    /// the plan. Only kept while reliefs are enabled.
+    std::optional<Millis> MaxStaleness;
+    ReliefHistory History;
+    /// Targets are queried for a relief; only set while watching.
+    std::optional<ReliefQuery> Query;
+    /// The change under way is a relief. Only replicas of the query may lead
+    /// next, and only with the whole log.
+    std::optional<ReliefQuery> Relief;
+    bool HasOrderedStepDown = false; ///< In this relief.
+    bool IsReturning = false;        ///< The old primary is to lead again.
   };
 
   struct Reachability {
@@ -158,6 +176,26 @@
   void checkProgress(const std::string &Name, Group &In);
   void enter(Group &In, Stage Next);
   void resumeWatching(Group &In, Millis Pause);
+
+  // Moving the lead off a saturated primary, in PromotionRelief.cpp.
+  void updateStaleness(const RoutePlan &Plan);
+  void considerRelief(const std::string &Name, Group &In,
+                      const TargetRecord &Primary);
+  void sendReliefQueries(const std::string &Name);
+  void evaluateRelief(const std::string &Name);
+  void beginRelief(const std::string &Name);
+  void continueStepDown(const std::string &Name);
+  void handleStepDownStatus(const std::string &Name,
+                            const Expected<TargetStatus> &Answer);
+  void retryStepDown(const std::string &Name, const std::string &Problem);
+  void handleSteppedDown(const std::string &Name, LogPosition Last);
+  void chooseForRelief(const std::string &Name);
+  void returnLead(const std::string &Name, const std::string &Problem);
+  /// True if the target may lead after the relief.
+  static bool mayRelieve(const ReliefQuery &Relief, const TargetRecord &Target);
+  /// True once a heartbeat shows that the ordered promotion took effect.
+  bool isPromoted(const Group &In, const TargetRecord &Primary) const;
+
   bool isCurrent(const std::string &Name, std::uint64_t Round,
                  Stage Expected) const;
   TargetAddress addressOf(const TargetRecord &Of) const {
@@ -171,7 +209,13 @@
   Propose OnPropose;
   std::string Holder;
   PromotionTimes Times;
+  ReliefRules Rules;
   bool IsActive = false;
+  bool IsReliefEnabled = false;
+  std::uint64_t Reliefs = 0;
+  std::uint64_t LastQueryId = 0;
+  std::uint64_t StalenessVersion = 0; ///< Of the plan last read.
+  PressureReports Pressure;
   Millis LeadingSince;
   /// Replicas that an earlier leader may have ordered to stop receiving.
   std::set<std::string> MayBeStopped;
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -51,6 +51,7 @@
           },
           Options.ProcessName),
       ReplayEndIndex(Log.lastIndex()), IsReplayed(ReplayEndIndex == 0) {
+  Coordinator.enableRelief(Options.LeadRelief);
   Coordinator.signalProbeStarted().connect([this] {
     for (const auto &[Id, Each] : Subscribers)
       this->Deps.Peers.send(Each.Address, Delivery::Datagram,
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -25,6 +25,8 @@
   std::size_t ToleratedDiskLosses = 1;
   /// Secret for the digests of callers' keys that are sent to proxies.
   std::string KeySecret = {};
+  /// Moves the lead of a group off a saturated primary if all replicas lag.
+  bool LeadRelief = false;
 };
 
 struct SteeringDependencies {
--- a/Source/Steering/SteeringSubscribers.cpp
+++ b/Source/Steering/SteeringSubscribers.cpp
@@ -45,6 +45,7 @@
   Known.Proxies = Body.ProxiesHeld;
   Proxies.update(Body.Self, Body.IsLeaving, Deps.Time.now());
   Coordinator.recordReports(Body.Proxy, Body.Reports);
+  Coordinator.recordPressure(Body.Proxy, Body.Sequence, Body.Pressure);
   bringUpToDate(Known);
   queueSeatRequest(From, Body);
   if (!Body.NeedsConfirmation)
--- a/Tests/Support/FakeFleet.h
+++ b/Tests/Support/FakeFleet.h
@@ -30,6 +30,13 @@
     bool IsPrimary = false;
     LogPosition Received{1, 10};
     std::uint64_t BornAt = 1000;
+    std::string Group = "ledger";
+    Millis Lag = Millis(0);
+    std::uint32_t Slots = 0;
+    std::uint32_t BusySlots = 0;
+    std::size_t BusyAnswers = 0;      ///< Further commands refused as busy.
+    bool LosesStepDownAnswer = false; ///< Executes the order, but is silent.
+    bool IsFollowing = false; ///< Receives the primary's log when asked.
   };
 
   explicit FakeTargets(FakeLoop &Loop) : Loop(Loop) {}
@@ -43,8 +50,10 @@
       return;
     }
     Loop.at(Loop.now() + Millis(2), [this, &At, What, Handler] {
-      if (At.IsBusy)
+      if (At.IsBusy || At.BusyAnswers > 0) {
+        At.BusyAnswers -= At.BusyAnswers > 0 ? 1 : 0;
         return Handler(fail(ErrorCode::Conflict, "busy"));
+      }
       if (At.RefusesConnections)
         return Handler(fail(ErrorCode::NotFound, "refused"));
       if (What == TargetCommand::Kind::StopReceiving)
@@ -54,8 +63,15 @@
       if (What == TargetCommand::Kind::StepDown) {
         At.IsPrimary = false;
         ++StepDowns;
+        if (At.LosesStepDownAnswer)
+          return Handler(fail(ErrorCode::Unavailable, "silent"));
       }
-      Handler(TargetStatus{At.IsPrimary, At.Received.Term, At.Received});
+      if (At.IsFollowing)
+        for (const auto &[Id, Each] : Targets)
+          if (Each.Group == At.Group)
+            At.Received = std::max(At.Received, Each.Received);
+      Handler(TargetStatus{At.IsPrimary, At.Received.Term, At.Received, At.Lag,
+                           At.BusySlots});
     });
   }
 
@@ -69,7 +85,8 @@
         return Handler(Result::Rejected);
       HighestToken = Token;
       for (auto &[Id, Each] : Targets)
-        Each.IsPrimary = Id == Target;
+        if (Each.Group == Targets[Target].Group)
+          Each.IsPrimary = Id == Target;
       Handler(Result::Accepted);
     });
   }
@@ -106,8 +123,8 @@
 class FakeFleet {
 public:
   explicit FakeFleet(std::uint64_t Seed, std::size_t Proxies = 3,
-                     int Controls = 5)
-      : Net(Loop, Seed), Targets(Loop), Random(Seed) {
+                     int Controls = 5, bool LeadRelief = false)
+      : Net(Loop, Seed), Targets(Loop), Random(Seed), LeadRelief(LeadRelief) {
     for (int Each = 1; Each <= Controls; ++Each)
       Names.push_back("10.0.0." + std::to_string(Each));
     for (const std::string &Name : Names)
@@ -142,6 +159,7 @@
     Options.Seeds = {Names[0], Names[1], Names[2]};
     Options.MayBootstrap = MayFound;
     Options.ToleratedDiskLosses = 2;
+    Options.LeadRelief = LeadRelief;
     Made.Node = std::make_unique<SteeringNode>(
         Options,
         SteeringDependencies{*Made.Host, *Made.Host, *Made.Peers, Targets,
@@ -211,7 +229,8 @@
         continue;
       TargetRecord Record;
       Record.Id = Id;
-      Record.Group = "ledger";
+      Record.Group = Each.Group;
+      Record.Slots = Each.Slots;
       Record.Address = {Id, 5000};
       Record.FailureDomain = "here";
       Record.Incarnation = Each.BornAt;
@@ -234,6 +253,10 @@
     Plan.Version = Version;
     Plan.Groups = {{"ledger", 16, SyncReplicas}};
     Plan.Document = "document " + std::to_string(Version);
+    return acceptPlan(Plan);
+  }
+
+  bool acceptPlan(const RoutePlan &Plan) {
     auto Done = std::make_shared<std::optional<bool>>();
     leader()->acceptPlan(Plan, [Done](const Expected<void> &Result) {
       *Done = Result.has_value();
@@ -262,6 +285,7 @@
   FakeNetwork Net;
   FakeTargets Targets;
   std::mt19937_64 Random;
+  bool LeadRelief;
   std::vector<std::string> Names;
   std::map<std::string, std::unique_ptr<FakeDisk>> Disks;
   std::map<std::string, ControlHostParts> Controls;
