--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -139,8 +139,10 @@
         discard(Connection);
     }
     countIfLate(*Job);
-    if (Job->Connection)
+    if (Job->Connection) {
+      recordServedRead(*Job, Job->Connection->address().Id);
       Served.emit(*Job, Job->Connection->address().Id);
+    }
     StatementAnswer Out = Answer;
     Out.Phase = Session->Phase;
     reply(Session, Out);
@@ -179,6 +181,7 @@
       return tryAgain(Job, *Answer.Refusal, Millis(0));
     case RefusalCode::Lagging:
       ++Job->LaggingRefusals;
+      Job->LaggingTargets.insert(Target);
       Job->ExcludedTargets.insert(Target);
       return tryAgain(Job, *Answer.Refusal, Millis(0));
     case RefusalCode::NoStatement:
@@ -199,6 +202,7 @@
     ++Counts.ReadsByReplica;
   }
   countIfLate(*Job);
+  recordServedRead(*Job, Target);
   Served.emit(*Job, Target);
   StatementAnswer Out = Answer;
   Out.Phase = Session->Phase;
@@ -314,6 +318,7 @@
 void SessionPipeline::finishRefused(const SessionJobPtr &Job,
                                     StatementRefusal Refusal,
                                     const std::string &Grounds) {
+  recordRefusedRead(*Job, Refusal);
   Running.erase(Job);
   Job->CurrentStage = SessionJob::Stage::Done;
   const CallerSessionPtr Session = Job->Session.lock();
