Choose replicas for reads by the progress of their logs

Reads were sent to replicas that lacked their floor, each at the cost of a round trip, because no component kept what a replica holds and how fast it applies its log.

With [load] replica_progress, each process keeps a record per replica: the newest position, its age, and the rate of applying. A read goes only to replicas that hold its floor or are expected to; one read at a time is tried at a replica of which too little is known. Gateways report the positions that they observed in their answers, and the gateways of the leader probe replicas while reads find none. The frame format changes to version 4. Without the setting, replicas are chosen as before.

--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -127,10 +127,11 @@
   Broker = std::make_unique<TargetBroker>(Time, Loop, *Targets);
   ConnectionSharing = std::make_unique<SharedConnector>(
       SharedConnector::Dependencies{Time, Loop, *Targets, *Broker, *Streams,
-                                    *Frames, SessionFloors, Options.Load},
+                                    *Frames, SessionFloors, Options.Load,
+                                    sharedReplicas()},
       Options.Name);
   Relay = std::make_unique<RelayServer>(Time, Loop, *Streams, *Frames, *Broker,
-                                        SessionFloors);
+                                        SessionFloors, sharedReplicas());
   return {};
 }
 
@@ -152,7 +153,7 @@
       SessionPipeline::Dependencies{
           Time, Loop, Connections, SessionFloors,
           [this] { return Client && Client->isCurrent(); }, Options.PeerKey,
-          Permits.get()},
+          Permits.get(), sharedReplicas()},
       Options.OwnLocality);
   Client = std::make_unique<ControlClient>(
       ControlClientOptions{Self,
--- a/Source/App/SteeringProcess.h
+++ b/Source/App/SteeringProcess.h
@@ -46,6 +46,10 @@
   Expected<void> openRelay();
   Expected<void> openMetrics();
   bool isReady() const;
+  /// Null unless reads follow the progress of replicas.
+  ReplicaTable *sharedReplicas() {
+    return Options.Load.ReplicaProgress ? &Replicas : nullptr;
+  }
   Expected<std::unique_ptr<EventHttpServer>> listen(const Endpoint &At,
                                                     HttpService &Service);
   void connectControl();
@@ -75,6 +79,7 @@
   std::unique_ptr<EventHttpServer> DirectoryPort;
   // The proxy role.
   FloorTable SessionFloors;
+  ReplicaTable Replicas;
   std::unique_ptr<QuotaSeats> Quotas;
   std::unique_ptr<OperationPermits> Permits;
   std::unique_ptr<SocketPeerStreams> Streams;
--- a/Source/Pipeline/ConnectionAssignment.cpp
+++ b/Source/Pipeline/ConnectionAssignment.cpp
@@ -80,6 +80,9 @@
       closeStaleConnections(Each.Group, Pool->second);
     Pool->second.update(Each, Now);
   }
+  if (Deps.Replicas != nullptr)
+    for (const TargetRecord &Each : Directory.all())
+      Deps.Replicas->update(Each, Now);
   for (auto &[Name, Each] : Groups) {
     adoptPrimary(Name, Each, Directory);
     for (auto &[Id, Pool] : Each.Pools) {
@@ -133,9 +136,11 @@
 }
 
 std::vector<TargetPool *> SessionPipeline::candidates(Group &G,
-                                                      const SessionJob &Job) {
+                                                      SessionJob &Job) {
   const Millis Now = Deps.Time.now();
   std::vector<TargetPool *> Out;
+  bool HasReplica = false;
+  bool IsReplicaBehind = false;
   for (auto &[Id, Pool] : G.Pools) {
     const TargetRecord &Record = Pool.record();
     if (Record.IsGone)
@@ -149,12 +154,18 @@
         (Id != G.Primary || !Pool.mayBePrimary(Now) ||
          !Pool.acceptsNewWork(Now)))
       continue;
-    if (Job.Destination == Placement::AnyFresh &&
-        (Record.IsLeaving || Job.ExcludedTargets.count(Id) != 0 ||
-         Pool.lag().isBackingOff(Now)))
-      continue;
+    if (Job.Destination == Placement::AnyFresh) {
+      const bool IsBehind =
+          readiness(G, Pool, Job, Now) == ReplicaReadiness::Behind;
+      IsReplicaBehind = IsReplicaBehind || IsBehind;
+      if (Record.IsLeaving || IsBehind || Job.ExcludedTargets.count(Id) != 0)
+        continue;
+      HasReplica = HasReplica || Id != G.Primary;
+    }
     Out.push_back(&Pool);
   }
+  if (Job.Destination == Placement::AnyFresh)
+    Job.LacksReplica = IsReplicaBehind && !HasReplica;
   if (Job.Destination == Placement::AnyFresh && Out.size() > 1)
     excludeCongestedPrimary(G, Out);
   return cheapestFirst(G, Out, Job, Now);
@@ -213,6 +224,8 @@
   if (!Session)
     return false;
   std::vector<TargetPool *> Choices = candidates(G, *Job);
+  if (Job->LacksReplica && Job->Destination == Placement::AnyFresh)
+    recordShortage(G, *Job, Now);
   if (Choices.empty() && Job->Destination == Placement::AnyFresh) {
     // All replicas refused the read, or none is left.
     Job->Destination = Placement::Primary;
@@ -241,6 +254,7 @@
             Pool->idle(Organisation, Session->Values)) {
       Free->setBusy(true, Now);
       Job->Connection = Free;
+      recordAssignment(G, *Job, *Pool, Now);
       return true;
     }
   }
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -40,7 +40,8 @@
 
 SessionPipeline::SessionPipeline(Dependencies Deps, Locality OwnLocality)
     : Deps(Deps), OwnLocality(std::move(OwnLocality)),
-      Ticker(Deps.Time, Deps.Timers, [this] { tick(); }) {}
+      Ticker(Deps.Time, Deps.Timers, [this] { tick(); }),
+      ReplicaTimer(Deps.Time, Deps.Timers, [this] { probeReplicas(); }) {}
 
 SessionPipeline::~SessionPipeline() {
   for (auto &[Name, Each] : Groups)
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -22,6 +22,7 @@
 #include "Pipeline/WaitForecast.h"
 #include "Plan/PlanIndex.h"
 #include "Quota/PermitSource.h"
+#include "Replicas/ReplicaTable.h"
 
 #include <list>
 #include <sigc++/sigc++.h>
@@ -40,7 +41,11 @@
   std::uint64_t Unknown = 0; ///< May have run.
   std::uint64_t Retries = 0;
   std::uint64_t OverQuota = 0; ///< Refused for their organisation's quota.
-  OpeningCounts Openings;      ///< Of own connections, not of shared links.
+  /// Tries that a target refused because its log lacked the floor.
+  std::uint64_t LaggingRefusals = 0;
+  /// Reads sent to the leader because no replica held their floor.
+  std::uint64_t ReadsLackingReplica = 0;
+  OpeningCounts Openings; ///< Of own connections, not of shared links.
 
   auto operator<=>(const PipelineCounts &) const = default;
 };
@@ -54,6 +59,15 @@
   auto operator<=>(const PoolReport &) const = default;
 };
 
+/// What is known of one replica's log, for metrics.
+struct ReplicaStatus {
+  std::string Target;
+  LogPosition Position;
+  std::optional<double> Rate; ///< Positions per second; if known.
+
+  auto operator<=>(const ReplicaStatus &) const = default;
+};
+
 class SessionPipeline : public sigc::trackable {
 public:
   struct Dependencies {
@@ -69,6 +83,9 @@
     std::string KeySecret = {};
     /// Null: no organisation is limited.
     PermitSource *Permits = nullptr;
+    /// Shared with the relay of this process. Null: a replica that refused a
+    /// read as lagging is avoided for a while (ReplicaLag).
+    ReplicaTable *Replicas = nullptr;
   };
 
   SessionPipeline(Dependencies Deps, Locality OwnLocality);
@@ -94,6 +111,7 @@
   const RoutePlan &plan() const { return Plan.plan(); }
   const PipelineCounts &counts() const { return Counts; }
   std::vector<PoolReport> pools() const;
+  std::vector<ReplicaStatus> replicas() const;
 
   /// Emitted when a target could not be reached.
   sigc::signal<void(const TargetFailure &)> &signalTargetFailure() {
@@ -110,6 +128,11 @@
     return RefusedSignal;
   }
 
+  /// Emitted with a group when a read finds that all its replicas lack the
+  /// floor (true), and when one has caught up with the reads (false).
+  sigc::signal<void(const std::string &, bool)> &signalReplicasBehind() {
+    return ReplicasBehind;
+  }
   /// Emitted when a try gave no result and another follows.
   sigc::signal<void(const SessionJob &, const StatementRefusal &)> &
   signalRetried() {
@@ -146,6 +169,22 @@
     Millis SentAt;
   };
 
+  /// A request to a replica for its log position.
+  struct ReplicaProbe {
+    TargetConnectionPtr Connection; ///< Null while none is in flight.
+    Millis SentAt;
+    Millis NextAt;
+  };
+
+  /// Reads of a group that no replica can serve, because all lack the floor.
+  struct FloorShortage {
+    Millis Since = Millis(-1000000);  ///< First of the reads without a gap.
+    Millis LastAt = Millis(-1000000); ///< Latest read.
+    LogPosition Floor;                ///< Of that read.
+    bool IsReported = false;
+    Millis EndReportedAt = Millis(-1000000);
+  };
+
   struct Group {
     /// By target. Only the timer erases pools, since all other functions may
     /// run while one further up the stack uses a pool.
@@ -160,6 +199,8 @@
     /// Bounded reads that wait for a recent floor.
     std::list<SessionJobPtr> AwaitingFloor;
     FloorProbe Probe;
+    FloorShortage Shortage;
+    std::map<std::string, ReplicaProbe> ReplicaProbes; ///< By target.
     PrimaryOutage Outage;
     WaitForecast PrimaryForecast;
     WaitForecast ReplicaForecast;
@@ -237,7 +278,22 @@
   bool refuseIfTooLate(Group &G, const SessionJobPtr &Job);
   /// Usual time from sending a statement to its answer.
   Millis answerTime(const Group &G, const SessionJob &Job) const;
-  std::vector<TargetPool *> candidates(Group &G, const SessionJob &Job);
+  std::vector<TargetPool *> candidates(Group &G, SessionJob &Job);
+  // Choosing replicas by their progress.
+  ReplicaReadiness readiness(const Group &G, const TargetPool &Pool,
+                             const SessionJob &Job, Millis Now) const;
+  void recordAssignment(Group &G, SessionJob &Job, const TargetPool &Pool,
+                        Millis Now);
+  void recordReplicaAnswer(SessionJob &Job, const std::string &Target,
+                           const StatementAnswer &Answer);
+  void recordShortage(Group &G, const SessionJob &Job, Millis Now);
+  void probeReplicas();
+  /// Probes the replicas of a group that are due; returns when to look again.
+  Millis probeGroup(const std::string &Name, Group &G, Millis Now);
+  bool probeReplica(const std::string &Name, TargetPool &Pool,
+                    ReplicaProbe &Probe, Millis Now);
+  void handleReplicaAnswer(const TargetConnectionPtr &Connection, Millis SentAt,
+                           const StatementAnswer &Answer);
   static void excludeCongestedPrimary(const Group &G,
                                       std::vector<TargetPool *> &Candidates);
   std::vector<TargetPool *>
@@ -346,6 +402,7 @@
   std::uint64_t NextSession = 1;
   std::size_t Proxies = 8;
   CoalescingTimer Ticker;
+  CoalescingTimer ReplicaTimer;
   bool IsStopping = false;
   Millis StopBeganAt;
   Millis TransactionsUntil;
@@ -357,6 +414,7 @@
   PipelineCounts Counts;
   sigc::signal<void(const TargetFailure &)> TargetFailed;
   sigc::signal<void(const std::string &)> PrimaryAnswered;
+  sigc::signal<void(const std::string &, bool)> ReplicasBehind;
   sigc::signal<void(const SessionJob &, const StatementRefusal &)> Retried;
   sigc::signal<void(const SessionJob &, const std::string &)> Served;
   sigc::signal<void(const CallerSession &, const Statement &,
--- a/Source/Pipeline/StatementAnswers.cpp
+++ b/Source/Pipeline/StatementAnswers.cpp
@@ -32,6 +32,10 @@
       Pool->window().recordAnswerTime(AnswerTime, Deps.Time.now());
       AnswerTimes.recordAnswerTime(AnswerTime, Deps.Time.now());
     }
+    if (Answer.Refusal && Answer.Refusal->Code == RefusalCode::Lagging)
+      ++Counts.LaggingRefusals;
+    if (Deps.Replicas != nullptr)
+      recordReplicaAnswer(*Job, Pool->record().Id, Answer);
     if (Answer.Position)
       Pool->lag().recordPosition(*Answer.Position, Deps.Time.now());
     if (Job->Floor && Job->Destination == Placement::AnyFresh) {
--- a/Source/Relay/Messages.h
+++ b/Source/Relay/Messages.h
@@ -4,6 +4,7 @@
 #ifndef CORIANDERDYKE_RELAY_MESSAGES_H
 #define CORIANDERDYKE_RELAY_MESSAGES_H
 
+#include "Replicas/ReplicaTable.h"
 #include "Statements/Links.h"
 
 #include <variant>
@@ -46,10 +47,13 @@
   std::uint64_t Index = 0;
   StatementAnswer Answer;
   std::optional<RelayFloor> Floor; ///< If sufficiently newer than the last.
+  /// About a replica of the answer's group, if the gateway has observed it
+  /// since its last report.
+  std::optional<ReplicaReport> Report = {};
 
   bool operator==(const RelayAnswer &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Link, Index, Answer, Floor);
+    Ar(Link, Index, Answer, Floor, Report);
   }
 };
 
--- a/Source/Relay/RelayClient.cpp
+++ b/Source/Relay/RelayClient.cpp
@@ -64,6 +64,8 @@
     if (Body.Floor)
       Owner.Floors.record(Group, Body.Floor->Shown,
                           SentAt.front() - Body.Floor->Age, Owner.Time.now());
+    if (Body.Report && Owner.Replicas != nullptr)
+      Owner.Replicas->recordReport(Group, *Body.Report, Owner.Time.now());
     SentAt.pop_front();
     const auto Handler = Handlers.OnAnswer;
     Handler(Body.Answer);
@@ -93,9 +95,11 @@
 };
 
 RelayClient::RelayClient(Clock &Time, Scheduler &Timers, PeerStreams &Streams,
-                         RelayCodec &Frames, FloorTable &Floors, Endpoint At)
+                         RelayCodec &Frames, FloorTable &Floors, Endpoint At,
+                         ReplicaTable *Replicas)
     : Time(Time), Timers(Timers), Streams(Streams), Floors(Floors),
-      Frames(Frames), At(std::move(At)), Outbox(Timers, Frames) {}
+      Frames(Frames), At(std::move(At)), Replicas(Replicas),
+      Outbox(Timers, Frames) {}
 
 RelayClient::~RelayClient() {
   if (LivenessTimer != 0)
--- a/Source/Relay/RelayClient.h
+++ b/Source/Relay/RelayClient.h
@@ -8,6 +8,7 @@
 #include "Loop/Scheduler.h"
 #include "Pipeline/FloorTable.h"
 #include "Relay/RelayCodec.h"
+#include "Replicas/ReplicaTable.h"
 #include "Transport/PeerStreams.h"
 
 #include <deque>
@@ -20,8 +21,10 @@
 /// unanswered statements may have run.
 class RelayClient final : public TargetConnector {
 public:
+  /// \p Replicas records the gateway's reports; null: they are ignored.
   RelayClient(Clock &Time, Scheduler &Timers, PeerStreams &Streams,
-              RelayCodec &Frames, FloorTable &Floors, Endpoint At);
+              RelayCodec &Frames, FloorTable &Floors, Endpoint At,
+              ReplicaTable *Replicas = nullptr);
   ~RelayClient() override;
   RelayClient(const RelayClient &) = delete;
   RelayClient &operator=(const RelayClient &) = delete;
@@ -57,6 +60,7 @@
   FloorTable &Floors;
   RelayCodec &Frames;
   Endpoint At;
+  ReplicaTable *Replicas;
   RelayOutbox Outbox; ///< Open while there is a stream.
   std::map<std::uint32_t, Link *> Links;
   std::uint32_t NextLink = 1;
--- a/Source/Relay/RelayCodec.cpp
+++ b/Source/Relay/RelayCodec.cpp
@@ -47,7 +47,8 @@
          encode(std::vector<RelayMessage>{
              RelayAnswer{1, 1, LaggingAnswer, std::nullopt},
              RelayAnswer{1, 1, Empty, RelayFloor{{1, 1}, Millis(5)}},
-             RelayAnswer{1, 1, Rows, std::nullopt},
+             RelayAnswer{1, 1, Rows, std::nullopt,
+                         ReplicaReport{"", {1, 1}, Millis(5)}},
              RelayAnswer{1, 1, Empty, std::nullopt}});
 }
 
--- a/Source/Relay/RelayServer.cpp
+++ b/Source/Relay/RelayServer.cpp
@@ -4,6 +4,8 @@
 
 #include "Relay/RelayServer.h"
 
+#include <deque>
+
 namespace corianderdyke {
 
 namespace {
@@ -22,15 +24,19 @@
   std::map<std::uint32_t, std::unique_ptr<TargetLink>> Links;
   std::map<std::uint32_t, std::uint64_t> Answered; ///< Answers by link.
   std::map<std::string, Millis> LastFloors; ///< SentAt of the last, by group.
+  /// When unanswered commands were received, by link; empty without a table of
+  /// replicas.
+  std::map<std::uint32_t, std::deque<Millis>> Asked;
+  ReplicaTable::SentReports LastReports;
 
   void send(RelayMessage Body) { Outbox.send(std::move(Body)); }
 };
 
 RelayServer::RelayServer(Clock &Time, Scheduler &Timers, PeerStreams &Streams,
                          RelayCodec &Frames, TargetConnector &Targets,
-                         const FloorTable &Floors)
+                         const FloorTable &Floors, ReplicaTable *Replicas)
     : Time(Time), Timers(Timers), Frames(Frames), Targets(Targets),
-      Floors(Floors) {
+      Floors(Floors), Replicas(Replicas) {
   Streams.setAcceptHandler([this](const std::shared_ptr<PeerStream> &Stream) {
     return accepted(Stream);
   });
@@ -70,17 +76,18 @@
   From.Links[Number] = Targets.open(
       Body.To,
       {[] {},
-       [this, Weak, Number,
-        Group = Body.To.Group](const StatementAnswer &Answer) {
+       [this, Weak, Number, To = Body.To](const StatementAnswer &Answer) {
          if (const auto Strong = Weak.lock())
            Strong->send(RelayAnswer{Number, Strong->Answered[Number]++, Answer,
-                                    floorUpdateFor(*Strong, Group)});
+                                    floorUpdateFor(*Strong, To.Group),
+                                    reportFor(*Strong, To, Number, Answer)});
        },
        [Weak, Number](const std::optional<StatementRefusal> &) {
          const auto Strong = Weak.lock();
          if (!Strong || Strong->Links.erase(Number) == 0)
            return;
          Strong->Answered.erase(Number);
+         Strong->Asked.erase(Number);
          Strong->send(RelayClose{Number});
        }});
 }
@@ -100,18 +107,40 @@
   return RelayFloor{Latest->Position, Time.now() - Latest->SentAt};
 }
 
+std::optional<ReplicaReport>
+RelayServer::reportFor(Peer &To, const TargetAddress &Asked, std::uint32_t Link,
+                       const StatementAnswer &Answer) {
+  if (Replicas == nullptr)
+    return std::nullopt;
+  const Millis Now = Time.now();
+  std::deque<Millis> &SentAt = To.Asked[Link];
+  if (!SentAt.empty()) {
+    if (Answer.Position)
+      Replicas->recordAnswer(Asked.Group, Asked.Id, *Answer.Position,
+                             SentAt.front(), Now);
+    SentAt.pop_front();
+  }
+  // The answer itself states the position of its target.
+  return Replicas->nextReport(Asked.Group, Asked.Id, To.LastReports, Now);
+}
+
 void RelayServer::on(Peer &From, const RelayCommands &Body) {
   const auto Found = From.Links.find(Body.Link);
   // The link closed here while the commands were in transit; a RelayClose has
   // been sent.
   if (Found == From.Links.end() || !Found->second)
     return;
+  if (Replicas != nullptr) {
+    std::deque<Millis> &SentAt = From.Asked[Body.Link];
+    SentAt.insert(SentAt.end(), Body.Commands.size(), Time.now());
+  }
   Found->second->send(Body.Commands);
 }
 
 void RelayServer::on(Peer &From, const RelayClose &Body) {
   From.Links.erase(Body.Link);
   From.Answered.erase(Body.Link);
+  From.Asked.erase(Body.Link);
 }
 
 void RelayServer::on(Peer &From, const RelayPing &) { From.send(RelayPong{}); }
--- a/Source/Relay/RelayServer.h
+++ b/Source/Relay/RelayServer.h
@@ -8,6 +8,7 @@
 #include "Common/Clock.h"
 #include "Pipeline/FloorTable.h"
 #include "Relay/RelayCodec.h"
+#include "Replicas/ReplicaTable.h"
 #include "Transport/PeerStreams.h"
 
 #include <map>
@@ -19,9 +20,11 @@
 /// rolled back as soon as its process has ended.
 class RelayServer {
 public:
+  /// \p Replicas records the positions in relayed answers and gives the reports
+  /// for other proxies; null: no reports are sent.
   RelayServer(Clock &Time, Scheduler &Timers, PeerStreams &Streams,
               RelayCodec &Frames, TargetConnector &Targets,
-              const FloorTable &Floors);
+              const FloorTable &Floors, ReplicaTable *Replicas = nullptr);
   ~RelayServer();
   RelayServer(const RelayServer &) = delete;
   RelayServer &operator=(const RelayServer &) = delete;
@@ -43,12 +46,16 @@
 
   std::optional<RelayFloor> floorUpdateFor(Peer &To,
                                            const std::string &Group) const;
+  std::optional<ReplicaReport> reportFor(Peer &To, const TargetAddress &Asked,
+                                         std::uint32_t Link,
+                                         const StatementAnswer &Answer);
 
   Clock &Time;
   Scheduler &Timers;
   RelayCodec &Frames;
   TargetConnector &Targets;
   const FloorTable &Floors;
+  ReplicaTable *Replicas;
   std::set<std::shared_ptr<Peer>> Peers;
   bool IsStopping = false;
 };
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -176,6 +176,22 @@
          (FirstPlanAt && Deps.Time.now() - *FirstPlanAt >= ProxyListTimeout);
 }
 
+// While replicas lag, the reads of all proxies go through the gateways of the
+// leader, whose answers tell all proxies what the probes have shown.
+std::optional<ProbeTurn>
+SharedConnector::probeTurn(const std::string &Group,
+                           const std::string &Leader) const {
+  const auto Count = Gateways.find(Group);
+  if (Count == Gateways.end())
+    return Deps.Direct.probeTurn(Group, Leader);
+  const std::vector<ProxyRecord> &Known = Table.gatewaysOf(Leader);
+  const std::size_t Size = std::min(Known.size(), Count->second);
+  for (std::size_t Rank = 0; Rank < Size; ++Rank)
+    if (Known[Rank].Name == Self)
+      return ProbeTurn{Rank, Size};
+  return std::nullopt;
+}
+
 void SharedConnector::setPlan(const RoutePlan &New) {
   Plan = New;
   if (!FirstPlanAt)
@@ -251,9 +267,9 @@
     return {&Deps.Broker, nullptr, Self};
   std::unique_ptr<RelayClient> &Peer = Peers[Candidate.RelayEndpoint];
   if (!Peer)
-    Peer = std::make_unique<RelayClient>(Deps.Time, Deps.Timers, Deps.Streams,
-                                         Deps.Frames, Deps.Floors,
-                                         Candidate.RelayEndpoint);
+    Peer = std::make_unique<RelayClient>(
+        Deps.Time, Deps.Timers, Deps.Streams, Deps.Frames, Deps.Floors,
+        Candidate.RelayEndpoint, Deps.Replicas);
   return {Peer.get(), Peer.get(), Candidate.Name};
 }
 
--- a/Source/Relay/SharedConnector.h
+++ b/Source/Relay/SharedConnector.h
@@ -25,6 +25,8 @@
     RelayCodec &Frames;
     FloorTable &Floors;
     LoadOptions Load = {};
+    /// Null unless reads follow the progress of replicas.
+    ReplicaTable *Replicas = nullptr;
   };
 
   /// \p Self is this proxy's name in the list of proxies.
@@ -35,6 +37,8 @@
                                    TargetLink::Events Events) override;
   bool sharesConnections(const std::string &Group) const override;
   bool isShareKnown() const override;
+  std::optional<ProbeTurn> probeTurn(const std::string &Group,
+                                     const std::string &Leader) const override;
 
   /// Apply the configuration and state received from control.
   void setPlan(const RoutePlan &New);
--- a/Source/Statements/Links.h
+++ b/Source/Statements/Links.h
@@ -122,6 +122,15 @@
   }
 };
 
+/// This process's place among those that probe the replicas of a group.
+struct ProbeTurn {
+  std::size_t Rank = 0;
+  /// How many processes take turns; 0 if each proxy does.
+  std::size_t Count = 0;
+
+  auto operator<=>(const ProbeTurn &) const = default;
+};
+
 class TargetConnector {
 public:
   virtual ~TargetConnector() = default;
@@ -141,6 +150,15 @@
     (void)Group;
     return false;
   }
+
+  /// Returns this process's turn in probing the replicas of a group with this
+  /// leader; nothing if other processes probe them.
+  virtual std::optional<ProbeTurn> probeTurn(const std::string &Group,
+                                             const std::string &Leader) const {
+    (void)Group;
+    (void)Leader;
+    return ProbeTurn{};
+  }
 };
 
 } // namespace corianderdyke
--- a/Tests/Support/FakeGroup.cpp
+++ b/Tests/Support/FakeGroup.cpp
@@ -288,9 +288,15 @@
                     [&](const FakeExecution &Each) { return Each.Id == Id; }));
 }
 
-FakePipeline::FakePipeline(FakeLoop &Loop, FakeGroup &Group)
+FakePipeline::FakePipeline(FakeLoop &Loop, FakeGroup &Group,
+                           bool FollowsReplicas)
     : Loop(Loop), Group(Group), Host(Loop, "proxy"),
-      Pipeline({Host, Host, Group, Floors}, {"region", "here", "proxy"}) {
+      Pipeline({.Time = Host,
+                .Timers = Host,
+                .Targets = Group,
+                .Floors = Floors,
+                .Replicas = FollowsReplicas ? &Replicas : nullptr},
+               {"region", "here", "proxy"}) {
   Pipeline.adopt(planOfThreeRoutes());
   updateDirectory();
 }
--- a/Tests/Support/FakeGroup.h
+++ b/Tests/Support/FakeGroup.h
@@ -103,7 +103,8 @@
 /// The session pipeline of one proxy in front of a group, and its callers.
 class FakePipeline {
 public:
-  FakePipeline(FakeLoop &Loop, FakeGroup &Group);
+  /// If \p FollowsReplicas is true, reads follow the progress of replicas.
+  FakePipeline(FakeLoop &Loop, FakeGroup &Group, bool FollowsReplicas = false);
 
   struct Session {
     std::uint64_t Id = 0;
@@ -129,6 +130,7 @@
   FakeGroup &Group;
   FakeHost Host;
   FloorTable Floors;
+  ReplicaTable Replicas;
   SessionPipeline Pipeline;
 };
 
--- a/Tests/Support/FakeRelay.cpp
+++ b/Tests/Support/FakeRelay.cpp
@@ -155,16 +155,26 @@
 }
 
 FakeProxy::FakeProxy(FakeLoop &Loop, FakePeerStreams &Net,
-                     TargetConnector &Targets, const std::string &Name)
+                     TargetConnector &Targets, const std::string &Name,
+                     const LoadOptions &Load)
     : Host(Loop, Name), Access(Loop, Targets),
       Streams(Net.attach(Host, {Name, RelayPort})), Broker(Host, Host, Access),
-      Shared({Host, Host, Access, Broker, *Streams, Frames, Floors}, Name),
-      Relay(Host, Host, *Streams, Frames, Broker, Floors),
-      Pipeline({Host, Host, Shared, Floors}, {"region", "here", Name}) {}
+      Shared({Host, Host, Access, Broker, *Streams, Frames, Floors, Load,
+              Load.ReplicaProgress ? &Replicas : nullptr},
+             Name),
+      Relay(Host, Host, *Streams, Frames, Broker, Floors,
+            Load.ReplicaProgress ? &Replicas : nullptr),
+      Pipeline({.Time = Host,
+                .Timers = Host,
+                .Targets = Shared,
+                .Floors = Floors,
+                .Replicas = Load.ReplicaProgress ? &Replicas : nullptr},
+               {"region", "here", Name}) {}
 
 FakeRelaySystem::FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group,
                                  std::size_t Count,
-                                 std::uint32_t MaxConnections, bool KnowsList)
+                                 std::uint32_t MaxConnections, bool KnowsList,
+                                 const LoadOptions &Load)
     : Loop(Loop), Group(Group), Net(Loop), Plan(planOfThreeRoutes()) {
   for (GroupPolicy &Each : Plan.Groups)
     Each.MaxConnections = MaxConnections;
@@ -174,8 +184,8 @@
   Proxies.reserve(Count);
   for (std::size_t Each = 0; Each < Count; ++Each) {
     Listed.push_back(Each);
-    Proxies.push_back(std::make_unique<FakeProxy>(Loop, Net, Group,
-                                                  "p" + std::to_string(Each)));
+    Proxies.push_back(std::make_unique<FakeProxy>(
+        Loop, Net, Group, "p" + std::to_string(Each), Load));
   }
   for (auto &Each : Proxies) {
     Each->Shared.setPlan(Plan);
--- a/Tests/Support/FakeRelay.h
+++ b/Tests/Support/FakeRelay.h
@@ -52,6 +52,7 @@
   FakeHost Host;
   FakeTargetConnector Access;
   FloorTable Floors;
+  ReplicaTable Replicas;
   std::unique_ptr<PeerStreams> Streams;
   RelayCodec Frames;
   TargetBroker Broker;
@@ -60,7 +61,7 @@
   SessionPipeline Pipeline;
 
   FakeProxy(FakeLoop &Loop, FakePeerStreams &Net, TargetConnector &Targets,
-            const std::string &Name);
+            const std::string &Name, const LoadOptions &Load = {});
 };
 
 /// Proxies "p0", "p1" and so on in front of one group.
@@ -69,7 +70,8 @@
   /// If \p KnowsList is false the proxies have a plan and the target directory
   /// but no proxy list, as when all processes start at the same moment.
   FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group, std::size_t Count,
-                  std::uint32_t MaxConnections, bool KnowsList = true);
+                  std::uint32_t MaxConnections, bool KnowsList = true,
+                  const LoadOptions &Load = {});
   ~FakeRelaySystem();
 
   struct Session {
@@ -114,8 +116,10 @@
 /// "a", the primary, "b" and "c".
 struct RelaySetup {
   explicit RelaySetup(std::size_t Proxies = 12,
-                      std::uint32_t MaxConnections = 10)
-      : Proxies(Proxies), System(Loop, Group, Proxies, MaxConnections) {
+                      std::uint32_t MaxConnections = 10,
+                      const LoadOptions &Load = {})
+      : Proxies(Proxies),
+        System(Loop, Group, Proxies, MaxConnections, true, Load) {
     Loop.runFor(Millis(50));
   }
 
--- a/Tests/Unit/RelayCodecTest.cpp
+++ b/Tests/Unit/RelayCodecTest.cpp
@@ -40,7 +40,8 @@
   Ended.Phase = SessionPhase::Idle;
   return {RelayAnswer{77, 12, Opened, RelayFloor{{3, 1209}, Millis(4)}},
           RelayAnswer{77, 13, Result, std::nullopt},
-          RelayAnswer{77, 14, Ended, std::nullopt}};
+          RelayAnswer{77, 14, Ended, std::nullopt,
+                      ReplicaReport{"b", {3, 1180}, Millis(12)}}};
 }
 
 std::string randomLetters(std::size_t Count) {
@@ -111,8 +112,8 @@
   // If this fails, the messages or the dictionary have changed. Increment the
   // format version, so that older and newer builds reject each other's frames.
   const std::string Dictionary = RelayCodec::compressionDictionary();
-  REQUIRE(RelayCodec::FormatVersion == 3);
-  CHECK(XXH64(Dictionary.data(), Dictionary.size(), 0) == 0x8b0d47f98bfaa1bb);
+  REQUIRE(RelayCodec::FormatVersion == 4);
+  CHECK(XXH64(Dictionary.data(), Dictionary.size(), 0) == 0x6bc1b250eaf6f37f);
 }
 
 TEST_CASE("Messages of one event loop iteration are sent in one frame",
