--- a/Source/App/StatementLogs.cpp
+++ b/Source/App/StatementLogs.cpp
@@ -92,6 +92,13 @@
         Fields.emplace_back("why", Refusal.Reason);
         logEvent(EventId::StatementMoved, Fields);
       });
+  Pipeline.signalReplicasBehind().connect(
+      [](const std::string &Group, bool AreBehind) {
+        const EventId Event =
+            AreBehind ? EventId::ReplicasBehind : EventId::ReplicaCaughtUp;
+        if (admitEvent(Event))
+          logEvent(Event, {{"group", Group}});
+      });
   Pipeline.signalServed().connect(
       [&Time](const SessionJob &Job, const std::string &Target) {
         if (!admitEvent(EventId::StatementServed))
--- a/Source/App/SteeringMetrics.cpp
+++ b/Source/App/SteeringMetrics.cpp
@@ -90,6 +90,18 @@
     Count("corianderdyke_statement_refusals_total", "code", Code, Each);
   To.add("corianderdyke_read_retries_total",
          static_cast<double>(Counts.Retries));
+  To.add("corianderdyke_reads_lagging_total",
+         static_cast<double>(Counts.LaggingRefusals));
+  To.add("corianderdyke_reads_lacking_replica_total",
+         static_cast<double>(Counts.ReadsLackingReplica));
+  for (const ReplicaStatus &Each : From.Pipeline->replicas()) {
+    To.add("corianderdyke_replica_position",
+           static_cast<double>(Each.Position.Number),
+           {{"target", Each.Target}});
+    if (Each.Rate)
+      To.add("corianderdyke_replica_rate", *Each.Rate,
+             {{"target", Each.Target}});
+  }
   To.add("corianderdyke_over_quota_refusals_total",
          static_cast<double>(Counts.OverQuota));
   if (From.Quotas != nullptr)
--- a/Source/Logs/LogEvents.cpp
+++ b/Source/Logs/LogEvents.cpp
@@ -162,6 +162,12 @@
       {EventId::ProxiesKnown, Severity::Info, "proxies-known",
        "The list of proxies changed, and with it the assignment of target "
        "connections."},
+      {EventId::ReplicasBehind, Severity::Warning, "replicas-behind",
+       "For half a second all replicas of a group lacked the positions that "
+       "reads require; these reads run at the leader.",
+       20},
+      {EventId::ReplicaCaughtUp, Severity::Info, "replica-caught-up",
+       "A replica of such a group serves reads again.", 20},
   };
   return All;
 }
--- a/Source/Logs/LogEvents.h
+++ b/Source/Logs/LogEvents.h
@@ -40,6 +40,8 @@
   StatementServed = 406,
   TargetUnusable = 407,
   ProxiesKnown = 408,
+  ReplicasBehind = 409,
+  ReplicaCaughtUp = 410,
   PromotionStep = 404,
 };
 
--- a/Source/Operators/MetricSet.cpp
+++ b/Source/Operators/MetricSet.cpp
@@ -120,6 +120,17 @@
       {"corianderdyke_target_connections_refused_total", MetricType::Counter,
        "", "proxy",
        "Connections that a target refused because it had as many as it takes."},
+      {"corianderdyke_reads_lagging_total", MetricType::Counter, "", "proxy",
+       "Tries of reads that a target refused because its log lacked the "
+       "required position."},
+      {"corianderdyke_reads_lacking_replica_total", MetricType::Counter, "",
+       "proxy",
+       "Reads sent to the leader because no replica held the required "
+       "position."},
+      {"corianderdyke_replica_position", MetricType::Gauge, "target", "proxy",
+       "Latest known position of the replica's log within its term."},
+      {"corianderdyke_replica_rate", MetricType::Gauge, "target", "proxy",
+       "Records per second that the replica applies; missing while not known."},
       {"corianderdyke_plan_version", MetricType::Gauge, "", "all",
        "Version of the plan that the process works by; 0 before the first."},
       {"corianderdyke_control_voters", MetricType::Gauge, "", "control",
