Give up lost probes of replicas after the shortage has ended

A probe without an answer kept its connection busy until the next shortage of replicas, and a turn that was due long ago was followed by probes every 20 ms. Negative ages in reports are rejected before they are subtracted, which could overflow.

--- a/Source/Pipeline/ReplicaProbes.cpp
+++ b/Source/Pipeline/ReplicaProbes.cpp
@@ -59,15 +59,22 @@
 
 void SessionPipeline::probeReplicas() {
   const Millis Now = Deps.Time.now();
-  std::optional<Millis> Next;
   for (auto &[Name, Each] : Groups) {
-    if (Now - Each.Shortage.LastAt > ShortagePeriod)
-      continue;
-    const Millis Pause = probeGroup(Name, Each, Now);
-    Next = Next ? std::min(*Next, Pause) : Pause;
+    // Lost probes are given up also after the shortage: each keeps a
+    // connection busy.
+    for (auto &[Id, Probe] : Each.ReplicaProbes) {
+      if (Probe.Connection && Now - Probe.SentAt >= ProbeTimeout) {
+        const TargetConnectionPtr Lost =
+            std::exchange(Probe.Connection, nullptr);
+        if (Lost->stage() != TargetConnection::Stage::Closed)
+          discard(Lost);
+      }
+      if (Probe.Connection)
+        ReplicaTimer.requestWithin(ProbeTimeout);
+    }
+    if (Now - Each.Shortage.LastAt <= ShortagePeriod)
+      ReplicaTimer.requestWithin(probeGroup(Name, Each, Now));
   }
-  if (Next)
-    ReplicaTimer.requestWithin(*Next);
 }
 
 Millis SessionPipeline::probeGroup(const std::string &Name, Group &G,
@@ -81,11 +88,6 @@
   for (auto &[Id, Pool] : G.Pools) {
     const ReplicaProgress *Progress = Deps.Replicas->find(Name, Id);
     ReplicaProbe &Probe = G.ReplicaProbes[Id];
-    if (Probe.Connection && Now - Probe.SentAt >= ProbeTimeout) {
-      const TargetConnectionPtr Lost = std::exchange(Probe.Connection, nullptr);
-      if (Lost->stage() != TargetConnection::Stage::Closed)
-        discard(Lost);
-    }
     if (Id == G.Primary || Probe.Connection || Progress == nullptr ||
         !Pool.acceptsNewWork(Now) || Pool.isBackingOff(Now) ||
         Progress->holdsNow(G.Shortage.Floor))
@@ -101,8 +103,9 @@
       const Millis Interval = std::clamp(Progress->stalledFor() / StallDivisor,
                                          ProbeInterval, MaxProbeInterval) *
                               Count;
-      // Relative to the last turn, so that the processes stay apart.
-      Probe.NextAt = std::max(Probe.NextAt + Interval, Now + ConnectionPause);
+      // Whole intervals after the last turn, so that the processes stay apart.
+      Probe.NextAt +=
+          Interval * ((Now - Probe.NextAt).count() / Interval.count() + 1);
     } else {
       Next = std::min(Next, ConnectionPause);
     }
--- a/Source/Replicas/ReplicaProgress.cpp
+++ b/Source/Replicas/ReplicaProgress.cpp
@@ -28,9 +28,12 @@
 
 void ReplicaProgress::recordReport(LogPosition Position, Millis Age,
                                    Millis Now) {
+  // Checked first: any age may have been sent, and the difference could
+  // overflow.
+  if (Age < Millis(0))
+    return;
   const Millis At = Now - Age;
-  if (Age < Millis(0) || At <= DiscardedAt ||
-      (Latest && Position < Latest->Position))
+  if (At <= DiscardedAt || (Latest && Position < Latest->Position))
     return;
   accept(Position, At);
 }
--- a/Tests/Unit/ReplicaChoiceTest.cpp
+++ b/Tests/Unit/ReplicaChoiceTest.cpp
@@ -251,3 +251,27 @@
   CHECK(Proxy.Pipeline.counts().LaggingRefusals <= 2);
   Loop.clear();
 }
+
+TEST_CASE("A probe without an answer gives its connection back", "[replicas]") {
+  // The replica stops answering while it is probed, and reads end. Guards
+  // against connections that stay busy for ever.
+  FakeLoop Loop;
+  FakeGroup Group(Loop, {"a", "b"});
+  FakePipeline Proxy(Loop, Group, true);
+  Proxy.Pipeline.setProxyCount(1);
+  const auto Writer = Proxy.connect("primary");
+  const auto Reader = Proxy.connect("bounded");
+  Group.Servers["b"].IsReplicating = false;
+  for (int Each = 0; Each < 100; ++Each) {
+    const std::string Number = std::to_string(Each);
+    if (Each == 97)
+      Group.Servers["b"].IsUnresponsive = true;
+    Proxy.ask(Writer, Kind::Write, "w" + Number, "STORE x 1");
+    Proxy.ask(Reader, Kind::Read, "r" + Number, "FETCH x");
+    Loop.runFor(Millis(20));
+  }
+  Loop.runFor(Millis(3000));
+  for (const PoolReport &Each : Proxy.Pipeline.pools())
+    CHECK(Each.Busy == 0);
+  Loop.clear();
+}
