--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -128,10 +128,11 @@
   Broker = std::make_unique<TargetBroker>(Time, Loop, *Targets, Options.Load);
   ConnectionSharing = std::make_unique<SharedConnector>(
       SharedConnector::Dependencies{Time, Loop, *Targets, *Broker, *Streams,
-                                    *Frames, SessionFloors, Options.Load},
+                                    *Frames, SessionFloors, Options.Load,
+                                    sharedReplicas()},
       Options.Name);
   Relay = std::make_unique<RelayServer>(Time, Loop, *Streams, *Frames, *Broker,
-                                        SessionFloors);
+                                        SessionFloors, sharedReplicas());
   return {};
 }
 
@@ -154,7 +155,7 @@
       SessionPipeline::Dependencies{
           Time, Loop, Connections, SessionFloors,
           [this] { return Client && Client->isCurrent(); }, Options.PeerKey,
-          Permits.get(), Options.Load},
+          Permits.get(), Options.Load, sharedReplicas()},
       Options.OwnLocality);
   Client = std::make_unique<ControlClient>(
       ControlClientOptions{Self,
--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -46,6 +46,10 @@
   std::set<std::string> LaggingTargets;  ///< Those that lacked its floor.
   bool HaveAllLagged = false; ///< All replicas, when it was last queued.
   unsigned LaggingRefusals = 0;
+  /// All replicas that could serve it lacked the floor when a target was last
+  /// looked for.
+  bool LacksReplica = false;
+  bool IsReplicaTrial = false;   ///< Sent to a replica that may lack the floor.
   bool HasAskedForFloor = false; ///< A floor was requested; done at most once.
   unsigned Tries = 0;
   /// True once the caller's statement was sent in the current try.
--- a/Tests/Support/FakeGroup.cpp
+++ b/Tests/Support/FakeGroup.cpp
@@ -313,7 +313,8 @@
                 .Timers = Host,
                 .Targets = Group,
                 .Floors = Floors,
-                .Load = Load},
+                .Load = Load,
+                .Replicas = Load.ReplicaProgress ? &Replicas : nullptr},
                {"region", "here", "proxy"}) {
   Pipeline.adopt(planOfThreeRoutes());
   updateDirectory();
--- a/Tests/Support/FakeGroup.h
+++ b/Tests/Support/FakeGroup.h
@@ -134,6 +134,7 @@
   FakeGroup &Group;
   FakeHost Host;
   FloorTable Floors;
+  ReplicaTable Replicas;
   SessionPipeline Pipeline;
 };
 
--- a/Tests/Support/FakeRelay.cpp
+++ b/Tests/Support/FakeRelay.cpp
@@ -156,24 +156,27 @@
 
 FakeProxy::FakeProxy(FakeLoop &Loop, FakePeerStreams &Net,
                      TargetConnector &Targets, const std::string &Name,
-                     LoadOptions Load)
+                     const LoadOptions &Load)
     : Host(Loop, Name), Access(Loop, Targets),
       Streams(Net.attach(Host, {Name, RelayPort})),
       Broker(Host, Host, Access, Load),
-      Shared({Host, Host, Access, Broker, *Streams, Frames, Floors, Load},
+      Shared({Host, Host, Access, Broker, *Streams, Frames, Floors, Load,
+              Load.ReplicaProgress ? &Replicas : nullptr},
              Name),
-      Relay(Host, Host, *Streams, Frames, Broker, Floors),
+      Relay(Host, Host, *Streams, Frames, Broker, Floors,
+            Load.ReplicaProgress ? &Replicas : nullptr),
       Pipeline({.Time = Host,
                 .Timers = Host,
                 .Targets = Shared,
                 .Floors = Floors,
-                .Load = Load},
+                .Load = Load,
+                .Replicas = Load.ReplicaProgress ? &Replicas : nullptr},
                {"region", "here", Name}) {}
 
 FakeRelaySystem::FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group,
                                  std::size_t Count,
                                  std::uint32_t MaxConnections, bool KnowsList,
-                                 LoadOptions Load)
+                                 const LoadOptions &Load)
     : Loop(Loop), Group(Group), Net(Loop), Plan(planOfThreeRoutes()) {
   for (GroupPolicy &Each : Plan.Groups)
     Each.MaxConnections = MaxConnections;
--- a/Tests/Support/FakeRelay.h
+++ b/Tests/Support/FakeRelay.h
@@ -52,6 +52,7 @@
   FakeHost Host;
   FakeTargetConnector Access;
   FloorTable Floors;
+  ReplicaTable Replicas;
   std::unique_ptr<PeerStreams> Streams;
   RelayCodec Frames;
   TargetBroker Broker;
@@ -60,7 +61,7 @@
   SessionPipeline Pipeline;
 
   FakeProxy(FakeLoop &Loop, FakePeerStreams &Net, TargetConnector &Targets,
-            const std::string &Name, LoadOptions Load = {});
+            const std::string &Name, const LoadOptions &Load = {});
 };
 
 /// Proxies "p0", "p1" and so on in front of one group.
@@ -70,7 +71,7 @@
   /// but no proxy list, as when all processes start at the same moment.
   FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group, std::size_t Count,
                   std::uint32_t MaxConnections, bool KnowsList = true,
-                  LoadOptions Load = {});
+                  const LoadOptions &Load = {});
   ~FakeRelaySystem();
 
   struct Session {
@@ -115,7 +116,8 @@
 /// "a", the primary, "b" and "c".
 struct RelaySetup {
   explicit RelaySetup(std::size_t Proxies = 12,
-                      std::uint32_t MaxConnections = 10, LoadOptions Load = {})
+                      std::uint32_t MaxConnections = 10,
+                      const LoadOptions &Load = {})
       : Proxies(Proxies),
         System(Loop, Group, Proxies, MaxConnections, true, Load) {
     Loop.runFor(Millis(50));
--- a/Tests/Unit/RelayCodecTest.cpp
+++ b/Tests/Unit/RelayCodecTest.cpp
@@ -40,7 +40,8 @@
   Ended.Phase = SessionPhase::Idle;
   return {RelayAnswer{77, 12, Opened, RelayFloor{{3, 1209}, Millis(4)}},
           RelayAnswer{77, 13, Result, std::nullopt},
-          RelayAnswer{77, 14, Ended, std::nullopt}};
+          RelayAnswer{77, 14, Ended, std::nullopt,
+                      ReplicaReport{"b", {3, 1180}, Millis(12)}}};
 }
 
 std::string randomLetters(std::size_t Count) {
