Count late rounds as integers and test late openings of transactions

The linter reported an integer division in a floating point context. The test of a statement that waits late at a gateway also covers the first statement of a transaction.

--- a/Source/Admission/LateForecast.h
+++ b/Source/Admission/LateForecast.h
@@ -53,12 +53,12 @@
   /// Returns the expected wait behind \p Ahead other late statements, of which
   /// \p Width can run together.
   Millis expectedWait(std::size_t Ahead, std::size_t Width, Millis Now) const {
-    const auto Rounds =
-        static_cast<double>(Ahead / std::max<std::size_t>(Width, 1));
+    const std::size_t Rounds = Ahead / std::max<std::size_t>(Width, 1);
     const double Since =
         LastFree ? static_cast<double>((Now - *LastFree).count()) : 0;
     return Millis(static_cast<std::int64_t>(
-        std::max(MeanInterval * static_cast<double>(Ahead), Since * Rounds)));
+        std::max(MeanInterval * static_cast<double>(Ahead),
+                 Since * static_cast<double>(Rounds))));
   }
   /// True if a waiting statement is not expected to start before \p Deadline
   /// any more, because no late statement has started for longer than that.
--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -37,6 +37,8 @@
   /// statement then.
   Millis RetryDeadline;
   Stage CurrentStage = Stage::Waiting;
+  /// While it waits in this process.
+  ServiceClass Class = ServiceClass::InTime;
   Placement Destination = Placement::Primary;
   std::optional<LogPosition> Floor;
   /// The floor is the last commit of the session, which even a healthy replica
@@ -53,8 +55,6 @@
   Millis MaxQueueTime;
   /// How long it may wait beyond that, as a late statement.
   Millis MaxLateTime;
-  /// While it waits in this process.
-  ServiceClass Class = ServiceClass::InTime;
   Millis QueuedAt; ///< When it began to wait for a connection.
   Millis RetryAt;  ///< Not retried before then after a refusal.
   TargetConnectionPtr Connection;
--- a/Tests/Unit/LateServiceTest.cpp
+++ b/Tests/Unit/LateServiceTest.cpp
@@ -485,18 +485,22 @@
   // a refusal after the time for retries, which is 320 ms.
   const std::string Text = GENERATE("FETCH x", "STORE x 1");
   const bool IsRead = Text == "FETCH x";
+  const bool InTransaction = GENERATE(false, true);
   HeldConnections Fixture(lateService(), 4);
   // Longer than the interval at which the timeouts are checked.
   Fixture.Group.ExecutionTime = Millis(60);
   const std::size_t Proxy = Fixture.System.nonGateway("a");
   const auto Caller = Fixture.System.connect(Proxy, "primary");
+  if (InTransaction)
+    Fixture.System.send(Caller, Kind::Begin);
+  const std::size_t Before = Caller.Caller->Answers.size();
   Fixture.System.send(Caller, IsRead ? Kind::Read : Kind::Write, "s", Text);
   Fixture.Loop.runFor(Millis(450));
   CHECK(Fixture.lateWaiting() == 1);
-  CHECK(Caller.Caller->Answers.empty());
+  CHECK(Caller.Caller->Answers.size() == Before);
   Fixture.Holders.clear();
   Fixture.Loop.runFor(Millis(200));
-  REQUIRE(Caller.Caller->Answers.size() == 1);
+  REQUIRE(Caller.Caller->Answers.size() == Before + 1);
   CHECK_FALSE(Caller.Caller->last().Refusal);
   CHECK(Fixture.Group.runs("s") == 1);
   const PipelineCounts &Counts = Fixture.System.proxy(Proxy).Pipeline.counts();
