Test more failures of a relief

Without the safeguards, three faults stayed unnoticed by the tests: a lost answer to the step-down could lose the position that the successor must reach, replicas that synchronous commits depend on could be stopped from receiving, and a heartbeat from before the step-down could count as the return of the lead. The simulated replicas caught up with the first query, and heartbeats always arrived.

The tests now let replicas catch up late and heartbeats fail, and cover an old primary that ends after its step-down.

--- a/Tests/Support/FakeFleet.h
+++ b/Tests/Support/FakeFleet.h
@@ -66,7 +66,7 @@
         if (At.LosesStepDownAnswer)
           return Handler(fail(ErrorCode::Unavailable, "silent"));
       }
-      if (At.IsFollowing)
+      if (At.IsFollowing && At.IsReplicating)
         for (const auto &[Id, Each] : Targets)
           if (Each.Group == At.Group)
             At.Received = std::max(At.Received, Each.Received);
--- a/Tests/Unit/LeadReliefFleetTest.cpp
+++ b/Tests/Unit/LeadReliefFleetTest.cpp
@@ -70,6 +70,19 @@
     }
   }
 
+  /// Lets the replicas catch up only 400 ms after the primary has stepped down;
+  /// none of them may have been promoted by then.
+  void delayCatchUp() {
+    target("b").IsFollowing = target("c").IsFollowing = false;
+    for (int Round = 0; Round < 10 && Fleet.Targets.StepDowns == 0; ++Round)
+      run(Millis(200), 10);
+    Fleet.runWithHeartbeats(Millis(400));
+    REQUIRE(Fleet.Targets.StepDowns == 1);
+    CHECK(Fleet.Targets.Orders.empty());
+    target("b").IsFollowing = target("c").IsFollowing = true;
+    Fleet.runWithHeartbeats(Millis(1000));
+  }
+
   std::size_t steps(const std::string &Wanted) const {
     return static_cast<std::size_t>(
         std::count_if(Steps.begin(), Steps.end(),
@@ -165,7 +178,7 @@
   // The successor must still receive the old primary's whole log.
   ReliefFleet Setup;
   Setup.target("a").LosesStepDownAnswer = true;
-  Setup.run(Millis(2400), 10);
+  Setup.delayCatchUp();
   REQUIRE(Setup.Fleet.Targets.Orders.size() == 1);
   CHECK(Setup.Fleet.Targets.Orders[0].Target == "b");
   CHECK(Setup.target("b").Received == LogPosition{1, 500});
@@ -208,6 +221,55 @@
   CHECK(Fleet.Targets.Orders[0].Target == "a");
 }
 
+TEST_CASE("The old primary leads again also while heartbeats are lost",
+          "[relief]") {
+  // The directory still has it as the primary from before its step-down, which
+  // must not count as the effect of its promotion.
+  ReliefFleet Setup;
+  FakeFleet &Fleet = Setup.Fleet;
+  Setup.target("b").IsFollowing = Setup.target("c").IsFollowing = false;
+  while (Fleet.Targets.StepDowns == 0) {
+    Fleet.Proxies.begin()->second.Feed->recordPressure("ledger", true);
+    Fleet.Loop.runFor(Millis(10));
+  }
+  Fleet.Loop.runFor(Millis(1900));
+  REQUIRE(Fleet.Targets.Orders.size() == 1);
+  CHECK(Fleet.Targets.Orders[0].Target == "a");
+  CHECK(Setup.target("a").IsPrimary);
+  CHECK(Setup.steps("promoted") == 0);
+  Fleet.runWithHeartbeats(Millis(200));
+  CHECK(Setup.steps("promoted") == 1);
+}
+
+TEST_CASE("A group gets a leader if the old primary ends after its step-down",
+          "[relief]") {
+  // The lead cannot be returned to it. The records that no replica has are
+  // gone, as with any primary that fails.
+  ReliefFleet Setup;
+  FakeFleet &Fleet = Setup.Fleet;
+  Setup.target("b").IsFollowing = Setup.target("c").IsFollowing = false;
+  Setup.target("c").Received = {1, 495};
+  Setup.run(Millis(1000), 10);
+  REQUIRE(Fleet.Targets.StepDowns == 1);
+  Setup.target("a").IsUp = false;
+  Setup.run(Millis(5000), 0);
+  CHECK(Setup.primary() == "c");
+}
+
+TEST_CASE("A successor receives the log also with synchronous replicas",
+          "[relief]") {
+  // After the failure of a primary, its replicas stop receiving before their
+  // positions are compared. Here they would never get the rest of its log.
+  ReliefFleet Setup;
+  Setup.Plan.Version = 2;
+  Setup.Plan.Groups[0].SyncReplicas = 1;
+  REQUIRE(Setup.Fleet.acceptPlan(Setup.Plan));
+  Setup.delayCatchUp();
+  REQUIRE(Setup.Fleet.Targets.Orders.size() == 1);
+  CHECK(Setup.Fleet.Targets.Orders[0].Target == "b");
+  CHECK(Setup.target("b").Received == LogPosition{1, 500});
+}
+
 TEST_CASE("A replica that receives nothing or leaves never leads next",
           "[relief]") {
   const bool IsLeaving = GENERATE(true, false);
