--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -46,7 +46,7 @@
   /// All replicas that could serve it lacked the floor when a target was last
   /// looked for.
   bool LacksReplica = false;
-  bool IsReplicaTrial = false; ///< Sent to a replica that may lack the floor.
+  bool IsReplicaTrial = false;   ///< Sent to a replica that may lack the floor.
   bool HasAskedForFloor = false; ///< A floor was requested; done at most once.
   unsigned Tries = 0;
   /// True once the caller's statement was sent in the current try.
--- a/Tests/Unit/ReplicaChoiceTest.cpp
+++ b/Tests/Unit/ReplicaChoiceTest.cpp
@@ -107,6 +107,7 @@
   DelayedReplicas Replicas(Loop, Group, {{"b", Millis(50)}});
   const auto Writer = Proxy.connect("primary");
   std::vector<FakePipeline::Session> Readers;
+  Readers.reserve(4);
   for (int Each = 0; Each < 4; ++Each)
     Readers.push_back(Proxy.connect("bounded"));
   std::vector<std::pair<bool, Millis>> Shortages;
@@ -177,6 +178,7 @@
   CAPTURE(Refused, Load.Reads - ReadsBefore);
   CHECK(Refused * 100 < Load.Reads - ReadsBefore);
   std::vector<std::uint64_t> AtReplica;
+  AtReplica.reserve(Proxies);
   for (std::size_t Each = 0; Each < Proxies; ++Each)
     AtReplica.push_back(
         Load.Setup.System.proxy(Each).Pipeline.counts().ReadsByReplica);
