Forward permit requests through a control host

Cause: while a proxy is cut off from the holders of an organisation's quota seats, it refuses the organisation although it is within its quota.

Change: with [load] permit_forwarding on proxies and control hosts, a proxy whose round brought no permit asks the silent holders through the leading control host. Permits are still taken from the holder's seat before it replies, so the quota holds whatever is lost. Off by default: proxies and control hosts then send the same messages as before.

--- a/Source/App/SteeringMetrics.cpp
+++ b/Source/App/SteeringMetrics.cpp
@@ -95,6 +95,14 @@
   if (From.Quotas != nullptr)
     To.add("corianderdyke_quota_seats",
            static_cast<double>(From.Quotas->held(From.Time.now())));
+  if (From.Permits != nullptr) {
+    const OperationPermits::ForwardCounts &Forwards =
+        From.Permits->forwardCounts();
+    Count("corianderdyke_permits_asked_through_control_total", "outcome",
+          "sent", Forwards.Sent);
+    Count("corianderdyke_permits_asked_through_control_total", "outcome",
+          "answered", Forwards.Answered);
+  }
   To.add("corianderdyke_sessions",
          static_cast<double>(From.Pipeline->sessions()));
   OpeningCounts Openings = Counts.Openings;
@@ -131,6 +139,15 @@
          static_cast<double>(From.Control->subscriberCount()));
   To.add("corianderdyke_plan_version",
          static_cast<double>(From.Control->state().plan().Version));
+  const PermitForwardCounts &Forwards = From.Control->permitForwards();
+  const auto AddForwards = [&To](const char *Outcome, std::uint64_t Number) {
+    To.add("corianderdyke_permit_forwards_total", static_cast<double>(Number),
+           {{"outcome", Outcome}});
+  };
+  AddForwards("passed", Forwards.Passed);
+  AddForwards("returned", Forwards.Returned);
+  AddForwards("over-limit", Forwards.OverLimit);
+  AddForwards("unknown-proxy", Forwards.UnknownProxy);
   for (const auto &[Step, Each] : Steps)
     To.add("corianderdyke_promotion_steps_total", static_cast<double>(Each),
            {{"step", Step}});
--- a/Source/App/SteeringMetrics.h
+++ b/Source/App/SteeringMetrics.h
@@ -7,6 +7,7 @@
 #include "Common/DurationHistogram.h"
 #include "Http/HttpServer.h"
 #include "Operators/MetricSet.h"
+#include "Quota/OperationPermits.h"
 #include "Relay/TargetBroker.h"
 #include "Steering/ControlClient.h"
 #include "Steering/ProtocolAdapter.h"
@@ -21,6 +22,7 @@
   SessionPipeline *Pipeline = nullptr;
   const TargetBroker *Broker = nullptr;
   const QuotaSeats *Quotas = nullptr;
+  const OperationPermits *Permits = nullptr;
   const ControlClient *Client = nullptr;
   SteeringNode *Control = nullptr;
   std::function<bool()> IsReady;
--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -61,8 +61,8 @@
 
 Expected<void> SteeringProcess::openMetrics() {
   Metrics = std::make_unique<SteeringMetrics>(SteeringSources{
-      Time, *Peers, Pipeline.get(), Broker.get(), Quotas.get(), Client.get(),
-      Control.get(), [this] { return isReady(); },
+      Time, *Peers, Pipeline.get(), Broker.get(), Quotas.get(), Permits.get(),
+      Client.get(), Control.get(), [this] { return isReady(); },
       ProcessLatencies{&Loop.timerLatency(),
                        Disk ? &Disk->syncDurations() : nullptr}});
   if (Options.OperatorEndpoint.Port == 0)
@@ -104,6 +104,7 @@
   NodeOptions.MayBootstrap = Options.MayBootstrap;
   NodeOptions.ToleratedDiskLosses = Options.ToleratedDiskLosses;
   NodeOptions.KeySecret = Options.PeerKey;
+  NodeOptions.PermitForwarding = Options.Load.PermitForwarding;
   Control = std::make_unique<SteeringNode>(
       NodeOptions,
       SteeringDependencies{Time, Loop, *Peers, *TargetCommands, *Promotions},
@@ -145,9 +146,13 @@
       Self,
       QuotaTolerance{Options.QuotaOverageRatio, Options.QuotaOverageOperations,
                      Options.QuotaWindow});
+  OperationPermits::Dependencies PermitDeps{Time, Loop, *Peers};
+  if (Options.Load.PermitForwarding)
+    PermitDeps.ForwardingHost = [this] {
+      return Client ? Client->contact() : Endpoint{};
+    };
   Permits = std::make_unique<OperationPermits>(
-      OperationPermits::Dependencies{Time, Loop, *Peers}, Options.Name,
-      Options.PeerEndpoint.Port, *Quotas);
+      std::move(PermitDeps), Options.Name, Options.PeerEndpoint.Port, *Quotas);
   Pipeline = std::make_unique<SessionPipeline>(
       SessionPipeline::Dependencies{
           Time, Loop, Connections, SessionFloors,
--- a/Source/Operators/MetricSet.cpp
+++ b/Source/Operators/MetricSet.cpp
@@ -76,6 +76,14 @@
        "its quota."},
       {"corianderdyke_quota_seats", MetricType::Gauge, "", "proxy",
        "Parts of organisations' quotas that this proxy gives out permits of."},
+      {"corianderdyke_permits_asked_through_control_total", MetricType::Counter,
+       "outcome", "proxy",
+       "Requests for permits that went through a control host because a "
+       "holder did not answer this proxy: sent, and answered."},
+      {"corianderdyke_permit_forwards_total", MetricType::Counter, "outcome",
+       "control",
+       "Requests for permits that a control host passed on, replies that it "
+       "returned, and requests that it dropped."},
       {"corianderdyke_target_age_seconds", MetricType::Gauge, "target", "proxy",
        "How old the target's data may be at the most, as this proxy knows; "
        "missing where that can't be told."},
--- a/Source/Quota/Messages.h
+++ b/Source/Quota/Messages.h
@@ -102,6 +102,17 @@
   }
 };
 
+/// Request of a proxy to a control host to pass a PermitRequest on to a holder
+/// that does not answer the proxy. The PermitReply returns through the same
+/// control host.
+struct ForwardedPermitRequest {
+  std::string Holder; ///< Address of the holder, without a port.
+  PermitRequest Request;
+
+  auto operator<=>(const ForwardedPermitRequest &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Holder, Request); }
+};
+
 } // namespace corianderdyke
 
 #endif
--- a/Source/Quota/OperationPermits.cpp
+++ b/Source/Quota/OperationPermits.cpp
@@ -14,9 +14,12 @@
 /// A holder that has not answered after this long is skipped: well above the
 /// round trip of a slow link.
 constexpr Millis ReplyTimeout(60);
+/// The same for a request through a control host, which takes two round trips.
+constexpr Millis ForwardedReplyTimeout = ReplyTimeout * 2;
 /// Unanswered requests are dropped after this long.
 constexpr Millis RequestRetention(2000);
-/// A holder that did not answer is asked last for this long.
+/// A holder that did not answer is asked last for this long, or through control
+/// instead.
 constexpr Millis HolderBackoff(500);
 /// Pause between two rounds while no holder is known to have a seat, and the
 /// shortest pause.
@@ -124,6 +127,8 @@
   if (!isLimited(Organisation))
     return begin(dequeue(Q, static_cast<std::uint32_t>(Q.Waiters.size())));
   Q.Asked.clear();
+  Q.AskedThroughControl.clear();
+  Q.HasPermits = false;
   Q.MinRetryAfter.reset();
   askNext(Organisation);
 }
@@ -142,7 +147,7 @@
     const auto Until = BackoffUntil.find(Each.Name);
     if (Until == BackoffUntil.end() || Now >= Until->second)
       return &Each;
-    if (Silent == nullptr)
+    if (Silent == nullptr && !canForward(Each, Now))
       Silent = &Each;
   }
   return Silent;
@@ -152,23 +157,80 @@
   Queue &Q = Queues[Organisation];
   const Millis Now = Deps.Time.now();
   const ProxyRecord *Chosen = nextHolder(Organisation, Q, Now);
-  if (Q.Waiters.empty() || Chosen == nullptr)
+  if (Q.Waiters.empty() || (Chosen == nullptr && !forwardNext(Organisation)))
     return endRound(Organisation);
+  if (Chosen == nullptr)
+    return;
   const ProxyRecord &Next = *Chosen;
   Q.Asked.insert(Next.Name);
-  const auto Count = static_cast<std::uint32_t>(Q.Waiters.size());
+  if (Next.Name == Self) {
+    Q.RequestNumber = NextNumber++;
+    Q.Holder = Self;
+    return handleReply(
+        Organisation,
+        Seats.takePermits(Organisation,
+                          static_cast<std::uint32_t>(Q.Waiters.size()), Now));
+  }
+  Deps.Peers.send({Next.RelayEndpoint.Address, PeerPort}, Delivery::Datagram,
+                  startRequest(Organisation, Next, false));
+  setTimer(Q, Organisation, ReplyTimeout, &OperationPermits::handleTimeout);
+}
+
+PermitRequest OperationPermits::startRequest(const std::string &Organisation,
+                                             const ProxyRecord &Holder,
+                                             bool IsForwarded) {
+  Queue &Q = Queues[Organisation];
+  const Millis Now = Deps.Time.now();
   Q.RequestNumber = NextNumber++;
-  Q.Holder = Next.Name;
-  if (Next.Name == Self)
-    return handleReply(Organisation,
-                       Seats.takePermits(Organisation, Count, Now));
+  Q.Holder = Holder.Name;
   std::erase_if(Requests, [Now](const auto &Each) {
     return Now - Each.second.At >= RequestRetention;
   });
-  Requests[Q.RequestNumber] = {Organisation, Now};
-  Deps.Peers.send({Next.RelayEndpoint.Address, PeerPort}, Delivery::Datagram,
-                  PermitRequest{Q.RequestNumber, Organisation, Count});
-  setTimer(Q, Organisation, ReplyTimeout, &OperationPermits::handleTimeout);
+  Requests[Q.RequestNumber] = {Organisation, Now, IsForwarded};
+  return {Q.RequestNumber, Organisation,
+          static_cast<std::uint32_t>(Q.Waiters.size())};
+}
+
+bool OperationPermits::canForward(const ProxyRecord &Holder, Millis Now) const {
+  if (!Deps.ForwardingHost || Holder.Name == Self ||
+      Deps.ForwardingHost().Address.empty())
+    return false;
+  const auto Silent = BackoffUntil.find(Holder.Name);
+  const auto Failed = ForwardBackoffUntil.find(Holder.Name);
+  return Silent != BackoffUntil.end() && Now < Silent->second &&
+         (Failed == ForwardBackoffUntil.end() || Now >= Failed->second);
+}
+
+bool OperationPermits::forwardNext(const std::string &Organisation) {
+  Queue &Q = Queues[Organisation];
+  const auto Known = Holders.find(Organisation);
+  if (Q.HasPermits || Known == Holders.end())
+    return false;
+  const Millis Now = Deps.Time.now();
+  for (const ProxyRecord &Each : Known->second) {
+    if (!canForward(Each, Now) ||
+        !Q.AskedThroughControl.insert(Each.Name).second)
+      continue;
+    ++Forwards.Sent;
+    Deps.Peers.send(
+        Deps.ForwardingHost(), Delivery::Datagram,
+        ForwardedPermitRequest{Each.RelayEndpoint.Address,
+                               startRequest(Organisation, Each, true)});
+    setTimer(Q, Organisation, ForwardedReplyTimeout,
+             &OperationPermits::handleForwardTimeout);
+    return true;
+  }
+  return false;
+}
+
+// The control host may have dropped the request beyond its rate, or may be
+// gone: the pause reduces the load in the first case, and in the second the
+// holder is asked directly again.
+void OperationPermits::handleForwardTimeout(const std::string &Organisation) {
+  Queue &Q = Queues[Organisation];
+  Q.RequestNumber = 0;
+  ForwardBackoffUntil[Q.Holder] = Deps.Time.now() + HolderBackoff;
+  askNext(Organisation);
 }
 
 void OperationPermits::handleTimeout(const std::string &Organisation) {
@@ -194,6 +256,7 @@
   if (Found == Requests.end())
     return;
   const std::string Organisation = Found->second.Organisation;
+  Forwards.Answered += Found->second.IsForwarded ? 1 : 0;
   Requests.erase(Found);
   Queue &Q = Queues[Organisation];
   if (Q.RequestNumber != Body.Number)
@@ -225,6 +288,7 @@
     Q.MinRetryAfter = Q.MinRetryAfter
                           ? std::min(*Q.MinRetryAfter, Answer.RetryAfter)
                           : Answer.RetryAfter;
+  Q.HasPermits = Q.HasPermits || Answer.Granted > 0;
   Q.NextRoundAt = Deps.Time.now();
   const std::vector<Handler> Permitted = dequeue(Q, Answer.Granted);
   // The next request is sent before the handlers run, so that operations
--- a/Source/Quota/OperationPermits.h
+++ b/Source/Quota/OperationPermits.h
@@ -38,6 +38,17 @@
     Clock &Time;
     Scheduler &Timers;
     Transport &Peers;
+    /// Returns the control host through which requests can be forwarded, empty
+    /// if there is none. Not set: requests are not forwarded.
+    std::function<Endpoint()> ForwardingHost = {};
+  };
+
+  /// Requests that went through a control host, for metrics.
+  struct ForwardCounts {
+    std::uint64_t Sent = 0;
+    std::uint64_t Answered = 0; ///< In time or late.
+
+    auto operator<=>(const ForwardCounts &) const = default;
   };
 
   /// \p PeerPort is the same at all proxies.
@@ -58,6 +69,8 @@
   /// Called when the seats of this proxy have changed.
   void handleSeatsChanged();
 
+  const ForwardCounts &forwardCounts() const { return Forwards; }
+
 private:
   struct Waiting {
     std::uint64_t Number = 0;
@@ -71,6 +84,9 @@
     std::uint64_t RequestNumber = 0; ///< In flight; 0: none.
     std::string Holder;              ///< Name of the one that is asked.
     std::set<std::string> Asked;     ///< Names of holders, in this round.
+    /// Names of holders asked through control, in this round.
+    std::set<std::string> AskedThroughControl;
+    bool HasPermits = false; ///< Permits were granted in this round.
     /// Shortest time until one of the holders asked has a permit.
     std::optional<Millis> MinRetryAfter;
     Millis NextRoundAt;
@@ -80,6 +96,7 @@
   struct SentRequest {
     std::string Organisation;
     Millis At;
+    bool IsForwarded = false;
   };
 
   void receive(const Envelope &Arrived);
@@ -94,6 +111,14 @@
   const ProxyRecord *nextHolder(const std::string &Organisation, const Queue &Q,
                                 Millis Now) const;
   void askNext(const std::string &Organisation);
+  /// Assigns a number to the request for all operations that wait.
+  PermitRequest startRequest(const std::string &Organisation,
+                             const ProxyRecord &Holder, bool IsForwarded);
+  /// True if \p Holder is silent and may be asked through control.
+  bool canForward(const ProxyRecord &Holder, Millis Now) const;
+  /// Asks a silent holder through control if the round brought no permit.
+  /// Returns false if there is none to ask.
+  bool forwardNext(const std::string &Organisation);
   void handleReply(const std::string &Organisation, const PermitReply &Answer);
   /// Removes up to \p Permits operations from a queue, the oldest first.
   static std::vector<Handler> dequeue(Queue &Q, std::uint32_t Permits);
@@ -106,6 +131,7 @@
                 void (OperationPermits::*Then)(const std::string &));
   void stopTimer(Queue &Q);
   void handleTimeout(const std::string &Organisation);
+  void handleForwardTimeout(const std::string &Organisation);
 
   Dependencies Deps;
   std::string Self;
@@ -114,10 +140,13 @@
   std::vector<ProxyRecord> Proxies;
   std::map<std::string, std::vector<ProxyRecord>> Holders;
   std::map<std::string, Millis> BackoffUntil; ///< Of unresponsive holders.
+  /// Of holders that did not answer through control.
+  std::map<std::string, Millis> ForwardBackoffUntil;
   std::map<std::string, Queue> Queues;
   /// Unanswered requests by number. Permits of a late answer are used too.
   std::map<std::uint64_t, SentRequest> Requests;
   std::uint64_t NextNumber = 1;
+  ForwardCounts Forwards;
 };
 
 } // namespace corianderdyke
--- a/Source/Steering/ControlClient.h
+++ b/Source/Steering/ControlClient.h
@@ -51,6 +51,11 @@
   bool isConfirmed() const { return IsPlanConfirmed; }
   /// True while control also answers this process.
   bool isCurrent() const { return IsPlanConfirmed && HasContact; }
+  /// The control host that answers this process; without an address if none
+  /// does.
+  Endpoint contact() const {
+    return HasContact ? Endpoint{Leader, Options.PeerPort} : Endpoint{};
+  }
   const RoutePlan &plan() const { return Plan; }
   const TargetDirectory &directory() const { return Directory; }
 
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -8,6 +8,7 @@
 
 #include "Consensus/ReadBarriers.h"
 #include "Loop/Scheduler.h"
+#include "Quota/PermitForwarder.h"
 #include "Quota/SeatLedger.h"
 #include "Steering/PromotionCoordinator.h"
 #include "Steering/ProxyList.h"
@@ -25,6 +26,8 @@
   std::size_t ToleratedDiskLosses = 1;
   /// Secret for the digests of callers' keys that are sent to proxies.
   std::string KeySecret = {};
+  /// Whether requests for permits are passed on to holders of quota seats.
+  bool PermitForwarding = false;
 };
 
 struct SteeringDependencies {
@@ -67,6 +70,9 @@
   const ReplicatedState &state() const { return State; }
   const TargetDirectory &directory() const { return Directory; }
   std::size_t subscriberCount() const { return Subscribers.size(); }
+  const PermitForwardCounts &permitForwards() const {
+    return Forwarder.counts();
+  }
 
   /// Emitted with the disk's error when it refuses writes, and with nothing
   /// when it takes them again. Meanwhile this host neither leads nor votes.
@@ -140,6 +146,8 @@
   void on(const Envelope &From, const ConsensusMessage &Body);
   void on(const Envelope &From, const SubscribeRequest &Body);
   void on(const Envelope &From, const DirectoryUpdate &Body);
+  void on(const Envelope &From, const ForwardedPermitRequest &Body);
+  void on(const Envelope &From, const PermitReply &Body);
   template <class Other> void on(const Envelope &, const Other &) {}
 
   void processOutputs();
@@ -208,6 +216,7 @@
   std::map<ProcessId, WaitingSubscribe> WaitingRequests;
   ProxyList Proxies;
   SeatLedger Seats;
+  PermitForwarder Forwarder;
   std::map<ProcessId, PendingSeats> SeatRequests;
   bool IsConfirmingSeats = false;
   bool IsRecordingSeats = false;
--- a/Source/Steering/SteeringSubscribers.cpp
+++ b/Source/Steering/SteeringSubscribers.cpp
@@ -233,6 +233,29 @@
           });
 }
 
+// Only the leading host knows the subscribed proxies.
+void SteeringNode::on(const Envelope &From,
+                      const ForwardedPermitRequest &Body) {
+  if (!Options.PermitForwarding)
+    return;
+  bool IsSenderSubscribed = false;
+  std::optional<Endpoint> Holder;
+  for (const auto &[Id, Each] : Subscribers) {
+    IsSenderSubscribed = IsSenderSubscribed || Each.Address == From.ReplyTo;
+    if (Each.Address.Address == Body.Holder)
+      Holder = Each.Address;
+  }
+  const auto Passed = Forwarder.forward(From.ReplyTo, IsSenderSubscribed,
+                                        Holder, Body.Request, Deps.Time.now());
+  if (Passed)
+    Deps.Peers.send(Passed->To, Delivery::Datagram, Passed->Request);
+}
+
+void SteeringNode::on(const Envelope &From, const PermitReply &Body) {
+  if (const auto Returned = Forwarder.takeReply(From.ReplyTo, Body))
+    Deps.Peers.send(Returned->To, Delivery::Datagram, Returned->Reply);
+}
+
 void SteeringNode::removeExpiredSubscribers() {
   for (auto Each = Subscribers.begin(); Each != Subscribers.end();)
     if (Deps.Time.now() - Each->second.LastContact > SubscriberTimeout)
--- a/Source/Transport/Envelope.h
+++ b/Source/Transport/Envelope.h
@@ -22,7 +22,7 @@
                  RightsRequest, RightsGrant, SubscribeRequest, SubscribeReply,
                  SubscribeRedirect, PlanUpdate, DirectoryUpdate,
                  ProxyListUpdate, ReachabilityQuery, SeatGrant, PermitRequest,
-                 PermitReply>;
+                 PermitReply, ForwardedPermitRequest>;
 
 /// Maximum size of a message before compression.
 constexpr std::size_t MaxUncompressedBytes = 64U << 20U;
--- a/Tests/Support/FakeFleet.h
+++ b/Tests/Support/FakeFleet.h
@@ -106,8 +106,9 @@
 class FakeFleet {
 public:
   explicit FakeFleet(std::uint64_t Seed, std::size_t Proxies = 3,
-                     int Controls = 5)
-      : Net(Loop, Seed), Targets(Loop), Random(Seed) {
+                     int Controls = 5, bool PermitForwarding = false)
+      : Net(Loop, Seed), Targets(Loop), Random(Seed),
+        PermitForwarding(PermitForwarding) {
     for (int Each = 1; Each <= Controls; ++Each)
       Names.push_back("10.0.0." + std::to_string(Each));
     for (const std::string &Name : Names)
@@ -142,6 +143,7 @@
     Options.Seeds = {Names[0], Names[1], Names[2]};
     Options.MayBootstrap = MayFound;
     Options.ToleratedDiskLosses = 2;
+    Options.PermitForwarding = PermitForwarding;
     Made.Node = std::make_unique<SteeringNode>(
         Options,
         SteeringDependencies{*Made.Host, *Made.Host, *Made.Peers, Targets,
@@ -262,6 +264,7 @@
   FakeNetwork Net;
   FakeTargets Targets;
   std::mt19937_64 Random;
+  bool PermitForwarding; ///< Of the control hosts.
   std::vector<std::string> Names;
   std::map<std::string, std::unique_ptr<FakeDisk>> Disks;
   std::map<std::string, ControlHostParts> Controls;
