--- a/Tests/Support/FakeFleet.h
+++ b/Tests/Support/FakeFleet.h
@@ -5,6 +5,7 @@
 #ifndef CORIANDERDYKE_TESTS_SUPPORT_FAKEFLEET_H
 #define CORIANDERDYKE_TESTS_SUPPORT_FAKEFLEET_H
 
+#include "Admission/LoadOptions.h"
 #include "FakeDisk.h"
 #include "FakeNetwork.h"
 #include "Steering/ControlClient.h"
@@ -123,8 +124,8 @@
 class FakeFleet {
 public:
   explicit FakeFleet(std::uint64_t Seed, std::size_t Proxies = 3,
-                     int Controls = 5, bool LeadRelief = false)
-      : Net(Loop, Seed), Targets(Loop), Random(Seed), LeadRelief(LeadRelief) {
+                     int Controls = 5, const LoadOptions &Load = {})
+      : Net(Loop, Seed), Targets(Loop), Random(Seed), Load(Load) {
     for (int Each = 1; Each <= Controls; ++Each)
       Names.push_back("10.0.0." + std::to_string(Each));
     for (const std::string &Name : Names)
@@ -159,7 +160,8 @@
     Options.Seeds = {Names[0], Names[1], Names[2]};
     Options.MayBootstrap = MayFound;
     Options.ToleratedDiskLosses = 2;
-    Options.LeadRelief = LeadRelief;
+    Options.LeadRelief = Load.LeadRelief;
+    Options.PermitForwarding = Load.PermitForwarding;
     Made.Node = std::make_unique<SteeringNode>(
         Options,
         SteeringDependencies{*Made.Host, *Made.Host, *Made.Peers, Targets,
@@ -285,7 +287,7 @@
   FakeNetwork Net;
   FakeTargets Targets;
   std::mt19937_64 Random;
-  bool LeadRelief;
+  LoadOptions Load;
   std::vector<std::string> Names;
   std::map<std::string, std::unique_ptr<FakeDisk>> Disks;
   std::map<std::string, ControlHostParts> Controls;
--- a/Tests/Unit/LeadReliefFleetTest.cpp
+++ b/Tests/Unit/LeadReliefFleetTest.cpp
@@ -12,7 +12,7 @@
 /// lag by seconds. Everything has been settled for long enough.
 struct ReliefFleet {
   explicit ReliefFleet(bool LeadRelief = true, bool HasOther = false)
-      : Fleet(1, 3, 5, LeadRelief) {
+      : Fleet(1, 3, 5, {.LeadRelief = LeadRelief}) {
     REQUIRE(Fleet.awaitLeader());
     for (const char *Group : {"ledger", "other"}) {
       if (std::string(Group) == "other" && !HasOther)
