--- a/Source/App/SteeringMetrics.cpp
+++ b/Source/App/SteeringMetrics.cpp
@@ -106,6 +106,14 @@
          static_cast<double>(Openings.Begun));
   To.add("corianderdyke_target_connections_refused_total",
          static_cast<double>(Openings.RefusedAtLimit));
+  if (From.Sharing != nullptr) {
+    const PeerReachCounts Reach = From.Sharing->reachCounts();
+    To.add("corianderdyke_peers_unreachable",
+           static_cast<double>(Reach.Unreachable));
+    To.add("corianderdyke_peer_pings_total", static_cast<double>(Reach.Pings));
+    To.add("corianderdyke_statements_moved_total",
+           static_cast<double>(Reach.MovedStatements));
+  }
   for (const PoolReport &Each : From.Pipeline->pools()) {
     To.add("corianderdyke_target_connections",
            static_cast<double>(Each.Connections), {{"target", Each.Target}});
--- a/Source/App/SteeringMetrics.h
+++ b/Source/App/SteeringMetrics.h
@@ -7,7 +7,7 @@
 #include "Common/DurationHistogram.h"
 #include "Http/HttpServer.h"
 #include "Operators/MetricSet.h"
-#include "Relay/TargetBroker.h"
+#include "Relay/SharedConnector.h"
 #include "Steering/ControlClient.h"
 #include "Steering/ProtocolAdapter.h"
 #include "Steering/SteeringNode.h"
@@ -20,6 +20,7 @@
   const Transport &Peers;
   SessionPipeline *Pipeline = nullptr;
   const TargetBroker *Broker = nullptr;
+  const SharedConnector *Sharing = nullptr;
   const QuotaSeats *Quotas = nullptr;
   const ControlClient *Client = nullptr;
   SteeringNode *Control = nullptr;
--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -61,8 +61,8 @@
 
 Expected<void> SteeringProcess::openMetrics() {
   Metrics = std::make_unique<SteeringMetrics>(SteeringSources{
-      Time, *Peers, Pipeline.get(), Broker.get(), Quotas.get(), Client.get(),
-      Control.get(), [this] { return isReady(); },
+      Time, *Peers, Pipeline.get(), Broker.get(), ConnectionSharing.get(),
+      Quotas.get(), Client.get(), Control.get(), [this] { return isReady(); },
       ProcessLatencies{&Loop.timerLatency(),
                        Disk ? &Disk->syncDurations() : nullptr}});
   if (Options.OperatorEndpoint.Port == 0)
@@ -131,6 +131,8 @@
       Options.Name);
   Relay = std::make_unique<RelayServer>(Time, Loop, *Streams, *Frames, *Broker,
                                         SessionFloors);
+  if (Options.Load.ReachReports)
+    Relay->reportReach(*Broker);
   return {};
 }
 
@@ -264,6 +266,13 @@
     // Statements may have waited for the list.
     Pipeline->updateTargets(Client->directory());
   });
+  ConnectionSharing->signalPeerReach().connect(
+      [](const std::string &Name, bool IsReachable) {
+        const EventId Event =
+            IsReachable ? EventId::PeerReachable : EventId::PeerUnreachable;
+        if (admitEvent(Event))
+          logEvent(Event, {{"proxy", Name}});
+      });
   Broker->signalTargetFailure().connect(
       sigc::mem_fun(*this, &SteeringProcess::reportTargetFailure));
   Broker->signalPrimaryAnswered().connect(
--- a/Source/Logs/LogEvents.cpp
+++ b/Source/Logs/LogEvents.cpp
@@ -162,6 +162,12 @@
       {EventId::ProxiesKnown, Severity::Info, "proxies-known",
        "The list of proxies changed, and with it the assignment of target "
        "connections."},
+      {EventId::PeerUnreachable, Severity::Warning, "peer-unreachable",
+       "Another proxy is silent or refuses streams; it gets no statements "
+       "until it answers a ping.",
+       20},
+      {EventId::PeerReachable, Severity::Info, "peer-reachable",
+       "A proxy that was unreachable answers again.", 20},
   };
   return All;
 }
--- a/Source/Logs/LogEvents.h
+++ b/Source/Logs/LogEvents.h
@@ -40,6 +40,8 @@
   StatementServed = 406,
   TargetUnusable = 407,
   ProxiesKnown = 408,
+  PeerUnreachable = 409,
+  PeerReachable = 410,
   PromotionStep = 404,
 };
 
--- a/Source/Operators/MetricSet.cpp
+++ b/Source/Operators/MetricSet.cpp
@@ -76,6 +76,13 @@
        "its quota."},
       {"corianderdyke_quota_seats", MetricType::Gauge, "", "proxy",
        "Parts of organisations' quotas that this proxy gives out permits of."},
+      {"corianderdyke_peers_unreachable", MetricType::Gauge, "", "proxy",
+       "Other proxies that get no statements until they answer a ping."},
+      {"corianderdyke_peer_pings_total", MetricType::Counter, "", "proxy",
+       "Pings sent to other proxies."},
+      {"corianderdyke_statements_moved_total", MetricType::Counter, "", "proxy",
+       "Statements that found their gateway silent or unreachable, once for "
+       "each such gateway."},
       {"corianderdyke_target_age_seconds", MetricType::Gauge, "target", "proxy",
        "How old the target's data may be at the most, as this proxy knows; "
        "missing where that can't be told."},
--- a/Source/Relay/GatewayTable.cpp
+++ b/Source/Relay/GatewayTable.cpp
@@ -68,7 +68,8 @@
 
 GatewayTable::GatewayTable(const std::vector<ProxyRecord> &Proxies,
                            const std::vector<TargetRecord> &Targets,
-                           const std::map<std::string, std::size_t> &Gateways) {
+                           const std::map<std::string, std::size_t> &Gateways)
+    : Proxies(Proxies) {
   if (Proxies.empty())
     return;
   std::size_t Total = 0;
@@ -84,6 +85,7 @@
             [](const TargetRecord &Left, const TargetRecord &Right) {
               return Left.Id < Right.Id;
             });
+  this->Targets = SharedTargets;
   const std::size_t Mean = (Total + Proxies.size() - 1) / Proxies.size();
   std::vector<std::size_t> Load(Proxies.size(), 0);
   for (const TargetRecord &Each : SharedTargets) {
@@ -121,4 +123,47 @@
   return Found == ByTarget.end() ? None : Found->second;
 }
 
+std::size_t GatewayTable::candidates(const std::string &Target) const {
+  return ByTarget.count(Target) == 0 ? 0 : Proxies.size();
+}
+
+const ProxyRecord &GatewayTable::candidate(const std::string &Target,
+                                           std::size_t Rank) const {
+  const std::vector<ProxyRecord> &First = gatewaysOf(Target);
+  if (Rank < First.size())
+    return First[Rank];
+  return Proxies[furtherCandidates(Target)[Rank - First.size()]];
+}
+
+std::optional<std::size_t>
+GatewayTable::rankOf(const std::string &Target,
+                     const std::string &Proxy) const {
+  for (std::size_t Rank = 0; Rank < candidates(Target); ++Rank)
+    if (candidate(Target, Rank).Name == Proxy)
+      return Rank;
+  return std::nullopt;
+}
+
+const std::vector<std::size_t> &
+GatewayTable::furtherCandidates(const std::string &Target) const {
+  const auto [Entry, IsNew] = Further.try_emplace(Target);
+  if (!IsNew)
+    return Entry->second;
+  const auto Of = std::find_if(
+      Targets.begin(), Targets.end(),
+      [&Target](const TargetRecord &Each) { return Each.Id == Target; });
+  // Each of the first is left out once, so that the number of candidates is
+  // that of the proxies even if the list names one twice.
+  std::vector<ProxyRecord> First = gatewaysOf(Target);
+  for (const Candidate &Next : rankProxies(Proxies, *Of, Proxies.size())) {
+    const auto Found =
+        std::find(First.begin(), First.end(), Proxies[Next.Index]);
+    if (Found == First.end())
+      Entry->second.push_back(Next.Index);
+    else
+      First.erase(Found);
+  }
+  return Entry->second;
+}
+
 } // namespace corianderdyke
--- a/Source/Relay/GatewayTable.h
+++ b/Source/Relay/GatewayTable.h
@@ -13,6 +13,7 @@
 #include "Directory/TargetDirectory.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,8 +57,27 @@
   /// unknown.
   const std::vector<ProxyRecord> &gatewaysOf(const std::string &Target) const;
 
+  /// Returns the number of proxies in the whole ranking of a target: its
+  /// gateways, their spares and all others. Zero if the target is unknown.
+  std::size_t candidates(const std::string &Target) const;
+  /// Returns the proxy with \p Rank, which is less than the number of
+  /// candidates. Ranks beyond gatewaysOf are computed at the first use.
+  const ProxyRecord &candidate(const std::string &Target,
+                               std::size_t Rank) const;
+  /// Returns a proxy's rank; nothing if it is not a candidate.
+  std::optional<std::size_t> rankOf(const std::string &Target,
+                                    const std::string &Proxy) const;
+
 private:
+  const std::vector<std::size_t> &
+  furtherCandidates(const std::string &Target) const;
+
+  std::vector<ProxyRecord> Proxies;
+  std::vector<TargetRecord> Targets; ///< Those with gateways, by Id.
   std::map<std::string, std::vector<ProxyRecord>> ByTarget;
+  /// Proxies that follow those in ByTarget, as indices into Proxies. A cache:
+  /// there may be 1,400 proxies, and most targets never need them.
+  mutable std::map<std::string, std::vector<std::size_t>> Further;
 };
 
 } // namespace corianderdyke
--- a/Source/Relay/Messages.h
+++ b/Source/Relay/Messages.h
@@ -6,6 +6,7 @@
 
 #include "Statements/Links.h"
 
+#include <map>
 #include <variant>
 
 namespace corianderdyke {
@@ -80,9 +81,22 @@
   template <class Archive> void serialize(Archive &) {}
 };
 
+/// Which targets the gateway cannot reach. It replaces the gateway's previous
+/// message of this kind.
+struct RelayReach {
+  std::vector<std::string> Unreachable;
+  /// Statements waiting and in flight at the gateway, by target.
+  std::map<std::string, std::uint32_t> Load;
+
+  bool operator==(const RelayReach &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Unreachable, Load);
+  }
+};
+
 using RelayMessage =
     std::variant<RelayOpen, RelayCommands, RelayAnswer, RelayClose, RelayPing,
-                 RelayPong, RelayLeaving>;
+                 RelayPong, RelayLeaving, RelayReach>;
 
 } // namespace corianderdyke
 
--- a/Source/Relay/RelayClient.cpp
+++ b/Source/Relay/RelayClient.cpp
@@ -3,6 +3,8 @@
 
 #include "Relay/RelayClient.h"
 
+#include <algorithm>
+
 namespace corianderdyke {
 
 namespace {
@@ -27,6 +29,12 @@
 /// After the stream ended, other gateways are used for this long: a restart
 /// takes about as long, and each attempt costs the caller a few milliseconds.
 constexpr Millis AvoidFor(300);
+/// Interval of the liveness check if gateways are probed. The limit of silence
+/// may be as low as 60 ms, and the ping is sent after half of it.
+constexpr Millis ProbingCheckInterval(15);
+/// Checks after a ping before its lack of an answer counts. If this process has
+/// paused, an answer that has arrived is read between two checks.
+constexpr std::size_t MinChecksSincePing = 2;
 
 } // namespace
 
@@ -93,13 +101,17 @@
 };
 
 RelayClient::RelayClient(Clock &Time, Scheduler &Timers, PeerStreams &Streams,
-                         RelayCodec &Frames, FloorTable &Floors, Endpoint At)
+                         RelayCodec &Frames, FloorTable &Floors, Endpoint At,
+                         PeerReachHandling Handling)
     : Time(Time), Timers(Timers), Streams(Streams), Floors(Floors),
-      Frames(Frames), At(std::move(At)), Outbox(Timers, Frames) {}
+      Frames(Frames), At(std::move(At)), Outbox(Timers, Frames),
+      Handling(std::move(Handling)) {}
 
 RelayClient::~RelayClient() {
   if (LivenessTimer != 0)
     Timers.cancel(LivenessTimer);
+  if (ProbeTimer != 0)
+    Timers.cancel(ProbeTimer);
 }
 
 std::unique_ptr<TargetLink> RelayClient::open(const TargetAddress &To,
@@ -115,8 +127,52 @@
 
 bool RelayClient::isAvailable() const {
   const bool IsSuspect =
-      LivenessTimer != 0 && Time.now() - LastReceived >= SuspectAfter;
-  return !IsLeaving && !IsSuspect && Time.now() >= AvoidUntil;
+      Handling.IsEnabled
+          ? IsSilent
+          : LivenessTimer != 0 && Time.now() - LastReceived >= SuspectAfter;
+  return !IsLeaving && !IsSuspect && !Reach.isUnreachable() &&
+         Time.now() >= AvoidUntil;
+}
+
+Millis RelayClient::silenceLimit() const {
+  return Handling.IsEnabled ? RoundTrip.silenceLimit() : NotifyAfter;
+}
+
+void RelayClient::recordWanted() {
+  Reach.recordWanted(Time.now());
+  scheduleProbe();
+}
+
+void RelayClient::probe() {
+  if (!Outbox.isOpen())
+    connect();
+}
+
+void RelayClient::scheduleProbe() {
+  if (ProbeTimer != 0 || Outbox.isOpen())
+    return;
+  const Millis Now = Time.now();
+  const auto Next = Reach.nextProbeAt(Now);
+  if (!Next)
+    return;
+  ProbeTimer = Timers.after(std::max(Millis(0), *Next - Now), [this] {
+    ProbeTimer = 0;
+    // Statements may have stopped asking for this gateway.
+    if (Outbox.isOpen() || !Reach.nextProbeAt(Time.now()))
+      return;
+    Reach.recordProbe(Time.now());
+    connect();
+  });
+}
+
+void RelayClient::sendPing() {
+  IsPingPending = true;
+  ChecksSincePing = 0;
+  if (Handling.IsEnabled) {
+    PingsSent.push_back(Time.now());
+    ++Pings;
+  }
+  send(RelayPing{});
 }
 
 void RelayClient::connect() {
@@ -126,6 +182,15 @@
   Outbox.reset(
       Streams.connect(At, {[this](const std::string &Frame) { receive(Frame); },
                            [this] { closeStream(); }}));
+  if (!Handling.IsEnabled)
+    return;
+  HasReceived = false;
+  IsSilent = false;
+  PingsSent.clear();
+  Reported.clear();
+  // It shows whether the gateway answers at all, and the usual round trip.
+  sendPing();
+  startLivenessCheck();
 }
 
 void RelayClient::send(RelayMessage Body) { Outbox.send(std::move(Body)); }
@@ -137,6 +202,10 @@
   // After an undecodable frame the order of answers is unknown.
   if (!Messages)
     return closeStream();
+  HasReceived = true;
+  IsSilent = false;
+  if (Reach.recordReceived(LastReceived) && Handling.OnChange)
+    Handling.OnChange(true);
   for (const RelayMessage &Each : *Messages)
     std::visit([&](const auto &Body) { on(Body); }, Each);
 }
@@ -161,11 +230,33 @@
 
 void RelayClient::on(const RelayLeaving &) { IsLeaving = true; }
 
+void RelayClient::on(const RelayPong &) {
+  if (PingsSent.empty())
+    return;
+  RoundTrip.record(Time.now() - PingsSent.front());
+  PingsSent.pop_front();
+}
+
+void RelayClient::on(const RelayReach &Body) {
+  if (Handling.IsEnabled)
+    Reported.record(Body.Unreachable, Time.now());
+}
+
 void RelayClient::closeStream() {
   // A process that accepts the next stream is a new one.
   IsLeaving = false;
-  AvoidUntil = Time.now() + AvoidFor;
+  // A gateway that had answered and was not silent has ended the stream itself,
+  // as a process that stops or restarts does.
+  const bool IsLost = Handling.IsEnabled && (IsSilent || !HasReceived);
+  if (!IsLost)
+    AvoidUntil = Time.now() + AvoidFor;
+  IsSilent = false;
   Outbox.reset(nullptr);
+  if (IsLost) {
+    if (Reach.recordLost(Time.now()) && Handling.OnChange)
+      Handling.OnChange(false);
+    scheduleProbe();
+  }
   // Handlers may destroy any of the links, and open others, which belong to the
   // next stream.
   const std::uint32_t FirstOfNextStream = NextLink;
@@ -199,10 +290,11 @@
   if (LivenessTimer != 0)
     return;
   LastReceived = Time.now();
-  LivenessTimer = Timers.after(CheckInterval, [this] {
-    LivenessTimer = 0;
-    checkLiveness();
-  });
+  LivenessTimer = Timers.after(
+      Handling.IsEnabled ? ProbingCheckInterval : CheckInterval, [this] {
+        LivenessTimer = 0;
+        checkLiveness();
+      });
 }
 
 void RelayClient::checkLiveness() {
@@ -211,20 +303,31 @@
   if (!Outbox.isOpen() || (!awaitsAnswers() && !IsPingPending))
     return;
   const Millis Silence = Time.now() - LastReceived;
-  if (Silence >= CloseAfter)
+  const Millis Limit = silenceLimit();
+  ++ChecksSincePing;
+  if (Silence >= CloseAfter) {
+    IsSilent = true;
     return closeStream();
+  }
   // Sent once: an overloaded gateway would otherwise get another ping from
   // hundreds of proxies at each check.
-  if (Silence >= PingAfter && !std::exchange(IsPingPending, true))
-    send(RelayPing{});
-  LivenessTimer = Timers.after(CheckInterval, [this] {
-    LivenessTimer = 0;
-    checkLiveness();
-  });
+  if (Silence >= (Handling.IsEnabled ? Limit / 2 : PingAfter) && !IsPingPending)
+    sendPing();
+  LivenessTimer = Timers.after(
+      Handling.IsEnabled ? ProbingCheckInterval : CheckInterval, [this] {
+        LivenessTimer = 0;
+        checkLiveness();
+      });
   // Last, because handlers may send on this stream again. Without a timer that
   // would start another check and discard the silence so far.
-  if (Silence >= NotifyAfter)
-    notifySilent();
+  if (Silence < Limit)
+    return;
+  if (Handling.IsEnabled) {
+    if (ChecksSincePing < MinChecksSincePing)
+      return;
+    IsSilent = true;
+  }
+  notifySilent();
 }
 
 } // namespace corianderdyke
--- a/Source/Relay/RelayCodec.h
+++ b/Source/Relay/RelayCodec.h
@@ -29,7 +29,7 @@
   /// The first byte of a frame. It must change with the messages and with the
   /// dictionary: a frame compressed with another dictionary would decompress to
   /// wrong content.
-  static constexpr char FormatVersion = 3;
+  static constexpr char FormatVersion = 4;
   /// The dictionary for compression and decompression.
   static std::string compressionDictionary();
 
--- a/Source/Relay/RelayServer.cpp
+++ b/Source/Relay/RelayServer.cpp
@@ -12,6 +12,9 @@
 /// group by at least this. A smaller update is not worth its bytes, because
 /// callers accept ages of a second and more.
 constexpr Millis FloorInterval(150);
+/// Interval in which the broker is asked whether targets that it could not
+/// reach still fail. It is a tenth of the time that they must not fail.
+constexpr Millis ReachCheckInterval(100);
 
 } // namespace
 
@@ -36,7 +39,37 @@
   });
 }
 
-RelayServer::~RelayServer() = default;
+RelayServer::~RelayServer() {
+  if (ReachTimer != 0)
+    Timers.cancel(ReachTimer);
+}
+
+void RelayServer::reportReach(TargetBroker &Broker) {
+  Reported = &Broker;
+  Broker.signalTargetFailure().connect(
+      sigc::hide(sigc::mem_fun(*this, &RelayServer::updateReach)));
+}
+
+void RelayServer::updateReach() {
+  const Millis Now = Time.now();
+  const bool HasChanged = Unreachable.update(Reported->failingTargets(), Now);
+  if (HasChanged || (!Unreachable.isEmpty() &&
+                     Now - ReachSentAt >= ReportedTargets::RepeatInterval))
+    sendReach();
+  if (ReachTimer != 0 || Unreachable.isEmpty())
+    return;
+  ReachTimer = Timers.after(ReachCheckInterval, [this] {
+    ReachTimer = 0;
+    updateReach();
+  });
+}
+
+void RelayServer::sendReach() {
+  ReachSentAt = Time.now();
+  const RelayReach Body{Unreachable.names(), Reported->load()};
+  for (const auto &Each : Peers)
+    Each->send(Body);
+}
 
 PeerStreamEvents
 RelayServer::accepted(const std::shared_ptr<PeerStream> &Stream) {
@@ -45,6 +78,8 @@
   Peers.insert(Created);
   if (IsStopping)
     Created->send(RelayLeaving{});
+  if (!Unreachable.isEmpty())
+    Created->send(RelayReach{Unreachable.names(), Reported->load()});
   const std::weak_ptr<Peer> Weak = Created;
   return {[this, Weak](const std::string &Frame) {
             if (const auto Strong = Weak.lock())
--- a/Source/Relay/RelayServer.h
+++ b/Source/Relay/RelayServer.h
@@ -7,7 +7,9 @@
 
 #include "Common/Clock.h"
 #include "Pipeline/FloorTable.h"
+#include "Reach/TargetReports.h"
 #include "Relay/RelayCodec.h"
+#include "Relay/TargetBroker.h"
 #include "Transport/PeerStreams.h"
 
 #include <map>
@@ -17,11 +19,13 @@
 
 /// All links of a stream end with it, so open transactions of another proxy are
 /// rolled back as soon as its process has ended.
-class RelayServer {
+class RelayServer : public sigc::trackable {
 public:
   RelayServer(Clock &Time, Scheduler &Timers, PeerStreams &Streams,
               RelayCodec &Frames, TargetConnector &Targets,
               const FloorTable &Floors);
+  /// Reports to the connected proxies which targets \p Broker cannot reach.
+  void reportReach(TargetBroker &Broker);
   ~RelayServer();
   RelayServer(const RelayServer &) = delete;
   RelayServer &operator=(const RelayServer &) = delete;
@@ -40,6 +44,8 @@
   void on(Peer &From, const RelayPing &Body);
   template <class Other> void on(Peer &, const Other &) {}
   void drop(Peer &Closed);
+  void updateReach();
+  void sendReach();
 
   std::optional<RelayFloor> floorUpdateFor(Peer &To,
                                            const std::string &Group) const;
@@ -51,6 +57,10 @@
   const FloorTable &Floors;
   std::set<std::shared_ptr<Peer>> Peers;
   bool IsStopping = false;
+  TargetBroker *Reported = nullptr; ///< Null unless reach is reported.
+  UnreachableTargets Unreachable;
+  Millis ReachSentAt;
+  Scheduler::TimerId ReachTimer = 0; ///< While a target is unreachable.
 };
 
 } // namespace corianderdyke
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -22,6 +22,13 @@
 constexpr Millis ProxyListTimeout(2500);
 /// A gateway that cannot reach a target is not used for it for this long.
 constexpr Millis AvoidFor(400);
+/// A proxy has answered lately if something was received from it within this
+/// time. It is no longer than the silences that a statement with two dead paths
+/// has observed, so the answer is younger than what cut these paths.
+constexpr Millis AnsweredLatelyFor = RoundTripEstimate::MaxSilence;
+/// Dead paths of a statement are forgotten after this long: no caller's
+/// deadline is longer.
+constexpr Millis DeadPathsKeptFor(5000);
 
 } // namespace
 
@@ -45,12 +52,16 @@
 
   void send(const std::vector<TargetCommand> &Commands) override {
     const bool IsIdle = Unanswered == 0 && Phase == SessionPhase::Idle;
+    for (const TargetCommand &Each : Commands)
+      if (!Each.Id.empty())
+        StatementId = Each.Id;
     if (IsIdle && !rebind())
       return refuseAll(Commands);
     if (!GatewayLink) {
       // The transaction ended with its gateway; OnClose has been called.
       return;
     }
+    IsPathDead = false;
     Unanswered += Commands.size();
     for (const TargetCommand &Each : Commands)
       recordState(Each);
@@ -60,10 +71,14 @@
 private:
   /// Binds to a gateway that is considered able to reach the target.
   bool rebind() {
-    if (GatewayLink && Owner.isUsable(Bound, To.Id))
+    if (GatewayLink && Owner.isUsable(Bound, To))
+      return true;
+    const auto Chosen = Owner.chooseGateway(To, StatementId);
+    // A link leaves a spare only when a gateway has become usable.
+    if (GatewayLink && Owner.Deps.Load.ReachReports && Chosen &&
+        Chosen->Name == Bound.Name)
       return true;
     GatewayLink.reset();
-    const auto Chosen = Owner.chooseGateway(To);
     if (!Chosen)
       return false;
     Bound = *Chosen;
@@ -71,7 +86,7 @@
         To,
         {[] {}, [this](const StatementAnswer &Answer) { handleAnswer(Answer); },
          [this](const std::optional<StatementRefusal> &) { handleClose(); },
-         Handlers.OnKeepaliveTimeout});
+         [this] { handleSilence(); }});
     if (!State.empty()) {
       Replayed = State.size();
       GatewayLink->send(State);
@@ -105,14 +120,30 @@
     if (Answer.Refusal && Answer.Refusal->Code == RefusalCode::Unreachable) {
       Owner.avoid(Bound.Name, To.Id);
       // Another gateway may reach the target, so the refusal is temporary.
-      if (Owner.chooseGateway(To))
+      if (Owner.chooseGateway(To, StatementId))
         Out.Refusal->Code = RefusalCode::Busy;
     }
     const auto Handler = Handlers.OnAnswer;
     Handler(Out);
   }
 
+  /// Counts the path through the bound gateway as dead, once for each
+  /// statement.
+  void recordDeadPath() {
+    if (Unanswered > 0 && !std::exchange(IsPathDead, true))
+      Owner.recordDeadPath(StatementId);
+  }
+
+  void handleSilence() {
+    recordDeadPath();
+    const auto Handler = Handlers.OnKeepaliveTimeout;
+    if (Handler)
+      Handler();
+  }
+
   void handleClose() {
+    if (Bound.Peer != nullptr && Bound.Peer->isUnreachable())
+      recordDeadPath();
     const bool IsIdle = Unanswered == 0 && Phase == SessionPhase::Idle;
     Owner.retire(std::move(GatewayLink));
     Replayed = 0;
@@ -149,6 +180,8 @@
   std::vector<TargetCommand> State; ///< Since the last reset.
   std::size_t Replayed = 0;         ///< Outstanding answers to replayed state.
   std::size_t Unanswered = 0;
+  std::string StatementId; ///< Of the last statement; may be empty.
+  bool IsPathDead = false; ///< For the last statement.
   SessionPhase Phase = SessionPhase::Idle;
 };
 
@@ -251,14 +284,33 @@
     return {&Deps.Broker, nullptr, Self};
   std::unique_ptr<RelayClient> &Peer = Peers[Candidate.RelayEndpoint];
   if (!Peer)
-    Peer = std::make_unique<RelayClient>(Deps.Time, Deps.Timers, Deps.Streams,
-                                         Deps.Frames, Deps.Floors,
-                                         Candidate.RelayEndpoint);
+    Peer = std::make_unique<RelayClient>(
+        Deps.Time, Deps.Timers, Deps.Streams, Deps.Frames, Deps.Floors,
+        Candidate.RelayEndpoint,
+        PeerReachHandling{Deps.Load.ReachReports,
+                          [this, Name = Candidate.Name](bool IsReachable) {
+                            PeerReachChanged.emit(Name, IsReachable);
+                          }});
   return {Peer.get(), Peer.get(), Candidate.Name};
 }
 
 bool SharedConnector::isUsable(const Gateway &Candidate,
-                               const std::string &Target) const {
+                               const TargetAddress &To) {
+  if (Deps.Load.ReachReports) {
+    // A link at a spare asks again for each statement, so that the gateways
+    // take up their duty when they can.
+    if (!isGateway(Candidate.Name, To))
+      return false;
+    const std::vector<ProxyRecord> &Known = Table.gatewaysOf(To.Id);
+    const auto Record = std::find_if(Known.begin(), Known.end(),
+                                     [&Candidate](const ProxyRecord &Each) {
+                                       return Each.Name == Candidate.Name;
+                                     });
+    const GatewayStanding Standing = standingOf(*Record, To.Id);
+    return Standing != GatewayStanding::Silent &&
+           Standing != GatewayStanding::MissesTarget;
+  }
+  const std::string &Target = To.Id;
   if (Candidate.Peer != nullptr && !Candidate.Peer->isAvailable())
     return false;
   const auto Until = AvoidUntil.find({Candidate.Name, Target});
@@ -281,8 +333,97 @@
   return hashText(To.Organisation, hashText(To.Id));
 }
 
+GatewayStanding SharedConnector::standingOf(const ProxyRecord &Candidate,
+                                            const std::string &Target) {
+  const Millis Now = Deps.Time.now();
+  const auto Until = AvoidUntil.find({Candidate.Name, Target});
+  const bool IsAvoided = Until != AvoidUntil.end() && Now < Until->second;
+  if (Candidate.Name == Self)
+    return IsAvoided || Deps.Broker.isFailing(Target)
+               ? GatewayStanding::MissesTarget
+               : GatewayStanding::AnsweredLately;
+  const auto Found = Peers.find(Candidate.RelayEndpoint);
+  if (Found == Peers.end())
+    return GatewayStanding::Untried;
+  RelayClient &Peer = *Found->second;
+  Peer.recordWanted();
+  if (!Peer.isAvailable())
+    return GatewayStanding::Silent;
+  if (IsAvoided || !Peer.reachesTarget(Target))
+    return GatewayStanding::MissesTarget;
+  if (!Peer.hasAnswered())
+    return GatewayStanding::Untried;
+  return Peer.hasAnsweredSince(Now - AnsweredLatelyFor)
+             ? GatewayStanding::AnsweredLately
+             : GatewayStanding::Answered;
+}
+
+std::optional<SharedConnector::Gateway>
+SharedConnector::chooseReachable(const TargetAddress &To,
+                                 const std::string &StatementId) {
+  GatewayQuestion Question;
+  Question.Candidates = Table.candidates(To.Id);
+  const auto Count = Gateways.find(To.Group);
+  Question.Gateways = Count == Gateways.end() ? 0 : Count->second;
+  Question.Start = firstGatewayIndex(To);
+  const auto Dead = DeadPathsOf.find(StatementId);
+  if (Dead != DeadPathsOf.end()) {
+    Question.DeadPaths = Dead->second.Count;
+    Question.OwnRank = Table.rankOf(To.Id, Self);
+  }
+  Question.Standing = [&](std::size_t Rank) {
+    return standingOf(Table.candidate(To.Id, Rank), To.Id);
+  };
+  const GatewayDecision Decision = corianderdyke::chooseGateway(Question);
+  for (const std::size_t Rank : Decision.Probes)
+    if (RelayClient *Peer = gatewayOf(Table.candidate(To.Id, Rank)).Peer)
+      Peer->probe();
+  if (!Decision.Rank)
+    return std::nullopt;
+  return gatewayOf(Table.candidate(To.Id, *Decision.Rank));
+}
+
+bool SharedConnector::isGateway(const std::string &Name,
+                                const TargetAddress &To) const {
+  const auto Count = Gateways.find(To.Group);
+  const std::vector<ProxyRecord> &Known = Table.gatewaysOf(To.Id);
+  const std::size_t First =
+      std::min(Known.size(), Count == Gateways.end() ? 0 : Count->second);
+  return std::any_of(
+      Known.begin(), Known.begin() + static_cast<std::ptrdiff_t>(First),
+      [&Name](const ProxyRecord &Each) { return Each.Name == Name; });
+}
+
+void SharedConnector::recordDeadPath(const std::string &StatementId) {
+  if (!Deps.Load.ReachReports)
+    return;
+  ++MovedStatements;
+  if (StatementId.empty())
+    return;
+  const Millis Now = Deps.Time.now();
+  std::erase_if(DeadPathsOf, [Now](const auto &Each) {
+    return Now - Each.second.LastAt >= DeadPathsKeptFor;
+  });
+  DeadPaths &Known = DeadPathsOf[StatementId];
+  ++Known.Count;
+  Known.LastAt = Now;
+}
+
+PeerReachCounts SharedConnector::reachCounts() const {
+  PeerReachCounts Out;
+  Out.MovedStatements = MovedStatements;
+  for (const auto &[At, Each] : Peers) {
+    Out.Unreachable += Each->isUnreachable() ? 1 : 0;
+    Out.Pings += Each->pings();
+  }
+  return Out;
+}
+
 std::optional<SharedConnector::Gateway>
-SharedConnector::chooseGateway(const TargetAddress &To) {
+SharedConnector::chooseGateway(const TargetAddress &To,
+                               const std::string &StatementId) {
+  if (Deps.Load.ReachReports)
+    return chooseReachable(To, StatementId);
   const std::vector<ProxyRecord> &Known = Table.gatewaysOf(To.Id);
   const auto Count = Gateways.find(To.Group);
   const std::size_t First =
@@ -290,12 +431,12 @@
   const std::size_t Start = firstGatewayIndex(To);
   for (std::size_t Each = 0; Each < First; ++Each) {
     const Gateway Next = gatewayOf(Known[(Start + Each) % First]);
-    if (isUsable(Next, To.Id))
+    if (isUsable(Next, To))
       return Next;
   }
   for (std::size_t Each = First; Each < Known.size(); ++Each) {
     const Gateway Next = gatewayOf(Known[Each]);
-    if (isUsable(Next, To.Id))
+    if (isUsable(Next, To))
       return Next;
   }
   return std::nullopt;
--- a/Source/Relay/SharedConnector.h
+++ b/Source/Relay/SharedConnector.h
@@ -8,12 +8,21 @@
 
 #include "Admission/LoadOptions.h"
 #include "Plan/RoutePlan.h"
+#include "Reach/GatewayChoice.h"
 #include "Relay/GatewayTable.h"
 #include "Relay/RelayClient.h"
 #include "Relay/TargetBroker.h"
 
 namespace corianderdyke {
 
+/// Counts and state of the other proxies as seen by this one.
+struct PeerReachCounts {
+  std::size_t Unreachable = 0; ///< Peers at present.
+  std::uint64_t Pings = 0;
+  /// Statements whose gateway was silent or lost while they were there.
+  std::uint64_t MovedStatements = 0;
+};
+
 class SharedConnector final : public TargetConnector {
 public:
   struct Dependencies {
@@ -41,6 +50,13 @@
   void updateTargets(const TargetDirectory &Directory);
   void setProxies(std::vector<ProxyRecord> All);
 
+  PeerReachCounts reachCounts() const;
+  /// Emitted with a proxy's name when it becomes unreachable (false) or
+  /// reachable again (true). Only with LoadOptions::ReachReports.
+  sigc::signal<void(const std::string &, bool)> &signalPeerReach() {
+    return PeerReachChanged;
+  }
+
 private:
   class Link;
   friend class Link;
@@ -54,10 +70,20 @@
 
   /// Selects the gateway for the next statement of a link; nothing if no
   /// gateway is considered able to reach the target.
-  std::optional<Gateway> chooseGateway(const TargetAddress &To);
+  std::optional<Gateway> chooseGateway(const TargetAddress &To,
+                                       const std::string &StatementId);
+  /// As chooseGateway, with LoadOptions::ReachReports.
+  std::optional<Gateway> chooseReachable(const TargetAddress &To,
+                                         const std::string &StatementId);
+  GatewayStanding standingOf(const ProxyRecord &Candidate,
+                             const std::string &Target);
+  /// True if the proxy is one of the target's gateways, not a spare.
+  bool isGateway(const std::string &Name, const TargetAddress &To) const;
+  /// Records that a statement found its gateway silent or lost.
+  void recordDeadPath(const std::string &StatementId);
   /// Returns the index at which the search among a target's gateways begins.
   std::size_t firstGatewayIndex(const TargetAddress &To);
-  bool isUsable(const Gateway &Candidate, const std::string &Target) const;
+  bool isUsable(const Gateway &Candidate, const TargetAddress &To);
   /// Skips the gateway for this target for a while, after it reported the
   /// target as unreachable.
   void avoid(const std::string &Gateway, const std::string &Target);
@@ -81,11 +107,19 @@
   std::optional<Millis> FirstPlanAt; ///< When the first plan was adopted.
   GatewayTable Table;
   std::map<std::string, std::size_t> Gateways; ///< Count, by sharing group.
+  sigc::signal<void(const std::string &, bool)> PeerReachChanged;
   std::map<Endpoint, std::unique_ptr<RelayClient>> Peers;
   /// By gateway and target.
   std::map<std::pair<std::string, std::string>, Millis> AvoidUntil;
   std::vector<std::unique_ptr<TargetLink>> Retired; ///< Destroyed before Peers.
   std::size_t NextGateway; ///< Starts at a hash of Self.
+
+  struct DeadPaths {
+    std::size_t Count = 0;
+    Millis LastAt;
+  };
+  std::map<std::string, DeadPaths> DeadPathsOf; ///< By statement.
+  std::uint64_t MovedStatements = 0;
 };
 
 } // namespace corianderdyke
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -149,6 +149,27 @@
   return Out;
 }
 
+bool TargetBroker::isFailing(const std::string &Id) const {
+  const auto Found = Targets.find(Id);
+  return Found != Targets.end() && Found->second.Pool.isBackingOff(Time.now());
+}
+
+std::set<std::string> TargetBroker::failingTargets() const {
+  std::set<std::string> Out;
+  for (const auto &[Id, Each] : Targets)
+    if (Each.Pool.isBackingOff(Time.now()))
+      Out.insert(Id);
+  return Out;
+}
+
+std::map<std::string, std::uint32_t> TargetBroker::load() const {
+  std::map<std::string, std::uint32_t> Out;
+  for (const auto &[Id, Each] : Targets)
+    Out[Id] = static_cast<std::uint32_t>(
+        Each.Waiting.size() + Each.Ready.size() + Each.InFlight.count());
+  return Out;
+}
+
 QueueEntry<TargetBroker::Link> TargetBroker::enqueue(Link &New,
                                                      std::list<Link *> &In) {
   auto Position = In.end();
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -58,6 +58,12 @@
   bool isBusy() const;
   std::size_t connections() const;
   const OpeningCounts &openings() const { return Openings; }
+  /// True if the last attempts to use the target failed and it is not retried
+  /// yet.
+  bool isFailing(const std::string &Id) const;
+  std::set<std::string> failingTargets() const;
+  /// Statements waiting and in flight, by target.
+  std::map<std::string, std::uint32_t> load() const;
 
   /// Emitted when a target is unreachable, and when a primary has answered.
   sigc::signal<void(const TargetFailure &)> &signalTargetFailure() {
--- a/Tests/Support/FakeRelay.cpp
+++ b/Tests/Support/FakeRelay.cpp
@@ -41,8 +41,12 @@
       return;
     Of->Sides[Which].Events = {};
     const int Other = 1 - Which;
-    Net.Loop.at(Net.Loop.now() + Net.Latency, [Of, Other] {
+    Net.Loop.at(Net.Loop.now() + Net.Latency, [&Net, Of, Other] {
       Pipe::Side &To = Of->Sides[Other];
+      const FakeHost *From = Of->Sides[1 - Other].Host;
+      if (To.Host != nullptr && From != nullptr &&
+          Net.isCut(To.Host->name(), From->name()))
+        return;
       if (To.Host != nullptr && To.IsOpen)
         To.Host->run([Of, Other] {
           Pipe::Side &Peer = Of->Sides[Other];
@@ -59,9 +63,11 @@
   void toOther(std::function<void(Pipe::Side &)> Action) {
     const int Other = 1 - Self;
     Net.Loop.at(Net.Loop.now() + Net.Latency,
-                [Of = Of, Other, Action = std::move(Action)] {
+                [&Net = Net, Of = Of, Other, Action = std::move(Action)] {
                   FakeHost *Host = Of->Sides[Other].Host;
-                  if (Host == nullptr)
+                  const FakeHost *From = Of->Sides[1 - Other].Host;
+                  if (Host == nullptr || From == nullptr ||
+                      Net.isCut(Host->name(), From->name()))
                     return;
                   Host->run([Of, Other, Action] {
                     if (Of->Sides[Other].IsOpen)
@@ -94,6 +100,8 @@
     Made->Sides[0].Events = std::move(Events);
     Pipes.emplace_back(Made, 0);
     Net.Loop.at(Net.Loop.now() + Net.Latency, [&Net = Net, Made, To] {
+      if (Net.isCut(Made->Sides[0].Host->name(), To.Address))
+        return;
       const auto Other = Net.Listening.find(To);
       if (Other == Net.Listening.end()) {
         Made->Sides[1].IsOpen = true;
@@ -155,16 +163,22 @@
 }
 
 FakeProxy::FakeProxy(FakeLoop &Loop, FakePeerStreams &Net,
-                     TargetConnector &Targets, const std::string &Name)
+                     TargetConnector &Targets, const std::string &Name,
+                     LoadOptions Load)
     : Host(Loop, Name), Access(Loop, Targets),
       Streams(Net.attach(Host, {Name, RelayPort})), Broker(Host, Host, Access),
-      Shared({Host, Host, Access, Broker, *Streams, Frames, Floors}, Name),
+      Shared({Host, Host, Access, Broker, *Streams, Frames, Floors, Load},
+             Name),
       Relay(Host, Host, *Streams, Frames, Broker, Floors),
-      Pipeline({Host, Host, Shared, Floors}, {"region", "here", Name}) {}
+      Pipeline({Host, Host, Shared, Floors}, {"region", "here", Name}) {
+  if (Load.ReachReports)
+    Relay.reportReach(Broker);
+}
 
 FakeRelaySystem::FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group,
                                  std::size_t Count,
-                                 std::uint32_t MaxConnections, bool KnowsList)
+                                 std::uint32_t MaxConnections, bool KnowsList,
+                                 LoadOptions Load)
     : Loop(Loop), Group(Group), Net(Loop), Plan(planOfThreeRoutes()) {
   for (GroupPolicy &Each : Plan.Groups)
     Each.MaxConnections = MaxConnections;
@@ -174,8 +188,8 @@
   Proxies.reserve(Count);
   for (std::size_t Each = 0; Each < Count; ++Each) {
     Listed.push_back(Each);
-    Proxies.push_back(std::make_unique<FakeProxy>(Loop, Net, Group,
-                                                  "p" + std::to_string(Each)));
+    Proxies.push_back(std::make_unique<FakeProxy>(
+        Loop, Net, Group, "p" + std::to_string(Each), Load));
   }
   for (auto &Each : Proxies) {
     Each->Shared.setPlan(Plan);
@@ -266,20 +280,30 @@
   return Out;
 }
 
-std::vector<std::size_t>
-FakeRelaySystem::gateways(const std::string &Target) const {
+GatewayTable FakeRelaySystem::table() const {
   std::vector<ProxyRecord> All;
   All.reserve(Listed.size());
   for (const std::size_t Each : Listed)
     All.push_back(recordOf(Each));
-  const std::size_t Count =
-      gatewayCount(Plan.Groups.front().usableConnections());
-  const GatewayTable Table(All, Group.directory().all(),
-                           {{Plan.Groups.front().Name, Count}});
+  return {All,
+          Group.directory().all(),
+          {{Plan.Groups.front().Name, gatewayCountOfGroup()}}};
+}
+
+std::vector<std::size_t>
+FakeRelaySystem::ranking(const std::string &Target) const {
+  const GatewayTable Table = table();
   std::vector<std::size_t> Out;
-  for (const ProxyRecord &Each : Table.gatewaysOf(Target))
-    if (Out.size() < Count)
-      Out.push_back(static_cast<std::size_t>(std::stoi(Each.Name.substr(1))));
+  for (std::size_t Rank = 0; Rank < Table.candidates(Target); ++Rank)
+    Out.push_back(static_cast<std::size_t>(
+        std::stoi(Table.candidate(Target, Rank).Name.substr(1))));
+  return Out;
+}
+
+std::vector<std::size_t>
+FakeRelaySystem::gateways(const std::string &Target) const {
+  std::vector<std::size_t> Out = ranking(Target);
+  Out.resize(std::min(Out.size(), gatewayCountOfGroup()));
   return Out;
 }
 
--- a/Tests/Support/FakeRelay.h
+++ b/Tests/Support/FakeRelay.h
@@ -21,6 +21,17 @@
   std::unique_ptr<PeerStreams> attach(FakeHost &Host, const Endpoint &At);
 
   Millis Latency = Millis(1);
+  /// Number of the partition's side of each host; hosts not listed are on side
+  /// 0. Streams between sides stay open without traffic.
+  std::map<std::string, int> Sides;
+
+  bool isCut(const std::string &Left, const std::string &Right) const {
+    const auto Side = [this](const std::string &Name) {
+      const auto Found = Sides.find(Name);
+      return Found == Sides.end() ? 0 : Found->second;
+    };
+    return Side(Left) != Side(Right);
+  }
 
 private:
   class End;
@@ -60,7 +71,7 @@
   SessionPipeline Pipeline;
 
   FakeProxy(FakeLoop &Loop, FakePeerStreams &Net, TargetConnector &Targets,
-            const std::string &Name);
+            const std::string &Name, LoadOptions Load = {});
 };
 
 /// Proxies "p0", "p1" and so on in front of one group.
@@ -69,7 +80,8 @@
   /// If \p KnowsList is false the proxies have a plan and the target directory
   /// but no proxy list, as when all processes start at the same moment.
   FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group, std::size_t Count,
-                  std::uint32_t MaxConnections, bool KnowsList = true);
+                  std::uint32_t MaxConnections, bool KnowsList = true,
+                  LoadOptions Load = {});
   ~FakeRelaySystem();
 
   struct Session {
@@ -91,6 +103,7 @@
   /// Sets the proxy list of all proxies to \p Present.
   void setProxyList(const std::vector<std::size_t> &Present);
   void resetProxyList() { setProxyList(Listed); }
+  FakePeerStreams &net() { return Net; }
   FakeProxy &proxy(std::size_t Index) { return *Proxies[Index]; }
   /// Returns the proxies that hold a connection to any target.
   std::vector<std::size_t> proxiesWithConnections() const;
@@ -98,9 +111,15 @@
   /// are.
   std::size_t nonGateway(const std::string &Target) const;
   std::vector<std::size_t> gateways(const std::string &Target) const;
+  /// Returns all proxies in the order in which they serve the target.
+  std::vector<std::size_t> ranking(const std::string &Target) const;
 
 private:
   ProxyRecord recordOf(std::size_t Index) const;
+  GatewayTable table() const;
+  std::size_t gatewayCountOfGroup() const {
+    return gatewayCount(Plan.Groups.front().usableConnections());
+  }
 
   FakeLoop &Loop;
   FakeGroup &Group;
@@ -114,8 +133,9 @@
 /// "a", the primary, "b" and "c".
 struct RelaySetup {
   explicit RelaySetup(std::size_t Proxies = 12,
-                      std::uint32_t MaxConnections = 10)
-      : Proxies(Proxies), System(Loop, Group, Proxies, MaxConnections) {
+                      std::uint32_t MaxConnections = 10, LoadOptions Load = {})
+      : Proxies(Proxies),
+        System(Loop, Group, Proxies, MaxConnections, true, Load) {
     Loop.runFor(Millis(50));
   }
 
--- a/Tests/Unit/RelayCodecTest.cpp
+++ b/Tests/Unit/RelayCodecTest.cpp
@@ -111,10 +111,27 @@
   // If this fails, the messages or the dictionary have changed. Increment the
   // format version, so that older and newer builds reject each other's frames.
   const std::string Dictionary = RelayCodec::compressionDictionary();
-  REQUIRE(RelayCodec::FormatVersion == 3);
+  REQUIRE(RelayCodec::FormatVersion == 4);
   CHECK(XXH64(Dictionary.data(), Dictionary.size(), 0) == 0x8b0d47f98bfaa1bb);
 }
 
+TEST_CASE("A report of unreachable targets survives its frame", "[relay]") {
+  // Guards against a report that is read as another message, and against an
+  // incomplete one that clears the gateway's earlier report.
+  RelayCodec Frames;
+  const std::vector<RelayMessage> Reports = {
+      RelayReach{{"a", "b"}, {{"a", 0}, {"c", 17}}}, RelayPong{}, RelayReach{}};
+  const std::string Good = Frames.write(Reports);
+  REQUIRE(Frames.read(Good).has_value());
+  CHECK(*Frames.read(Good) == Reports);
+  for (std::size_t Length = 0; Length < Good.size(); ++Length)
+    CHECK_FALSE(Frames.read(Good.substr(0, Length)).has_value());
+  const std::string Content = encode(Reports);
+  for (std::size_t Length = 0; Length < Content.size(); ++Length)
+    CHECK_FALSE(decode<std::vector<RelayMessage>>(Content.substr(0, Length))
+                    .has_value());
+}
+
 TEST_CASE("Messages of one event loop iteration are sent in one frame",
           "[relay][load]") {
   // Each frame has its own digest and may wake its reader. A read at the
--- /dev/null
+++ b/Tests/Unit/RelayReachTest.cpp
@@ -0,0 +1,191 @@
+/// \file
+/// Proxies that a partition separates, and gateways that do not reach a target.
+
+#include "FakeRelay.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace corianderdyke;
+
+namespace {
+
+using Kind = StatementKind;
+
+constexpr std::size_t ProxyCount = 12;
+constexpr std::uint32_t ConnectionLimit = 10;
+/// Interval between two reads of one proxy.
+constexpr Millis ReadInterval(20);
+
+LoadOptions withReach() {
+  LoadOptions Out;
+  Out.ReachReports = true;
+  return Out;
+}
+
+/// A system of proxies, some of which read from the primary "a" all the time.
+struct Setup : RelaySetup {
+  Setup() : RelaySetup(ProxyCount, ConnectionLimit, withReach()) {}
+
+  struct Read {
+    FakeRelaySystem::Session On;
+    Millis SentAt;
+    Millis AnsweredAt = {};
+    std::size_t DeadPaths = 0; ///< Statements moved meanwhile by its proxy.
+  };
+
+  /// Each of \p Readers sends reads, each on a session of its own; returns when
+  /// all have been answered.
+  std::vector<Read> read(const std::vector<std::size_t> &Readers, Millis For) {
+    std::vector<Read> Out;
+    const auto Collect = [&] {
+      for (Read &Each : Out)
+        if (Each.AnsweredAt == Millis() && !Each.On.Caller->Answers.empty())
+          Each.AnsweredAt = Loop.now();
+    };
+    for (const Millis End = Loop.now() + For; Loop.now() < End;) {
+      for (const std::size_t Proxy : Readers) {
+        Out.push_back({System.connect(Proxy, "primary"), Loop.now()});
+        System.send(Out.back().On, Kind::Read, "r" + std::to_string(NextId++),
+                    "FETCH x");
+      }
+      for (Millis Step; Step < ReadInterval; Step += Millis(1)) {
+        Loop.runFor(Millis(1));
+        Collect();
+      }
+    }
+    for (Millis Step; Step < Millis(2000); Step += Millis(1)) {
+      Loop.runFor(Millis(1));
+      Collect();
+    }
+    return Out;
+  }
+
+  std::uint64_t moved(const std::vector<std::size_t> &Of) {
+    std::uint64_t Out = 0;
+    for (const std::size_t Each : Of)
+      Out += System.proxy(Each).Shared.reachCounts().MovedStatements;
+    return Out;
+  }
+
+  std::size_t NextId = 0;
+};
+
+std::size_t served(const std::vector<Setup::Read> &Reads) {
+  return static_cast<std::size_t>(
+      std::count_if(Reads.begin(), Reads.end(), [](const Setup::Read &Each) {
+        return !Each.On.Caller->Answers.empty() &&
+               !Each.On.Caller->Answers.front().Refusal;
+      }));
+}
+
+Millis longest(const std::vector<Setup::Read> &Reads) {
+  Millis Out;
+  for (const Setup::Read &Each : Reads)
+    Out = std::max(Out, Each.AnsweredAt - Each.SentAt);
+  return Out;
+}
+
+} // namespace
+
+TEST_CASE("Each side of a partition has gateways to a target",
+          "[relay][reach]") {
+  // Guards against statements to gateways on the other side for as long as a
+  // partition lasts: a third of the proxies, among them the gateways and both
+  // spares of the primary, are cut off from the others.
+  Setup Fixture;
+  const std::vector<std::size_t> Ranking = Fixture.System.ranking("a");
+  REQUIRE(Ranking.size() == ProxyCount);
+  const std::vector<std::size_t> Other(Ranking.begin(), Ranking.begin() + 4);
+  const std::vector<std::size_t> Own(Ranking.begin() + 4, Ranking.end());
+  Fixture.read(Own, Millis(200));
+  REQUIRE(Fixture.moved(Own) == 0);
+  for (const std::size_t Each : Other)
+    Fixture.System.net().Sides["p" + std::to_string(Each)] = 1;
+  const auto First = Fixture.read(Own, Millis(2000));
+  // Silence of 60 to 90 ms, then a way of the own side.
+  CHECK(served(First) == First.size());
+  CHECK(longest(First) <= Millis(250));
+  // Nothing is sent into the void any more.
+  const std::uint64_t Moved = Fixture.moved(Own);
+  const auto Later = Fixture.read(Own, Millis(6000));
+  CHECK(served(Later) == Later.size());
+  CHECK(Fixture.moved(Own) == Moved);
+  CHECK(longest(Later) <= Millis(60));
+  // Few proxies open connections, although each could use its own.
+  std::size_t Holders = 0;
+  for (const std::size_t Each : Own)
+    Holders += Fixture.System.proxy(Each).Broker.connections() > 0 ? 1 : 0;
+  CHECK(Holders <= Own.size());
+  // The other side goes on too, and all find each other again.
+  const auto Cut = Fixture.read(Other, Millis(1000));
+  CHECK(served(Cut) == Cut.size());
+  Fixture.System.net().Sides.clear();
+  Fixture.read(Own, Millis(2000));
+  for (const std::size_t Each : Own)
+    CHECK(Fixture.System.proxy(Each).Shared.reachCounts().Unreachable == 0);
+}
+
+TEST_CASE("A proxy on its own serves its callers through its own connections",
+          "[relay][reach]") {
+  // Guards against a proxy that refuses its callers because it reaches no other
+  // proxy, although it reaches the target.
+  Setup Fixture;
+  const std::size_t Alone = Fixture.System.ranking("a").back();
+  Fixture.read({Alone}, Millis(100));
+  Fixture.System.net().Sides["p" + std::to_string(Alone)] = 1;
+  const auto First = Fixture.read({Alone}, Millis(1000));
+  CHECK(served(First) == First.size());
+  CHECK(longest(First) <= Millis(400));
+  const auto Later = Fixture.read({Alone}, Millis(3000));
+  CHECK(served(Later) == Later.size());
+  CHECK(longest(Later) <= Millis(60));
+}
+
+TEST_CASE("A read tries at most two dead ways", "[relay][reach]") {
+  // Guards against a read that goes to one dead gateway after the other. The
+  // partition hides all proxies but two, and none had been tried before.
+  Setup Fixture;
+  const std::vector<std::size_t> Ranking = Fixture.System.ranking("a");
+  for (const std::size_t Each : Ranking)
+    if (Each != Ranking.back())
+      Fixture.System.net().Sides["p" + std::to_string(Each)] = 1;
+  const auto Reads = Fixture.read({Ranking.back()}, Millis(20));
+  REQUIRE(Reads.size() == 1);
+  CHECK(served(Reads) == 1);
+  CHECK(Fixture.moved({Ranking.back()}) <= 2);
+}
+
+TEST_CASE("A gateway that misses a target is avoided for it, and only for it",
+          "[relay][reach]") {
+  // Guards against a refusal through the same gateway every 400 ms, and against
+  // a gateway that is lost to all targets for the sake of one. Also guards
+  // against loops: it sends nothing to a third proxy.
+  FakeLoop Loop;
+  FakeGroup Group{Loop, {"a", "b", "c"}};
+  FakeRelaySystem System(Loop, Group, ProxyCount, ConnectionLimit, true,
+                         withReach());
+  const std::vector<std::size_t> Ranking = System.ranking("a");
+  FakeProxy &Gateway = System.proxy(Ranking.front());
+  Gateway.Access.Cut.insert("a");
+  Loop.runFor(Millis(100));
+  const std::size_t Reader = Ranking.back();
+  const auto Read = [&](std::size_t Count) {
+    for (std::size_t Each = 0; Each < Count; ++Each) {
+      const auto On = System.connect(Reader, "primary");
+      CHECK_FALSE(System.ask(On, Kind::Read, "", "FETCH x").Refusal);
+      Loop.runFor(Millis(20));
+    }
+  };
+  Read(20);
+  const std::uint64_t Retries = System.proxy(Reader).Pipeline.counts().Retries;
+  Read(200);
+  CHECK(System.proxy(Reader).Pipeline.counts().Retries == Retries);
+  CHECK(Gateway.Shared.reachCounts().Pings == 0);
+  CHECK(System.proxy(Reader).Shared.reachCounts().Unreachable == 0);
+  // It takes up its duty again.
+  Gateway.Access.Cut.clear();
+  Loop.runFor(Millis(3000));
+  CHECK(Gateway.Broker.failingTargets().empty());
+  CHECK(Gateway.Broker.connections() > 0);
+}
