--- a/Tests/Unit/PeerProbeTest.cpp
+++ b/Tests/Unit/PeerProbeTest.cpp
@@ -30,7 +30,8 @@
       Stream(ScriptedStreams &Owner, std::size_t Index)
           : Owner(Owner), Index(Index) {}
       void send(const std::string &Frame) override {
-        for (const RelayMessage &Each : *Owner.Frames.read(Frame)) {
+        const auto Messages = Owner.Frames.read(Frame);
+        for (const RelayMessage &Each : *Messages) {
           Owner.All[Index].Sent.push_back(Each);
           if (Owner.AnswersPingsAfter &&
               std::holds_alternative<RelayPing>(Each))
