--- a/Source/Reach/GatewayChoice.cpp
+++ b/Source/Reach/GatewayChoice.cpp
@@ -34,13 +34,10 @@
   bool visit(std::size_t Rank) {
     switch (Question.Standing(Rank)) {
     case GatewayStanding::AnsweredLately:
-      Out.Rank = Rank;
-      return true;
+      return take(Rank);
     case GatewayStanding::Answered:
-      if (!mustBeSure()) {
-        Out.Rank = Rank;
-        return true;
-      }
+      if (!mustBeSure())
+        return take(Rank);
       Answered = Answered.value_or(Rank);
       return false;
     case GatewayStanding::Untried:
@@ -54,6 +51,16 @@
     return false;
   }
 
+  /// Takes a proxy that is good enough. A gateway ends the search.
+  bool take(std::size_t Rank) {
+    if (Rank < Question.Gateways) {
+      Out.Rank = Rank;
+      return true;
+    }
+    Out.Spares.push_back(Rank);
+    return Out.Spares.size() >= Question.Gateways;
+  }
+
   bool visitUntried(std::size_t Rank) {
     Untried = Untried.value_or(Rank);
     if (!HasPassedSilent && Question.DeadPaths == 0) {
@@ -66,6 +73,19 @@
     return !mustBeSure() && Out.Probes.size() == MaxProbes;
   }
 
+  /// Probes spares while a gateway is still in use but others are silent, so
+  /// that a statement which loses this one too finds a sure way.
+  void probeSpares() {
+    if (!HasPassedSilent && Question.DeadPaths == 0)
+      return;
+    for (std::size_t Rank = Question.Gateways;
+         Rank < Question.Candidates && Out.Probes.size() < MaxProbes; ++Rank)
+      if (Question.Standing(Rank) == GatewayStanding::Untried)
+        Out.Probes.push_back(Rank);
+      else if (reachesTarget(Rank))
+        return;
+  }
+
   bool reachesTarget(std::size_t Rank) const {
     const GatewayStanding Known = Question.Standing(Rank);
     return Known != GatewayStanding::Silent &&
@@ -86,6 +106,12 @@
     if (State.visit(Rank))
       break;
   }
+  if (!State.Out.Spares.empty())
+    State.Out.Rank = State.Out.Spares[Question.Start % State.Out.Spares.size()];
+  if (State.Out.Rank && *State.Out.Rank < Gateways) {
+    State.Out.Probes.clear();
+    State.probeSpares();
+  }
   if (State.Out.Rank || State.Missing >= Question.Gateways + SparesThatMiss)
     return State.Out;
   if (State.mustBeSure() && Question.OwnRank &&
--- a/Source/Reach/GatewayChoice.h
+++ b/Source/Reach/GatewayChoice.h
@@ -39,13 +39,19 @@
   std::optional<std::size_t> Rank;
   /// Untried proxies that should be sent a ping.
   std::vector<std::size_t> Probes;
+  /// If all gateways are out of use: the spares that replace them, at most as
+  /// many. Rank is one of these.
+  std::vector<std::size_t> Spares = {};
 
   bool operator==(const GatewayDecision &) const = default;
 };
 
-/// Goes down the ranking to the first proxy that can be reached and reaches the
-/// target. Once it has passed a silent proxy, as during a partition, untried
-/// ones are probed first and used only if no other proxy answers.
+/// Goes down the ranking to the first proxies that can be reached and reach the
+/// target: one of the gateways, or else one of as many spares, since a single
+/// one may use only its part of the target's slots. Once it has passed a silent
+/// proxy, as during a partition, untried ones are probed first and used only if
+/// no other proxy answers; so are the next spares while a gateway is still
+/// used.
 GatewayDecision chooseGateway(const GatewayQuestion &Question);
 
 } // namespace corianderdyke
--- a/Source/Relay/SharedConnector.cpp
+++ b/Source/Relay/SharedConnector.cpp
@@ -73,7 +73,8 @@
   bool rebind() {
     if (GatewayLink && Owner.isUsable(Bound, To))
       return true;
-    const auto Chosen = Owner.chooseGateway(To, StatementId);
+    const auto Chosen =
+        Owner.chooseGateway(To, StatementId, GatewayLink ? Bound.Name : "");
     // A link leaves a spare only when a gateway has become usable.
     if (GatewayLink && Owner.Deps.Load.ReachReports && Chosen &&
         Chosen->Name == Bound.Name)
@@ -120,7 +121,7 @@
     if (Answer.Refusal && Answer.Refusal->Code == RefusalCode::Unreachable) {
       Owner.avoid(Bound.Name, To.Id);
       // Another gateway may reach the target, so the refusal is temporary.
-      if (Owner.chooseGateway(To, StatementId))
+      if (Owner.chooseGateway(To, StatementId, ""))
         Out.Refusal->Code = RefusalCode::Busy;
     }
     const auto Handler = Handlers.OnAnswer;
@@ -186,7 +187,9 @@
 };
 
 SharedConnector::SharedConnector(Dependencies Deps, std::string Self)
-    : Deps(Deps), Self(std::move(Self)), NextGateway(hashText(this->Self)) {}
+    : Deps(Deps), Self(std::move(Self)), NextGateway(hashText(this->Self)) {
+  Deps.Broker.setServesAsSpare(Deps.Load.ReachReports);
+}
 
 SharedConnector::~SharedConnector() = default;
 
@@ -306,7 +309,8 @@
                                      [&Candidate](const ProxyRecord &Each) {
                                        return Each.Name == Candidate.Name;
                                      });
-    const GatewayStanding Standing = standingOf(*Record, To.Id);
+    const GatewayStanding Standing =
+        standingOf(*Record, To.Id, Deps.Time.now());
     return Standing != GatewayStanding::Silent &&
            Standing != GatewayStanding::MissesTarget;
   }
@@ -334,7 +338,8 @@
 }
 
 GatewayStanding SharedConnector::standingOf(const ProxyRecord &Candidate,
-                                            const std::string &Target) {
+                                            const std::string &Target,
+                                            Millis LatelySince) {
   const Millis Now = Deps.Time.now();
   const auto Until = AvoidUntil.find({Candidate.Name, Target});
   const bool IsAvoided = Until != AvoidUntil.end() && Now < Until->second;
@@ -353,31 +358,38 @@
     return GatewayStanding::MissesTarget;
   if (!Peer.hasAnswered())
     return GatewayStanding::Untried;
-  return Peer.hasAnsweredSince(Now - AnsweredLatelyFor)
-             ? GatewayStanding::AnsweredLately
-             : GatewayStanding::Answered;
+  return Peer.hasAnsweredSince(LatelySince) ? GatewayStanding::AnsweredLately
+                                            : GatewayStanding::Answered;
 }
 
 std::optional<SharedConnector::Gateway>
 SharedConnector::chooseReachable(const TargetAddress &To,
-                                 const std::string &StatementId) {
+                                 const std::string &StatementId,
+                                 const std::string &BoundTo) {
   GatewayQuestion Question;
   Question.Candidates = Table.candidates(To.Id);
   const auto Count = Gateways.find(To.Group);
   Question.Gateways = Count == Gateways.end() ? 0 : Count->second;
   Question.Start = firstGatewayIndex(To);
   const auto Dead = DeadPathsOf.find(StatementId);
+  Millis LatelySince = Deps.Time.now() - AnsweredLatelyFor;
   if (Dead != DeadPathsOf.end()) {
+    // An answer after the first path was found dead is newer than its loss.
+    LatelySince = std::min(LatelySince, Dead->second.FirstAt);
     Question.DeadPaths = Dead->second.Count;
     Question.OwnRank = Table.rankOf(To.Id, Self);
   }
   Question.Standing = [&](std::size_t Rank) {
-    return standingOf(Table.candidate(To.Id, Rank), To.Id);
+    return standingOf(Table.candidate(To.Id, Rank), To.Id, LatelySince);
   };
   const GatewayDecision Decision = corianderdyke::chooseGateway(Question);
   for (const std::size_t Rank : Decision.Probes)
     if (RelayClient *Peer = gatewayOf(Table.candidate(To.Id, Rank)).Peer)
       Peer->probe();
+  // Links rotate through the spares only when they open.
+  for (const std::size_t Rank : Decision.Spares)
+    if (Table.candidate(To.Id, Rank).Name == BoundTo)
+      return gatewayOf(Table.candidate(To.Id, Rank));
   if (!Decision.Rank)
     return std::nullopt;
   return gatewayOf(Table.candidate(To.Id, *Decision.Rank));
@@ -405,7 +417,8 @@
     return Now - Each.second.LastAt >= DeadPathsKeptFor;
   });
   DeadPaths &Known = DeadPathsOf[StatementId];
-  ++Known.Count;
+  if (++Known.Count == 1)
+    Known.FirstAt = Now;
   Known.LastAt = Now;
 }
 
@@ -421,9 +434,10 @@
 
 std::optional<SharedConnector::Gateway>
 SharedConnector::chooseGateway(const TargetAddress &To,
-                               const std::string &StatementId) {
+                               const std::string &StatementId,
+                               const std::string &BoundTo) {
   if (Deps.Load.ReachReports)
-    return chooseReachable(To, StatementId);
+    return chooseReachable(To, StatementId, BoundTo);
   const std::vector<ProxyRecord> &Known = Table.gatewaysOf(To.Id);
   const auto Count = Gateways.find(To.Group);
   const std::size_t First =
--- a/Source/Relay/SharedConnector.h
+++ b/Source/Relay/SharedConnector.h
@@ -70,13 +70,18 @@
 
   /// Selects the gateway for the next statement of a link; nothing if no
   /// gateway is considered able to reach the target.
+  /// \p BoundTo is the proxy that the link uses now; it may be empty.
   std::optional<Gateway> chooseGateway(const TargetAddress &To,
-                                       const std::string &StatementId);
+                                       const std::string &StatementId,
+                                       const std::string &BoundTo);
   /// As chooseGateway, with LoadOptions::ReachReports.
   std::optional<Gateway> chooseReachable(const TargetAddress &To,
-                                         const std::string &StatementId);
+                                         const std::string &StatementId,
+                                         const std::string &BoundTo);
+  /// \p LatelySince is when something must have been received from a proxy for
+  /// it to have answered lately.
   GatewayStanding standingOf(const ProxyRecord &Candidate,
-                             const std::string &Target);
+                             const std::string &Target, Millis LatelySince);
   /// True if the proxy is one of the target's gateways, not a spare.
   bool isGateway(const std::string &Name, const TargetAddress &To) const;
   /// Records that a statement found its gateway silent or lost.
@@ -116,6 +121,7 @@
 
   struct DeadPaths {
     std::size_t Count = 0;
+    Millis FirstAt;
     Millis LastAt;
   };
   std::map<std::string, DeadPaths> DeadPathsOf; ///< By statement.
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -149,15 +149,23 @@
   return Out;
 }
 
+bool TargetBroker::isFailing(const Target &At) const {
+  const Millis Now = Time.now();
+  const bool IsSpare =
+      ServesAsSpare && GatewayTargets.count(At.Pool.record().Id) == 0;
+  return At.Pool.isBackingOff(Now) ||
+         (IsSpare && At.Pool.size() == 0 && !At.Pool.mayOpen("", Now));
+}
+
 bool TargetBroker::isFailing(const std::string &Id) const {
   const auto Found = Targets.find(Id);
-  return Found != Targets.end() && Found->second.Pool.isBackingOff(Time.now());
+  return Found != Targets.end() && isFailing(Found->second);
 }
 
 std::set<std::string> TargetBroker::failingTargets() const {
   std::set<std::string> Out;
   for (const auto &[Id, Each] : Targets)
-    if (Each.Pool.isBackingOff(Time.now()))
+    if (isFailing(Each))
       Out.insert(Id);
   return Out;
 }
@@ -223,13 +231,12 @@
 void TargetBroker::dispatch(Target &At) {
   if (std::exchange(At.IsDispatching, true))
     return;
-  const Millis Now = Time.now();
   while (runNext(At)) {
   }
   At.IsDispatching = false;
   if (At.Waiting.empty())
     return;
-  if (At.Pool.size() == 0 && At.Pool.isBackingOff(Now))
+  if (At.Pool.size() == 0 && isFailing(At))
     return refuseAll(At, RefusalCode::Unreachable,
                      "the target can't be reached");
   openIfAllowed(At);
@@ -371,7 +378,8 @@
     if (Each.InFlight.count() >= maxInFlight(Each))
       Each.SaturatedAt = Now;
     Each.Pool.setSaturated(Now - Each.SaturatedAt < SaturationHold);
-    Each.Pool.setRetiring(IsPerOrganisation && GatewayTargets.count(Id) == 0);
+    Each.Pool.setRetiring((IsPerOrganisation || ServesAsSpare) &&
+                          GatewayTargets.count(Id) == 0);
     Each.Pool.maintain(Now);
     warmUp(Each);
     const auto Open = Each.Pool.connections();
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -51,6 +51,11 @@
                 std::size_t Gateways);
   /// Sets whether each connection belongs to one organisation.
   void setPerOrganisation(bool New);
+  /// Sets whether this proxy may be one of many spares of a target. Its
+  /// connections to targets of which it is no gateway then close when idle, and
+  /// statements for which it gets none are refused at once as unreachable, so
+  /// that they go to a spare that has one.
+  void setServesAsSpare(bool New) { ServesAsSpare = New; }
   /// Keeps some connections open to these targets and to no others.
   void setGatewayTargets(std::set<std::string> Targets);
 
@@ -105,6 +110,7 @@
   };
 
   void applySharing(TargetPool &Pool) const;
+  bool isFailing(const Target &At) const;
   Target &targetOf(const TargetAddress &To);
   Target *find(const std::string &Id);
   /// Returns null if the link has been destroyed.
@@ -142,6 +148,7 @@
   std::map<std::string, GatewayShare> GatewayShares; ///< By group.
   bool IsPerOrganisation = false; ///< Each connection serves one organisation.
   std::set<std::string> GatewayTargets;
+  bool ServesAsSpare = false;
   /// By number. A handler may destroy links and create others at the same
   /// memory address, so loops over several links store their numbers.
   std::map<std::uint64_t, Link *> Links;
