Report reach after the broker's loop, and test what peers are told

Sending may end a stream, and with it links, while the broker goes through its targets; the report is now sent from a timer, over a copy of the peers. The earlier test of a gateway that misses a target passed with reports not sent, because one link at the other gateway served it; it now uses several sessions at once, and a new test reads the reports from a stream.

--- a/Source/Relay/RelayServer.cpp
+++ b/Source/Relay/RelayServer.cpp
@@ -46,8 +46,19 @@
 
 void RelayServer::reportReach(TargetBroker &Broker) {
   Reported = &Broker;
-  Broker.signalTargetFailure().connect(
-      sigc::hide(sigc::mem_fun(*this, &RelayServer::updateReach)));
+  // The broker emits the signal while it goes through its targets and links,
+  // and sending may end a stream with its links.
+  Broker.signalTargetFailure().connect(sigc::hide(sigc::bind(
+      sigc::mem_fun(*this, &RelayServer::updateReachAfter), Millis(0))));
+}
+
+void RelayServer::updateReachAfter(Millis Delay) {
+  if (ReachTimer != 0)
+    Timers.cancel(ReachTimer);
+  ReachTimer = Timers.after(Delay, [this] {
+    ReachTimer = 0;
+    updateReach();
+  });
 }
 
 void RelayServer::updateReach() {
@@ -56,18 +67,16 @@
   if (HasChanged || (!Unreachable.isEmpty() &&
                      Now - ReachSentAt >= ReportedTargets::RepeatInterval))
     sendReach();
-  if (ReachTimer != 0 || Unreachable.isEmpty())
-    return;
-  ReachTimer = Timers.after(ReachCheckInterval, [this] {
-    ReachTimer = 0;
-    updateReach();
-  });
+  if (!Unreachable.isEmpty())
+    updateReachAfter(ReachCheckInterval);
 }
 
 void RelayServer::sendReach() {
   ReachSentAt = Time.now();
   const RelayReach Body{Unreachable.names(), Reported->load()};
-  for (const auto &Each : Peers)
+  // A copy, because sending may end a stream, which drops its peer.
+  const auto Current = Peers;
+  for (const auto &Each : Current)
     Each->send(Body);
 }
 
--- a/Source/Relay/RelayServer.h
+++ b/Source/Relay/RelayServer.h
@@ -44,6 +44,7 @@
   void on(Peer &From, const RelayPing &Body);
   template <class Other> void on(Peer &, const Other &) {}
   void drop(Peer &Closed);
+  void updateReachAfter(Millis Delay);
   void updateReach();
   void sendReach();
 
--- a/Tests/Unit/RelayReachTest.cpp
+++ b/Tests/Unit/RelayReachTest.cpp
@@ -187,16 +187,24 @@
   Gateway.Access.Cut.insert("a");
   Loop.runFor(Millis(100));
   const std::size_t Reader = Ranking.back();
-  const auto Read = [&](std::size_t Count) {
-    for (std::size_t Each = 0; Each < Count; ++Each) {
-      const auto On = System.connect(Reader, "primary");
-      CHECK_FALSE(System.ask(On, Kind::Read, "", "FETCH x").Refusal);
-      Loop.runFor(Millis(20));
+  // Several at once, so that there are links to both gateways.
+  const auto Read = [&](std::size_t Rounds) {
+    for (std::size_t Round = 0; Round < Rounds; ++Round) {
+      std::vector<FakeRelaySystem::Session> Sessions;
+      for (std::size_t Each = 0; Each < 4; ++Each) {
+        Sessions.push_back(System.connect(Reader, "primary"));
+        System.send(Sessions.back(), Kind::Read, "", "FETCH x");
+      }
+      Loop.runFor(Millis(100));
+      for (const auto &Each : Sessions) {
+        REQUIRE(Each.Caller->Answers.size() == 1);
+        CHECK_FALSE(Each.Caller->last().Refusal);
+      }
     }
   };
   Read(20);
   const std::uint64_t Retries = System.proxy(Reader).Pipeline.counts().Retries;
-  Read(200);
+  Read(40);
   CHECK(System.proxy(Reader).Pipeline.counts().Retries == Retries);
   CHECK(Gateway.Shared.reachCounts().Pings == 0);
   CHECK(System.proxy(Reader).Shared.reachCounts().Unreachable == 0);
@@ -206,3 +214,65 @@
   CHECK(Gateway.Broker.failingTargets().empty());
   CHECK(Gateway.Broker.connections() > 0);
 }
+
+TEST_CASE("A gateway tells its peers which targets it misses",
+          "[relay][reach]") {
+  // Guards against peers that learn it from refused statements only, each of
+  // them again and again; against a lost report that is never repeated; and
+  // against a gateway that is never told to be back.
+  FakeLoop Loop;
+  FakeGroup Group{Loop, {"a", "b", "c"}};
+  FakeRelaySystem System(Loop, Group, ProxyCount, ConnectionLimit, true,
+                         withReach());
+  FakeProxy &Gateway = System.proxy(System.gateways("a").front());
+  Gateway.Access.Cut.insert("a");
+  FakeHost Observer(Loop, "observer");
+  const auto Streams = System.net().attach(Observer, {"observer", 7000});
+  RelayCodec Frames;
+  std::vector<std::pair<Millis, RelayReach>> Reports;
+  const auto Connect = [&] {
+    return Streams->connect({Gateway.Host.name(), 7000},
+                            {[&](const std::string &Frame) {
+                               const auto Messages = Frames.read(Frame);
+                               for (const RelayMessage &Each : *Messages)
+                                 if (const auto *Body =
+                                         std::get_if<RelayReach>(&Each))
+                                   Reports.emplace_back(Loop.now(), *Body);
+                             },
+                             [] {}});
+  };
+  const std::vector<std::string> Missed = {"a"};
+  const auto Stream = Connect();
+  Loop.runFor(Millis(300));
+  REQUIRE(Reports.size() == 1);
+  CHECK(Reports.front().second.Unreachable == Missed);
+  CHECK(Reports.front().second.Load.count("a") == 1);
+  // Repeated before the previous one expires.
+  Loop.runFor(Millis(4000));
+  for (std::size_t Each = 1; Each < Reports.size(); ++Each) {
+    CHECK(Reports[Each].second.Unreachable == Missed);
+    CHECK(Reports[Each].first - Reports[Each - 1].first <
+          ReportedTargets::Lifetime);
+  }
+  CHECK(Reports.size() <= 13);
+  // A new stream gets the report at once.
+  const std::size_t Before = Reports.size();
+  const auto Second = Connect();
+  Loop.runFor(Millis(5));
+  CHECK(Reports.size() > Before);
+  CHECK(Reports.back().second.Unreachable == Missed);
+  // After a second without a failure it is withdrawn, on both streams, and
+  // nothing follows. The broker retries every 250 ms, so the last failure may
+  // be up to 350 ms old when the way is clear.
+  Gateway.Access.Cut.clear();
+  const Millis ClearedAt = Loop.now();
+  Loop.runFor(Millis(2500));
+  REQUIRE(Reports.size() >= 2);
+  CHECK(Reports.back().second.Unreachable.empty());
+  CHECK(Reports[Reports.size() - 2].second.Unreachable.empty());
+  CHECK(Reports.back().first - ClearedAt >= Millis(650));
+  const std::size_t Last = Reports.size();
+  Loop.runFor(Millis(3000));
+  CHECK(Reports.size() == Last);
+  Loop.clear();
+}
