--- a/Source/App/SteeringMetrics.h
+++ b/Source/App/SteeringMetrics.h
@@ -8,6 +8,7 @@
 #include "Http/HttpServer.h"
 #include "Operators/MetricSet.h"
 #include "Quota/OperationPermits.h"
+#include "Relay/SharedConnector.h"
 #include "Relay/TargetBroker.h"
 #include "Steering/ControlClient.h"
 #include "Steering/ProtocolAdapter.h"
@@ -21,6 +22,7 @@
   const Transport &Peers;
   SessionPipeline *Pipeline = nullptr;
   const TargetBroker *Broker = nullptr;
+  const SharedConnector *Sharing = nullptr;
   const QuotaSeats *Quotas = nullptr;
   const OperationPermits *Permits = nullptr;
   const ControlClient *Client = nullptr;
--- a/Source/Logs/LogEvents.cpp
+++ b/Source/Logs/LogEvents.cpp
@@ -168,6 +168,12 @@
        20},
       {EventId::ReplicaCaughtUp, Severity::Info, "replica-caught-up",
        "A replica of such a group serves reads again.", 20},
+      {EventId::PeerUnreachable, Severity::Warning, "peer-unreachable",
+       "Another proxy is silent or refuses streams; it gets no statements "
+       "until it answers a ping.",
+       20},
+      {EventId::PeerReachable, Severity::Info, "peer-reachable",
+       "A proxy that was unreachable answers again.", 20},
   };
   return All;
 }
--- a/Source/Logs/LogEvents.h
+++ b/Source/Logs/LogEvents.h
@@ -42,6 +42,8 @@
   ProxiesKnown = 408,
   ReplicasBehind = 409,
   ReplicaCaughtUp = 410,
+  PeerUnreachable = 411,
+  PeerReachable = 412,
   PromotionStep = 404,
 };
 
--- a/Source/Relay/TargetBroker.cpp
+++ b/Source/Relay/TargetBroker.cpp
@@ -131,6 +131,36 @@
   return Out;
 }
 
+bool TargetBroker::isFailing(const Target &At) const {
+  const Millis Now = Time.now();
+  const bool IsSpare =
+      ServesAsSpare && GatewayTargets.count(At.Pool.record().Id) == 0;
+  return At.Pool.isBackingOff(Now) ||
+         (IsSpare && At.Pool.size() == 0 && !At.Pool.mayOpen("", Now));
+}
+
+bool TargetBroker::isFailing(const std::string &Id) const {
+  const auto Found = Targets.find(Id);
+  return Found != Targets.end() && isFailing(Found->second);
+}
+
+std::set<std::string> TargetBroker::failingTargets() const {
+  std::set<std::string> Out;
+  for (const auto &[Id, Each] : Targets)
+    if (isFailing(Each))
+      Out.insert(Id);
+  return Out;
+}
+
+std::map<std::string, std::uint32_t> TargetBroker::load() const {
+  std::map<std::string, std::uint32_t> Out;
+  for (const auto &[Id, Each] : Targets)
+    Out[Id] =
+        static_cast<std::uint32_t>(Each.Waiting.size() + Each.Late.size() +
+                                   Each.Ready.size() + Each.InFlight.count());
+  return Out;
+}
+
 // Opens the first connection immediately and the others while the target is
 // idle.
 void TargetBroker::warmUp(Target &At) {
@@ -220,7 +250,8 @@
     if (Each.InFlight.count() >= maxInFlight(Each))
       Each.SaturatedAt = Now;
     Each.Pool.setSaturated(Now - Each.SaturatedAt < SaturationHold);
-    Each.Pool.setRetiring(IsPerOrganisation && GatewayTargets.count(Id) == 0);
+    Each.Pool.setRetiring((IsPerOrganisation || ServesAsSpare) &&
+                          GatewayTargets.count(Id) == 0);
     Each.Pool.maintain(Now);
     warmUp(Each);
     const auto Open = Each.Pool.connections();
--- a/Source/Relay/TargetBroker.h
+++ b/Source/Relay/TargetBroker.h
@@ -58,6 +58,11 @@
                 std::size_t Gateways);
   /// Sets whether each connection belongs to one organisation.
   void setPerOrganisation(bool New);
+  /// Sets whether this proxy may be one of many spares of a target. Its
+  /// connections to targets of which it is no gateway then close when idle, and
+  /// statements for which it gets none are refused at once as unreachable, so
+  /// that they go to a spare that has one.
+  void setServesAsSpare(bool New) { ServesAsSpare = New; }
   /// Keeps some connections open to these targets and to no others.
   void setGatewayTargets(std::set<std::string> Targets);
 
@@ -68,6 +73,12 @@
   const LateCounts &lateCounts() const { return LateStatements; }
   /// Returns how many late statements wait.
   std::size_t lateWaiting() const;
+  /// True if the last attempts to use the target failed and it is not retried
+  /// yet.
+  bool isFailing(const std::string &Id) const;
+  std::set<std::string> failingTargets() const;
+  /// Statements waiting and in flight, by target.
+  std::map<std::string, std::uint32_t> load() const;
 
   /// Emitted when a target is unreachable, and when a primary has answered.
   sigc::signal<void(const TargetFailure &)> &signalTargetFailure() {
@@ -120,6 +131,7 @@
   };
 
   void applySharing(TargetPool &Pool) const;
+  bool isFailing(const Target &At) const;
   Target &targetOf(const TargetAddress &To);
   Target *find(const std::string &Id);
   /// Returns null if the link has been destroyed.
@@ -178,6 +190,7 @@
   std::map<std::string, GatewayShare> GatewayShares; ///< By group.
   bool IsPerOrganisation = false; ///< Each connection serves one organisation.
   std::set<std::string> GatewayTargets;
+  bool ServesAsSpare = false;
   /// By number. A handler may destroy links and create others at the same
   /// memory address, so loops over several links store their numbers.
   std::map<std::uint64_t, Link *> Links;
--- a/Source/Relay/TargetBrokerQueues.cpp
+++ b/Source/Relay/TargetBrokerQueues.cpp
@@ -202,14 +202,13 @@
 void TargetBroker::dispatch(Target &At) {
   if (std::exchange(At.IsDispatching, true))
     return;
-  const Millis Now = Time.now();
   while (runNext(At)) {
   }
   At.IsDispatching = false;
   recordIfFree(At);
   if (!At.hasWaiting())
     return;
-  if (At.Pool.size() == 0 && At.Pool.isBackingOff(Now))
+  if (At.Pool.size() == 0 && isFailing(At))
     return refuseAll(At, RefusalCode::Unreachable,
                      "the target can't be reached");
   openIfAllowed(At);
--- a/Tests/Support/FakeRelay.cpp
+++ b/Tests/Support/FakeRelay.cpp
@@ -41,8 +41,12 @@
       return;
     Of->Sides[Which].Events = {};
     const int Other = 1 - Which;
-    Net.Loop.at(Net.Loop.now() + Net.Latency, [Of, Other] {
+    Net.Loop.at(Net.Loop.now() + Net.Latency, [&Net, Of, Other] {
       Pipe::Side &To = Of->Sides[Other];
+      const FakeHost *From = Of->Sides[1 - Other].Host;
+      if (To.Host != nullptr && From != nullptr &&
+          Net.isCut(To.Host->name(), From->name()))
+        return;
       if (To.Host != nullptr && To.IsOpen)
         To.Host->run([Of, Other] {
           Pipe::Side &Peer = Of->Sides[Other];
@@ -59,9 +63,11 @@
   void toOther(std::function<void(Pipe::Side &)> Action) {
     const int Other = 1 - Self;
     Net.Loop.at(Net.Loop.now() + Net.Latency,
-                [Of = Of, Other, Action = std::move(Action)] {
+                [&Net = Net, Of = Of, Other, Action = std::move(Action)] {
                   FakeHost *Host = Of->Sides[Other].Host;
-                  if (Host == nullptr)
+                  const FakeHost *From = Of->Sides[1 - Other].Host;
+                  if (Host == nullptr || From == nullptr ||
+                      Net.isCut(Host->name(), From->name()))
                     return;
                   Host->run([Of, Other, Action] {
                     if (Of->Sides[Other].IsOpen)
@@ -94,6 +100,8 @@
     Made->Sides[0].Events = std::move(Events);
     Pipes.emplace_back(Made, 0);
     Net.Loop.at(Net.Loop.now() + Net.Latency, [&Net = Net, Made, To] {
+      if (Net.isCut(Made->Sides[0].Host->name(), To.Address))
+        return;
       const auto Other = Net.Listening.find(To);
       if (Other == Net.Listening.end()) {
         Made->Sides[1].IsOpen = true;
@@ -171,7 +179,10 @@
                 .Floors = Floors,
                 .Load = Load,
                 .Replicas = Load.ReplicaProgress ? &Replicas : nullptr},
-               {"region", "here", Name}) {}
+               {"region", "here", Name}) {
+  if (Load.ReachReports)
+    Relay.reportReach(Broker);
+}
 
 FakeRelaySystem::FakeRelaySystem(FakeLoop &Loop, FakeGroup &Group,
                                  std::size_t Count,
@@ -278,20 +289,30 @@
   return Out;
 }
 
-std::vector<std::size_t>
-FakeRelaySystem::gateways(const std::string &Target) const {
+GatewayTable FakeRelaySystem::table() const {
   std::vector<ProxyRecord> All;
   All.reserve(Listed.size());
   for (const std::size_t Each : Listed)
     All.push_back(recordOf(Each));
-  const std::size_t Count =
-      gatewayCount(Plan.Groups.front().usableConnections());
-  const GatewayTable Table(All, Group.directory().all(),
-                           {{Plan.Groups.front().Name, Count}});
+  return {All,
+          Group.directory().all(),
+          {{Plan.Groups.front().Name, gatewayCountOfGroup()}}};
+}
+
+std::vector<std::size_t>
+FakeRelaySystem::ranking(const std::string &Target) const {
+  const GatewayTable Table = table();
   std::vector<std::size_t> Out;
-  for (const ProxyRecord &Each : Table.gatewaysOf(Target))
-    if (Out.size() < Count)
-      Out.push_back(static_cast<std::size_t>(std::stoi(Each.Name.substr(1))));
+  for (std::size_t Rank = 0; Rank < Table.candidates(Target); ++Rank)
+    Out.push_back(static_cast<std::size_t>(
+        std::stoi(Table.candidate(Target, Rank).Name.substr(1))));
+  return Out;
+}
+
+std::vector<std::size_t>
+FakeRelaySystem::gateways(const std::string &Target) const {
+  std::vector<std::size_t> Out = ranking(Target);
+  Out.resize(std::min(Out.size(), gatewayCountOfGroup()));
   return Out;
 }
 
