--- a/Tests/Unit/LateServiceTest.cpp
+++ b/Tests/Unit/LateServiceTest.cpp
@@ -414,6 +414,7 @@
     REQUIRE_FALSE(Proxy.ask(Opener, Kind::Write, Prefix, "STORE x 0").Refusal);
     Loop.runFor(Millis(1500));
     std::vector<FakePipeline::Session> Callers;
+    Callers.reserve(60);
     for (int Each = 0; Each < 60; ++Each)
       Callers.push_back(Proxy.connect("primary"));
     for (std::size_t Each = 0; Each < Callers.size(); ++Each)
