--- a/Source/Pipeline/JobQueue.h
+++ b/Source/Pipeline/JobQueue.h
@@ -61,8 +61,7 @@
 
   void insert(const SessionJobPtr &New) {
     auto Place = Jobs.end();
-    while (Place != Jobs.begin() &&
-           (*std::prev(Place))->rank() > New->rank())
+    while (Place != Jobs.begin() && (*std::prev(Place))->rank() > New->rank())
       --Place;
     Jobs.insert(Place, New);
   }
