--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -41,9 +41,9 @@
   /// The floor is the last commit of the session, which even a healthy replica
   /// may not have yet.
   bool IsFloorOwnCommit = false;
+  bool HaveAllLagged = false; ///< All replicas, when it was last queued.
   std::set<std::string> ExcludedTargets; ///< Targets that refused it.
   std::set<std::string> LaggingTargets;  ///< Those that lacked its floor.
-  bool HaveAllLagged = false; ///< All replicas, when it was last queued.
   unsigned LaggingRefusals = 0;
   bool HasAskedForFloor = false; ///< A floor was requested; done at most once.
   unsigned Tries = 0;
--- a/Tests/Unit/LeadReliefFleetTest.cpp
+++ b/Tests/Unit/LeadReliefFleetTest.cpp
@@ -140,8 +140,8 @@
   Fleet.Net.Traffic.clear();
   Setup.run(Millis(2000), 1);
   const std::size_t Index = Message(SubscribeRequest{}).index();
-  CHECK(Fleet.Net.Traffic[Index].first >= 3 * 6);
-  CHECK(Fleet.Net.Traffic[Index].first <= 3 * 10);
+  CHECK(Fleet.Net.Traffic[Index].first >= std::uint64_t(3) * 6);
+  CHECK(Fleet.Net.Traffic[Index].first <= std::uint64_t(3) * 10);
 }
 
 TEST_CASE("A primary that refuses commands as busy steps down first",
