Count reads served late as pressure on a primary

With late service, reads that would have been refused at a saturated primary are served after their objective, so refusals alone no longer show the pressure. And with replica progress a read isn't refused by a replica first: that none holds its floor counts too.

--- a/Source/Pipeline/ReadPressure.cpp
+++ b/Source/Pipeline/ReadPressure.cpp
@@ -14,6 +14,9 @@
 }
 
 bool SessionPipeline::lagsEverywhere(const SessionJob &Job) const {
+  // The progress of replicas tells that none holds the read's floor.
+  if (Job.LacksReplica)
+    return true;
   const auto Found = Groups.find(Job.Route.Group);
   if (Found == Groups.end() || Found->second.Primary.empty())
     return false;
--- a/Source/Steering/LeadRelief.cpp
+++ b/Source/Steering/LeadRelief.cpp
@@ -110,7 +110,9 @@
 bool shouldConsiderRelief(const ReliefRules &Rules,
                           const ReliefHistory &History,
                           const GroupPressure &Recent, Millis Now) {
-  return Recent.RefusedReads >= Rules.MinRefusedReads &&
+  // Reads that may wait beyond their objective are served late instead of being
+  // refused.
+  return Recent.RefusedReads + Recent.LaggingReads >= Rules.MinSufferingReads &&
          History.allows(Rules, Now);
 }
 
--- a/Source/Steering/LeadRelief.h
+++ b/Source/Steering/LeadRelief.h
@@ -24,7 +24,7 @@
   /// Refused reads are summed over this time.
   Millis Window = Millis(1000);
   /// Refused reads within the window from which a group is considered.
-  std::uint64_t MinRefusedReads = 30;
+  std::uint64_t MinSufferingReads = 30;
   /// The primary must have led, and the targets must not have restarted, for
   /// this long: after a change of primary, proxies and replicas first settle.
   Millis MinLead = Millis(5000);
