--- a/Tests/Unit/LeadReliefTest.cpp
+++ b/Tests/Unit/LeadReliefTest.cpp
@@ -156,10 +156,16 @@
   CHECK(decide(Query) == Action::Nothing);
 }
 
-TEST_CASE("A group is considered from 30 refused reads a second", "[relief]") {
+TEST_CASE("A group is considered from 30 refused or late reads a second",
+          "[relief]") {
+  // Guards against a saturated primary that is not relieved because its reads
+  // wait beyond their objective instead of being refused.
   const ReliefHistory History = settled(Millis(5000));
   CHECK(shouldConsiderRelief(Rules, History, {"ledger", 30, 0}, Start));
-  CHECK_FALSE(shouldConsiderRelief(Rules, History, {"ledger", 29, 500}, Start));
+  CHECK(shouldConsiderRelief(Rules, History, {"ledger", 0, 30}, Start));
+  CHECK(shouldConsiderRelief(Rules, History, {"ledger", 10, 20}, Start));
+  CHECK_FALSE(shouldConsiderRelief(Rules, History, {"ledger", 29, 0}, Start));
+  CHECK_FALSE(shouldConsiderRelief(Rules, History, {"ledger", 10, 19}, Start));
 }
 
 TEST_CASE("A group is considered once its targets have been settled for 5 s",
