--- a/Tests/Unit/LoadPatternTest.cpp
+++ b/Tests/Unit/LoadPatternTest.cpp
@@ -3,9 +3,9 @@
 /// prediction of waits, sessions opened before the first plan, and primaries
 /// not yet announced by control. Each test describes its load.
 
+#include "Admission/WaitForecast.h"
 #include "FakeGroup.h"
 #include "Pipeline/StatementWindow.h"
-#include "Admission/WaitForecast.h"
 
 #include <catch2/catch.hpp>
 
--- a/Tests/Unit/PeerProbeTest.cpp
+++ b/Tests/Unit/PeerProbeTest.cpp
@@ -87,15 +87,14 @@
   ScriptedStreams Streams{Loop, Frames};
   FloorTable Floors;
   std::vector<bool> Changes;
-  RelayClient Client{
-      Host,
-      Host,
-      Streams,
-      Frames,
-      Floors,
-      {"gateway", 7001},
-      nullptr,
-      {true, [this](bool IsReachable) { Changes.push_back(IsReachable); }}};
+  RelayClient Client{Host,
+                     Host,
+                     Streams,
+                     Frames,
+                     Floors,
+                     {"gateway", 7001},
+                     nullptr,
+                     {true, [this](bool IsReachable) { Changes.push_back(IsReachable); }}};
   std::vector<std::unique_ptr<TargetLink>> Links;
   std::size_t Silences = 0;
   std::size_t Closed = 0;
