--- a/Source/Pipeline/ReadPressure.cpp
+++ b/Source/Pipeline/ReadPressure.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Counts the reads that suffer at a group's leader because every replica lags.
+/// Counts reads that a leader refuses or serves late while all replicas lag.
 
 #include "Pipeline/SessionPipeline.h"
 
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -433,7 +433,7 @@
   void recordAnswer(const SessionJobPtr &Job, const StatementAnswer &Answer,
                     bool ProvesLead);
 
-  // Reads that suffer because every replica lags.
+  // Reads refused or served late because every replica lags.
   void recordLag(SessionJob &Job) const;
   void recordRefusedRead(const SessionJob &Job, const StatementRefusal &Why);
   void recordServedRead(const SessionJob &Job, const std::string &Target);
--- a/Source/Steering/LeadRelief.cpp
+++ b/Source/Steering/LeadRelief.cpp
@@ -112,7 +112,7 @@
                           const GroupPressure &Recent, Millis Now) {
   // Reads that may wait beyond their objective are served late instead of being
   // refused.
-  return Recent.RefusedReads + Recent.LaggingReads >= Rules.MinSufferingReads &&
+  return Recent.RefusedReads + Recent.LaggingReads >= Rules.MinAffectedReads &&
          History.allows(Rules, Now);
 }
 
--- a/Source/Steering/LeadRelief.h
+++ b/Source/Steering/LeadRelief.h
@@ -24,7 +24,7 @@
   /// Refused and late reads are summed over this time.
   Millis Window = Millis(1000);
   /// Refused and late reads within the window from which a group is considered.
-  std::uint64_t MinSufferingReads = 30;
+  std::uint64_t MinAffectedReads = 30;
   /// The primary must have led, and the targets must not have restarted, for
   /// this long: after a change of primary, proxies and replicas first settle.
   Millis MinLead = Millis(5000);
--- a/Source/Steering/Messages.h
+++ b/Source/Steering/Messages.h
@@ -34,8 +34,8 @@
   }
 };
 
-/// Reads of a group that suffered at its leader while every replica lagged, at
-/// one proxy since its last request.
+/// Reads refused or served late at a group's leader while every replica lagged,
+/// at one proxy since its last request.
 struct GroupPressure {
   std::string Group;
   std::uint64_t RefusedReads = 0; ///< Refused as busy.
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -70,7 +70,7 @@
                      const std::vector<ReachabilityReport> &Reports);
   /// Sets whether the lead is moved off saturated primaries.
   void enableRelief(bool New) { IsReliefEnabled = New; }
-  /// Records a proxy's counts of reads that suffer at leaders.
+  /// Records a proxy's counts of reads refused or late at leaders.
   void recordPressure(const ProcessId &Proxy, std::uint64_t Sequence,
                       const std::vector<GroupPressure> &Counts);
   /// Number of reliefs begun by this process, for metrics.
