Start statements in a planned stop only if they can be answered

Cause: the stop relied on a timer that finds a session between two statements. A caller that sends right after each answer is never found so, nothing refused its next statement, and the end of the process cut it. The number of sessions to close counted those opened during the stop, so that every session found between statements was closed at once, also one just opened or answered. Transactions that began late were accepted and then aborted.

Now a StopSchedule decides when each statement starts: only if the usual time for an answer is left, with time limits that end when answers are due. Later ones are refused as not run, and their sessions closed with that answer. Transactions begin in the first three quarters. Only sessions that are quiet for 100 ms are closed at a pace, from when the balancer sends callers elsewhere. It holds because the decision depends on the schedule alone, at the moment a statement starts, whatever way it came.

Event 104 also tells the statements in progress.

--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -15,13 +15,6 @@
 namespace {
 
 constexpr Millis StopCheckInterval(50);
-/// The stop timeout is divided into StopParts. Transactions end by the end of
-/// part TransactionsEndBy, sessions between statements are closed by the end of
-/// part SessionsClosedBy. Sessions that are still at work have the rest, up to
-/// the end of the last part but one, at which the process stops in any case.
-constexpr std::int64_t SessionsClosedBy = 4;
-constexpr std::int64_t TransactionsEndBy = 3;
-constexpr std::int64_t StopParts = 6;
 
 std::vector<std::string> addressesOf(const std::vector<Endpoint> &All) {
   std::vector<std::string> Out;
@@ -324,6 +317,8 @@
   if (std::exchange(Stopping, true))
     return;
   logEvent(EventId::Stopping, {{"reason", "signal"}});
+  const StopSchedule Schedule(Time.now(), Options.StopTimeout,
+                              Options.DrainDelay);
   if (!Pipeline) {
     Loop.stop();
     return;
@@ -331,31 +326,32 @@
   Client->announceStop();
   if (Relay)
     Relay->announceStop();
-  const Millis Now = Time.now();
-  const Millis Part = Options.StopTimeout / StopParts;
-  Pipeline->beginStop(Now + Part * TransactionsEndBy,
-                      Now + Part * SessionsClosedBy);
-  stopWhenIdle(Now + Part * (StopParts - 1));
+  Pipeline->beginStop(Schedule);
+  stopWhenIdle(Schedule);
 }
 
-void SteeringProcess::stopWhenIdle(Millis DeadlineAt) {
-  // The balancer sends callers here until it has observed that this process is
-  // not ready, so the process does not stop before then, even if idle.
-  const Millis EarliestStop =
-      DeadlineAt - Options.StopTimeout / StopParts * (StopParts - 1) +
-      Options.DrainDelay;
+bool SteeringProcess::isIdle() const {
+  return Pipeline->hasNoSessions() && (!Broker || !Broker->isBusy());
+}
+
+void SteeringProcess::stopWhenIdle(const StopSchedule &Schedule) {
   const Millis Now = Time.now();
-  const bool IsIdle =
-      Pipeline->hasNoSessions() && (!Broker || !Broker->isBusy());
-  if ((IsIdle && Now >= EarliestStop) || Now >= DeadlineAt) {
+  const bool IsIdle = isIdle();
+  // The balancer sends callers here until it has observed that this process is
+  // not ready, so a proxy does not stop before then, even if idle.
+  if ((IsIdle && Now >= Schedule.unnoticedUntil()) || Now >= Schedule.bound()) {
     if (!IsIdle)
-      logEvent(EventId::StopBoundReached,
-               {{"unfinished", std::to_string(Pipeline->sessions())}});
+      logStopBoundReached();
     Loop.stop();
     return;
   }
-  Loop.after(StopCheckInterval,
-             [this, DeadlineAt] { stopWhenIdle(DeadlineAt); });
+  Loop.after(StopCheckInterval, [this, Schedule] { stopWhenIdle(Schedule); });
+}
+
+void SteeringProcess::logStopBoundReached() const {
+  logEvent(EventId::StopBoundReached,
+           {{"unfinished", std::to_string(Pipeline->sessions())},
+            {"statements", std::to_string(Pipeline->statementsInProgress())}});
 }
 
 void SteeringProcess::reload() {
--- a/Source/App/SteeringProcess.h
+++ b/Source/App/SteeringProcess.h
@@ -57,7 +57,10 @@
   void connectRelay();
   void reportTargetFailure(const TargetFailure &Problem);
   void beginStop();
-  void stopWhenIdle(Millis DeadlineAt);
+  /// True if no caller waits for anything from this process.
+  bool isIdle() const;
+  void stopWhenIdle(const StopSchedule &Schedule);
+  void logStopBoundReached() const;
   void reload();
 
   Settings Options;
--- a/Source/Pipeline/CallerSession.h
+++ b/Source/Pipeline/CallerSession.h
@@ -108,6 +108,8 @@
   SessionJobPtr Current;
   std::deque<Statement> PendingStatements; ///< Behind the current one.
   bool IsStarting = false; ///< Its statements are being started.
+  Millis QuietSince;       ///< Last answer, or the opening.
+  bool IsEnding = false;   ///< To be closed when idle: its proxy stops.
   bool IsClosed = false;   ///< The session has ended.
 };
 
--- a/Source/Pipeline/PipelineTimes.cpp
+++ b/Source/Pipeline/PipelineTimes.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Applies time limits: to waiting and running statements, idle transactions,
-/// and sessions before a planned stop.
+/// Applies time limits to waiting and running statements and to idle
+/// transactions.
 
 #include "Pipeline/SessionPipeline.h"
 
@@ -23,7 +23,7 @@
 
 void SessionPipeline::tick() {
   const Millis Now = Deps.Time.now();
-  bool IsUrgent = IsStopping;
+  bool IsUrgent = Stop.has_value();
   for (auto &[Name, Each] : Groups)
     std::erase_if(Each.Pools,
                   [](const auto &Pool) { return Pool.second.hasEnded(); });
@@ -60,7 +60,7 @@
     }
   processPendingOpenings(Now);
   endIdleTransactions(Now);
-  closeIdleSessions(Now);
+  closeQuietSessions(Now);
   if (IsUrgent)
     Ticker.requestWithin(WaitingInterval);
   else if (!Running.empty())
@@ -184,7 +184,7 @@
     const bool HasTimedOut =
         Now - Each->Transaction->LastUsed > plan().TransactionIdleTimeout ||
         exceedsRevocationGrace(*Each, Now);
-    const bool MustStop = IsStopping && Now >= TransactionsUntil;
+    const bool MustStop = refusesNewWork(Each->Database);
     if (HasTimedOut || MustStop)
       Ended.push_back(Each);
   }
@@ -198,34 +198,4 @@
   }
 }
 
-void SessionPipeline::beginStop(Millis TransactionsBy, Millis SessionsBy) {
-  IsStopping = true;
-  StopBeganAt = Deps.Time.now();
-  TransactionsUntil = TransactionsBy;
-  SessionsUntil = SessionsBy;
-  SessionsAtStop = Sessions.size();
-  Ticker.requestWithin(WaitingInterval);
-}
-
-void SessionPipeline::closeIdleSessions(Millis Now) {
-  if (!IsStopping)
-    return;
-  // Closes sessions at a constant rate from the beginning of the stop to its
-  // deadline.
-  const auto Span =
-      std::max<std::int64_t>(1, (SessionsUntil - StopBeganAt).count());
-  const auto Passed = std::min<std::int64_t>(Span, (Now - StopBeganAt).count());
-  const std::size_t MayRemain =
-      SessionsAtStop - SessionsAtStop * static_cast<std::size_t>(Passed) /
-                           static_cast<std::size_t>(Span);
-  const auto All = Sessions;
-  for (const auto &[Id, Each] : All) {
-    if (Sessions.size() <= MayRemain)
-      return;
-    if (!Each->Current && Each->PendingStatements.empty() &&
-        Each->Phase == SessionPhase::Idle)
-      closeSession(Each);
-  }
-}
-
 } // namespace corianderdyke
--- a/Source/Pipeline/SessionOpenings.cpp
+++ b/Source/Pipeline/SessionOpenings.cpp
@@ -28,7 +28,9 @@
   Session->KeyDigest = callerKeyDigest(Deps.KeySecret, Key);
   Session->Link = std::move(Link);
   Sessions[Session->Id] = Session;
-  if (plan().Version > 0)
+  if (refusesNewWork(Database))
+    rejectSession(Session, stopRefusal());
+  else if (plan().Version > 0)
     admit(Session);
   else
     waitForPlan(Session);
@@ -59,6 +61,7 @@
   Session->AdmissionDeadline.reset();
   Session->Organisation = *Owner;
   ++Counts.Sessions;
+  Session->QuietSince = Deps.Time.now();
   Session->Link->accept();
   startNext(Session);
 }
@@ -86,7 +89,7 @@
   for (const auto &[Id, Each] : All) {
     if (!Each->AdmissionDeadline || Each->IsClosed)
       continue;
-    if (IsStopping || Now >= *Each->AdmissionDeadline)
+    if (Stop || Now >= *Each->AdmissionDeadline)
       rejectSession(Each,
                     {RefusalCode::Busy,
                      "no plan that is known to be the newest has this; come "
--- a/Source/Pipeline/SessionPipeline.cpp
+++ b/Source/Pipeline/SessionPipeline.cpp
@@ -75,6 +75,7 @@
     endIfRevoked(Session);
   }
   Session->IsStarting = false;
+  closeIfEnding(Session);
 }
 
 void SessionPipeline::start(const CallerSessionPtr &Session,
@@ -121,16 +122,24 @@
           refused(RefusalCode::Aborted, "the transaction had failed"),
           "transaction failed");
     }
-    return startJob(Session, Stmt);
+    return startUnlessStopping(Session, Stmt);
   case StatementKind::Set:
   case StatementKind::Prepare:
   case StatementKind::Deallocate:
     return answerLocally(Session, Stmt);
   default:
-    return startJob(Session, Stmt);
+    return startUnlessStopping(Session, Stmt);
   }
 }
 
+void SessionPipeline::startUnlessStopping(const CallerSessionPtr &Session,
+                                          const Statement &Stmt) {
+  if (refusesNewWork(Session->Database))
+    refuseWhileStopping(Session, Stmt);
+  else
+    startJob(Session, Stmt);
+}
+
 // Answers statements that need no target: slots of targets are scarce, and
 // session values and prepared names are set on the connection that runs a later
 // statement.
@@ -158,6 +167,10 @@
         Session, Stmt,
         refused(RefusalCode::Malformed, "a transaction is open already"),
         "transaction open");
+  if (refusesTransactions(Session->Database)) {
+    Session->IsEnding = refusesNewWork(Session->Database);
+    return replyRefused(Session, Stmt, stopRefusal(), "proxy stops");
+  }
   // The transaction gets a connection only with its first statement: callers
   // pause, and connections are scarce.
   SessionTransaction New;
@@ -202,8 +215,10 @@
 
 void SessionPipeline::reply(const CallerSessionPtr &Session,
                             const StatementAnswer &Answer) {
-  if (!Session->IsClosed)
-    Session->Link->answer(Answer);
+  if (Session->IsClosed)
+    return;
+  Session->QuietSince = Deps.Time.now();
+  Session->Link->answer(Answer);
 }
 
 void SessionPipeline::replyDone(const CallerSessionPtr &Session) {
@@ -284,9 +299,10 @@
   if (Route != nullptr)
     Job->Route = *Route;
   else
-    Job->Route.StatementTimeout = Millis(1000);
+    Job->Route.StatementTimeout = TimeoutWithoutRoute;
   if (IsBound)
     Job->Route.Group = Session->Transaction->Connection->address().Group;
+  limitToStop(*Job);
   Job->DeadlineAt = Job->ArrivedAt + Job->Route.StatementTimeout;
   setWaitDeadlines(*Job);
   Job->Writes = Stmt.Kind == StatementKind::Write;
--- a/Source/Pipeline/SessionPipeline.h
+++ b/Source/Pipeline/SessionPipeline.h
@@ -22,6 +22,7 @@
 #include "Pipeline/FloorTable.h"
 #include "Pipeline/JobQueue.h"
 #include "Pipeline/PrimaryOutage.h"
+#include "Pipeline/StopSchedule.h"
 #include "Pipeline/TargetPool.h"
 #include "Plan/PlanIndex.h"
 #include "Quota/PermitSource.h"
@@ -109,11 +110,14 @@
   void updateTargets(const TargetDirectory &Directory);
   void setProxyCount(std::size_t Count);
 
-  /// Begins a planned stop. Idle sessions are closed a few at a time, so that
-  /// their callers do not all reconnect to other proxies at once.
-  void beginStop(Millis TransactionsBy, Millis SessionsBy);
+  /// Begins a planned stop. Statements are served as before until they might
+  /// not be answered in time; later ones are refused as not run, and their
+  /// sessions closed. Sessions without statements are closed a few at a time.
+  void beginStop(const StopSchedule &Schedule);
   bool hasNoSessions() const { return Sessions.empty(); }
   std::size_t sessions() const { return Sessions.size(); }
+  /// Returns how many statements of callers have not been answered yet.
+  std::size_t statementsInProgress() const;
 
   const RoutePlan &plan() const { return Plan.plan(); }
   const PipelineCounts &counts() const { return Counts; }
@@ -165,6 +169,9 @@
   /// queue before new statements.
   static constexpr Millis BusyPause = Millis(10);
   static constexpr Millis LongestBusyPause = Millis(40);
+  /// Timeout of statements in transactions whose route has been removed.
+  static constexpr Millis TimeoutWithoutRoute = Millis(1000);
+
   static Millis busyPause(const SessionJob &Job) {
     return std::min(BusyPause * (std::int64_t(1) << std::min(Job.Tries, 4U)),
                     LongestBusyPause);
@@ -258,6 +265,8 @@
   static bool exceedsRevocationGrace(const CallerSession &Session, Millis Now);
   void startNext(const CallerSessionPtr &Session);
   void start(const CallerSessionPtr &Session, const Statement &Stmt);
+  void startUnlessStopping(const CallerSessionPtr &Session,
+                           const Statement &Stmt);
   void answerLocally(const CallerSessionPtr &Session, const Statement &Stmt);
   void beginTransaction(const CallerSessionPtr &Session, const Statement &Stmt);
   void rollBack(const CallerSessionPtr &Session);
@@ -449,9 +458,25 @@
   void reportUnresponsive(const TargetConnectionPtr &Connection, Millis Now);
   void checkUnresponsive(const SessionJobPtr &Job, Millis Now);
   Millis answerTimeout(const SessionJob &Job, bool IsOutsideTransaction) const;
-  void closeIdleSessions(Millis Now);
   void endIdleTransactions(Millis Now);
 
+  // A planned stop.
+  /// Ends a statement's time limits before the process ends.
+  void limitToStop(SessionJob &Job) const;
+  /// True if a statement that starts now might not be answered before this
+  /// process ends.
+  bool refusesNewWork(const std::string &Database) const;
+  bool refusesTransactions(const std::string &Database) const;
+  static StatementRefusal stopRefusal();
+  /// Refuses a statement as not run, and ends its transaction. The session ends
+  /// once it is idle.
+  void refuseWhileStopping(const CallerSessionPtr &Session,
+                           const Statement &Stmt);
+  void closeIfEnding(const CallerSessionPtr &Session);
+  static bool isBetweenStatements(const CallerSession &Session);
+  void closeQuietSessions(Millis Now);
+  std::size_t sessionsThatMayRemain(Millis Now) const;
+
   Dependencies Deps;
   Locality OwnLocality;
   PlanIndex Plan;
@@ -464,10 +489,8 @@
   std::size_t Proxies = 8;
   CoalescingTimer Ticker;
   CoalescingTimer ReplicaTimer;
-  bool IsStopping = false;
-  Millis StopBeganAt;
-  Millis TransactionsUntil;
-  Millis SessionsUntil;
+  std::optional<StopSchedule> Stop;     ///< Set once a planned stop has begun.
+  std::uint64_t FirstSessionOfStop = 0; ///< First opened during the stop.
   std::size_t SessionsAtStop = 0;
   /// Answer times of all targets together: one proxy among hundreds gets too
   /// few answers from each target to know its usual answer time.
--- a/Source/Plan/RoutePlan.h
+++ b/Source/Plan/RoutePlan.h
@@ -108,6 +108,13 @@
   /// The operator's original document, for display.
   std::string Document;
 
+  Millis longestObjective() const {
+    Millis Out;
+    for (const RoutePolicy &Each : Routes)
+      Out = std::max(Out, Each.Objective);
+    return Out;
+  }
+
   bool operator==(const RoutePlan &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Version, Routes, Groups, Organisations, TransactionIdleTimeout,
