Refuse relayed statements that arrive shortly before a gateway ends

What callers would see: a write whose outcome is unknown, or a transaction cut in its commit, because the gateway that carried it ended. Not recorded; found by looking for the cause of the cut statements on related paths.

Cause: a stopping gateway asks other proxies to send nothing new, but passed on whatever still arrived until its process ended: commands already on their way, first commands on a new stream, and statements of open transactions.

Now commands that would start a statement are answered as not run, or as aborted inside a transaction, from the last start of the stop on; the link closes and its transaction is rolled back. Commands behind unanswered ones and rollbacks still pass. The state of a link in the relay server is now one structure.

"A gateway refuses what arrives shortly before it ends" failed before: the target ran five statements whose gateways ended within 20 ms.

--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -325,7 +325,8 @@
   }
   Client->announceStop();
   if (Relay)
-    Relay->announceStop();
+    Relay->announceStop(
+        Schedule.lastStart(Pipeline->plan().longestObjective()));
   Pipeline->beginStop(Schedule);
   stopWhenIdle(Schedule);
 }
--- a/Source/Relay/RelayServer.cpp
+++ b/Source/Relay/RelayServer.cpp
@@ -4,6 +4,7 @@
 
 #include "Relay/RelayServer.h"
 
+#include <algorithm>
 #include <deque>
 
 namespace corianderdyke {
@@ -23,13 +24,17 @@
 struct RelayServer::Peer : std::enable_shared_from_this<Peer> {
   Peer(Scheduler &Timers, RelayCodec &Frames) : Outbox(Timers, Frames) {}
 
+  struct OpenLink {
+    std::unique_ptr<TargetLink> Link;
+    std::uint64_t Answered = 0;
+    /// When unanswered commands were received.
+    std::deque<Millis> Asked;
+    SessionPhase Phase = SessionPhase::Idle; ///< Of the last answer.
+  };
+
   RelayOutbox Outbox; ///< Open until the peer is dropped.
-  std::map<std::uint32_t, std::unique_ptr<TargetLink>> Links;
-  std::map<std::uint32_t, std::uint64_t> Answered; ///< Answers by link.
+  std::map<std::uint32_t, OpenLink> Links;
   std::map<std::string, Millis> LastFloors; ///< SentAt of the last, by group.
-  /// When unanswered commands were received, by link; empty without a table of
-  /// replicas.
-  std::map<std::uint32_t, std::deque<Millis>> Asked;
   ReplicaTable::SentReports LastReports;
 
   void send(RelayMessage Body) { Outbox.send(std::move(Body)); }
@@ -91,7 +96,7 @@
   auto Created = std::make_shared<Peer>(Timers, Frames);
   Created->Outbox.reset(Stream);
   Peers.insert(Created);
-  if (IsStopping)
+  if (RefusesFrom)
     Created->send(RelayLeaving{});
   if (!Unreachable.isEmpty())
     Created->send(RelayReach{Unreachable.names(), Reported->load()});
@@ -117,25 +122,39 @@
 void RelayServer::on(Peer &From, const RelayOpen &Body) {
   const std::uint32_t Number = Body.Link;
   const std::weak_ptr<Peer> Weak = From.shared_from_this();
-  From.Links[Number] = Targets.open(
+  From.Links[Number].Link = Targets.open(
       Body.To,
       {[] {},
        [this, Weak, Number, To = Body.To](const StatementAnswer &Answer) {
          if (const auto Strong = Weak.lock())
-           Strong->send(RelayAnswer{Number, Strong->Answered[Number]++, Answer,
-                                    floorUpdateFor(*Strong, To.Group),
-                                    reportFor(*Strong, To, Number, Answer)});
+           forwardAnswer(*Strong, To, Number, Answer);
        },
        [Weak, Number](const std::optional<StatementRefusal> &) {
          const auto Strong = Weak.lock();
          if (!Strong || Strong->Links.erase(Number) == 0)
            return;
-         Strong->Answered.erase(Number);
-         Strong->Asked.erase(Number);
          Strong->send(RelayClose{Number});
        }});
 }
 
+void RelayServer::forwardAnswer(Peer &To, const TargetAddress &From,
+                                std::uint32_t Number,
+                                const StatementAnswer &Answer) {
+  const auto Found = To.Links.find(Number);
+  if (Found == To.Links.end())
+    return;
+  Peer::OpenLink &Link = Found->second;
+  std::optional<Millis> AskedAt;
+  if (!Link.Asked.empty()) {
+    AskedAt = Link.Asked.front();
+    Link.Asked.pop_front();
+  }
+  Link.Phase = Answer.Phase;
+  To.send(RelayAnswer{Number, Link.Answered++, Answer,
+                      floorUpdateFor(To, From.Group),
+                      reportFor(To, From, AskedAt, Answer)});
+}
+
 // A single proxy receives few answers from a group's leader, and without a
 // recent floor it would have to send each read to the leader.
 std::optional<RelayFloor>
@@ -152,18 +171,15 @@
 }
 
 std::optional<ReplicaReport>
-RelayServer::reportFor(Peer &To, const TargetAddress &Asked, std::uint32_t Link,
+RelayServer::reportFor(Peer &To, const TargetAddress &Asked,
+                       std::optional<Millis> AskedAt,
                        const StatementAnswer &Answer) {
   if (Replicas == nullptr)
     return std::nullopt;
   const Millis Now = Time.now();
-  std::deque<Millis> &SentAt = To.Asked[Link];
-  if (!SentAt.empty()) {
-    if (Answer.Position)
-      Replicas->recordAnswer(Asked.Group, Asked.Id, *Answer.Position,
-                             SentAt.front(), Now);
-    SentAt.pop_front();
-  }
+  if (AskedAt && Answer.Position)
+    Replicas->recordAnswer(Asked.Group, Asked.Id, *Answer.Position, *AskedAt,
+                           Now);
   // The answer itself states the position of its target.
   return Replicas->nextReport(Asked.Group, Asked.Id, To.LastReports, Now);
 }
@@ -172,19 +188,49 @@
   const auto Found = From.Links.find(Body.Link);
   // The link closed here while the commands were in transit; a RelayClose has
   // been sent.
-  if (Found == From.Links.end() || !Found->second)
+  if (Found == From.Links.end() || !Found->second.Link)
     return;
-  if (Replicas != nullptr) {
-    std::deque<Millis> &SentAt = From.Asked[Body.Link];
-    SentAt.insert(SentAt.end(), Body.Commands.size(), Time.now());
+  Peer::OpenLink &Link = Found->second;
+  const Millis Now = Time.now();
+  // Commands behind unanswered ones belong to a statement under way.
+  if (RefusesFrom && Now >= *RefusesFrom && Link.Asked.empty() &&
+      startsStatement(Body.Commands))
+    return refuse(From, Body);
+  Link.Asked.insert(Link.Asked.end(), Body.Commands.size(), Now);
+  Link.Link->send(Body.Commands);
+}
+
+// A rollback releases the target's connection; it is not refused.
+bool RelayServer::startsStatement(const std::vector<TargetCommand> &Commands) {
+  return std::any_of(Commands.begin(), Commands.end(),
+                     [](const TargetCommand &Each) {
+                       return Each.Operation != TargetCommand::Kind::Rollback &&
+                              !isSessionStateCommand(Each.Operation);
+                     });
+}
+
+void RelayServer::refuse(Peer &From, const RelayCommands &Body) {
+  // Its transaction is rolled back with the link. A link without one may have
+  // missed changes of its session state, too. It is taken out of the map first,
+  // because sending may end the stream with its links.
+  auto Ended = From.Links.extract(Body.Link);
+  Peer::OpenLink &Link = Ended.mapped();
+  const bool IsInTransaction = Link.Phase != SessionPhase::Idle;
+  for (const TargetCommand &Each : Body.Commands) {
+    StatementAnswer Out;
+    if (!isSessionStateCommand(Each.Operation))
+      Out.Refusal = StatementRefusal{IsInTransaction ? RefusalCode::Aborted
+                                                     : RefusalCode::Busy,
+                                     "the gateway stops"};
+    Out.Phase = IsInTransaction ? SessionPhase::Failed : SessionPhase::Idle;
+    From.send(RelayAnswer{Body.Link, Link.Answered++, std::move(Out),
+                          std::nullopt, std::nullopt});
   }
-  Found->second->send(Body.Commands);
+  From.send(RelayClose{Body.Link});
 }
 
 void RelayServer::on(Peer &From, const RelayClose &Body) {
   From.Links.erase(Body.Link);
-  From.Answered.erase(Body.Link);
-  From.Asked.erase(Body.Link);
 }
 
 void RelayServer::on(Peer &From, const RelayPing &) { From.send(RelayPong{}); }
@@ -197,8 +243,8 @@
   const auto Ended = std::exchange(Strong->Links, {});
 }
 
-void RelayServer::announceStop() {
-  IsStopping = true;
+void RelayServer::announceStop(Millis RefuseFrom) {
+  RefusesFrom = RefuseFrom;
   for (const auto &Each : Peers)
     Each->send(RelayLeaving{});
 }
--- a/Source/Relay/RelayServer.h
+++ b/Source/Relay/RelayServer.h
@@ -33,8 +33,10 @@
   RelayServer(const RelayServer &) = delete;
   RelayServer &operator=(const RelayServer &) = delete;
 
-  /// Asks connected proxies to send nothing new to this gateway.
-  void announceStop();
+  /// Asks connected proxies to send nothing new to this gateway. Statements
+  /// that arrive from \p RefuseFrom on are refused as not run, and their
+  /// transactions rolled back.
+  void announceStop(Millis RefuseFrom);
 
 private:
   struct Peer;
@@ -43,6 +45,8 @@
   void receive(Peer &From, const std::string &Frame);
   void on(Peer &From, const RelayOpen &Body);
   void on(Peer &From, const RelayCommands &Body);
+  static bool startsStatement(const std::vector<TargetCommand> &Commands);
+  void refuse(Peer &From, const RelayCommands &Body);
   void on(Peer &From, const RelayClose &Body);
   void on(Peer &From, const RelayPing &Body);
   template <class Other> void on(Peer &, const Other &) {}
@@ -54,8 +58,10 @@
   std::optional<RelayFloor> floorUpdateFor(Peer &To,
                                            const std::string &Group) const;
   std::optional<ReplicaReport> reportFor(Peer &To, const TargetAddress &Asked,
-                                         std::uint32_t Link,
+                                         std::optional<Millis> AskedAt,
                                          const StatementAnswer &Answer);
+  void forwardAnswer(Peer &To, const TargetAddress &From, std::uint32_t Number,
+                     const StatementAnswer &Answer);
 
   Clock &Time;
   Scheduler &Timers;
@@ -64,8 +70,8 @@
   const FloorTable &Floors;
   ReplicaTable *Replicas;
   std::set<std::shared_ptr<Peer>> Peers;
-  bool IsStopping = false;
-  TargetBroker *Reported = nullptr; ///< Null unless reach is reported.
+  std::optional<Millis> RefusesFrom; ///< Set once this process stops.
+  TargetBroker *Reported = nullptr;  ///< Null unless reach is reported.
   UnreachableTargets Unreachable;
   Millis ReachSentAt;
   Scheduler::TimerId ReachTimer = 0; ///< While a target is unreachable.
--- a/Tests/Unit/RelayStressTest.cpp
+++ b/Tests/Unit/RelayStressTest.cpp
@@ -118,7 +118,8 @@
       System.proxy(below(ProxyCount)).Access.Cut = {"a", "b"};
       break;
     default:
-      System.proxy(below(ProxyCount)).Relay.announceStop();
+      System.proxy(below(ProxyCount))
+          .Relay.announceStop(Loop.now() + Millis(200));
     }
     System.updateDirectories();
   }
--- a/Tests/Unit/RelayTest.cpp
+++ b/Tests/Unit/RelayTest.cpp
@@ -360,7 +360,8 @@
   for (const std::size_t Each : Fixture.System.gateways("a"))
     if (Fixture.System.proxy(Each).Broker.isBusy())
       Gateway = Each;
-  Fixture.System.proxy(Gateway).Relay.announceStop();
+  Fixture.System.proxy(Gateway).Relay.announceStop(Fixture.Loop.now() +
+                                                   Millis(1000));
   Fixture.Loop.runFor(Millis(10));
   const auto Other = Fixture.System.connect(Proxy, "primary");
   for (int Round = 0; Round < 6; ++Round)
@@ -372,3 +373,44 @@
   CHECK_FALSE(Fixture.System.proxy(Gateway).Broker.isBusy());
   CHECK(Fixture.Group.Committed.count("w1") == 1);
 }
+
+TEST_CASE("A gateway refuses what arrives shortly before it ends", "[relay]") {
+  // Guards against statements that another proxy sent before it learned of the
+  // stop, and that the gateway passes on and cuts off when it ends.
+  Setup Fixture;
+  const std::size_t Proxy = Fixture.System.nonGateway("a");
+  const auto Single = Fixture.System.connect(Proxy, "primary");
+  const auto Open = Fixture.System.connect(Proxy, "primary");
+  REQUIRE_FALSE(
+      Fixture.System.ask(Single, Kind::Write, "w1", "STORE x 1").Refusal);
+  Fixture.System.ask(Open, Kind::Begin);
+  REQUIRE_FALSE(
+      Fixture.System.ask(Open, Kind::Write, "w2", "STORE x 2").Refusal);
+  Fixture.Group.ExecutionTime = Millis(30);
+  Fixture.System.net().Latency = Millis(5);
+  Fixture.System.send(Open, Kind::Commit, "c2");
+  for (int Each = 0; Each < 4; ++Each)
+    Fixture.System.send(Fixture.System.connect(Proxy, "primary"), Kind::Write,
+                        "v" + std::to_string(Each), "STORE x 1");
+  Fixture.System.send(Single, Kind::Write, "w3", "STORE x 3");
+  // All gateways stop while these are on their way, and end before the target
+  // would answer.
+  const std::size_t Before = Fixture.Group.Runs.size();
+  for (const std::size_t Each : Fixture.System.gateways("a"))
+    Fixture.System.proxy(Each).Relay.announceStop(Fixture.Loop.now());
+  Fixture.Loop.runFor(Millis(20));
+  for (const std::size_t Each : Fixture.System.gateways("a")) {
+    CHECK_FALSE(Fixture.System.proxy(Each).Broker.isBusy());
+    Fixture.System.proxy(Each).Host.kill();
+  }
+  CHECK(Fixture.Group.Runs.size() == Before);
+  Fixture.Loop.runFor(Millis(1000));
+  const StatementAnswer &Commit = Open.Caller->last();
+  REQUIRE(Commit.Refusal);
+  CHECK(Commit.Refusal->Code == RefusalCode::Aborted);
+  CHECK(Fixture.Group.Committed.count("w2") == 0);
+  CHECK(Fixture.Group.runs("w3") <= 1);
+  CHECK((!Single.Caller->last().Refusal ||
+         Single.Caller->last().Refusal->Code == RefusalCode::Busy ||
+         Single.Caller->last().Refusal->Code == RefusalCode::Unreachable));
+}
