Let callers close refused connections first

What callers would see: a reset connection in place of the refusal that they were sent, so that a statement that did not run looks as if it might have.

Cause: the listener closed a socket as soon as its output had been written. With unread bytes in the socket that resets the connection, and a reset may take the last answer with it. A stop that refuses statements makes this more frequent.

A stopping process waits until its callers have been sent everything; it knew its sessions, but not their bytes.

--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -332,7 +332,8 @@
 }
 
 bool SteeringProcess::isIdle() const {
-  return Pipeline->hasNoSessions() && (!Broker || !Broker->isBusy());
+  return Pipeline->hasNoSessions() && !CallerPort->hasUnsent() &&
+         (!Broker || !Broker->isBusy());
 }
 
 void SteeringProcess::stopWhenIdle(const StopSchedule &Schedule) {
--- a/Source/Steering/ProtocolAdapter.h
+++ b/Source/Steering/ProtocolAdapter.h
@@ -18,6 +18,10 @@
 class CallerListener {
 public:
   virtual ~CallerListener() = default;
+
+  /// True while a caller has not been sent all its answers, or the end of its
+  /// session.
+  virtual bool hasUnsent() const = 0;
 };
 
 /// The address of the promotion service and the name of the process that sends
--- a/Tests/Unit/PlatformSocketTest.cpp
+++ b/Tests/Unit/PlatformSocketTest.cpp
@@ -553,3 +553,35 @@
   }
   CHECK(WasDeferred);
 }
+
+TEST_CASE("A refused caller that has sent more reads the refusal and the end",
+          "[platform-socket]") {
+  // Guards against closing a socket with unread bytes, which resets the
+  // connection and may take the refusal with it.
+  SocketSetup Fixture;
+  const int Caller = ::socket(AF_INET, SOCK_STREAM, 0);
+  const sockaddr_in At = socketAddress(Fixture.At);
+  REQUIRE(::connect(Caller, reinterpret_cast<const sockaddr *>(&At),
+                    sizeof(At)) == 0);
+  constexpr std::size_t More = 100000;
+  const std::string Sent = "NONSENSE\r\n" + std::string(More, 'x');
+  REQUIRE(::send(Caller, Sent.data(), Sent.size(), MSG_DONTWAIT) ==
+          static_cast<ssize_t>(Sent.size()));
+  std::string Received;
+  ssize_t Got = 1;
+  bool HasEnded = false;
+  // A reset is reported only once.
+  runUntil(Fixture.Loop, [&] {
+    char Bytes[1000];
+    while (!HasEnded &&
+           (Got = ::recv(Caller, Bytes, sizeof(Bytes), MSG_DONTWAIT)) > 0)
+      Received.append(Bytes, static_cast<std::size_t>(Got));
+    HasEnded = HasEnded || Got == 0 || errno != EAGAIN;
+    return HasEnded;
+  });
+  ::close(Caller);
+  CHECK(HasEnded);
+  CHECK(Received.rfind("ERROR MALFORMED", 0) == 0);
+  CHECK(Got == 0);
+  CHECK(runUntil(Fixture.Loop, [&] { return !Fixture.Listener->hasUnsent(); }));
+}
