Answer pending requests when a control host stops

What operators would see: a change that was read whole and may be in force, and a connection that ends without an answer.

Cause: a control host ended its loop at once with SIGTERM. Now it accepts no further connections, closes each one after its response, and ends when nothing is pending, or at the bound of the stop. Event 104 tells how many were left.

"A stopping control host answers the requests that it has received" failed before with an empty response.

--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -319,21 +319,25 @@
   logEvent(EventId::Stopping, {{"reason", "signal"}});
   const StopSchedule Schedule(Time.now(), Options.StopTimeout,
                               Options.DrainDelay);
-  if (!Pipeline) {
-    Loop.stop();
-    return;
+  if (DirectoryPort) {
+    DirectoryPort->stopListening();
+    DirectoryPort->closeConnectionsAfterResponse();
+  }
+  if (Pipeline) {
+    Client->announceStop();
+    if (Relay)
+      Relay->announceStop(
+          Schedule.lastStart(Pipeline->plan().longestObjective()));
+    Pipeline->beginStop(Schedule);
   }
-  Client->announceStop();
-  if (Relay)
-    Relay->announceStop(
-        Schedule.lastStart(Pipeline->plan().longestObjective()));
-  Pipeline->beginStop(Schedule);
   stopWhenIdle(Schedule);
 }
 
 bool SteeringProcess::isIdle() const {
-  return Pipeline->hasNoSessions() && !CallerPort->hasUnsent() &&
-         (!Broker || !Broker->isBusy());
+  if (DirectoryPort && DirectoryPort->pendingRequests() > 0)
+    return false;
+  return !Pipeline || (Pipeline->hasNoSessions() && !CallerPort->hasUnsent() &&
+                       (!Broker || !Broker->isBusy()));
 }
 
 void SteeringProcess::stopWhenIdle(const StopSchedule &Schedule) {
@@ -341,7 +345,8 @@
   const bool IsIdle = isIdle();
   // The balancer sends callers here until it has observed that this process is
   // not ready, so a proxy does not stop before then, even if idle.
-  if ((IsIdle && Now >= Schedule.unnoticedUntil()) || Now >= Schedule.bound()) {
+  const bool MayStop = !Pipeline || Now >= Schedule.unnoticedUntil();
+  if ((IsIdle && MayStop) || Now >= Schedule.bound()) {
     if (!IsIdle)
       logStopBoundReached();
     Loop.stop();
@@ -351,9 +356,15 @@
 }
 
 void SteeringProcess::logStopBoundReached() const {
+  const std::size_t Sessions = Pipeline ? Pipeline->sessions() : 0;
+  const std::size_t Statements =
+      Pipeline ? Pipeline->statementsInProgress() : 0;
+  const std::size_t Requests =
+      DirectoryPort ? DirectoryPort->pendingRequests() : 0;
   logEvent(EventId::StopBoundReached,
-           {{"unfinished", std::to_string(Pipeline->sessions())},
-            {"statements", std::to_string(Pipeline->statementsInProgress())}});
+           {{"unfinished", std::to_string(Sessions)},
+            {"statements", std::to_string(Statements)},
+            {"requests", std::to_string(Requests)}});
 }
 
 void SteeringProcess::reload() {
--- a/Source/App/SteeringProcess.h
+++ b/Source/App/SteeringProcess.h
@@ -57,7 +57,7 @@
   void connectRelay();
   void reportTargetFailure(const TargetFailure &Problem);
   void beginStop();
-  /// True if no caller waits for anything from this process.
+  /// True if no caller or operator waits for anything from this process.
   bool isIdle() const;
   void stopWhenIdle(const StopSchedule &Schedule);
   void logStopBoundReached() const;
