Count replicas that failed to take over among those a promotion needs

What callers saw: with sync_replicas 1, acknowledged writes were gone after a failover.

Cause: Group::Excluded held the replicas that refused an order or did not take over. candidates() left them out, and chooseSuccessor() counted the replicas that must answer from candidates(). With the holder of the commits excluded, one answer of one was complete.

A replica that was silent from the start is waited for on the same code.

Change: with synchronous replicas, a failure no longer takes a replica out of the query or the count. It only ranks below an equal log, and is ordered again after a pause of 0.2 s, doubled up to 5 s; so the change goes on once the replica is back. Without synchronous replicas nothing changes. The step "waiting" and the metric corianderdyke_promotion_awaited_targets show what a change waits for, and the reason of an order names replicas that did not answer.

Why it works: a commit is on SyncReplicas replicas. If fewer did not answer, one that answered holds it, and so does the highest position of those; the set that is counted no longer depends on what failed in the change.

Tests: three orders of events, forced.

--- a/Source/App/SteeringMetrics.cpp
+++ b/Source/App/SteeringMetrics.cpp
@@ -188,6 +188,10 @@
   for (const auto &[Step, Each] : Steps)
     To.add("corianderdyke_promotion_steps_total", static_cast<double>(Each),
            {{"step", Step}});
+  for (const auto &[Group, Count] :
+       From.Control->promotionCoordinator().awaitedTargets())
+    To.add("corianderdyke_promotion_awaited_targets",
+           static_cast<double>(Count), {{"group", Group}});
   To.add("corianderdyke_lead_reliefs_total",
          static_cast<double>(From.Control->promotionCoordinator().reliefs()));
 }
--- a/Source/Operators/MetricSet.cpp
+++ b/Source/Operators/MetricSet.cpp
@@ -165,6 +165,11 @@
        "Voters of the control group as this host knows them."},
       {"corianderdyke_promotion_steps_total", MetricType::Counter, "step",
        "control", "Steps of changes of primary, on the leading control host."},
+      {"corianderdyke_promotion_awaited_targets", MetricType::Gauge, "group",
+       "control",
+       "Targets without an answer that may hold acknowledged commits and that "
+       "a "
+       "change of primary waits for, on the leading control host."},
       {"corianderdyke_lead_reliefs_total", MetricType::Counter, "", "control",
        "Times that the lead of a group was ordered off a saturated primary "
        "whose replicas lagged, on the leading control host."},
--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -4,6 +4,7 @@
 #include "Steering/PromotionCoordinator.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace corianderdyke {
 
@@ -16,6 +17,10 @@
 /// Proxies that must report a primary as unusable before control probes it, if
 /// that many are connected: a single one may be partitioned itself.
 constexpr std::size_t MinReports = 2;
+/// Pause before a target that refused or failed is ordered again; doubled with
+/// each further failure. Each order is kept in the control group's log.
+constexpr Millis FirstRetryPause(200);
+constexpr Millis MaxRetryPause(5000);
 
 } // namespace
 
@@ -30,8 +35,10 @@
 void PromotionCoordinator::startLeading() {
   IsActive = true;
   LeadingSince = Time.now();
-  for (auto &[Name, Each] : Groups)
+  for (auto &[Name, Each] : Groups) {
+    Each.Awaited.clear();
     resumeWatching(Each, Millis(0));
+  }
   Pressure.clear();
   StalenessVersion = 0;
   MayBeStopped.clear();
@@ -53,6 +60,7 @@
   IsActive = false;
   for (auto &[Name, Each] : Groups) {
     Each.StoppedReplicas.clear();
+    Each.Awaited.clear();
     resumeWatching(Each, Millis(0));
   }
 }
@@ -169,14 +177,15 @@
     Step.emit(Name, "promoted",
               In.Successor + " leads after " +
                   std::to_string((Now - In.ChangeBeganAt).count()) + " ms");
-    In.Excluded.clear();
+    In.Failures.clear();
+    In.Awaited.clear();
     return resumeWatching(In, Millis(0));
   }
   if (Now - In.StageSince <= Times.PromotionTimeout)
     return;
   Step.emit(Name, "attempt-ended", "no progress in time");
   if (In.CurrentStage == Stage::Awaiting)
-    In.Excluded.insert(In.Successor);
+    recordFailure(In, In.Successor);
   resumeWatching(In, AttemptPause);
 }
 
@@ -228,12 +237,22 @@
   const Millis LastUpdateAt =
       std::max(Directory.lastUpdate(Primary->Id), LeadingSince);
   const bool IsSilent = Now - LastUpdateAt > Times.SuspectAfter && Reached == 0;
-  if (!Reported && !IsSilent)
+  if (!Reported && !IsSilent) {
+    if (Reached > 0 || Directory.lastUpdate(Primary->Id) > In.ChangeBeganAt)
+      abandonChange(Name, In, *Primary);
     return considerRelief(Name, In, *Primary);
+  }
   In.ChangeBeganAt = Now;
   probe(Name, *Primary, Proxies);
 }
 
+void PromotionCoordinator::abandonChange(const std::string &Name, Group &In,
+                                         const TargetRecord &Primary) {
+  if (!In.Awaited.empty())
+    Step.emit(Name, "kept", Primary.Id + " leads on: it works again");
+  In.Awaited.clear();
+}
+
 // A primary that restarts under its id may still report that it leads, without
 // the log that its replicas hold. Without a change it would continue from an
 // empty log, and all acknowledged writes would be lost.
@@ -335,7 +354,10 @@
   const Group &In = Groups.at(Name);
   std::vector<TargetRecord> Out;
   for (const TargetRecord &Each : Directory.ofGroup(Name)) {
-    if (Each.Id == In.OldPrimary || In.Excluded.count(Each.Id) != 0)
+    if (Each.Id == In.OldPrimary)
+      continue;
+    const bool IsCounted = In.SyncReplicas > 0 && !In.Relief;
+    if (!IsCounted && In.Failures.count(Each.Id) != 0)
       continue;
     if (In.Relief && !mayRelieve(*In.Relief, Each))
       continue;
@@ -356,7 +378,7 @@
   if (All.empty() && In.Relief)
     return returnLead(Name, "no replica is left");
   if (All.empty()) {
-    In.Excluded.clear();
+    In.Failures.clear();
     return resumeWatching(In, AttemptPause);
   }
   queryAll(Name, All, TargetCommand::Kind::Status, 0);
@@ -408,7 +430,7 @@
                       return;
                     if (IsFinalQuery || Current.Statuses.empty())
                       chooseSuccessor(Name);
-                    else
+                    else if (!awaitMissingTargets(Name))
                       stopReceiving(Name);
                   });
 }
@@ -424,25 +446,23 @@
   Group &In = Groups[Name];
   if (In.Relief)
     return chooseForRelief(Name);
-  const auto Best =
-      std::max_element(In.Statuses.begin(), In.Statuses.end(),
-                       [](const auto &Left, const auto &Right) {
-                         return Left.second.Received < Right.second.Received;
-                       });
-  if (Best == In.Statuses.end()) {
+  if (In.SyncReplicas > 0 && awaitMissingTargets(Name))
+    return;
+  if (In.Statuses.empty()) {
     Step.emit(Name, "attempt-ended", "no replica answers");
     return resumeWatching(In, AttemptPause);
   }
-  // An acknowledged commit is on SyncReplicas replicas, so it is on one that
-  // answered if fewer than SyncReplicas did not answer.
-  const std::size_t All = candidates(Name).size();
-  if (In.SyncReplicas > 0 && In.Statuses.size() + In.SyncReplicas <= All) {
-    Step.emit(Name, "attempt-ended",
-              std::to_string(In.Statuses.size()) + " of " +
-                  std::to_string(All) +
-                  " replicas answer; the others may hold more");
-    return resumeWatching(In, AttemptPause);
-  }
+  // Of equal logs, one whose target is likely to take over and to stay.
+  const auto Rank = [this, &In](const auto &Each) {
+    const TargetRecord *Known = Directory.find(Each.first);
+    return std::tuple(Each.second.Received, In.Failures.count(Each.first) == 0,
+                      Known != nullptr && !Known->IsLeaving);
+  };
+  const auto Best =
+      std::max_element(In.Statuses.begin(), In.Statuses.end(),
+                       [&Rank](const auto &Left, const auto &Right) {
+                         return Rank(Left) < Rank(Right);
+                       });
   const Millis Waited = Time.now() - In.ChangeBeganAt;
   // A replica that is too busy to answer may have the highest position.
   if (In.IsIncomplete && Waited < Times.CatchUpTimeout)
@@ -463,9 +483,54 @@
               Present->Id + " leads on: no replica is known to hold more");
     return resumeWatching(In, Millis(0));
   }
+  const auto Failed = In.Failures.find(Best->first);
+  if (Failed != In.Failures.end() && Time.now() < Failed->second.RetryAt)
+    return resumeWatching(In, Failed->second.RetryAt - Time.now());
   proposePromotion(Name, Best->first);
 }
 
+bool PromotionCoordinator::awaitMissingTargets(const std::string &Name) {
+  Group &In = Groups[Name];
+  std::set<std::string> Missing;
+  for (const TargetRecord &Each : candidates(Name))
+    if (In.Statuses.count(Each.Id) == 0)
+      Missing.insert(Each.Id);
+  // An acknowledged commit is on SyncReplicas replicas, so it is on one that
+  // answered if fewer than SyncReplicas did not answer.
+  if (Missing.size() < In.SyncReplicas) {
+    In.Awaited.clear();
+    return false;
+  }
+  if (Missing != In.Awaited) {
+    std::string Ids;
+    for (const std::string &Each : Missing)
+      Ids += (Ids.empty() ? "" : ", ") + Each;
+    Step.emit(Name, "waiting",
+              "no answer from " + Ids +
+                  "; acknowledged commits may be on these alone");
+  }
+  In.Awaited = std::move(Missing);
+  resumeWatching(In, AttemptPause);
+  return true;
+}
+
+void PromotionCoordinator::recordFailure(Group &In,
+                                         const std::string &Target) const {
+  FailedOrders &Failed = In.Failures[Target];
+  Failed.Pause =
+      std::min(Failed.Pause == Millis(0) ? FirstRetryPause : Failed.Pause * 2,
+               MaxRetryPause);
+  Failed.RetryAt = Time.now() + Failed.Pause;
+}
+
+std::map<std::string, std::size_t>
+PromotionCoordinator::awaitedTargets() const {
+  std::map<std::string, std::size_t> Out;
+  for (const auto &[Name, Each] : Groups)
+    Out[Name] = Each.Awaited.size();
+  return Out;
+}
+
 void PromotionCoordinator::proposePromotion(const std::string &Name,
                                             const std::string &Target) {
   Group &In = Groups[Name];
@@ -476,6 +541,9 @@
     Positions += (Positions.empty() ? "" : ", ") + Id + " has " +
                  std::to_string(Each.Received.Term) + "." +
                  std::to_string(Each.Received.Number);
+  for (const TargetRecord &Each : candidates(Name))
+    if (!In.Relief && In.Statuses.count(Each.Id) == 0)
+      Positions += ", " + Each.Id + " did not answer";
   const std::string Why = In.Reason + "; " + Positions;
   Step.emit(Name, "promotion-ordered", Target + ": " + Why);
   const TargetRecord *Known = Directory.find(Target);
@@ -514,7 +582,7 @@
                                 ? ": rejected"
                                 : ": no answer"));
         if (Result == PromotionPort::Result::Rejected)
-          Current.Excluded.insert(Target);
+          recordFailure(Current, Target);
         // An unanswered order may still be executed. The next order has a
         // higher token, so it prevails in either order of arrival.
         resumeWatching(Current, AttemptPause);
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -10,6 +10,11 @@
 /// the promotion, so that no write is rolled back. The same change moves the
 /// lead off a saturated primary whose replicas all lag, if that is enabled.
 ///
+/// With synchronous replicas, a target that refused an order or did not take
+/// over still counts: the others are promoted only if they hold all
+/// acknowledged commits without it, and once it answers it may be ordered
+/// again.
+///
 /// The class is driven by ticks and answers; its owner executes its requests.
 
 #ifndef CORIANDERDYKE_STEERING_PROMOTIONCOORDINATOR_H
@@ -73,6 +78,8 @@
   /// Records a proxy's counts of reads refused or late at leaders.
   void recordPressure(const ProcessId &Proxy, std::uint64_t Sequence,
                       const std::vector<GroupPressure> &Counts);
+  /// Number of targets whose answers a change of primary waits for, by group.
+  std::map<std::string, std::size_t> awaitedTargets() const;
   /// Number of reliefs begun by this process, for metrics.
   std::uint64_t reliefs() const { return Reliefs; }
   /// Must be called every few tens of milliseconds while leading.
@@ -98,6 +105,12 @@
     Awaiting,     ///< Waits for the new primary's heartbeat.
   };
 
+  /// Orders to one target that were refused or had no effect.
+  struct FailedOrders {
+    Millis Pause;   ///< From the last failure to the next order.
+    Millis RetryAt; ///< Not ordered again before, with synchronous replicas.
+  };
+
   struct Group {
     Stage CurrentStage = Stage::Watching;
     std::uint64_t Round = 0; ///< Answers of earlier rounds are ignored.
@@ -115,11 +128,15 @@
     std::map<std::string, TargetStatus> Statuses;
     std::size_t Asked = 0;
     std::size_t Answered = 0;
-    bool IsIncomplete = false;      ///< A replica was too busy to answer.
-    std::set<std::string> Excluded; ///< Refused or failed in this change.
+    bool IsIncomplete = false; ///< A replica was too busy to answer.
+    /// Targets that refused or failed in this change, by id. Without
+    /// synchronous replicas they are not ordered again until all have failed.
+    std::map<std::string, FailedOrders> Failures;
     /// Replicas that must hold a commit before it is acknowledged, according
     /// to the plan.
     std::uint32_t SyncReplicas = 0;
+    /// Targets without an answer that the change waits for.
+    std::set<std::string> Awaited;
     std::set<std::string> StoppedReplicas; ///< Ordered to stop receiving.
     std::optional<Millis> NextQueryAt;
     Millis RetryAt;
@@ -143,6 +160,9 @@
   };
 
   void watch(const std::string &Name, Group &In, std::size_t Proxies);
+  /// Ends a change that has failed so far, because the primary works again.
+  void abandonChange(const std::string &Name, Group &In,
+                     const TargetRecord &Primary);
   /// True if the primary is the previous one in a later incarnation.
   bool hasRestarted(const Group &In, const TargetRecord &Primary) const;
   /// True if the queried incarnation is still the current one.
@@ -170,6 +190,11 @@
   void queryAll(const std::string &Name, const std::vector<TargetRecord> &All,
                 TargetCommand::Kind What, std::uint64_t Term);
   void chooseSuccessor(const std::string &Name);
+  /// Ends the attempt and returns true if targets that did not answer may hold
+  /// acknowledged commits that the others lack.
+  bool awaitMissingTargets(const std::string &Name);
+  /// Orders a target that failed again only after a growing pause.
+  void recordFailure(Group &In, const std::string &Target) const;
   void proposePromotion(const std::string &Name, const std::string &Target);
   void sendPromotion(const std::string &Name, const std::string &Target,
                      std::uint64_t Token);
--- a/Source/Steering/PromotionRelief.cpp
+++ b/Source/Steering/PromotionRelief.cpp
@@ -147,7 +147,7 @@
   In.IsPlanned = true;
   In.OldPrimary = Primary->Id;
   In.RequiredPosition.reset();
-  In.Excluded.clear();
+  In.Failures.clear();
   In.HasOrderedStepDown = false;
   In.ChangeBeganAt = Now;
   In.History.forbidUntil(Now + Rules.MinInterval);
--- a/Tests/Support/FakeFleet.h
+++ b/Tests/Support/FakeFleet.h
@@ -38,6 +38,7 @@
     std::size_t BusyAnswers = 0;      ///< Further commands refused as busy.
     bool LosesStepDownAnswer = false; ///< Executes the order, but is silent.
     bool IsFollowing = false; ///< Receives the primary's log when asked.
+    std::string Host;         ///< Of its address; its id if empty.
   };
 
   explicit FakeTargets(FakeLoop &Loop) : Loop(Loop) {}
@@ -79,19 +80,41 @@
   void promote(const std::string &, const std::string &Target,
                std::uint64_t Token, OnResult Handler) override {
     Orders.push_back({Target, Token});
+    if (OnOrder)
+      OnOrder(Target);
+    if (DroppedOrders > 0) {
+      --DroppedOrders;
+      Loop.at(Loop.now() + Millis(1000),
+              [Handler] { Handler(Result::Unknown); });
+      return;
+    }
     const Millis Late = NextPromotionDelay;
     NextPromotionDelay = Millis(0);
     Loop.at(Loop.now() + Millis(2) + Late, [this, Target, Token, Handler] {
-      if (Token < HighestToken || !Targets[Target].IsUp)
+      const bool IsRefused = RefusedOrders > 0;
+      RefusedOrders -= IsRefused ? 1 : 0;
+      if (IsRefused || Token < HighestToken || !Targets[Target].IsUp)
         return Handler(Result::Rejected);
       HighestToken = Token;
-      for (auto &[Id, Each] : Targets)
-        if (Each.Group == Targets[Target].Group)
-          Each.IsPrimary = Id == Target;
+      if (PromotionTime == Millis(0))
+        lead(Target);
+      else
+        Loop.at(Loop.now() + PromotionTime, [this, Target, Token] {
+          if (Token == HighestToken && Targets[Target].IsUp)
+            lead(Target);
+        });
       Handler(Result::Accepted);
     });
   }
 
+  void lead(const std::string &Target) {
+    for (auto &[Id, Each] : Targets)
+      if (Each.Group == Targets[Target].Group)
+        Each.IsPrimary = Id == Target;
+    if (OnPromoted)
+      OnPromoted(Target);
+  }
+
   struct Order {
     std::string Target;
     std::uint64_t Token = 0;
@@ -103,10 +126,43 @@
   std::uint64_t HighestToken = 0;
   std::size_t StepDowns = 0;
   Millis NextPromotionDelay;
+  Millis PromotionTime; ///< From the acceptance of an order to its effect.
+  std::size_t RefusedOrders = 0; ///< Further orders that are rejected.
+  std::size_t DroppedOrders = 0; ///< Further orders that are lost.
+  std::function<void(const std::string &)> OnOrder;
+  std::function<void(const std::string &)> OnPromoted;
+};
+
+/// The targets as one control host sees them: a host that was killed receives
+/// no answers.
+class ControlHostPorts final : public TargetCommandPort, public PromotionPort {
+public:
+  ControlHostPorts(FakeHost &Host, FakeTargets &Targets)
+      : Host(Host), Targets(Targets) {}
+
+  void send(const TargetAddress &To, TargetCommand::Kind What,
+            std::uint64_t Term, Millis Timeout, OnStatus Handler) override {
+    Targets.send(To, What, Term, Timeout,
+                 [this, Handler](const Expected<TargetStatus> &Answer) {
+                   Host.run([Handler, Answer] { Handler(Answer); });
+                 });
+  }
+
+  void promote(const std::string &Group, const std::string &Target,
+               std::uint64_t Token, OnResult Handler) override {
+    Targets.promote(Group, Target, Token, [this, Handler](Result Answer) {
+      Host.run([Handler, Answer] { Handler(Answer); });
+    });
+  }
+
+private:
+  FakeHost &Host;
+  FakeTargets &Targets;
 };
 
 struct ControlHostParts {
   std::unique_ptr<FakeHost> Host;
+  std::unique_ptr<ControlHostPorts> Ports;
   std::unique_ptr<Transport> Peers;
   std::unique_ptr<Journal> Records;
   std::unique_ptr<ReplicatedLog> Log;
@@ -146,6 +202,7 @@
   void startControl(const std::string &Name, bool MayFound) {
     ControlHostParts Made;
     Made.Host = std::make_unique<FakeHost>(Loop, Name);
+    Made.Ports = std::make_unique<ControlHostPorts>(*Made.Host, Targets);
     Made.Peers = Net.attach(*Made.Host, {Name, PeerPort});
     auto &Disk = Disks[Name];
     if (!Disk)
@@ -164,8 +221,8 @@
     Options.PermitForwarding = Load.PermitForwarding;
     Made.Node = std::make_unique<SteeringNode>(
         Options,
-        SteeringDependencies{*Made.Host, *Made.Host, *Made.Peers, Targets,
-                             Targets},
+        SteeringDependencies{*Made.Host, *Made.Host, *Made.Peers, *Made.Ports,
+                             *Made.Ports},
         *Made.Log, Random());
     Controls[Name] = std::move(Made);
     Controls[Name].Node->start();
@@ -233,7 +290,7 @@
       Record.Id = Id;
       Record.Group = Each.Group;
       Record.Slots = Each.Slots;
-      Record.Address = {Id, 5000};
+      Record.Address = {Each.Host.empty() ? Id : Each.Host, 5000};
       Record.FailureDomain = "here";
       Record.Incarnation = Each.BornAt;
       Record.Sequence = Sequence;
--- /dev/null
+++ b/Tests/Unit/SyncReplicaPromotionTest.cpp
@@ -0,0 +1,185 @@
+/// \file
+/// Promotions in groups with synchronous replicas: who is promoted holds every
+/// acknowledged commit, and a group whose targets are back has a primary again.
+
+#include "FakeFleet.h"
+
+#include <random>
+
+using namespace corianderdyke;
+
+namespace {
+
+/// A group whose primary acknowledges a commit once \p SyncReplicas other
+/// targets hold it. "a" leads at first.
+struct SyncFleet {
+  explicit SyncFleet(std::uint32_t SyncReplicas, std::uint64_t Seed = 1,
+                     std::size_t Count = 3)
+      : SyncReplicas(SyncReplicas), Random(Seed), Fleet(Seed) {
+    for (const char *Id : {"d", "e"})
+      if (Fleet.Targets.Targets.size() < Count)
+        target(Id).IsPrimary = false;
+    Fleet.Targets.PromotionTime = Millis(1000);
+    Fleet.Targets.OnPromoted = [this](const std::string &Id) { promote(Id); };
+    REQUIRE(Fleet.awaitLeader());
+    REQUIRE(Fleet.acceptPlan(1, SyncReplicas));
+    // The group settles: the leader has met the primary for the first time.
+    Fleet.runWithHeartbeats(Millis(2000));
+    REQUIRE(Fleet.allProxiesHave(1));
+  }
+
+  FakeTargets::Target &target(const std::string &Id) {
+    return Fleet.Targets.Targets[Id];
+  }
+
+  void crash(const std::string &Id) { target(Id).IsUp = false; }
+
+  /// Starts a crashed target with its log.
+  void restart(const std::string &Id) {
+    target(Id).IsUp = true;
+    target(Id).IsReplicating = true;
+  }
+
+  std::string primary() {
+    for (const auto &[Id, Each] : Fleet.Targets.Targets)
+      if (Each.IsUp && Each.IsPrimary)
+        return Id;
+    return "";
+  }
+
+  /// Returns true if the commit is acknowledged. A replica receives it with the
+  /// probability \p Percent.
+  bool commit(unsigned Percent = 100) {
+    const std::string Lead = primary();
+    if (Lead.empty())
+      return false;
+    target(Lead).Received = {Term, target(Lead).Received.Number + 1};
+    std::uint32_t Copies = 0;
+    for (auto &[Id, Each] : Fleet.Targets.Targets) {
+      if (Id == Lead || !Each.IsUp || !Each.IsReplicating ||
+          Deaf.count(Id) != 0 || Random() % 100 >= Percent)
+        continue;
+      Each.Received = target(Lead).Received;
+      ++Copies;
+    }
+    if (Copies < SyncReplicas)
+      return false;
+    Acknowledged = target(Lead).Received;
+    return true;
+  }
+
+  /// Passes time with commits; proxies report a primary that is down.
+  void run(Millis Span, unsigned Percent = 100) {
+    for (Millis Left = Span; Left > Millis(0); Left = Left - Millis(100)) {
+      commit(Percent);
+      for (const auto &[Id, Each] : Fleet.Targets.Targets)
+        if (Each.IsPrimary && !Each.IsUp)
+          Fleet.reportFailure(Id, 3);
+        else if (Each.IsPrimary)
+          for (auto &[Name, Proxy] : Fleet.Proxies)
+            Proxy.Feed->recordReachable(Id);
+      if (Left.count() % 200 == 0)
+        Fleet.sendHeartbeats();
+      Fleet.Loop.runFor(Millis(100));
+    }
+  }
+
+  std::size_t ordersTo(const std::string &Id) const {
+    return static_cast<std::size_t>(std::count_if(
+        Fleet.Targets.Orders.begin(), Fleet.Targets.Orders.end(),
+        [&Id](const FakeTargets::Order &Each) { return Each.Target == Id; }));
+  }
+
+  std::size_t awaited() {
+    return Fleet.leader()->promotionCoordinator().awaitedTargets().at("ledger");
+  }
+
+  std::uint32_t SyncReplicas;
+  std::mt19937_64 Random;
+  FakeFleet Fleet;
+  std::set<std::string> Deaf; ///< Replicas that receive nothing.
+  std::uint64_t Term = 1;
+  LogPosition Acknowledged;
+  std::vector<std::string> Lost; ///< Promotions that lost commits.
+
+private:
+  void promote(const std::string &Id) {
+    const LogPosition Last = target(Id).Received;
+    if (Last < Acknowledged)
+      Lost.push_back(Id + " lacks " +
+                     std::to_string(Acknowledged.Number - Last.Number));
+    ++Term;
+    Acknowledged = std::min(Acknowledged, Last);
+    for (auto &[Other, Each] : Fleet.Targets.Targets) {
+      Each.Received = std::min(Each.Received, Last);
+      Each.IsReplicating = true;
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("A replica that crashes while it is promoted is waited for",
+          "[steering]") {
+  // Guards against promoting a replica that lacks the commits of the crashed
+  // one.
+  SyncFleet Setup(1);
+  Setup.Deaf = {"c"};
+  Setup.run(Millis(1000));
+  REQUIRE(Setup.Acknowledged > Setup.target("c").Received);
+  Setup.crash("a");
+  Setup.Fleet.Targets.OnOrder = [&Setup](const std::string &Target) {
+    Setup.Fleet.Loop.at(Setup.Fleet.Loop.now() + Millis(300),
+                        [&Setup, Target] { Setup.crash(Target); });
+    Setup.Fleet.Targets.OnOrder = nullptr;
+  };
+  Setup.run(Millis(8000));
+  CHECK(Setup.ordersTo("b") == 1);
+  CHECK(Setup.ordersTo("c") == 0);
+  CHECK(Setup.awaited() > 0);
+  Setup.restart("b");
+  Setup.run(Millis(4000));
+  CHECK(Setup.primary() == "b");
+  CHECK(Setup.Lost.empty());
+  Setup.Deaf.clear();
+  CHECK(Setup.commit());
+  CHECK(Setup.awaited() == 0);
+}
+
+TEST_CASE("A replica whose promotion is refused is waited for", "[steering]") {
+  // Guards against promoting a replica that lacks the commits of the refused
+  // one, and against never ordering that one again.
+  SyncFleet Setup(1);
+  Setup.Deaf = {"c"};
+  Setup.run(Millis(1000));
+  Setup.crash("a");
+  Setup.Fleet.Targets.RefusedOrders = 1;
+  Setup.Fleet.Targets.OnOrder = [&Setup](const std::string &Target) {
+    Setup.target(Target).IsCutFromControl = true;
+    Setup.Fleet.Targets.OnOrder = nullptr;
+  };
+  Setup.run(Millis(5000));
+  CHECK(Setup.ordersTo("c") == 0);
+  Setup.target("b").IsCutFromControl = false;
+  Setup.run(Millis(3000));
+  CHECK(Setup.primary() == "b");
+  CHECK(Setup.Lost.empty());
+}
+
+TEST_CASE("A replica that keeps refusing is ordered at growing intervals",
+          "[steering]") {
+  // Guards against orders in quick succession, each of which is kept in the
+  // control group's log.
+  SyncFleet Setup(1);
+  Setup.Deaf = {"c"};
+  Setup.run(Millis(1000));
+  Setup.crash("a");
+  Setup.Fleet.Targets.RefusedOrders = 1000;
+  Setup.run(Millis(30000));
+  CHECK(Setup.ordersTo("b") >= 5);
+  CHECK(Setup.ordersTo("b") <= 12);
+  CHECK(Setup.ordersTo("c") == 0);
+  Setup.Fleet.Targets.RefusedOrders = 0;
+  Setup.run(Millis(8000));
+  CHECK(Setup.primary() == "b");
+}
