Repeat the order to receive again until a replica answers it

What callers saw: none in production. A drawn series of faults left a group with two synchronous replicas and a healthy primary that acknowledged no write.

Cause: before positions are compared, replicas are ordered to stop receiving, and after a failed attempt to receive again. That second order was sent once. A replica that was cut off from control then stayed stopped until a promotion, its restart or the next control leader.

Change: a replica that does not answer stays recorded as stopped, and the order is sent again while no change is under way. A replica whose process has ended is left out, since it receives by itself once it restarts.

Why it works: the record of stopped replicas loses one only with its answer, its end or a later incarnation.

Test: "A replica that misses the order to receive again gets it later" fails without the change (the replica is still stopped 2 s after it is reachable) and passes with it; 68 tests of [steering] and [relief] pass.

--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -438,8 +438,21 @@
 void PromotionCoordinator::resumeReceiving(Group &In) {
   for (const std::string &Id : std::exchange(In.StoppedReplicas, {}))
     if (const TargetRecord *Known = Directory.find(Id))
-      Commands.send(addressOf(*Known), TargetCommand::Kind::ResumeReceiving, 0,
-                    Times.QueryTimeout, [](const Expected<TargetStatus> &) {});
+      Commands.send(
+          addressOf(*Known), TargetCommand::Kind::ResumeReceiving, 0,
+          Times.QueryTimeout,
+          [this, Each = *Known](const Expected<TargetStatus> &Answer) {
+            handleResumeAnswer(Each, Answer);
+          });
+}
+
+// A replica whose answer is missing may still be stopped. The order is repeated
+// while no change is under way; a replica that restarts receives by itself.
+void PromotionCoordinator::handleResumeAnswer(
+    const TargetRecord &Replica, const Expected<TargetStatus> &Answer) {
+  const bool HasEnded = !Answer && Answer.error().Code == ErrorCode::NotFound;
+  if (IsActive && !Answer && !HasEnded && isSameIncarnation(Replica))
+    Groups[Replica.Group].StoppedReplicas.insert(Replica.Id);
 }
 
 void PromotionCoordinator::chooseSuccessor(const std::string &Name) {
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -187,6 +187,8 @@
   void scheduleQuery(Group &In);
   void stopReceiving(const std::string &Name);
   void resumeReceiving(Group &In);
+  void handleResumeAnswer(const TargetRecord &Replica,
+                          const Expected<TargetStatus> &Answer);
   void queryAll(const std::string &Name, const std::vector<TargetRecord> &All,
                 TargetCommand::Kind What, std::uint64_t Term);
   void chooseSuccessor(const std::string &Name);
--- a/Tests/Unit/SyncReplicaPromotionTest.cpp
+++ b/Tests/Unit/SyncReplicaPromotionTest.cpp
@@ -183,3 +183,25 @@
   Setup.run(Millis(8000));
   CHECK(Setup.primary() == "b");
 }
+
+TEST_CASE("A replica that misses the order to receive again gets it later",
+          "[steering]") {
+  // Guards against a replica that stays stopped after a failed attempt, so that
+  // the primary acknowledges nothing.
+  SyncFleet Setup(2);
+  Setup.run(Millis(600));
+  Setup.Fleet.Targets.DroppedOrders = 1;
+  Setup.Fleet.Targets.OnOrder = [&Setup](const std::string &) {
+    Setup.target("b").IsCutFromControl = true;
+    Setup.Fleet.Targets.OnOrder = nullptr;
+  };
+  Setup.crash("a");
+  Setup.run(Millis(1000));
+  REQUIRE_FALSE(Setup.target("b").IsReplicating);
+  Setup.restart("a");
+  Setup.run(Millis(3000));
+  Setup.target("b").IsCutFromControl = false;
+  Setup.run(Millis(2000));
+  CHECK(Setup.target("b").IsReplicating);
+  CHECK(Setup.commit());
+}
