Derive the answers that a promotion needs from the group's members

What callers saw: none in production; played in tests. (1) The replica that holds the last commits is replaced by an empty server at its address, the primary crashes before the other replica has caught up, and one of the two is promoted: acknowledged commits are gone. (2) The primary steps down as planned while a replica is lost for good: no target is promoted any more.

The count rested on the candidates of the attempt: a holder that left the group was not in it, and once no target leads the former primary was counted as one more replica that must answer, so that three of three were needed for commits that are on two.

Change: ReadQuorum keeps, for each group with synchronous replicas, the targets that may hold acknowledged commits. A promotion needs all but as many answers as there are synchronous replicas, whoever led. A target that left counts as silent until the primary and enough others hold what had been acknowledged when it left, which the leader checks with status queries (every 0.5 s while it is open); one that left as planned counts no longer once its successor is at its address, since its log passes on. A new control leader that finds no recorded primary counts the former one as silent. A primary that restarted doesn't count as an answer, and one that answers as primary only if it is itself promoted: it isn't stopped, and could acknowledge more.

Why it works: each commit is on its primary and SyncReplicas others, all of them present or counted as silent. If at most SyncReplicas are silent, one that answered holds it.

Limits: what left is known to the leading control host only. A restart of a replica under its id without its log isn't detected.

Tests: "A replaced target still counts until its commits are copied" and "A replica lost for good does not hold up a planned change" fail on (an order to the wrong replica; no primary) and pass now; 70 tests of [steering] and [relief] pass.

--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -36,6 +36,7 @@
   IsActive = true;
   LeadingSince = Time.now();
   for (auto &[Name, Each] : Groups) {
+    Each.Quorum = ReadQuorum();
     Each.Awaited.clear();
     resumeWatching(Each, Millis(0));
   }
@@ -154,6 +155,9 @@
   for (const GroupPolicy &Each : Plan.Groups) {
     Group &In = Groups[Each.Name];
     In.SyncReplicas = Each.SyncReplicas;
+    In.Quorum.update(In.SyncReplicas == 0 ? std::vector<TargetRecord>()
+                                          : Directory.ofGroup(Each.Name),
+                     In.SyncReplicas);
     if (In.NextQueryAt && Time.now() >= *In.NextQueryAt &&
         In.CurrentStage == Stage::SteppingDown)
       continueStepDown(Each.Name);
@@ -240,6 +244,7 @@
   if (!Reported && !IsSilent) {
     if (Reached > 0 || Directory.lastUpdate(Primary->Id) > In.ChangeBeganAt)
       abandonChange(Name, In, *Primary);
+    considerSettling(Name, In, *Primary);
     return considerRelief(Name, In, *Primary);
   }
   In.ChangeBeganAt = Now;
@@ -465,17 +470,7 @@
     Step.emit(Name, "attempt-ended", "no replica answers");
     return resumeWatching(In, AttemptPause);
   }
-  // Of equal logs, one whose target is likely to take over and to stay.
-  const auto Rank = [this, &In](const auto &Each) {
-    const TargetRecord *Known = Directory.find(Each.first);
-    return std::tuple(Each.second.Received, In.Failures.count(Each.first) == 0,
-                      Known != nullptr && !Known->IsLeaving);
-  };
-  const auto Best =
-      std::max_element(In.Statuses.begin(), In.Statuses.end(),
-                       [&Rank](const auto &Left, const auto &Right) {
-                         return Rank(Left) < Rank(Right);
-                       });
+  const auto Best = In.Statuses.find(longestLog(In));
   const Millis Waited = Time.now() - In.ChangeBeganAt;
   // A replica that is too busy to answer may have the highest position.
   if (In.IsIncomplete && Waited < Times.CatchUpTimeout)
@@ -502,15 +497,37 @@
   proposePromotion(Name, Best->first);
 }
 
+std::string PromotionCoordinator::longestLog(const Group &In) const {
+  // Of equal logs, one whose target is likely to take over and to stay.
+  const auto Rank = [this, &In](const auto &Each) {
+    const TargetRecord *Known = Directory.find(Each.first);
+    return std::tuple(Each.second.Received, In.Failures.count(Each.first) == 0,
+                      Known != nullptr && !Known->IsLeaving);
+  };
+  const auto Best =
+      std::max_element(In.Statuses.begin(), In.Statuses.end(),
+                       [&Rank](const auto &Left, const auto &Right) {
+                         return Rank(Left) < Rank(Right);
+                       });
+  return Best == In.Statuses.end() ? "" : Best->first;
+}
+
 bool PromotionCoordinator::awaitMissingTargets(const std::string &Name) {
   Group &In = Groups[Name];
-  std::set<std::string> Missing;
-  for (const TargetRecord &Each : candidates(Name))
-    if (In.Statuses.count(Each.Id) == 0)
-      Missing.insert(Each.Id);
-  // An acknowledged commit is on SyncReplicas replicas, so it is on one that
-  // answered if fewer than SyncReplicas did not answer.
-  if (Missing.size() < In.SyncReplicas) {
+  In.Quorum.update(Directory.ofGroup(Name), In.SyncReplicas);
+  const auto Present = Directory.primaryOf(Name);
+  const std::string Best = longestLog(In);
+  std::set<std::string> Answered;
+  for (const auto &[Id, Each] : In.Statuses) {
+    // A primary that has restarted may lack commits that it acknowledged, and
+    // one that is passed over may acknowledge more with those that are missing.
+    const bool HasRestarted =
+        Present && Present->Id == Id && hasRestarted(In, *Present);
+    if (!HasRestarted && (!Each.IsPrimary || Id == Best))
+      Answered.insert(Id);
+  }
+  std::set<std::string> Missing = In.Quorum.missing(Answered);
+  if (Missing.empty()) {
     In.Awaited.clear();
     return false;
   }
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -22,6 +22,7 @@
 
 #include "Common/Clock.h"
 #include "Steering/LeadRelief.h"
+#include "Steering/ReadQuorum.h"
 #include "Steering/ReplicatedState.h"
 
 #include <functional>
@@ -135,8 +136,11 @@
     /// Replicas that must hold a commit before it is acknowledged, according
     /// to the plan.
     std::uint32_t SyncReplicas = 0;
+    /// Targets whose positions are needed; updated if SyncReplicas is not 0.
+    ReadQuorum Quorum;
     /// Targets without an answer that the change waits for.
     std::set<std::string> Awaited;
+    Millis NextSettlingAt;
     std::set<std::string> StoppedReplicas; ///< Ordered to stop receiving.
     std::optional<Millis> NextQueryAt;
     Millis RetryAt;
@@ -192,6 +196,8 @@
   void queryAll(const std::string &Name, const std::vector<TargetRecord> &All,
                 TargetCommand::Kind What, std::uint64_t Term);
   void chooseSuccessor(const std::string &Name);
+  /// Returns the target that answered with the highest position, if any.
+  std::string longestLog(const Group &In) const;
   /// Ends the attempt and returns true if targets that did not answer may hold
   /// acknowledged commits that the others lack.
   bool awaitMissingTargets(const std::string &Name);
@@ -204,6 +210,12 @@
   void enter(Group &In, Stage Next);
   void resumeWatching(Group &In, Millis Pause);
 
+  // Settling a group after a target left, in PromotionSettling.cpp.
+  void considerSettling(const std::string &Name, Group &In,
+                        const TargetRecord &Primary);
+  void countCopies(const std::string &Name, const TargetRecord &Primary,
+                   LogPosition Last, std::uint64_t AsOf);
+
   // Moving the lead off a saturated primary, in PromotionRelief.cpp.
   void updateStaleness(const RoutePlan &Plan);
   void considerRelief(const std::string &Name, Group &In,
--- /dev/null
+++ b/Source/Steering/ReadQuorum.h
@@ -0,0 +1,66 @@
+/// \file
+/// Decides whether the targets of a group that answered hold every acknowledged
+/// commit.
+///
+/// With synchronous replicas, a commit is acknowledged once its primary and
+/// that many further targets hold it. A promotion loses none if at most as many
+/// of the targets that may hold one as there are synchronous replicas did not
+/// answer. Whether a target may be promoted does not matter here.
+
+#ifndef CORIANDERDYKE_STEERING_READQUORUM_H
+#define CORIANDERDYKE_STEERING_READQUORUM_H
+
+#include "Directory/TargetDirectory.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace corianderdyke {
+
+/// Begins without knowledge of the targets that left under an earlier leader.
+class ReadQuorum {
+public:
+  /// Updates the targets of the group and the number of synchronous replicas
+  /// according to the plan. Until settle() is called, a target that left counts
+  /// as one that may hold commits and does not answer.
+  void update(const std::vector<TargetRecord> &Members,
+              std::uint32_t NewSyncReplicas);
+  /// Returns the targets whose answers are missing, if an acknowledged commit
+  /// may be on them alone; otherwise nothing.
+  std::set<std::string> missing(const std::set<std::string> &Answered) const;
+  /// True if all acknowledged commits are on enough of the present targets.
+  bool isSettled() const;
+  /// Records that the primary and enough other targets hold all commits that
+  /// were acknowledged when changes() returned \p AsOf.
+  void settle(std::uint64_t AsOf);
+  /// Raised with each change that requires settling.
+  std::uint64_t changes() const { return Changes; }
+
+  bool operator==(const ReadQuorum &) const = default;
+
+private:
+  struct DepartedTarget {
+    TargetRecord Last;
+    std::uint64_t Change = 0;
+
+    bool operator==(const DepartedTarget &) const = default;
+  };
+
+  void recordDepartures(const std::vector<TargetRecord> &Present);
+
+  /// True until the first update with the number of synchronous replicas.
+  bool IsNew = true;
+  /// According to the plan; if 0, nothing else is recorded.
+  std::uint32_t SyncReplicas = 0;
+  /// Last update of each present target.
+  std::map<std::string, TargetRecord> Members;
+  /// Targets that left since the group was settled.
+  std::map<std::string, DepartedTarget> Departed;
+  std::uint64_t Changes = 0;
+};
+
+} // namespace corianderdyke
+
+#endif
--- a/Tests/Unit/SyncReplicaPromotionTest.cpp
+++ b/Tests/Unit/SyncReplicaPromotionTest.cpp
@@ -205,3 +205,42 @@
   CHECK(Setup.target("b").IsReplicating);
   CHECK(Setup.commit());
 }
+
+TEST_CASE("A replica lost for good does not hold up a planned change",
+          "[steering]") {
+  // Guards against waiting for all targets once the primary has stepped down,
+  // though every acknowledged commit is on one of the two that answer.
+  SyncFleet Setup(1);
+  Setup.crash("c");
+  Setup.run(Millis(1000));
+  Setup.Fleet.Leaving.insert("a");
+  Setup.run(Millis(6000));
+  CHECK(Setup.primary() == "b");
+  CHECK(Setup.Lost.empty());
+}
+
+TEST_CASE("A replaced target still counts until its commits are copied",
+          "[steering]") {
+  // Guards against promoting a replica while the only replica with the last
+  // commits has been replaced by an empty one and the primary is down.
+  SyncFleet Setup(1);
+  Setup.Deaf = {"b"};
+  Setup.run(Millis(1000));
+  Setup.crash("a");
+  Setup.crash("c");
+  FakeTargets::Target &New = Setup.target("c2");
+  New.Host = "c";
+  New.BornAt = 5000;
+  New.Received = {1, 0};
+  Setup.run(Millis(5000));
+  CHECK(Setup.Fleet.Targets.Orders.empty());
+  Setup.restart("a");
+  Setup.Deaf.clear();
+  Setup.run(Millis(3000));
+  CHECK(Setup.primary() == "a");
+  // The commits are on enough of the present targets again.
+  Setup.crash("a");
+  Setup.run(Millis(4000));
+  CHECK_FALSE(Setup.primary().empty());
+  CHECK(Setup.Lost.empty());
+}
