Count commits acknowledged before more synchronous replicas were required

What callers saw: none in production; played in a test. A desired state raises sync_replicas from 1 to 2. The primary and the replica with the last commits crash, and the third target is promoted without them.

Cause: the count of answers used the number in the newest plan, though commits had been acknowledged with a smaller one. With 2 of 3 targets allowed to be silent, the one without the commits was enough.

Change: ReadQuorum uses the smallest number in force since the group was last settled. The leader settles the group as after the loss of a target, with the new number of replicas; until then the smaller number holds. A lowered number is the stricter one and holds at once.

Why it works: a commit that was acknowledged with the smaller number is on at least that many targets more than its primary until it is on as many as the new number says.

Test: "Commits acknowledged before more replicas are required count" fails without the change ("b" is promoted) and passes with it; 71 tests of [steering] and [relief] pass.

--- a/Source/Steering/ReadQuorum.cpp
+++ b/Source/Steering/ReadQuorum.cpp
@@ -15,8 +15,8 @@
 } // namespace
 
 void ReadQuorum::update(const std::vector<TargetRecord> &Present,
-                        std::uint32_t NewSyncReplicas) {
-  if (NewSyncReplicas == 0) {
+                        std::uint32_t SyncReplicas) {
+  if (SyncReplicas == 0) {
     *this = ReadQuorum();
     IsNew = false;
     return;
@@ -30,7 +30,10 @@
   Members.clear();
   for (const TargetRecord &Each : Present)
     Members[Each.Id] = Each;
-  SyncReplicas = NewSyncReplicas;
+  if (Newest > 0 && SyncReplicas > Newest)
+    RaisedBy = ++Changes;
+  Fewest = Newest == 0 ? SyncReplicas : std::min(Fewest, SyncReplicas);
+  Newest = SyncReplicas;
 }
 
 void ReadQuorum::recordDepartures(const std::vector<TargetRecord> &Present) {
@@ -59,15 +62,19 @@
       Out.insert(Id);
   for (const auto &[Id, Change] : Departed)
     Out.insert(Id);
-  return Out.size() <= SyncReplicas ? std::set<std::string>() : Out;
+  return Out.size() <= Fewest ? std::set<std::string>() : Out;
 }
 
-bool ReadQuorum::isSettled() const { return Departed.empty(); }
+bool ReadQuorum::isSettled() const {
+  return Departed.empty() && Fewest == Newest;
+}
 
 void ReadQuorum::settle(std::uint64_t AsOf) {
   std::erase_if(Departed, [AsOf](const auto &Each) {
     return Each.second.Change <= AsOf;
   });
+  if (RaisedBy <= AsOf)
+    Fewest = Newest;
 }
 
 } // namespace corianderdyke
--- a/Source/Steering/ReadQuorum.h
+++ b/Source/Steering/ReadQuorum.h
@@ -26,7 +26,7 @@
   /// according to the plan. Until settle() is called, a target that left counts
   /// as one that may hold commits and does not answer.
   void update(const std::vector<TargetRecord> &Members,
-              std::uint32_t NewSyncReplicas);
+              std::uint32_t SyncReplicas);
   /// Returns the targets whose answers are missing, if an acknowledged commit
   /// may be on them alone; otherwise nothing.
   std::set<std::string> missing(const std::set<std::string> &Answered) const;
@@ -53,7 +53,11 @@
   /// True until the first update with the number of synchronous replicas.
   bool IsNew = true;
   /// According to the plan; if 0, nothing else is recorded.
-  std::uint32_t SyncReplicas = 0;
+  std::uint32_t Newest = 0;
+  /// The smallest number with which a commit that is not yet settled may have
+  /// been acknowledged; at most Newest.
+  std::uint32_t Fewest = 0;
+  std::uint64_t RaisedBy = 0; ///< The last change that raised Newest.
   /// Last update of each present target.
   std::map<std::string, TargetRecord> Members;
   /// Targets that left since the group was settled.
--- a/Tests/Unit/SyncReplicaPromotionTest.cpp
+++ b/Tests/Unit/SyncReplicaPromotionTest.cpp
@@ -244,3 +244,23 @@
   CHECK_FALSE(Setup.primary().empty());
   CHECK(Setup.Lost.empty());
 }
+
+TEST_CASE("Commits acknowledged before more replicas are required count",
+          "[steering]") {
+  // Guards against accepting two missing answers for commits that only two
+  // targets hold.
+  SyncFleet Setup(1);
+  Setup.Deaf = {"b"};
+  Setup.run(Millis(1000));
+  REQUIRE(Setup.Fleet.acceptPlan(2, 2));
+  Setup.SyncReplicas = 2;
+  Setup.run(Millis(1000));
+  Setup.crash("a");
+  Setup.crash("c");
+  Setup.run(Millis(5000));
+  CHECK(Setup.Fleet.Targets.Orders.empty());
+  Setup.restart("c");
+  Setup.run(Millis(4000));
+  CHECK(Setup.primary() == "c");
+  CHECK(Setup.Lost.empty());
+}
