Forget failed orders once the primary works again

What callers saw: none in production; played in a test. A replica failed to take over, the primary came back and led on. When it failed again, the same replica was passed over although its log was the longest.

Cause: the record of replicas that refused or failed in a change ended only with a promotion, a relief or the failure of all. A change also ends when its primary works again.

Why it works: what failed in one change says nothing about the next, and a primary that only seems to work is suspected again within a report's validity.

--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -256,6 +256,7 @@
   if (!In.Awaited.empty())
     Step.emit(Name, "kept", Primary.Id + " leads on: it works again");
   In.Awaited.clear();
+  In.Failures.clear();
 }
 
 // A primary that restarts under its id may still report that it leads, without
--- a/Tests/Unit/PromotionTest.cpp
+++ b/Tests/Unit/PromotionTest.cpp
@@ -150,6 +150,41 @@
   CHECK(Fleet.Targets.Orders.empty());
 }
 
+TEST_CASE("A replica that failed in an abandoned change may lead the next one",
+          "[steering]") {
+  // Guards against passing over the longest log because of an earlier failure.
+  ReadyFleet Setup;
+  FakeFleet &Fleet = Setup.Fleet;
+  Fleet.Targets.PromotionTime = Millis(1000);
+  Fleet.Targets.Targets["b"].Received = {1, 12};
+  const auto Report = [&Fleet](bool IsReachable, int Rounds) {
+    for (int Each = 0; Each < Rounds; ++Each) {
+      for (auto &[Name, Proxy] : Fleet.Proxies)
+        if (IsReachable)
+          Proxy.Feed->recordReachable("a");
+        else
+          Proxy.Feed->recordUnreachable("a");
+      Fleet.runWithHeartbeats(Millis(400));
+    }
+  };
+  Fleet.Targets.OnOrder = [&Fleet](const std::string &Target) {
+    Fleet.Loop.at(Fleet.Loop.now() + Millis(300), [&Fleet, Target] {
+      Fleet.Targets.Targets[Target].IsUp = false;
+    });
+    Fleet.Targets.OnOrder = nullptr;
+  };
+  Fleet.Targets.Targets["a"].IsUp = false;
+  Report(false, 4);
+  Fleet.Targets.Targets["a"].IsUp = Fleet.Targets.Targets["b"].IsUp = true;
+  Report(true, 12);
+  REQUIRE(Fleet.Targets.Orders.size() == 1);
+  REQUIRE(Fleet.leader()->directory().primaryOf("ledger")->Id == "a");
+  Fleet.Targets.Targets["a"].IsUp = false;
+  Report(false, 4);
+  REQUIRE(Fleet.Targets.Orders.size() == 2);
+  CHECK(Fleet.Targets.Orders[1].Target == "b");
+}
+
 TEST_CASE("A commit that a replica acknowledged is in the promoted log",
           "[steering]") {
   // Commits are acknowledged once one replica has them. The primary fails, and
