Draw series of faults for promotions with synchronous replicas

A property over 60 seeded series of crashes (half of the successors crash within 1.2 s of their order), returns, refused and lost orders, replicas that receive nothing or are cut off from control, replaced targets and changes of the control leader, with 3 to 5 targets and 0, 1 and 2 synchronous replicas. Checks that who is promoted holds every acknowledged commit, and that a primary acknowledges again once all targets are back.

As many targets are lost for good in a series as there are synchronous replicas: traces of series with more show that every copy of a commit may be gone, and that the group rightly waits. Replacements and changes of the control leader aren't drawn together: the next leader doesn't know which targets left, which is open.

--- a/Tests/Unit/SyncReplicaPromotionTest.cpp
+++ b/Tests/Unit/SyncReplicaPromotionTest.cpp
@@ -40,6 +40,33 @@
     target(Id).IsReplicating = true;
   }
 
+  /// Replaces a crashed replica by an empty one at its address, unless it alone
+  /// holds the acknowledged commits, or as many were replaced before as may be
+  /// without losing one.
+  void replace(const std::string &Id) {
+    const FakeTargets::Target Old = target(Id);
+    std::size_t Holders = 0;
+    for (const std::string &Other : present())
+      Holders += Other != Id && target(Other).Received >= Acknowledged ? 1 : 0;
+    if (Old.IsUp || Old.IsPrimary || Holders == 0 ||
+        (SyncReplicas > 0 && Replaced.size() >= SyncReplicas))
+      return;
+    FakeTargets::Target New;
+    New.Host = Old.Host.empty() ? Id : Old.Host;
+    New.Received = {1, 0};
+    New.BornAt = Old.BornAt + 1000;
+    Replaced.insert(Id);
+    target(New.Host + std::to_string(New.BornAt)) = New;
+  }
+
+  std::vector<std::string> present() const {
+    std::vector<std::string> Out;
+    for (const auto &[Id, Each] : Fleet.Targets.Targets)
+      if (Replaced.count(Id) == 0)
+        Out.push_back(Id);
+    return Out;
+  }
+
   std::string primary() {
     for (const auto &[Id, Each] : Fleet.Targets.Targets)
       if (Each.IsUp && Each.IsPrimary)
@@ -97,7 +124,8 @@
   std::uint32_t SyncReplicas;
   std::mt19937_64 Random;
   FakeFleet Fleet;
-  std::set<std::string> Deaf; ///< Replicas that receive nothing.
+  std::set<std::string> Deaf;     ///< Replicas that receive nothing.
+  std::set<std::string> Replaced; ///< Targets that are lost for good.
   std::uint64_t Term = 1;
   LogPosition Acknowledged;
   std::vector<std::string> Lost; ///< Promotions that lost commits.
@@ -264,3 +292,79 @@
   CHECK(Setup.primary() == "c");
   CHECK(Setup.Lost.empty());
 }
+
+TEST_CASE("Promotions keep acknowledged commits under drawn faults",
+          "[steering]") {
+  // Guards against any order of crashes, returns, refused and lost orders,
+  // replaced targets and changes of the control leader that loses a commit or
+  // leaves no primary. Targets are replaced only under one control leader: the
+  // next one does not know which targets left.
+  const std::uint64_t Seed =
+      GENERATE(range(std::uint64_t(1), std::uint64_t(61)));
+  const std::uint32_t SyncReplicas = Seed % 3;
+  const std::size_t Count = 3 + Seed / 3 % 3;
+  CAPTURE(Seed, SyncReplicas, Count);
+  SyncFleet Setup(SyncReplicas, Seed, Count);
+  FakeTargets &Targets = Setup.Fleet.Targets;
+  const bool AreReplaced = Seed % 2 == 0;
+  const auto Draw = [&Setup](std::uint64_t Limit) {
+    return Setup.Random() % Limit;
+  };
+  Targets.OnOrder = [&](const std::string &Target) {
+    if (Draw(2) == 0)
+      Setup.Fleet.Loop.at(Setup.Fleet.Loop.now() +
+                              Millis(static_cast<std::int64_t>(Draw(1200))),
+                          [&Setup, Target] { Setup.crash(Target); });
+  };
+  for (int Step = 0; Step < 30; ++Step) {
+    const std::vector<std::string> Ids = Setup.present();
+    const std::string &Id = Ids[Draw(Ids.size())];
+    switch (Draw(9)) {
+    case 0:
+    case 1:
+      if (!Setup.primary().empty())
+        Setup.crash(Setup.primary());
+      break;
+    case 2:
+    case 3:
+      if (!Setup.target(Id).IsUp)
+        Setup.restart(Id);
+      break;
+    case 4:
+    case 5:
+      if (!Setup.Deaf.erase(Id))
+        Setup.Deaf.insert(Id);
+      break;
+    case 6:
+      Setup.target(Id).IsCutFromControl = !Setup.target(Id).IsCutFromControl;
+      break;
+    case 7:
+      (Draw(2) == 0 ? Targets.RefusedOrders : Targets.DroppedOrders) = Draw(3);
+      break;
+    default:
+      if (AreReplaced) {
+        Setup.replace(Id);
+      } else if (SteeringNode *Leader = Setup.Fleet.leader()) {
+        const std::string Name = Leader->leader();
+        Setup.Fleet.killControl(Name);
+        Setup.Fleet.startControl(Name, false);
+      }
+    }
+    Setup.run(Millis(100) * static_cast<std::int64_t>(1 + Draw(30)), 60);
+  }
+  Targets.OnOrder = nullptr;
+  Targets.RefusedOrders = Targets.DroppedOrders = 0;
+  Setup.Deaf.clear();
+  Setup.run(Millis(1200));
+  for (const std::string &Id : Setup.present()) {
+    Setup.target(Id).IsCutFromControl = false;
+    if (!Setup.target(Id).IsUp)
+      Setup.restart(Id);
+  }
+  Setup.run(Millis(15000));
+  CHECK(Setup.commit());
+  if (SyncReplicas > 0) {
+    CAPTURE(Setup.Lost);
+    CHECK(Setup.Lost.empty());
+  }
+}
