Keep who must answer before a promotion in a file of its own

The wait for missing answers and the settling of a group stand together in PromotionQuorum.cpp; no change of behaviour. 73 tests of [steering] and [relief] pass.

--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -513,38 +513,6 @@
   return Best == In.Statuses.end() ? "" : Best->first;
 }
 
-bool PromotionCoordinator::awaitMissingTargets(const std::string &Name) {
-  Group &In = Groups[Name];
-  In.Quorum.update(Directory.ofGroup(Name), In.SyncReplicas);
-  const auto Present = Directory.primaryOf(Name);
-  const std::string Best = longestLog(In);
-  std::set<std::string> Answered;
-  for (const auto &[Id, Each] : In.Statuses) {
-    // A primary that has restarted may lack commits that it acknowledged, and
-    // one that is passed over may acknowledge more with those that are missing.
-    const bool HasRestarted =
-        Present && Present->Id == Id && hasRestarted(In, *Present);
-    if (!HasRestarted && (!Each.IsPrimary || Id == Best))
-      Answered.insert(Id);
-  }
-  std::set<std::string> Missing = In.Quorum.missing(Answered);
-  if (Missing.empty()) {
-    In.Awaited.clear();
-    return false;
-  }
-  if (Missing != In.Awaited) {
-    std::string Ids;
-    for (const std::string &Each : Missing)
-      Ids += (Ids.empty() ? "" : ", ") + Each;
-    Step.emit(Name, "waiting",
-              "no answer from " + Ids +
-                  "; acknowledged commits may be on these alone");
-  }
-  In.Awaited = std::move(Missing);
-  resumeWatching(In, AttemptPause);
-  return true;
-}
-
 void PromotionCoordinator::recordFailure(Group &In,
                                          const std::string &Target) const {
   FailedOrders &Failed = In.Failures[Target];
@@ -554,14 +522,6 @@
   Failed.RetryAt = Time.now() + Failed.Pause;
 }
 
-std::map<std::string, std::size_t>
-PromotionCoordinator::awaitedTargets() const {
-  std::map<std::string, std::size_t> Out;
-  for (const auto &[Name, Each] : Groups)
-    Out[Name] = Each.Awaited.size();
-  return Out;
-}
-
 void PromotionCoordinator::proposePromotion(const std::string &Name,
                                             const std::string &Target) {
   Group &In = Groups[Name];
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -198,9 +198,6 @@
   void chooseSuccessor(const std::string &Name);
   /// Returns the target that answered with the highest position, if any.
   std::string longestLog(const Group &In) const;
-  /// Ends the attempt and returns true if targets that did not answer may hold
-  /// acknowledged commits that the others lack.
-  bool awaitMissingTargets(const std::string &Name);
   /// Orders a target that failed again only after a growing pause.
   void recordFailure(Group &In, const std::string &Target) const;
   void proposePromotion(const std::string &Name, const std::string &Target);
@@ -210,7 +207,10 @@
   void enter(Group &In, Stage Next);
   void resumeWatching(Group &In, Millis Pause);
 
-  // Settling a group after a target left, in PromotionSettling.cpp.
+  // Who must answer with synchronous replicas, in PromotionQuorum.cpp.
+  /// Ends the attempt and returns true if targets that did not answer may hold
+  /// acknowledged commits that the others lack.
+  bool awaitMissingTargets(const std::string &Name);
   void considerSettling(const std::string &Name, Group &In,
                         const TargetRecord &Primary);
   void countCopies(const std::string &Name, const TargetRecord &Primary,
--- a/Source/Steering/PromotionSettling.cpp
+++ b/Source/Steering/PromotionQuorum.cpp
@@ -1,6 +1,10 @@
 /// \file
-/// Checks that acknowledged commits are on enough of the present targets again
-/// after a target left its group or more synchronous replicas were required.
+/// Which targets must answer before one of a group with synchronous replicas is
+/// promoted.
+///
+/// After a target left the group or more replicas were required, the primary
+/// and the replicas are queried until enough of them hold what was
+/// acknowledged.
 
 #include "Steering/PromotionCoordinator.h"
 
@@ -10,10 +14,51 @@
 
 namespace {
 
+constexpr Millis AttemptPause(100);
 constexpr Millis SettlingInterval(500);
 
 } // namespace
 
+bool PromotionCoordinator::awaitMissingTargets(const std::string &Name) {
+  Group &In = Groups[Name];
+  In.Quorum.update(Directory.ofGroup(Name), In.SyncReplicas);
+  const auto Present = Directory.primaryOf(Name);
+  const std::string Best = longestLog(In);
+  std::set<std::string> Answered;
+  for (const auto &[Id, Each] : In.Statuses) {
+    // A primary that has restarted may lack commits that it acknowledged, and
+    // one that is passed over may acknowledge more with those that are missing.
+    const bool HasRestarted =
+        Present && Present->Id == Id && hasRestarted(In, *Present);
+    if (!HasRestarted && (!Each.IsPrimary || Id == Best))
+      Answered.insert(Id);
+  }
+  std::set<std::string> Missing = In.Quorum.missing(Answered);
+  if (Missing.empty()) {
+    In.Awaited.clear();
+    return false;
+  }
+  if (Missing != In.Awaited) {
+    std::string Ids;
+    for (const std::string &Each : Missing)
+      Ids += (Ids.empty() ? "" : ", ") + Each;
+    Step.emit(Name, "waiting",
+              "no answer from " + Ids +
+                  "; acknowledged commits may be on these alone");
+  }
+  In.Awaited = std::move(Missing);
+  resumeWatching(In, AttemptPause);
+  return true;
+}
+
+std::map<std::string, std::size_t>
+PromotionCoordinator::awaitedTargets() const {
+  std::map<std::string, std::size_t> Out;
+  for (const auto &[Name, Each] : Groups)
+    Out[Name] = Each.Awaited.size();
+  return Out;
+}
+
 // The primary's position is read after the change, so that all commits that
 // were acknowledged before it are below that position.
 void PromotionCoordinator::considerSettling(const std::string &Name, Group &In,
--- a/Source/Steering/ReadQuorum.h
+++ b/Source/Steering/ReadQuorum.h
@@ -25,7 +25,7 @@
   /// Updates the targets of the group and the number of synchronous replicas
   /// according to the plan. Until settle() is called, a target that left counts
   /// as one that may hold commits and does not answer.
-  void update(const std::vector<TargetRecord> &Members,
+  void update(const std::vector<TargetRecord> &Present,
               std::uint32_t SyncReplicas);
   /// Returns the targets whose answers are missing, if an acknowledged commit
   /// may be on them alone; otherwise nothing.
