Record targets that left while their commits are not copied

What callers saw: none in production; played in a test. The replica with the last commits has been replaced by an empty one, the primary is down, and the control leader changes. The next leader promotes a replica that lacks the commits.

Departures were kept in the leader's memory, and the replicated record of targets was erased when one left.

Change: as long as a target that left counts, its record stays in the replicated state, without its address. A new leader keeps such records out of its directory and adds them to the group's count. Once the group is settled, the leader records the target as gone. The assumption that a group without a recorded primary has lost it is dropped: it is recorded now, and in a series with a replaced replica it made the group wait for good. Only groups with synchronous replicas have such records; the format is unchanged.

The pause between attempts stands once, in the class, and the members of ReadQuorum have clearer names.

--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Pause between a failed attempt and the next one.
-constexpr Millis AttemptPause(100);
 /// Pause before a planned change that is not possible now is retried.
 constexpr Millis PlannedPause(400);
 /// Proxies that must report a primary as unusable before control probes it, if
@@ -32,7 +30,8 @@
       Promotions(Promotions), OnPropose(std::move(OnPropose)),
       Holder(std::move(Holder)), Times(Times) {}
 
-void PromotionCoordinator::startLeading() {
+void PromotionCoordinator::startLeading(
+    const std::vector<TargetRecord> &Departed) {
   IsActive = true;
   LeadingSince = Time.now();
   for (auto &[Name, Each] : Groups) {
@@ -40,6 +39,8 @@
     Each.Awaited.clear();
     resumeWatching(Each, Millis(0));
   }
+  for (const TargetRecord &Each : Departed)
+    Groups[Each.Group].Quorum.addDeparted(Each);
   Pressure.clear();
   StalenessVersion = 0;
   MayBeStopped.clear();
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -68,7 +68,12 @@
                        PromotionTimes Times = {});
 
   /// Starts as a new leader and abandons changes of an earlier leadership.
-  void startLeading();
+  /// \p Departed are the targets that left and for which countsDeparted() was
+  /// true.
+  void startLeading(const std::vector<TargetRecord> &Departed = {});
+  /// True if acknowledged commits may be on too few other targets because this
+  /// one left its group. The next leader must learn of it.
+  bool countsDeparted(const TargetRecord &Target) const;
   /// Stops issuing orders because another control host leads.
   void stopLeading();
   /// Records a proxy's reports on targets.
@@ -97,6 +102,9 @@
   sigc::signal<void()> &signalProbeStarted() { return ProbeStarted; }
 
 private:
+  /// Pause between a failed attempt and the next one.
+  static constexpr Millis AttemptPause = Millis(100);
+
   enum class Stage : std::uint8_t {
     Watching,
     Probing,      ///< Queries the suspected primary.
--- a/Source/Steering/PromotionQuorum.cpp
+++ b/Source/Steering/PromotionQuorum.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr Millis AttemptPause(100);
 constexpr Millis SettlingInterval(500);
 
 } // namespace
@@ -51,6 +50,11 @@
   return true;
 }
 
+bool PromotionCoordinator::countsDeparted(const TargetRecord &Target) const {
+  const auto Found = Groups.find(Target.Group);
+  return Found != Groups.end() && Found->second.Quorum.counts(Target.Id);
+}
+
 std::map<std::string, std::size_t>
 PromotionCoordinator::awaitedTargets() const {
   std::map<std::string, std::size_t> Out;
--- a/Source/Steering/PromotionRelief.cpp
+++ b/Source/Steering/PromotionRelief.cpp
@@ -12,12 +12,6 @@
 
 namespace corianderdyke {
 
-namespace {
-
-constexpr Millis AttemptPause(100);
-
-} // namespace
-
 void PromotionCoordinator::recordPressure(
     const ProcessId &Proxy, std::uint64_t Sequence,
     const std::vector<GroupPressure> &Counts) {
--- a/Source/Steering/ReadQuorum.cpp
+++ b/Source/Steering/ReadQuorum.cpp
@@ -8,32 +8,26 @@
 
 namespace corianderdyke {
 
-namespace {
-
-const char *const FormerPrimary = "the former primary";
-
-} // namespace
+void ReadQuorum::addDeparted(const TargetRecord &Last) {
+  Departed[Last.Id] = {Last, ++Changes};
+}
 
 void ReadQuorum::update(const std::vector<TargetRecord> &Present,
                         std::uint32_t SyncReplicas) {
   if (SyncReplicas == 0) {
     *this = ReadQuorum();
-    IsNew = false;
     return;
   }
-  // If no target is recorded as primary, the last one may have left.
-  if (IsNew && std::none_of(Present.begin(), Present.end(),
-                            [](const auto &Each) { return Each.IsPrimary; }))
-    Departed[FormerPrimary] = {{}, ++Changes};
-  IsNew = false;
   recordDepartures(Present);
   Members.clear();
   for (const TargetRecord &Each : Present)
     Members[Each.Id] = Each;
-  if (Newest > 0 && SyncReplicas > Newest)
+  if (RequiredReplicas > 0 && SyncReplicas > RequiredReplicas)
     RaisedBy = ++Changes;
-  Fewest = Newest == 0 ? SyncReplicas : std::min(Fewest, SyncReplicas);
-  Newest = SyncReplicas;
+  GuaranteedReplicas = RequiredReplicas == 0
+                           ? SyncReplicas
+                           : std::min(GuaranteedReplicas, SyncReplicas);
+  RequiredReplicas = SyncReplicas;
 }
 
 void ReadQuorum::recordDepartures(const std::vector<TargetRecord> &Present) {
@@ -62,11 +56,15 @@
       Out.insert(Id);
   for (const auto &[Id, Change] : Departed)
     Out.insert(Id);
-  return Out.size() <= Fewest ? std::set<std::string>() : Out;
+  return Out.size() <= GuaranteedReplicas ? std::set<std::string>() : Out;
+}
+
+bool ReadQuorum::counts(const std::string &Id) const {
+  return Members.count(Id) != 0 || Departed.count(Id) != 0;
 }
 
 bool ReadQuorum::isSettled() const {
-  return Departed.empty() && Fewest == Newest;
+  return Departed.empty() && GuaranteedReplicas == RequiredReplicas;
 }
 
 void ReadQuorum::settle(std::uint64_t AsOf) {
@@ -74,7 +72,7 @@
     return Each.second.Change <= AsOf;
   });
   if (RaisedBy <= AsOf)
-    Fewest = Newest;
+    GuaranteedReplicas = RequiredReplicas;
 }
 
 } // namespace corianderdyke
--- a/Source/Steering/ReadQuorum.h
+++ b/Source/Steering/ReadQuorum.h
@@ -19,9 +19,11 @@
 
 namespace corianderdyke {
 
-/// Begins without knowledge of the targets that left under an earlier leader.
 class ReadQuorum {
 public:
+  /// Adds a target that left under an earlier leader; to be called before the
+  /// first update.
+  void addDeparted(const TargetRecord &Last);
   /// Updates the targets of the group and the number of synchronous replicas
   /// according to the plan. Until settle() is called, a target that left counts
   /// as one that may hold commits and does not answer.
@@ -30,6 +32,8 @@
   /// Returns the targets whose answers are missing, if an acknowledged commit
   /// may be on them alone; otherwise nothing.
   std::set<std::string> missing(const std::set<std::string> &Answered) const;
+  /// True if the target is in the group or counts as one that left.
+  bool counts(const std::string &Id) const;
   /// True if all acknowledged commits are on enough of the present targets.
   bool isSettled() const;
   /// Records that the primary and enough other targets hold all commits that
@@ -50,14 +54,12 @@
 
   void recordDepartures(const std::vector<TargetRecord> &Present);
 
-  /// True until the first update with the number of synchronous replicas.
-  bool IsNew = true;
   /// According to the plan; if 0, nothing else is recorded.
-  std::uint32_t Newest = 0;
+  std::uint32_t RequiredReplicas = 0;
   /// The smallest number with which a commit that is not yet settled may have
-  /// been acknowledged; at most Newest.
-  std::uint32_t Fewest = 0;
-  std::uint64_t RaisedBy = 0; ///< The last change that raised Newest.
+  /// been acknowledged; at most RequiredReplicas.
+  std::uint32_t GuaranteedReplicas = 0;
+  std::uint64_t RaisedBy = 0; ///< The last change that raised RequiredReplicas.
   /// Last update of each present target.
   std::map<std::string, TargetRecord> Members;
   /// Targets that left since the group was settled.
--- a/Source/Steering/ReplicatedState.cpp
+++ b/Source/Steering/ReplicatedState.cpp
@@ -6,6 +6,17 @@
 
 namespace corianderdyke {
 
+TargetRecord departedRecord(TargetRecord Last) {
+  Last.Address = {};
+  Last.IsLeaving = true;
+  Last.IsGone = false;
+  return Last;
+}
+
+bool isDeparted(const TargetRecord &Recorded) {
+  return Recorded.Address == Endpoint{};
+}
+
 bool ReplicatedState::apply(std::uint64_t Index,
                             const ReplicatedCommand &Command) {
   AuditRecord Record{.Revision = Index, .WallTime = Command.WallTime};
--- a/Source/Steering/ReplicatedState.h
+++ b/Source/Steering/ReplicatedState.h
@@ -41,7 +41,8 @@
 
 /// Records changes in targets' heartbeats, beyond their sequence numbers. A
 /// leader that starts after all processes were down reads the targets from this
-/// record.
+/// record. A target that left but may hold commits that too few others hold is
+/// recorded by departedRecord(), and as gone later.
 struct RecordTargets {
   std::vector<TargetRecord> Targets;
 
@@ -49,6 +50,10 @@
   template <class Archive> void serialize(Archive &Ar) { Ar(Targets); }
 };
 
+/// A target's record without its address, which another target may use.
+TargetRecord departedRecord(TargetRecord Last);
+bool isDeparted(const TargetRecord &Recorded);
+
 /// Records proxies that were added or changed, and names of removed ones.
 /// Without it a leader that starts after all processes were down would divide
 /// the targets' connections among the few proxies that have contacted it yet.
@@ -84,7 +89,7 @@
   bool apply(std::uint64_t Index, const ReplicatedCommand &Command);
 
   const RoutePlan &plan() const { return Plan; }
-  /// Targets that are not gone, as last recorded.
+  /// Targets that are not gone or count as departed, as last recorded.
   const std::map<std::string, TargetRecord> &targets() const { return Targets; }
   /// Proxies by name, as last recorded.
   const std::map<std::string, ProxyRecord> &proxies() const { return Proxies; }
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -159,11 +159,18 @@
 // joins, departures and changes of role are rare. All changes since the last
 // record go into one entry.
 void SteeringNode::recordTargets() {
-  if (IsRecordingTargets || RecordedRevision == Directory.revision())
+  if (IsRecordingTargets)
     return;
   RecordTargets Changed;
+  for (const auto &[Id, Each] : State.targets())
+    if (isDeparted(Each) && !Coordinator.countsDeparted(Each)) {
+      Changed.Targets.push_back(Each);
+      Changed.Targets.back().IsGone = true;
+    }
   const std::uint64_t Revision = Directory.revision();
-  for (const TargetRecord &Each : Directory.changedSince(RecordedRevision)) {
+  for (TargetRecord Each : Directory.changedSince(RecordedRevision)) {
+    if (Each.IsGone && Coordinator.countsDeparted(Each))
+      Each = departedRecord(Each);
     const auto Recorded = State.targets().find(Each.Id);
     if (Recorded == State.targets().end()
             ? Each.IsGone
@@ -337,14 +344,15 @@
   Published = {};
   if (Leading) {
     std::vector<TargetRecord> Known;
+    std::vector<TargetRecord> Departed;
     for (const auto &[Id, Each] : State.targets())
-      Known.push_back(Each);
+      (isDeparted(Each) ? Departed : Known).push_back(Each);
     Directory.merge(Known, Deps.Time.now());
     Directory.beginTerm(Agreement.term());
     IsRecordingTargets = false;
     RecordedRevision = 0;
     IsRecordingProxies = false;
-    Coordinator.startLeading();
+    Coordinator.startLeading(Departed);
   } else {
     Coordinator.stopLeading();
     Barriers.failAll();
--- a/Tests/Unit/SyncReplicaPromotionTest.cpp
+++ b/Tests/Unit/SyncReplicaPromotionTest.cpp
@@ -270,9 +270,8 @@
   CHECK(Setup.Lost.empty());
 }
 
-// Fails: which targets left is known to the leading control host only.
 TEST_CASE("A replaced target still counts for the next control leader",
-          "[steering][!mayfail]") {
+          "[steering]") {
   // Guards against the loss above if the control leader changes meanwhile.
   SyncFleet Setup(1);
   Setup.Deaf = {"b"};
@@ -284,7 +283,13 @@
   Setup.Fleet.killControl(Setup.Fleet.leader()->leader());
   Setup.run(Millis(6000));
   CHECK(Setup.Fleet.Targets.Orders.empty());
+  Setup.restart("a");
+  Setup.Deaf.clear();
+  Setup.run(Millis(3000));
+  CHECK(Setup.primary() == "a");
   CHECK(Setup.Lost.empty());
+  // Once the commits are copied, the record of the departure is removed.
+  CHECK(Setup.Fleet.leader()->state().targets().count("c") == 0);
 }
 
 TEST_CASE("Without synchronous replicas in the plan a group waits no longer",
@@ -330,8 +335,7 @@
           "[steering]") {
   // Guards against any order of crashes, returns, refused and lost orders,
   // replaced targets and changes of the control leader that loses a commit or
-  // leaves no primary. Targets are replaced only under one control leader: the
-  // next one does not know which targets left.
+  // leaves no primary.
   const std::uint64_t Seed =
       GENERATE(range(std::uint64_t(1), std::uint64_t(61)));
   const std::uint32_t SyncReplicas = Seed % 3;
@@ -339,7 +343,6 @@
   CAPTURE(Seed, SyncReplicas, Count);
   SyncFleet Setup(SyncReplicas, Seed, Count);
   FakeTargets &Targets = Setup.Fleet.Targets;
-  const bool AreReplaced = Seed % 2 == 0;
   const auto Draw = [&Setup](std::uint64_t Limit) {
     return Setup.Random() % Limit;
   };
@@ -352,7 +355,7 @@
   for (int Step = 0; Step < 30; ++Step) {
     const std::vector<std::string> Ids = Setup.present();
     const std::string &Id = Ids[Draw(Ids.size())];
-    switch (Draw(9)) {
+    switch (Draw(11)) {
     case 0:
     case 1:
       if (!Setup.primary().empty())
@@ -374,10 +377,12 @@
     case 7:
       (Draw(2) == 0 ? Targets.RefusedOrders : Targets.DroppedOrders) = Draw(3);
       break;
+    case 8:
+    case 9:
+      Setup.replace(Id);
+      break;
     default:
-      if (AreReplaced) {
-        Setup.replace(Id);
-      } else if (SteeringNode *Leader = Setup.Fleet.leader()) {
+      if (SteeringNode *Leader = Setup.Fleet.leader()) {
         const std::string Name = Leader->leader();
         Setup.Fleet.killControl(Name);
         Setup.Fleet.startControl(Name, false);
