--- a/Tests/Unit/SyncReplicaPromotionTest.cpp
+++ b/Tests/Unit/SyncReplicaPromotionTest.cpp
@@ -59,6 +59,25 @@
     target(New.Host + std::to_string(New.BornAt)) = New;
   }
 
+  /// The primary "a" crashes, and "c", the only replica with the last commits,
+  /// is replaced.
+  void replaceHolder() {
+    Deaf = {"b"};
+    run(Millis(1000));
+    crash("a");
+    crash("c");
+    replace("c");
+  }
+
+  /// Checks that no target was promoted meanwhile and that "a" leads on.
+  void checkPrimaryReturns() {
+    CHECK(Fleet.Targets.Orders.empty());
+    restart("a");
+    Deaf.clear();
+    run(Millis(3000));
+    CHECK(primary() == "a");
+  }
+
   std::vector<std::string> present() const {
     std::vector<std::string> Out;
     for (const auto &[Id, Each] : Fleet.Targets.Targets)
@@ -252,17 +271,9 @@
   // Guards against promoting a replica while the only replica with the last
   // commits has been replaced by an empty one and the primary is down.
   SyncFleet Setup(1);
-  Setup.Deaf = {"b"};
-  Setup.run(Millis(1000));
-  Setup.crash("a");
-  Setup.crash("c");
-  Setup.replace("c");
+  Setup.replaceHolder();
   Setup.run(Millis(5000));
-  CHECK(Setup.Fleet.Targets.Orders.empty());
-  Setup.restart("a");
-  Setup.Deaf.clear();
-  Setup.run(Millis(3000));
-  CHECK(Setup.primary() == "a");
+  Setup.checkPrimaryReturns();
   // The commits are on enough of the present targets again.
   Setup.crash("a");
   Setup.run(Millis(4000));
@@ -274,19 +285,11 @@
           "[steering]") {
   // Guards against the loss above if the control leader changes meanwhile.
   SyncFleet Setup(1);
-  Setup.Deaf = {"b"};
-  Setup.run(Millis(1000));
-  Setup.crash("a");
-  Setup.crash("c");
-  Setup.replace("c");
+  Setup.replaceHolder();
   Setup.run(Millis(2000));
   Setup.Fleet.killControl(Setup.Fleet.leader()->leader());
   Setup.run(Millis(6000));
-  CHECK(Setup.Fleet.Targets.Orders.empty());
-  Setup.restart("a");
-  Setup.Deaf.clear();
-  Setup.run(Millis(3000));
-  CHECK(Setup.primary() == "a");
+  Setup.checkPrimaryReturns();
   CHECK(Setup.Lost.empty());
   // Once the commits are copied, the record of the departure is removed.
   CHECK(Setup.Fleet.leader()->state().targets().count("c") == 0);
