Remove silent voters of an odd group that can't bear the tolerated losses

What callers saw: two control hosts were replaced at about the same time, the new ones first. Later a plan was acknowledged and two of the five disks were lost. No host led again: reads of the plan got 503, no proxy became ready and no statement was served.

Cause: both new hosts became voters, seven in all. Consensus::removeSilentVoter returned at once for an odd number, so the two hosts that were gone voted for good. Four of seven had to agree, and three were left.

Change: an odd group removes silent voters as well, if fewer voters answer than a majority and the tolerated losses, and only while it has more voters than the fewest that bear these losses. The longest silent voter, or a vacant seat, leaves first.

Why it works: each change differs by one voter and waits for the one before, so any majority before it meets any majority after it. At five voters which all answer, two lost disks leave a majority, and a committed entry is on one of these disks at least.

--- a/Source/Consensus/Consensus.h
+++ b/Source/Consensus/Consensus.h
@@ -26,7 +26,8 @@
   Listed,
   /// The settings name some initial hosts. Any host that sends a discovery
   /// message becomes a voter once it has caught up. A silent voter is removed
-  /// if that does not lower the fault tolerance of the group.
+  /// if that does not lower the fault tolerance of the group, or if the group
+  /// cannot bear ToleratedDiskLosses with it and can without.
   Open,
 };
 
@@ -43,6 +44,10 @@
   /// Maximum bytes of entries in one message.
   std::size_t BatchBytes = 1U << 20U;
   MembershipMode Membership = MembershipMode::Listed;
+  /// Disks that may be lost at once. Silent voters do not make an open group
+  /// smaller than the fewest voters that bear this loss, unless their number is
+  /// even.
+  std::size_t ToleratedDiskLosses = 1;
   /// False on a host that must never found a group because its disk was emptied
   /// or it was added later.
   bool MayBootstrap = true;
@@ -234,6 +239,9 @@
   void emitCommitted();
   void admitLearner(const Member &Host, Millis Now);
   void replaceCaughtUpLearners(Millis Now);
+  /// Voters that have not replied for SilentVoterTimeout and seats whose disk
+  /// is gone, the longest silent first.
+  Members silentVoters(Millis Now) const;
   void removeSilentVoter(Millis Now);
   Peer newPeer(const Member &Host, bool Voter, Millis Now) const;
   bool isChangePending() const;
--- a/Source/Consensus/ConsensusMembership.cpp
+++ b/Source/Consensus/ConsensusMembership.cpp
@@ -89,29 +89,50 @@
   }
 }
 
+Members Consensus::silentVoters(Millis Now) const {
+  std::vector<std::pair<Millis, Member>> Found;
+  for (const Member &Each : Voters) {
+    if (Each == self())
+      continue;
+    const auto Known = Peers.find(Each.Name);
+    if (Known == Peers.end() || Known->second.Identity != Each)
+      Found.emplace_back(NeverSent, Each);
+    else if (Now - Known->second.LastReply > SilentVoterTimeout)
+      Found.emplace_back(Known->second.LastReply, Each);
+  }
+  std::sort(Found.begin(), Found.end());
+  Members Out;
+  for (auto &[LastReply, Each] : Found)
+    Out.push_back(std::move(Each));
+  return Out;
+}
+
 // A host that is permanently lost counts towards the size of the majority until
 // it is removed. With an even number of voters its seat adds no fault
 // tolerance: the majority of one voter fewer is one smaller, so as many others
 // may fail, and committed entries are still on more than half of the remaining
-// disks. With an odd number the voter stays, since it may only be partitioned.
+// disks. With an odd number a silent voter stays, since it may only be
+// partitioned, as long as the group bears the tolerated losses with it. If
+// hosts were replaced at the same time, several voters are gone, and too few
+// are left for a majority after such a loss. The group then shrinks, but not
+// below the fewest voters that bear the loss: at that size a partition of the
+// group looks the same, and the smaller part must not become the group.
 void Consensus::removeSilentVoter(Millis Now) {
   if (Options.Membership != MembershipMode::Open || !isReadyLeader() ||
-      isChangePending() || Voters.size() % 2 != 0)
+      isChangePending())
     return;
-  for (const Member &Each : Voters) {
-    if (Each == self())
-      continue;
-    const auto Known = Peers.find(Each.Name);
-    const bool IsSilent = Known == Peers.end() ||
-                          Known->second.Identity != Each ||
-                          Now - Known->second.LastReply > SilentVoterTimeout;
-    if (!IsSilent)
-      continue;
-    Members Next = Voters;
-    Next.erase(std::find(Next.begin(), Next.end(), Each));
-    static_cast<void>(changeVoters(std::move(Next), Now));
+  const Members Silent = silentVoters(Now);
+  if (Silent.empty())
     return;
-  }
+  const std::size_t Losses = Options.ToleratedDiskLosses;
+  const bool IsSeatUseless = Voters.size() % 2 == 0;
+  const bool IsTooLarge = Voters.size() > 2 * Losses + 1 &&
+                          Voters.size() - Silent.size() < majority() + Losses;
+  if (!IsSeatUseless && !IsTooLarge)
+    return;
+  Members Next = Voters;
+  Next.erase(std::find(Next.begin(), Next.end(), Silent.front()));
+  static_cast<void>(changeVoters(std::move(Next), Now));
 }
 
 std::size_t Consensus::disksHolding(std::uint64_t Index) const {
--- a/Source/Settings/Settings.cpp
+++ b/Source/Settings/Settings.cpp
@@ -153,7 +153,9 @@
        .Max = 100,
        .Default = "1",
        .Meaning = "Number of disks that may fail simultaneously; an "
-                  "acknowledged change is stored on one more."},
+                  "acknowledged change is stored on one more, and control "
+                  "hosts that are gone leave the group if it can't bear that "
+                  "loss with them."},
       {.Table = "[group]",
        .Key = "promotions",
        .Type = Type::Address,
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -29,6 +29,7 @@
   Out.HeartbeatInterval = HeartbeatInterval;
   Out.ElectionTimeout = ElectionTimeout;
   Out.Membership = MembershipMode::Open;
+  Out.ToleratedDiskLosses = From.ToleratedDiskLosses;
   Out.MayBootstrap = From.MayBootstrap;
   return Out;
 }
--- a/Tests/Support/FakeControlGroup.cpp
+++ b/Tests/Support/FakeControlGroup.cpp
@@ -24,7 +24,8 @@
 
 FakeControlGroup::FakeControlGroup(std::uint64_t Seed, std::size_t Hosts,
                                    MembershipMode Membership)
-    : Random(Seed), Membership(Membership) {
+    : Random(Seed), Membership(Membership),
+      ToleratedDiskLosses((Hosts - 1) / 2) {
   for (std::size_t Index = 1; Index <= Hosts; ++Index)
     Names.push_back("control-" + std::to_string(Index));
   Seeds = Names;
@@ -39,12 +40,40 @@
   crash(Old);
   loseDisk(Old);
   std::replace(Names.begin(), Names.end(), Old, New);
-  // The seed list in the settings is updated as well.
+  updateSeeds(New);
+  start(New);
+}
+
+void FakeControlGroup::add(const std::string &New) {
+  Names.push_back(New);
+  updateSeeds(New);
+  start(New);
+}
+
+void FakeControlGroup::remove(const std::string &Old) {
+  crash(Old);
+  loseDisk(Old);
+  Names.erase(std::find(Names.begin(), Names.end(), Old));
+  updateSeeds("");
+}
+
+void FakeControlGroup::updateSeeds(const std::string &Joining) {
   Seeds.clear();
   for (const std::string &Each : Names)
-    if (Each != New && Seeds.size() < 3)
+    if (Each != Joining && Seeds.size() < 3)
       Seeds.push_back(Each);
-  start(New);
+}
+
+void FakeControlGroup::restartWithLostDisks(
+    const std::vector<std::string> &Lost) {
+  for (const std::string &Name : Names)
+    crash(Name);
+  for (const std::string &Name : Lost)
+    loseDisk(Name);
+  // Messages in flight arrive while the hosts are stopped and are lost.
+  run(Millis(50));
+  for (const std::string &Name : Names)
+    start(Name);
 }
 
 std::uint64_t FakeControlGroup::proposeDurably(const std::string &Text,
@@ -80,6 +109,7 @@
   const bool IsOpen = Membership == MembershipMode::Open;
   ConsensusOptions Options{Name, IsOpen ? Seeds : Names};
   Options.Membership = Membership;
+  Options.ToleratedDiskLosses = ToleratedDiskLosses;
   Options.MayBootstrap = !IsOpen || IsFounding;
   Made->Node =
       std::make_unique<Consensus>(std::move(Options), *Made->Log, Random());
--- a/Tests/Support/FakeControlGroup.h
+++ b/Tests/Support/FakeControlGroup.h
@@ -45,6 +45,13 @@
   /// Stops a host permanently and starts another one, which knows only the
   /// seeds.
   void replace(const std::string &Old, const std::string &New);
+  /// Starts another host, which knows only the seeds.
+  void add(const std::string &New);
+  /// Stops a host permanently.
+  void remove(const std::string &Old);
+  /// Stops all hosts at the same time and starts them again, those of \p Lost
+  /// with empty disks.
+  void restartWithLostDisks(const std::vector<std::string> &Lost);
   /// Proposes \p Text through the leader and runs until the entry survives the
   /// loss of \p LostDisks disks. Returns its index, 0 if that is not reached.
   std::uint64_t proposeDurably(const std::string &Text, std::size_t LostDisks);
@@ -95,6 +102,8 @@
     ConsensusMessage Message;
   };
 
+  /// Lists the first hosts other than \p Joining in the settings.
+  void updateSeeds(const std::string &Joining);
   void step();
   void deliver();
   void collect(const std::string &Name);
@@ -105,8 +114,9 @@
   int chance() { return static_cast<int>(Random() % 1000); }
 
   MembershipMode Membership;
-  std::vector<std::string> Seeds; ///< Used in MembershipMode::Open.
-  bool IsFounding = true;         ///< True during the first start.
+  const std::size_t ToleratedDiskLosses; ///< A minority of the first hosts.
+  std::vector<std::string> Seeds;        ///< Used in MembershipMode::Open.
+  bool IsFounding = true;                ///< True during the first start.
   std::map<std::string, std::unique_ptr<Host>> Hosts;
   std::multimap<Millis, InFlight> Network;
   /// Entries applied by any host and the state after each, by index.
--- /dev/null
+++ b/Tests/Unit/ReplacedHostsTest.cpp
@@ -0,0 +1,169 @@
+/// \file
+/// Control hosts that are replaced while others are, or while something else
+/// fails: the group returns to a size at which it bears the loss of two disks.
+
+#include "FakeControlGroup.h"
+
+#include <catch2/catch.hpp>
+
+using namespace corianderdyke;
+
+namespace {
+
+/// The number of disks, out of five, that may be lost.
+constexpr std::size_t LostDisks = 2;
+constexpr std::size_t GroupSize = 5;
+/// Time after which a replaced host no longer counts as one of the losses.
+constexpr Millis CatchUpTimeout(4000);
+/// Time after which the group must work again once all hosts are back.
+constexpr Millis RecoveryTimeout(12000);
+
+FakeControlGroup groupOfFive(int Seed) {
+  FakeControlGroup Group(static_cast<std::uint64_t>(Seed), GroupSize,
+                         MembershipMode::Open);
+  REQUIRE(Group.runUntil([&] {
+    return Group.leader() != nullptr &&
+           Group.leader()->voters().size() == GroupSize && Group.isSettled();
+  }));
+  return Group;
+}
+
+std::vector<std::string> drawHosts(FakeControlGroup &Group, std::size_t Count) {
+  std::vector<std::string> Out = Group.Names;
+  std::shuffle(Out.begin(), Out.end(), Group.Random);
+  Out.resize(Count);
+  return Out;
+}
+
+bool hasVoters(FakeControlGroup &Group, std::size_t Count) {
+  return Group.leader() != nullptr && Group.leader()->voters().size() == Count;
+}
+
+/// Five voters, all of which run.
+bool isRestored(FakeControlGroup &Group) {
+  return hasVoters(Group, GroupSize) && Group.isSettled();
+}
+
+bool isHeld(FakeControlGroup &Group, std::uint64_t Index,
+            const std::string &Text) {
+  const Entry *Found = Group.leader() == nullptr
+                           ? nullptr
+                           : Group.leader()->log().entryAt(Index);
+  return Found != nullptr && Found->Bytes == Text;
+}
+
+/// Two replacements join, so that seven hosts vote; then the replaced hosts
+/// stop for good. Returns the replaced hosts.
+std::vector<std::string> replaceTwoAtOnce(FakeControlGroup &Group) {
+  std::vector<std::string> Replaced = drawHosts(Group, 2);
+  Group.add("spare-1");
+  Group.add("spare-2");
+  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 7); }));
+  for (const std::string &Each : Replaced)
+    Group.remove(Each);
+  return Replaced;
+}
+
+} // namespace
+
+TEST_CASE("Two hosts replaced at once count as voters no longer",
+          "[open-group]") {
+  // Guards against a group of seven that keeps the votes of two hosts that are
+  // gone: it lacks a majority once two of the five other disks are lost.
+  const auto Seed = GENERATE(range(1, 41));
+  CAPTURE(Seed);
+  auto Group = groupOfFive(Seed);
+  replaceTwoAtOnce(Group);
+  CHECK(Group.runUntil([&] { return isRestored(Group); }, CatchUpTimeout));
+  const auto Index = Group.proposeDurably("kept", LostDisks);
+  REQUIRE(Index != 0);
+  Group.restartWithLostDisks(drawHosts(Group, LostDisks));
+  INFO(Group.describe());
+  REQUIRE(Group.runUntil([&] { return Group.leader() != nullptr; },
+                         RecoveryTimeout));
+  CHECK(isHeld(Group, Index, "kept"));
+}
+
+TEST_CASE("Two replaced hosts with vacant seats count as voters no longer",
+          "[open-group]") {
+  // Guards against seats of emptied disks that no host takes any more, because
+  // their hosts were replaced under other names.
+  const auto Seed = GENERATE(range(1, 21));
+  CAPTURE(Seed);
+  auto Group = groupOfFive(Seed);
+  const std::vector<std::string> Replaced = drawHosts(Group, 2);
+  for (const std::string &Each : Replaced) {
+    Group.crash(Each);
+    Group.loseDisk(Each);
+  }
+  Group.run(Millis(50));
+  for (const std::string &Each : Replaced)
+    Group.start(Each);
+  REQUIRE(Group.runUntil([&] {
+    if (Group.leader() == nullptr)
+      return false;
+    const Members &Voters = Group.leader()->voters();
+    return std::any_of(Voters.begin(), Voters.end(),
+                       [](const Member &Each) { return Each.isVacant(); });
+  }));
+  for (const std::string &Each : Replaced)
+    Group.remove(Each);
+  Group.add("spare-1");
+  Group.add("spare-2");
+  CHECK(Group.runUntil([&] { return isRestored(Group); }, CatchUpTimeout));
+  const auto Index = Group.proposeDurably("kept", LostDisks);
+  REQUIRE(Index != 0);
+  Group.restartWithLostDisks(drawHosts(Group, LostDisks));
+  INFO(Group.describe());
+  REQUIRE(Group.runUntil([&] { return Group.leader() != nullptr; },
+                         RecoveryTimeout));
+  CHECK(isHeld(Group, Index, "kept"));
+}
+
+TEST_CASE("The smaller part of a split group remains in it", "[open-group]") {
+  // Guards against a group that removes the hosts beyond a partition and then
+  // consists of too few disks for the tolerated losses.
+  const auto Size = GENERATE(5, 7);
+  CAPTURE(Size);
+  FakeControlGroup Group(1, static_cast<std::size_t>(Size),
+                         MembershipMode::Open);
+  const auto Voters = static_cast<std::size_t>(Size);
+  REQUIRE(Group.runUntil(
+      [&] { return hasVoters(Group, Voters) && Group.isSettled(); }));
+  const std::vector<std::string> Minority =
+      drawHosts(Group, static_cast<std::size_t>(Size / 2));
+  for (const std::string &Here : Group.Names)
+    for (const std::string &There : Minority)
+      if (std::find(Minority.begin(), Minority.end(), Here) == Minority.end()) {
+        Group.Cuts.insert({Here, There});
+        Group.Cuts.insert({There, Here});
+      }
+  Group.run(Millis(10000));
+  REQUIRE(hasVoters(Group, Voters));
+  Group.Cuts.clear();
+  CHECK(Group.runUntil([&] { return Group.isSettled(); }));
+}
+
+TEST_CASE("A removed host that returns with its disk joins and leaves again",
+          "[open-group]") {
+  // Guards against a group that stays at seven voters after replaced hosts
+  // have come back and are gone again.
+  const auto Seed = GENERATE(range(1, 21));
+  CAPTURE(Seed);
+  auto Group = groupOfFive(Seed);
+  const std::vector<std::string> Replaced = drawHosts(Group, 2);
+  Group.add("spare-1");
+  Group.add("spare-2");
+  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 7); }));
+  for (const std::string &Each : Replaced)
+    Group.crash(Each);
+  REQUIRE(Group.runUntil([&] { return hasVoters(Group, GroupSize); },
+                         CatchUpTimeout));
+  for (const std::string &Each : Replaced)
+    Group.start(Each);
+  REQUIRE(
+      Group.runUntil([&] { return hasVoters(Group, 7) && Group.isSettled(); }));
+  for (const std::string &Each : Replaced)
+    Group.remove(Each);
+  CHECK(Group.runUntil([&] { return isRestored(Group); }, CatchUpTimeout));
+}
