Find new leaders of a group from a host that it removed

What callers saw: nothing by itself, but the group had one running voter fewer than it could have, so that two lost disks could end it.

Cause: a host that is removed while partitioned still takes itself for a voter of the group that it knew. It starts pre-votes and sends discovery messages to those voters and its seeds. They answer with the present voters, but only hosts without a group kept that list. If a host led that had joined meanwhile, the removed one never asked it. The number of voters stayed odd, so a voter that was gone was kept as well.

Change: every host of an open group keeps the hosts that discovery messages list.

--- a/Source/Consensus/Consensus.h
+++ b/Source/Consensus/Consensus.h
@@ -291,7 +291,7 @@
   /// Hosts that have reported an empty disk while the group is being founded,
   /// by name.
   std::map<std::string, Member> EmptyDiskHosts;
-  /// Hosts that other hosts listed as members while this host had no group.
+  /// Hosts that other hosts listed as members in discovery messages.
   std::set<std::string> DiscoveredHosts;
   std::optional<Error> Failure;
   Millis NextRecovery = NeverSent;
--- a/Source/Consensus/ConsensusElections.cpp
+++ b/Source/Consensus/ConsensusElections.cpp
@@ -42,8 +42,9 @@
     admitLearner(From, Now);
     return;
   }
-  if (Options.Membership == MembershipMode::Open &&
-      (Role == ConsensusRole::Founding || Role == ConsensusRole::Joining))
+  // A host that was removed during a partition still follows the voters that it
+  // knew, none of which may lead any more.
+  if (Options.Membership == MembershipMode::Open)
     for (const Member &Each : Discovery.Voters)
       DiscoveredHosts.insert(Each.Name);
   if (Role != ConsensusRole::Founding)
--- a/Tests/Unit/ReplacedHostsTest.cpp
+++ b/Tests/Unit/ReplacedHostsTest.cpp
@@ -64,6 +64,27 @@
   return Replaced;
 }
 
+/// Cuts all links between a host and the others.
+void isolate(FakeControlGroup &Group, const std::string &Name) {
+  for (const std::string &Each : Group.Names) {
+    Group.Cuts.insert({Name, Each});
+    Group.Cuts.insert({Each, Name});
+  }
+}
+
+/// Stops the leader, if any, and starts it again after \p Downtime.
+void restartLeader(FakeControlGroup &Group, Millis Downtime) {
+  const Consensus *Leader = Group.leader();
+  for (const std::string &Each : Group.Names)
+    if (Leader != nullptr && Group.host(Each) == Leader) {
+      Group.crash(Each);
+      Group.run(Downtime);
+      Group.start(Each);
+      return;
+    }
+  Group.run(Downtime);
+}
+
 } // namespace
 
 TEST_CASE("Two hosts replaced at once count as voters no longer",
@@ -167,3 +188,23 @@
     Group.remove(Each);
   CHECK(Group.runUntil([&] { return isRestored(Group); }, CatchUpTimeout));
 }
+
+TEST_CASE("A host removed during a partition finds a leader it does not know",
+          "[open-group]") {
+  // Guards against a running host that stays outside the group because it asks
+  // only the hosts that were voters before the partition.
+  const auto Seed = GENERATE(range(1, 21));
+  CAPTURE(Seed);
+  auto Group = groupOfFive(Seed);
+  const std::string Isolated = drawHosts(Group, 1).front();
+  Group.add("spare-1");
+  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 6); }));
+  isolate(Group, Isolated);
+  REQUIRE(Group.runUntil([&] { return hasVoters(Group, GroupSize); }));
+  for (int Try = 0; Try < 50 && Group.leader() != Group.host("spare-1"); ++Try)
+    restartLeader(Group, Millis(1500));
+  REQUIRE(Group.leader() == Group.host("spare-1"));
+  Group.Cuts.clear();
+  CHECK(Group.runUntil([&] { return hasVoters(Group, 6) && Group.isSettled(); },
+                       CatchUpTimeout));
+}
