Acknowledge changes only if the group can go on without silent voters

What callers saw: a plan acknowledged within 1.5 s after a replaced control host had stopped could not be read again once two disks were lost.

Cause: Consensus::survivesDiskLoss compared the number of voters with the losses, and not that of the voters that are still there. Of six voters of which one is gone, two lost disks leave three, and four must agree; of seven of which two are gone, likewise.

Change: in a group above the smallest size that bears the losses, an acknowledgement waits until a majority and as many more voters as disks may be lost hold the entry. A silent voter is removed after 1.5 s, and the entry then counts in the smaller group. At the smallest size nothing changes: a silent voter is one of the losses to bear, and a split group must go on.

Why it works: a voter that holds the entry was there after it was appended. Less the lost disks, a majority of those is left, and one of them has the entry.

--- a/Source/Consensus/Consensus.h
+++ b/Source/Consensus/Consensus.h
@@ -154,9 +154,12 @@
   /// Number of disks that certainly hold the entry, including the disk of this
   /// host.
   std::size_t disksHolding(std::uint64_t Index) const;
+  /// The same number, counting voters only.
+  std::size_t votersHolding(std::uint64_t Index) const;
   /// True if \p LostDisks disks may be lost at once and the entry still
   /// survives in a group that can continue. In a group that is still forming, a
-  /// majority of the voters may be fewer disks than that.
+  /// majority of the voters may be fewer disks than that. In a group with more
+  /// than 2 * \p LostDisks + 1 voters, some may be gone and not yet removed.
   bool survivesDiskLoss(std::uint64_t Index, std::size_t LostDisks) const;
   /// Hosts that the leader replicates to without counting them as voters,
   /// ordered by name.
--- a/Source/Consensus/ConsensusMembership.cpp
+++ b/Source/Consensus/ConsensusMembership.cpp
@@ -143,10 +143,25 @@
   return Out;
 }
 
+std::size_t Consensus::votersHolding(std::uint64_t Index) const {
+  std::size_t Out = isVoter(self()) && Log.lastIndex() >= Index ? 1 : 0;
+  for (const auto &[Name, Each] : Peers)
+    if (Each.Voter && Each.Match >= Index)
+      ++Out;
+  return Out;
+}
+
+// A voter that holds the entry was there after it was appended. One that does
+// not may be gone, and the group then needs a majority without it as well as
+// without the lost disks. It is removed soon in that case, unless the group is
+// at the smallest size, where its absence is one of the losses to bear.
 bool Consensus::survivesDiskLoss(std::uint64_t Index,
                                  std::size_t LostDisks) const {
+  const std::size_t SmallestSize = 2 * LostDisks + 1;
   return Index <= CommitIndex && !isChangePending() &&
-         Voters.size() > 2 * LostDisks && disksHolding(Index) > LostDisks;
+         Voters.size() >= SmallestSize && disksHolding(Index) > LostDisks &&
+         (Voters.size() == SmallestSize ||
+          votersHolding(Index) >= majority() + LostDisks);
 }
 
 Expected<std::uint64_t> Consensus::addVoter(const std::string &Name,
--- a/Tests/Unit/ReplacedHostsTest.cpp
+++ b/Tests/Unit/ReplacedHostsTest.cpp
@@ -35,6 +35,11 @@
   return Out;
 }
 
+Millis drawTime(FakeControlGroup &Group, int MaxMs) {
+  return Millis(static_cast<std::int64_t>(Group.Random() %
+                                          static_cast<std::uint64_t>(MaxMs)));
+}
+
 bool hasVoters(FakeControlGroup &Group, std::size_t Count) {
   return Group.leader() != nullptr && Group.leader()->voters().size() == Count;
 }
@@ -208,3 +213,33 @@
   CHECK(Group.runUntil([&] { return hasVoters(Group, 6) && Group.isSettled(); },
                        CatchUpTimeout));
 }
+
+TEST_CASE("A change acknowledged while hosts are replaced survives lost disks",
+          "[open-group]") {
+  // Guards against an acknowledgement by a group that still counts hosts that
+  // have just stopped for good. Two disks are lost as soon as it is given.
+  const auto Seed = GENERATE(range(1, 61));
+  const std::size_t Count = GENERATE(1U, 2U);
+  CAPTURE(Seed, Count);
+  auto Group = groupOfFive(Seed);
+  const std::vector<std::string> Replaced = drawHosts(Group, Count);
+  for (std::size_t Each = 1; Each <= Count; ++Each)
+    Group.add("spare-" + std::to_string(Each));
+  REQUIRE(Group.runUntil([&] {
+    return hasVoters(Group, GroupSize + Count) && Group.isSettled();
+  }));
+  for (const std::string &Each : Replaced)
+    Group.remove(Each);
+  Group.run(drawTime(Group, 2500));
+  std::uint64_t Index = 0;
+  const Millis Start = Group.Now;
+  while (Index == 0 && Group.Now - Start < CatchUpTimeout)
+    Index = Group.proposeDurably("kept", LostDisks);
+  REQUIRE(Index != 0);
+  CHECK((Group.Now - Start).count() < CatchUpTimeout.count());
+  Group.restartWithLostDisks(drawHosts(Group, LostDisks));
+  INFO(Group.describe());
+  REQUIRE(Group.runUntil([&] { return Group.leader() != nullptr; },
+                         RecoveryTimeout));
+  CHECK(isHeld(Group, Index, "kept"));
+}
