Draw orders of replaced control hosts

One or two hosts are replaced in a drawn order, planned or killed, overlapping, beside restarts of all, crashed leaders and partitions; within 4 s the group is back at five voters that run, and what it acknowledged outlives two lost disks.

--- a/Tests/Unit/ReplacedHostsTest.cpp
+++ b/Tests/Unit/ReplacedHostsTest.cpp
@@ -90,6 +90,59 @@
   Group.run(Downtime);
 }
 
+/// Replaces one or two hosts a round in a drawn order, beside restarts of all,
+/// crashed leaders and partitions. Then two disks are lost.
+void runDrawnReplacements(int Seed) {
+  CAPTURE(Seed);
+  auto Group = groupOfFive(Seed);
+  Group.SyncDuration = Millis(Seed % 3 == 0 ? 20 : 0);
+  std::vector<std::pair<std::uint64_t, std::string>> Durable;
+  int Spares = 0;
+  const auto Change = [&](const std::string &Text) {
+    if (const auto Index = Group.proposeDurably(Text, LostDisks))
+      Durable.emplace_back(Index, Text);
+  };
+  for (int Round = 0; Round < 6; ++Round) {
+    CAPTURE(Round);
+    std::vector<std::string> ToStop = drawHosts(Group, 1 + Group.Random() % 2);
+    std::size_t ToStart = ToStop.size();
+    while (!ToStop.empty() || ToStart != 0) {
+      // At most two hosts are missing at a time.
+      if (ToStart != 0 && (ToStop.empty() || Group.Random() % 2 == 0)) {
+        Group.add("spare-" + std::to_string(++Spares));
+        --ToStart;
+      } else {
+        Group.remove(ToStop.back());
+        ToStop.pop_back();
+      }
+      switch (Group.Random() % 6) {
+      case 0:
+        Group.restartWithLostDisks({});
+        break;
+      case 1:
+        restartLeader(Group, drawTime(Group, 1000));
+        break;
+      case 2:
+        isolate(Group, drawHosts(Group, 1).front());
+        Group.run(drawTime(Group, 3000));
+        Group.Cuts.clear();
+        break;
+      default:
+        Group.run(drawTime(Group, 3000));
+      }
+    }
+    INFO(Group.describe());
+    REQUIRE(Group.runUntil([&] { return isRestored(Group); }, CatchUpTimeout));
+    Change("change " + std::to_string(Round));
+    Group.restartWithLostDisks(drawHosts(Group, LostDisks));
+    REQUIRE(Group.runUntil([&] { return isRestored(Group); }, RecoveryTimeout));
+    Group.checkLogs();
+    for (const auto &[Index, Text] : Durable)
+      CHECK(isHeld(Group, Index, Text));
+  }
+  CHECK(Durable.size() == 6);
+}
+
 } // namespace
 
 TEST_CASE("Two hosts replaced at once count as voters no longer",
@@ -243,3 +296,16 @@
                          RecoveryTimeout));
   CHECK(isHeld(Group, Index, "kept"));
 }
+
+TEST_CASE("Drawn replacements and losses keep durable changes and the size",
+          "[open-group]") {
+  // Guards against orders of replacements, restarts and partitions after which
+  // the group counts hosts that are gone.
+  runDrawnReplacements(GENERATE(range(1, 61)));
+}
+
+TEST_CASE("More seeds of drawn replacements and losses", "[.][seeds-long]") {
+  // Run by command after a change of the consensus code.
+  for (int Seed = 61; Seed <= 3000; ++Seed)
+    runDrawnReplacements(Seed);
+}
