Count silent voters of the control group

A group of seven voters of which two were gone looked healthy: the alarm is on an even number of voters. "The smaller part of a split group remains in it" checks the count.

--- a/Source/App/SteeringMetrics.cpp
+++ b/Source/App/SteeringMetrics.cpp
@@ -172,6 +172,9 @@
          static_cast<double>(ControlGroup.commitIndex()));
   To.add("corianderdyke_control_voters",
          static_cast<double>(ControlGroup.voters().size()));
+  To.add(
+      "corianderdyke_control_voters_silent",
+      static_cast<double>(ControlGroup.silentVoters(From.Time.now()).size()));
   To.add("corianderdyke_proxies",
          static_cast<double>(From.Control->subscriberCount()));
   To.add("corianderdyke_plan_version",
--- a/Source/Consensus/Consensus.h
+++ b/Source/Consensus/Consensus.h
@@ -151,6 +151,10 @@
   /// Text for operators that says why this host does not lead.
   std::string notLeaderReason(Millis Now) const;
   const Members &voters() const { return Voters; }
+  /// Voters that have not replied to this leader for SilentVoterTimeout and
+  /// seats whose disk is gone, the longest silent first. Empty if this host
+  /// does not lead.
+  Members silentVoters(Millis Now) const;
   /// Number of disks that certainly hold the entry, including the disk of this
   /// host.
   std::size_t disksHolding(std::uint64_t Index) const;
@@ -242,9 +246,6 @@
   void emitCommitted();
   void admitLearner(const Member &Host, Millis Now);
   void replaceCaughtUpLearners(Millis Now);
-  /// Voters that have not replied for SilentVoterTimeout and seats whose disk
-  /// is gone, the longest silent first.
-  Members silentVoters(Millis Now) const;
   void removeSilentVoter(Millis Now);
   Peer newPeer(const Member &Host, bool Voter, Millis Now) const;
   bool isChangePending() const;
--- a/Source/Consensus/ConsensusMembership.cpp
+++ b/Source/Consensus/ConsensusMembership.cpp
@@ -90,6 +90,8 @@
 }
 
 Members Consensus::silentVoters(Millis Now) const {
+  if (!isLeader())
+    return {};
   std::vector<std::pair<Millis, Member>> Found;
   for (const Member &Each : Voters) {
     if (Each == self())
--- a/Source/Operators/MetricSet.cpp
+++ b/Source/Operators/MetricSet.cpp
@@ -163,6 +163,9 @@
        "Version of the plan that the process works by; 0 before the first."},
       {"corianderdyke_control_voters", MetricType::Gauge, "", "control",
        "Voters of the control group as this host knows them."},
+      {"corianderdyke_control_voters_silent", MetricType::Gauge, "", "control",
+       "Voters that have not replied for 1.5 s, on the leading control host "
+       "where targets enforce leadership."},
       {"corianderdyke_promotion_steps_total", MetricType::Counter, "step",
        "control", "Steps of changes of primary, on the leading control host."},
       {"corianderdyke_promotion_awaited_targets", MetricType::Gauge, "group",
--- a/Tests/Unit/ReplacedHostsTest.cpp
+++ b/Tests/Unit/ReplacedHostsTest.cpp
@@ -219,8 +219,11 @@
       }
   Group.run(Millis(10000));
   REQUIRE(hasVoters(Group, Voters));
+  CHECK(Group.leader()->silentVoters(Group.Now).size() == Minority.size());
   Group.Cuts.clear();
   CHECK(Group.runUntil([&] { return Group.isSettled(); }));
+  CHECK(Group.runUntil(
+      [&] { return Group.leader()->silentVoters(Group.Now).empty(); }));
 }
 
 TEST_CASE("A removed host that returns with its disk joins and leaves again",
