Share the condition under which a control group bears lost disks

The removal of silent voters and acknowledgements asked the same question in two forms.

No other change of behaviour.

--- a/Source/Consensus/Consensus.h
+++ b/Source/Consensus/Consensus.h
@@ -27,7 +27,7 @@
   /// The settings name some initial hosts. Any host that sends a discovery
   /// message becomes a voter once it has caught up. A silent voter is removed
   /// if that does not lower the fault tolerance of the group, or if the group
-  /// cannot bear ToleratedDiskLosses with it and can without.
+  /// does not bear ToleratedDiskLosses with it.
   Open,
 };
 
@@ -44,9 +44,8 @@
   /// Maximum bytes of entries in one message.
   std::size_t BatchBytes = 1U << 20U;
   MembershipMode Membership = MembershipMode::Listed;
-  /// Disks that may be lost at once. Silent voters do not make an open group
-  /// smaller than the fewest voters that bear this loss, unless their number is
-  /// even.
+  /// Disks that may be lost at once. An open group with an odd number of voters
+  /// does not shrink below the fewest that bear this loss.
   std::size_t ToleratedDiskLosses = 1;
   /// False on a host that must never found a group because its disk was emptied
   /// or it was added later.
@@ -247,6 +246,10 @@
   void admitLearner(const Member &Host, Millis Now);
   void replaceCaughtUpLearners(Millis Now);
   void removeSilentVoter(Millis Now);
+  /// True if the group can continue with \p Present of its voters when
+  /// \p LostDisks of these lose their disks, or if it has so few voters that
+  /// removing the absent ones would not help.
+  bool bearsDiskLoss(std::size_t Present, std::size_t LostDisks) const;
   Peer newPeer(const Member &Host, bool Voter, Millis Now) const;
   bool isChangePending() const;
   Expected<void> checkChange(Millis Now) const;
--- a/Source/Consensus/ConsensusMembership.cpp
+++ b/Source/Consensus/ConsensusMembership.cpp
@@ -116,9 +116,7 @@
 // disks. With an odd number a silent voter stays, since it may only be
 // partitioned, as long as the group bears the tolerated losses with it. If
 // hosts were replaced at the same time, several voters are gone, and too few
-// are left for a majority after such a loss. The group then shrinks, but not
-// below the fewest voters that bear the loss: at that size a partition of the
-// group looks the same, and the smaller part must not become the group.
+// are left for a majority after such a loss.
 void Consensus::removeSilentVoter(Millis Now) {
   if (Options.Membership != MembershipMode::Open || !isReadyLeader() ||
       isChangePending())
@@ -126,11 +124,9 @@
   const Members Silent = silentVoters(Now);
   if (Silent.empty())
     return;
-  const std::size_t Losses = Options.ToleratedDiskLosses;
-  const bool IsSeatUseless = Voters.size() % 2 == 0;
-  const bool IsTooLarge = Voters.size() > 2 * Losses + 1 &&
-                          Voters.size() - Silent.size() < majority() + Losses;
-  if (!IsSeatUseless && !IsTooLarge)
+  const std::size_t Answering = Voters.size() - Silent.size();
+  if (Voters.size() % 2 != 0 &&
+      bearsDiskLoss(Answering, Options.ToleratedDiskLosses))
     return;
   Members Next = Voters;
   Next.erase(std::find(Next.begin(), Next.end(), Silent.front()));
@@ -153,17 +149,22 @@
   return Out;
 }
 
-// A voter that holds the entry was there after it was appended. One that does
-// not may be gone, and the group then needs a majority without it as well as
-// without the lost disks. It is removed soon in that case, unless the group is
-// at the smallest size, where its absence is one of the losses to bear.
+// With fewer voters than the smallest size, the group would not bear the loss
+// even if all of them were present. At that size, absent voters therefore count
+// among the losses, whether they are gone or only partitioned.
+bool Consensus::bearsDiskLoss(std::size_t Present,
+                              std::size_t LostDisks) const {
+  return Voters.size() <= 2 * LostDisks + 1 ||
+         Present >= majority() + LostDisks;
+}
+
+// A voter that holds the entry was present after it was appended. One that does
+// not may be gone, and is removed soon in that case.
 bool Consensus::survivesDiskLoss(std::uint64_t Index,
                                  std::size_t LostDisks) const {
-  const std::size_t SmallestSize = 2 * LostDisks + 1;
   return Index <= CommitIndex && !isChangePending() &&
-         Voters.size() >= SmallestSize && disksHolding(Index) > LostDisks &&
-         (Voters.size() == SmallestSize ||
-          votersHolding(Index) >= majority() + LostDisks);
+         Voters.size() > 2 * LostDisks && disksHolding(Index) > LostDisks &&
+         bearsDiskLoss(votersHolding(Index), LostDisks);
 }
 
 Expected<std::uint64_t> Consensus::addVoter(const std::string &Name,
--- a/Tests/Unit/ReplacedHostsTest.cpp
+++ b/Tests/Unit/ReplacedHostsTest.cpp
@@ -199,6 +199,21 @@
   CHECK(isHeld(Group, Index, "kept"));
 }
 
+TEST_CASE("A group of three that bears one lost disk returns to three",
+          "[open-group]") {
+  // Guards against a size that is fixed instead of taken from the losses that
+  // the group has to bear.
+  FakeControlGroup Group(1, 3, MembershipMode::Open);
+  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 3); }));
+  Group.add("spare-1");
+  Group.add("spare-2");
+  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 5); }));
+  for (const std::string &Each : drawHosts(Group, 2))
+    Group.remove(Each);
+  CHECK(Group.runUntil([&] { return hasVoters(Group, 3); }, CatchUpTimeout));
+  CHECK(Group.runUntil([&] { return Group.isSettled(); }));
+}
+
 TEST_CASE("The smaller part of a split group remains in it", "[open-group]") {
   // Guards against a group that removes the hosts beyond a partition and then
   // consists of too few disks for the tolerated losses.
