--- a/Tests/Support/FakeControlGroup.cpp
+++ b/Tests/Support/FakeControlGroup.cpp
@@ -153,6 +153,18 @@
   return true;
 }
 
+bool FakeControlGroup::hasVoters(std::size_t Count) {
+  const Consensus *Leader = leader();
+  return Leader != nullptr && Leader->voters().size() == Count;
+}
+
+bool FakeControlGroup::isHeld(std::uint64_t Index, const std::string &Text) {
+  const Consensus *Leader = leader();
+  const Entry *Found =
+      Leader == nullptr ? nullptr : Leader->log().entryAt(Index);
+  return Found != nullptr && Found->Bytes == Text;
+}
+
 std::string FakeControlGroup::describe() {
   std::string Text;
   for (const auto &[Name, Each] : Hosts) {
--- a/Tests/Support/FakeControlGroup.h
+++ b/Tests/Support/FakeControlGroup.h
@@ -62,6 +62,10 @@
   /// True once every running host has applied all entries that the leader has
   /// committed and every voter runs with the disk of its membership record.
   bool isSettled();
+  /// True if there is a ready leader that knows of \p Count voters.
+  bool hasVoters(std::size_t Count);
+  /// True if there is a ready leader that has the entry \p Text at \p Index.
+  bool isHeld(std::uint64_t Index, const std::string &Text);
   /// Returns one line of state for each host, for failure messages.
   std::string describe();
   /// Replaces the applied part of the log of a host by a snapshot.
--- a/Tests/Unit/OpenGroupTest.cpp
+++ b/Tests/Unit/OpenGroupTest.cpp
@@ -18,18 +18,6 @@
                           MembershipMode::Open);
 }
 
-bool hasVoters(FakeControlGroup &Group, std::size_t Count) {
-  return Group.leader() != nullptr && Group.leader()->voters().size() == Count;
-}
-
-bool isHeld(FakeControlGroup &Group, std::uint64_t Index,
-            const std::string &Text) {
-  const Entry *Found = Group.leader() == nullptr
-                           ? nullptr
-                           : Group.leader()->log().entryAt(Index);
-  return Found != nullptr && Found->Bytes == Text;
-}
-
 } // namespace
 
 TEST_CASE("A group forms from its seeds and adds the other hosts",
@@ -38,7 +26,7 @@
   CAPTURE(Hosts);
   auto Group = openGroup(1, static_cast<std::size_t>(Hosts));
   CHECK(Group.runUntil([&] {
-    return hasVoters(Group, static_cast<std::size_t>(Hosts)) &&
+    return Group.hasVoters(static_cast<std::size_t>(Hosts)) &&
            Group.isSettled();
   }));
 }
@@ -48,7 +36,7 @@
   // other hosts. A second group would accept changes that the first group never
   // receives.
   auto Group = openGroup(2);
-  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 5); }));
+  REQUIRE(Group.runUntil([&] { return Group.hasVoters(5); }));
   for (const char *Seed : {"control-1", "control-2", "control-3"}) {
     Group.crash(Seed);
     Group.loseDisk(Seed);
@@ -73,27 +61,27 @@
   // Each host in turn is replaced by an empty one with another name, until none
   // of the original hosts is left.
   auto Group = openGroup(3);
-  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 5); }));
+  REQUIRE(Group.runUntil([&] { return Group.hasVoters(5); }));
   const auto First = Group.proposeDurably("kept", LostDisks);
   REQUIRE(First != 0);
   for (int Each = 1; Each <= 5; ++Each) {
     Group.replace("control-" + std::to_string(Each),
                   "spare-" + std::to_string(Each));
     REQUIRE(Group.runUntil(
-        [&] { return hasVoters(Group, 5) && Group.isSettled(); }));
+        [&] { return Group.hasVoters(5) && Group.isSettled(); }));
   }
-  CHECK(isHeld(Group, First, "kept"));
+  CHECK(Group.isHeld(First, "kept"));
 }
 
 TEST_CASE("A voter that is only partitioned remains a voter", "[open-group]") {
   auto Group = openGroup(4);
-  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 5); }));
+  REQUIRE(Group.runUntil([&] { return Group.hasVoters(5); }));
   for (const std::string &Other : Group.Names) {
     Group.Cuts.insert({"control-5", Other});
     Group.Cuts.insert({Other, "control-5"});
   }
   Group.run(Millis(10000));
-  CHECK(hasVoters(Group, 5));
+  CHECK(Group.hasVoters(5));
   Group.Cuts.clear();
   CHECK(Group.runUntil([&] { return Group.isSettled(); }));
 }
@@ -123,7 +111,7 @@
       Group.start(Name);
   INFO(Group.describe());
   REQUIRE(Group.runUntil([&] { return Group.isSettled(); }));
-  CHECK(isHeld(Group, Index, "kept"));
+  CHECK(Group.isHeld(Index, "kept"));
 }
 
 TEST_CASE("After a power loss of all hosts a leader is elected within 600 ms",
@@ -134,7 +122,7 @@
   const auto Seed = GENERATE(range(1, 41));
   CAPTURE(Seed);
   auto Group = openGroup(Seed);
-  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 5); }));
+  REQUIRE(Group.runUntil([&] { return Group.hasVoters(5); }));
   Group.run(Millis(500));
   for (const std::string &Name : Group.Names)
     Group.crash(Name);
@@ -158,7 +146,7 @@
   const auto Seed = GENERATE(range(1, 21));
   CAPTURE(Seed);
   auto Group = openGroup(Seed);
-  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 5); }));
+  REQUIRE(Group.runUntil([&] { return Group.hasVoters(5); }));
   std::vector<std::pair<std::uint64_t, std::string>> Acknowledged;
   for (int Round = 0; Round < 12; ++Round) {
     const std::string &Name = Group.Names[Group.Random() % 5];
@@ -175,7 +163,7 @@
     CHECK_FALSE(Group.host(Name)->failure());
   CHECK(Acknowledged.size() >= 5);
   for (const auto &[Index, Text] : Acknowledged)
-    CHECK(isHeld(Group, Index, Text));
+    CHECK(Group.isHeld(Index, Text));
 }
 
 TEST_CASE("Random faults lose no acknowledged change of an open group",
@@ -186,7 +174,7 @@
   CAPTURE(Seed);
   auto Group = openGroup(Seed);
   Group.Faults = {static_cast<int>(Seed % 3) * 50, 50, Millis(20)};
-  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 5); }));
+  REQUIRE(Group.runUntil([&] { return Group.hasVoters(5); }));
   int Spares = 0;
   for (int Round = 0; Round < 25; ++Round) {
     const std::string Name = Group.Names[Group.Random() % 5];
@@ -205,11 +193,11 @@
       }
       break;
     case 3:
-      if (hasVoters(Group, 5) && Group.isSettled())
+      if (Group.hasVoters(5) && Group.isSettled())
         Group.replace(Name, "spare-" + std::to_string(++Spares));
       break;
     case 4:
-      if (hasVoters(Group, 5) && Group.isSettled()) {
+      if (Group.hasVoters(5) && Group.isSettled()) {
         Group.crash(Name);
         Group.loseDisk(Name);
         Group.start(Name);
--- a/Tests/Unit/ReplacedHostsTest.cpp
+++ b/Tests/Unit/ReplacedHostsTest.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace corianderdyke;
 
 namespace {
@@ -21,10 +23,8 @@
 FakeControlGroup groupOfFive(int Seed) {
   FakeControlGroup Group(static_cast<std::uint64_t>(Seed), GroupSize,
                          MembershipMode::Open);
-  REQUIRE(Group.runUntil([&] {
-    return Group.leader() != nullptr &&
-           Group.leader()->voters().size() == GroupSize && Group.isSettled();
-  }));
+  REQUIRE(Group.runUntil(
+      [&] { return Group.hasVoters(GroupSize) && Group.isSettled(); }));
   return Group;
 }
 
@@ -40,35 +40,29 @@
                                           static_cast<std::uint64_t>(MaxMs)));
 }
 
-bool hasVoters(FakeControlGroup &Group, std::size_t Count) {
-  return Group.leader() != nullptr && Group.leader()->voters().size() == Count;
-}
-
 /// Five voters, all of which run.
 bool isRestored(FakeControlGroup &Group) {
-  return hasVoters(Group, GroupSize) && Group.isSettled();
-}
-
-bool isHeld(FakeControlGroup &Group, std::uint64_t Index,
-            const std::string &Text) {
-  const Entry *Found = Group.leader() == nullptr
-                           ? nullptr
-                           : Group.leader()->log().entryAt(Index);
-  return Found != nullptr && Found->Bytes == Text;
+  return Group.hasVoters(GroupSize) && Group.isSettled();
 }
 
-/// Two replacements join, so that seven hosts vote; then the replaced hosts
-/// stop for good. Returns the replaced hosts.
-std::vector<std::string> replaceTwoAtOnce(FakeControlGroup &Group) {
+/// Two replacements join, so that seven hosts vote. Returns the hosts to stop.
+std::vector<std::string> addTwoReplacements(FakeControlGroup &Group) {
   std::vector<std::string> Replaced = drawHosts(Group, 2);
   Group.add("spare-1");
   Group.add("spare-2");
-  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 7); }));
-  for (const std::string &Each : Replaced)
-    Group.remove(Each);
+  REQUIRE(Group.runUntil([&] { return Group.hasVoters(7); }));
   return Replaced;
 }
 
+/// Loses two disks while all hosts restart. The entry "kept" must remain.
+void expectKeptAfterLoss(FakeControlGroup &Group, std::uint64_t Index) {
+  Group.restartWithLostDisks(drawHosts(Group, LostDisks));
+  INFO(Group.describe());
+  REQUIRE(Group.runUntil([&] { return Group.leader() != nullptr; },
+                         RecoveryTimeout));
+  CHECK(Group.isHeld(Index, "kept"));
+}
+
 /// Cuts all links between a host and the others.
 void isolate(FakeControlGroup &Group, const std::string &Name) {
   for (const std::string &Each : Group.Names) {
@@ -98,10 +92,6 @@
   Group.SyncDuration = Millis(Seed % 3 == 0 ? 20 : 0);
   std::vector<std::pair<std::uint64_t, std::string>> Durable;
   int Spares = 0;
-  const auto Change = [&](const std::string &Text) {
-    if (const auto Index = Group.proposeDurably(Text, LostDisks))
-      Durable.emplace_back(Index, Text);
-  };
   for (int Round = 0; Round < 6; ++Round) {
     CAPTURE(Round);
     std::vector<std::string> ToStop = drawHosts(Group, 1 + Group.Random() % 2);
@@ -133,14 +123,16 @@
     }
     INFO(Group.describe());
     REQUIRE(Group.runUntil([&] { return isRestored(Group); }, CatchUpTimeout));
-    Change("change " + std::to_string(Round));
+    const std::string Change = "change " + std::to_string(Round);
+    const auto Added = Group.proposeDurably(Change, LostDisks);
+    REQUIRE(Added != 0);
+    Durable.emplace_back(Added, Change);
     Group.restartWithLostDisks(drawHosts(Group, LostDisks));
     REQUIRE(Group.runUntil([&] { return isRestored(Group); }, RecoveryTimeout));
     Group.checkLogs();
     for (const auto &[Index, Text] : Durable)
-      CHECK(isHeld(Group, Index, Text));
+      CHECK(Group.isHeld(Index, Text));
   }
-  CHECK(Durable.size() == 6);
 }
 
 } // namespace
@@ -152,15 +144,12 @@
   const auto Seed = GENERATE(range(1, 41));
   CAPTURE(Seed);
   auto Group = groupOfFive(Seed);
-  replaceTwoAtOnce(Group);
+  for (const std::string &Each : addTwoReplacements(Group))
+    Group.remove(Each);
   CHECK(Group.runUntil([&] { return isRestored(Group); }, CatchUpTimeout));
   const auto Index = Group.proposeDurably("kept", LostDisks);
   REQUIRE(Index != 0);
-  Group.restartWithLostDisks(drawHosts(Group, LostDisks));
-  INFO(Group.describe());
-  REQUIRE(Group.runUntil([&] { return Group.leader() != nullptr; },
-                         RecoveryTimeout));
-  CHECK(isHeld(Group, Index, "kept"));
+  expectKeptAfterLoss(Group, Index);
 }
 
 TEST_CASE("Two replaced hosts with vacant seats count as voters no longer",
@@ -192,11 +181,7 @@
   CHECK(Group.runUntil([&] { return isRestored(Group); }, CatchUpTimeout));
   const auto Index = Group.proposeDurably("kept", LostDisks);
   REQUIRE(Index != 0);
-  Group.restartWithLostDisks(drawHosts(Group, LostDisks));
-  INFO(Group.describe());
-  REQUIRE(Group.runUntil([&] { return Group.leader() != nullptr; },
-                         RecoveryTimeout));
-  CHECK(isHeld(Group, Index, "kept"));
+  expectKeptAfterLoss(Group, Index);
 }
 
 TEST_CASE("A group of three that bears one lost disk returns to three",
@@ -204,13 +189,13 @@
   // Guards against a size that is fixed instead of taken from the losses that
   // the group has to bear.
   FakeControlGroup Group(1, 3, MembershipMode::Open);
-  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 3); }));
+  REQUIRE(Group.runUntil([&] { return Group.hasVoters(3); }));
   Group.add("spare-1");
   Group.add("spare-2");
-  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 5); }));
+  REQUIRE(Group.runUntil([&] { return Group.hasVoters(5); }));
   for (const std::string &Each : drawHosts(Group, 2))
     Group.remove(Each);
-  CHECK(Group.runUntil([&] { return hasVoters(Group, 3); }, CatchUpTimeout));
+  CHECK(Group.runUntil([&] { return Group.hasVoters(3); }, CatchUpTimeout));
   CHECK(Group.runUntil([&] { return Group.isSettled(); }));
 }
 
@@ -223,7 +208,7 @@
                          MembershipMode::Open);
   const auto Voters = static_cast<std::size_t>(Size);
   REQUIRE(Group.runUntil(
-      [&] { return hasVoters(Group, Voters) && Group.isSettled(); }));
+      [&] { return Group.hasVoters(Voters) && Group.isSettled(); }));
   const std::vector<std::string> Minority =
       drawHosts(Group, static_cast<std::size_t>(Size / 2));
   for (const std::string &Here : Group.Names)
@@ -233,7 +218,7 @@
         Group.Cuts.insert({There, Here});
       }
   Group.run(Millis(10000));
-  REQUIRE(hasVoters(Group, Voters));
+  REQUIRE(Group.hasVoters(Voters));
   CHECK(Group.leader()->silentVoters(Group.Now).size() == Minority.size());
   Group.Cuts.clear();
   CHECK(Group.runUntil([&] { return Group.isSettled(); }));
@@ -248,18 +233,15 @@
   const auto Seed = GENERATE(range(1, 21));
   CAPTURE(Seed);
   auto Group = groupOfFive(Seed);
-  const std::vector<std::string> Replaced = drawHosts(Group, 2);
-  Group.add("spare-1");
-  Group.add("spare-2");
-  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 7); }));
+  const std::vector<std::string> Replaced = addTwoReplacements(Group);
   for (const std::string &Each : Replaced)
     Group.crash(Each);
-  REQUIRE(Group.runUntil([&] { return hasVoters(Group, GroupSize); },
+  REQUIRE(Group.runUntil([&] { return Group.hasVoters(GroupSize); },
                          CatchUpTimeout));
   for (const std::string &Each : Replaced)
     Group.start(Each);
   REQUIRE(
-      Group.runUntil([&] { return hasVoters(Group, 7) && Group.isSettled(); }));
+      Group.runUntil([&] { return Group.hasVoters(7) && Group.isSettled(); }));
   for (const std::string &Each : Replaced)
     Group.remove(Each);
   CHECK(Group.runUntil([&] { return isRestored(Group); }, CatchUpTimeout));
@@ -274,14 +256,14 @@
   auto Group = groupOfFive(Seed);
   const std::string Isolated = drawHosts(Group, 1).front();
   Group.add("spare-1");
-  REQUIRE(Group.runUntil([&] { return hasVoters(Group, 6); }));
+  REQUIRE(Group.runUntil([&] { return Group.hasVoters(6); }));
   isolate(Group, Isolated);
-  REQUIRE(Group.runUntil([&] { return hasVoters(Group, GroupSize); }));
+  REQUIRE(Group.runUntil([&] { return Group.hasVoters(GroupSize); }));
   for (int Try = 0; Try < 50 && Group.leader() != Group.host("spare-1"); ++Try)
     restartLeader(Group, Millis(1500));
   REQUIRE(Group.leader() == Group.host("spare-1"));
   Group.Cuts.clear();
-  CHECK(Group.runUntil([&] { return hasVoters(Group, 6) && Group.isSettled(); },
+  CHECK(Group.runUntil([&] { return Group.hasVoters(6) && Group.isSettled(); },
                        CatchUpTimeout));
 }
 
@@ -296,9 +278,8 @@
   const std::vector<std::string> Replaced = drawHosts(Group, Count);
   for (std::size_t Each = 1; Each <= Count; ++Each)
     Group.add("spare-" + std::to_string(Each));
-  REQUIRE(Group.runUntil([&] {
-    return hasVoters(Group, GroupSize + Count) && Group.isSettled();
-  }));
+  REQUIRE(Group.runUntil(
+      [&] { return Group.hasVoters(GroupSize + Count) && Group.isSettled(); }));
   for (const std::string &Each : Replaced)
     Group.remove(Each);
   Group.run(drawTime(Group, 2500));
@@ -308,11 +289,7 @@
     Index = Group.proposeDurably("kept", LostDisks);
   REQUIRE(Index != 0);
   CHECK((Group.Now - Start).count() < CatchUpTimeout.count());
-  Group.restartWithLostDisks(drawHosts(Group, LostDisks));
-  INFO(Group.describe());
-  REQUIRE(Group.runUntil([&] { return Group.leader() != nullptr; },
-                         RecoveryTimeout));
-  CHECK(isHeld(Group, Index, "kept"));
+  expectKeptAfterLoss(Group, Index);
 }
 
 TEST_CASE("Drawn replacements and losses keep durable changes and the size",
