Show the revision of the sources in version, log and metrics

The revision is a digest of the names and contents of the program's sources, computed at each build.

--- a/Source/App/CommandLine.cpp
+++ b/Source/App/CommandLine.cpp
@@ -117,9 +117,11 @@
   addJson(*Version, State);
   Version->callback([&State] {
     if (State.Options.Json)
-      std::cout << "{\"version\": \"" << ProgramVersion << "\"}\n";
+      std::cout << "{\"version\": \"" << ProgramVersion
+                << "\", \"revision\": \"" << SourceRevision << "\"}\n";
     else
-      std::cout << "corianderdyke " << ProgramVersion << "\n";
+      std::cout << "corianderdyke " << ProgramVersion << " (revision "
+                << SourceRevision << ")\n";
   });
 }
 
--- a/Source/App/Process.cpp
+++ b/Source/App/Process.cpp
@@ -5,6 +5,7 @@
 
 #include "App/ReadFile.h"
 #include "Common/RandomNumber.h"
+#include "Common/Version.h"
 #include "Logs/LogEvents.h"
 
 #include <csignal>
@@ -192,7 +193,9 @@
     Loop.onSignal(Signal, [this] { beginStop("signal"); });
   Loop.onSignal(SIGHUP, [this] { reload(); });
   Operators->signalDrainRequested().connect([this] { beginStop("operator"); });
-  logEvent(EventId::Started, {{"name", Options.Name}});
+  logEvent(EventId::Started, {{"name", Options.Name},
+                              {"version", ProgramVersion},
+                              {"revision", SourceRevision}});
   if (Control)
     Control->start();
   if (Proxy)
--- a/Source/App/SteeringMetrics.cpp
+++ b/Source/App/SteeringMetrics.cpp
@@ -51,7 +51,8 @@
 
 std::string SteeringMetrics::text() const {
   MetricSet Out;
-  Out.add("corianderdyke_build_info", 1, {{"version", ProgramVersion}});
+  Out.add("corianderdyke_build_info", 1,
+          {{"version", ProgramVersion}, {"revision", SourceRevision}});
   const PeerTraffic Traffic = From.Peers.traffic();
   Out.add("corianderdyke_peer_sent_bytes_total",
           static_cast<double>(Traffic.SentBytes));
--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -6,6 +6,7 @@
 #include "App/ReadFile.h"
 #include "App/StatementLogs.h"
 #include "Common/RandomNumber.h"
+#include "Common/Version.h"
 #include "Logs/LogEvents.h"
 
 #include <csignal>
@@ -299,7 +300,9 @@
   for (const int Signal : {SIGTERM, SIGINT})
     Loop.onSignal(Signal, [this] { beginStop(); });
   Loop.onSignal(SIGHUP, [this] { reload(); });
-  logEvent(EventId::Started, {{"name", Options.Name}});
+  logEvent(EventId::Started, {{"name", Options.Name},
+                              {"version", ProgramVersion},
+                              {"revision", SourceRevision}});
   if (Control) {
     connectControl();
     Control->start();
--- a/Source/Common/Version.h
+++ b/Source/Common/Version.h
@@ -8,6 +8,10 @@
 
 constexpr const char *ProgramVersion = "0.1.0";
 
+/// Digest of the sources that the program was built from: 12 hexadecimal
+/// digits. The build generates its definition.
+extern const char *const SourceRevision;
+
 } // namespace corianderdyke
 
 #endif
--- a/Source/Logs/LogEvents.cpp
+++ b/Source/Logs/LogEvents.cpp
@@ -94,7 +94,8 @@
 const std::vector<EventDescription> &eventCatalogue() {
   static const std::vector<EventDescription> All = {
       {EventId::Started, Severity::Info, "started",
-       "The process has opened its ports and files and is running."},
+       "The process has opened its ports and files and is running; tells the "
+       "version and the revision of its sources."},
       {EventId::Stopped, Severity::Info, "stopped",
        "The process ends after a signal."},
       {EventId::StartRefused, Severity::Error, "start-refused",
--- a/Source/Operators/MetricSet.cpp
+++ b/Source/Operators/MetricSet.cpp
@@ -36,8 +36,10 @@
 
 const std::vector<MetricDescription> &metricCatalogue() {
   static const std::vector<MetricDescription> All = {
-      {"corianderdyke_build_info", MetricType::Gauge, "version", "all",
-       "Always 1; the label tells the version."},
+      {"corianderdyke_build_info", MetricType::Gauge, "version, revision",
+       "all",
+       "Always 1; the labels tell the version and the revision of the "
+       "sources."},
       {"corianderdyke_reads_total", MetricType::Counter, "served_by", "proxy",
        "Reads answered, by the role of the target that served them."},
       {"corianderdyke_statements_total", MetricType::Counter, "outcome",
--- a/Source/Operators/OperatorService.cpp
+++ b/Source/Operators/OperatorService.cpp
@@ -277,7 +277,8 @@
 
 std::string OperatorService::metrics() const {
   MetricSet Out;
-  Out.add("corianderdyke_build_info", 1, {{"version", ProgramVersion}});
+  Out.add("corianderdyke_build_info", 1,
+          {{"version", ProgramVersion}, {"revision", SourceRevision}});
   const ClusterView *View = nullptr;
   if (From.Proxy != nullptr) {
     addProxyMetrics(Out);
