Let control hosts leave the group before they stop

What callers saw: two hosts had been replaced, the new ones first, a plan was acknowledged, and the old ones got SIGTERM. If two disks were lost before the group had removed them, 1.5 s after their last answer, no control host led again: the plan could not be read and nothing was served. So it was with a single replacement: three of six voters are no majority either.

Cause: a stop was treated like a crash, although SIGTERM gives notice. The voters that had just stopped counted until they had been silent for long enough.

Change: a stopping voter of an open group above the smallest size (2 * losses + 1) asks the leader to remove it and serves until the change is committed, for 3 s at most and never beyond stop_within. A leader first removes the others that wait, then itself, and tells the voters that its leadership ends, so that they elect another without an election timeout. At the smallest size nothing changes, since a restart must not shrink the group. A host that left takes part again as soon as it asks: a request counts for one election timeout. Commits of membership are now told at once, and a learner that has fallen silent is not made a voter.

Why it works: the change goes through the log, one voter at a time, so any majority before it meets any after it; a host that counts no more has its removal on a majority's disks before it ends.

--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr Millis StopCheckInterval(50);
+/// How long a stopping control host waits to be removed from its group. Several
+/// elections fit in; without a majority the group cannot remove it anyway.
+constexpr Millis LeaveTimeout(3000);
 
 std::vector<std::string> addressesOf(const std::vector<Endpoint> &All) {
   std::vector<std::string> Out;
@@ -326,6 +329,10 @@
     DirectoryPort->stopListening();
     DirectoryPort->closeConnectionsAfterResponse();
   }
+  if (Control) {
+    Control->beginStop();
+    LeaveBy = std::min(Time.now() + LeaveTimeout, Schedule.bound());
+  }
   if (Pipeline) {
     Client->announceStop();
     if (Relay)
@@ -343,14 +350,19 @@
                        (!Broker || !Broker->isBusy()));
 }
 
+bool SteeringProcess::hasLeftGroup() const {
+  return !Control || Control->hasLeft();
+}
+
 void SteeringProcess::stopWhenIdle(const StopSchedule &Schedule) {
   const Millis Now = Time.now();
   const bool IsIdle = isIdle();
   // The balancer sends callers here until it has observed that this process is
   // not ready, so a proxy does not stop before then, even if idle.
-  const bool MayStop = !Pipeline || Now >= Schedule.unnoticedUntil();
+  const bool MayStop = (!Pipeline || Now >= Schedule.unnoticedUntil()) &&
+                       (hasLeftGroup() || Now >= LeaveBy);
   if ((IsIdle && MayStop) || Now >= Schedule.bound()) {
-    if (!IsIdle)
+    if (!IsIdle || !hasLeftGroup())
       logStopBoundReached();
     Loop.stop();
     return;
@@ -367,7 +379,8 @@
   logEvent(EventId::StopBoundReached,
            {{"unfinished", std::to_string(Sessions)},
             {"statements", std::to_string(Statements)},
-            {"requests", std::to_string(Requests)}});
+            {"requests", std::to_string(Requests)},
+            {"leaves_group", hasLeftGroup() ? "true" : "false"}});
 }
 
 void SteeringProcess::reload() {
--- a/Source/App/SteeringProcess.h
+++ b/Source/App/SteeringProcess.h
@@ -59,6 +59,8 @@
   void beginStop();
   /// True if no caller or operator waits for anything from this process.
   bool isIdle() const;
+  /// True if the control group does not wait for this host, if it is one.
+  bool hasLeftGroup() const;
   void stopWhenIdle(const StopSchedule &Schedule);
   void logStopBoundReached() const;
   void reload();
@@ -98,6 +100,7 @@
   std::unique_ptr<SteeringMetrics> Metrics;
   std::unique_ptr<EventHttpServer> MetricsPort;
   bool Stopping = false;
+  Millis LeaveBy; ///< A stopping control host ends by then as a voter too.
   int ExitCode = 0;
 };
 
--- a/Source/Consensus/Consensus.cpp
+++ b/Source/Consensus/Consensus.cpp
@@ -178,6 +178,7 @@
     // can then lead and commit the change. It does not count itself as a voter.
     if (!Voters.empty() && isChangePending() && Now >= ElectionDeadline)
       startPreVote(Now);
+    requestLeave(Now);
     if (Now - LastHeartbeat < Options.HeartbeatInterval * 2)
       return;
     // A joining host that receives entries from its leader does not need to
@@ -194,10 +195,14 @@
       startRound(Now);
     if (isLeader())
       checkLeadership(Now);
-    if (isLeader())
+    if (isLeader()) {
+      forgetRemovedPeers(Now);
+      removeLeavingVoter(Now);
       removeSilentVoter(Now);
+    }
     return;
   default:
+    requestLeave(Now);
     if (Now >= ElectionDeadline)
       startPreVote(Now);
   }
@@ -223,7 +228,7 @@
     return fail(ErrorCode::System, Failure->Message);
   for (auto &[Name, Each] : Peers)
     replicate(Each, false);
-  advanceCommit();
+  advanceCommit(Now);
   return Index;
 }
 
@@ -327,7 +332,7 @@
     return;
   // The host restarted with another disk. Messages addressed to its old disk
   // keep it from sending discovery messages, so it is admitted here.
-  if (!isVoter(From))
+  if (Known->second.Identity != From && !isVoter(From))
     admitLearner(From, Now);
   if (Known->second.Identity != From)
     return;
@@ -337,7 +342,7 @@
   if (Reply.Matched) {
     Each.Match = std::max(Each.Match, Reply.MatchIndex);
     Each.Next = std::max(Each.Next, Each.Match + 1);
-    advanceCommit();
+    advanceCommit(Now);
     replaceCaughtUpLearners(Now);
     if (Each.Next <= Log.lastIndex())
       replicate(Each, false);
@@ -388,13 +393,17 @@
   return Reached[majority() - 1];
 }
 
-void Consensus::advanceCommit() {
+void Consensus::advanceCommit(Millis Now) {
   const std::uint64_t MajorityIndex =
       reachedByMajority(Log.lastIndex(), &Peer::Match);
-  if (MajorityIndex > CommitIndex && Log.termAt(MajorityIndex) == Log.term()) {
-    CommitIndex = MajorityIndex;
-    emitCommitted();
-  }
+  if (MajorityIndex <= CommitIndex || Log.termAt(MajorityIndex) != Log.term())
+    return;
+  const bool WasChangePending = isChangePending();
+  CommitIndex = MajorityIndex;
+  emitCommitted();
+  // A host that leaves waits for this.
+  if (WasChangePending && !isChangePending())
+    startRound(Now);
 }
 
 void Consensus::emitCommitted() {
--- a/Source/Consensus/Consensus.h
+++ b/Source/Consensus/Consensus.h
@@ -130,6 +130,14 @@
   Expected<std::uint64_t> addVoter(const std::string &Name, Millis Now);
   Expected<std::uint64_t> removeVoter(const std::string &Name, Millis Now);
 
+  /// Announces that this host is about to stop. In an open group above the
+  /// smallest size that bears ToleratedDiskLosses it asks to be removed from
+  /// the voters; a leader removes itself. Otherwise nothing changes.
+  void leave();
+  /// True if the group does not wait for this host any more: it is no voter, or
+  /// it stays one while it is down.
+  bool hasLeft() const;
+
   /// Replaces the log up to the applied \p Index by the snapshot \p State.
   void compact(std::uint64_t Index, std::string State);
 
@@ -196,6 +204,9 @@
     Millis LastReply;
     Millis SnapshotSent = NeverSent;
     bool Voter = false;
+    Millis LeaveRequested = NeverSent;
+    /// Removed at its own request; not admitted again.
+    bool HasLeft = false;
   };
 
   struct PendingRead {
@@ -236,7 +247,7 @@
 
   void replicate(Peer &To, bool Heartbeat);
   void startRound(Millis Now);
-  void advanceCommit();
+  void advanceCommit(Millis Now);
   void advanceReads(Millis Now);
   /// The highest value that a majority of the voters has reached, where this
   /// host has \p Own and each peer has \p Member; 0 if there is none.
@@ -246,6 +257,13 @@
   void admitLearner(const Member &Host, Millis Now);
   void replaceCaughtUpLearners(Millis Now);
   void removeSilentVoter(Millis Now);
+  /// True if the group would still have the fewest voters that bear the
+  /// tolerated losses after the removal of one.
+  bool isAboveSmallestSize() const;
+  bool isLeaving(const Peer &Each, Millis Now) const;
+  void requestLeave(Millis Now);
+  void removeLeavingVoter(Millis Now);
+  void forgetRemovedPeers(Millis Now);
   /// True if the group can continue with \p Present of its voters when
   /// \p LostDisks of these lose their disks, or if it has so few voters that
   /// removing the absent ones would not help.
@@ -265,6 +283,8 @@
   void on(const Member &From, const AppendReply &Reply, Millis Now);
   void on(const Member &From, const SnapshotInstall &Request, Millis Now);
   void on(const Member &From, const GroupDiscovery &Discovery, Millis Now);
+  void on(const Member &From, const LeaveRequest &Request, Millis Now);
+  void on(const Member &From, const LeadershipEnd &End, Millis Now);
   void foundGroup(const Members &Founders, Millis Now);
 
   ConsensusOptions Options;
@@ -300,6 +320,9 @@
   std::map<std::string, Member> EmptyDiskHosts;
   /// Hosts that other hosts listed as members in discovery messages.
   std::set<std::string> DiscoveredHosts;
+  bool IsLeaving = false; ///< This host is about to stop.
+  /// When this host last asked to leave.
+  Millis LastLeaveRequest = NeverSent;
   std::optional<Error> Failure;
   Millis NextRecovery = NeverSent;
   ConsensusOutputs Out;
--- a/Source/Consensus/ConsensusElections.cpp
+++ b/Source/Consensus/ConsensusElections.cpp
@@ -30,13 +30,16 @@
 }
 
 void Consensus::sendDiscovery() {
+  // A leader would admit this host again.
+  if (IsLeaving)
+    return;
   for (const std::string &Host : knownHosts())
     send(Host, GroupDiscovery{Voters, Log.votersIndex(), false});
 }
 
 void Consensus::on(const Member &From, const GroupDiscovery &Discovery,
                    Millis Now) {
-  if (!Discovery.IsReply)
+  if (!Discovery.IsReply && !IsLeaving)
     send(From.Name, GroupDiscovery{Voters, Log.votersIndex(), true});
   if (isLeader() && !isVoter(From)) {
     admitLearner(From, Now);
@@ -198,6 +201,17 @@
   send(From.Name, VoteReply{Log.term(), false, Granted});
 }
 
+// Only what this host knows of the leader changes, so that it grants a pre-vote
+// and starts one in its turn.
+void Consensus::on(const Member &From, const LeadershipEnd &End, Millis Now) {
+  if (End.Term != Log.term() || Leader != From.Name ||
+      Role != ConsensusRole::Follower)
+    return;
+  Leader.clear();
+  LastLeaderContact = NeverSent;
+  setFirstElection(Now + FirstElectionSpacing / 2);
+}
+
 void Consensus::on(const Member &From, const VoteReply &Reply, Millis Now) {
   if (!isVoter(From))
     return;
@@ -238,7 +252,7 @@
           {Entry{Log.lastIndex() + 1, Log.term(), EntryKind::Empty, ""}})))
     return;
   startRound(Now);
-  advanceCommit();
+  advanceCommit(Now);
 }
 
 void Consensus::checkLeadership(Millis Now) {
--- a/Source/Consensus/ConsensusMembership.cpp
+++ b/Source/Consensus/ConsensusMembership.cpp
@@ -30,8 +30,11 @@
 
 void Consensus::admitLearner(const Member &Host, Millis Now) {
   const auto Known = Peers.find(Host.Name);
-  if (Known != Peers.end() && Known->second.Identity == Host)
+  if (Known != Peers.end() && Known->second.Identity == Host) {
+    // A host that is about to stop does not ask, so it has restarted.
+    Known->second.HasLeft = false;
     return;
+  }
   if (Options.Membership == MembershipMode::Listed &&
       findByName(Voters, Host.Name) == nullptr &&
       std::find(Options.Hosts.begin(), Options.Hosts.end(), Host.Name) ==
@@ -54,10 +57,14 @@
           {Entry{Index, Log.term(), EntryKind::Membership, encode(Next)}})))
     return tl::unexpected(*Failure);
   reloadVoters();
-  for (auto &[Name, Each] : Peers)
-    Each.Voter = isVoter(Each.Identity);
+  for (auto &[Name, Each] : Peers) {
+    const bool Remains = isVoter(Each.Identity);
+    Each.HasLeft =
+        !Remains && (Each.HasLeft || (Each.Voter && isLeaving(Each, Now)));
+    Each.Voter = Remains;
+  }
   startRound(Now);
-  advanceCommit();
+  advanceCommit(Now);
   return Index;
 }
 
@@ -69,7 +76,8 @@
   if (!isReadyLeader() || isChangePending())
     return;
   for (const auto &[Name, Each] : Peers) {
-    if (Each.Voter || Each.Match < CommitIndex)
+    if (Each.Voter || Each.HasLeft || Each.Match < CommitIndex ||
+        Now - Each.LastReply >= Options.ElectionTimeout)
       continue;
     const Member *Seat = findByName(Voters, Name);
     // In a listed group, a host without a seat waits for the command of the
@@ -133,6 +141,82 @@
   static_cast<void>(changeVoters(std::move(Next), Now));
 }
 
+// A planned stop gives notice, so the size of the group need not wait until the
+// voter has been silent for some time: the others could not lose as many disks
+// meanwhile. A stopping voter serves until its removal is committed. At the
+// smallest size a stop changes nothing, since the host most likely restarts,
+// and a restart must not leave a group that bears fewer losses.
+
+void Consensus::leave() { IsLeaving = true; }
+
+bool Consensus::hasLeft() const {
+  if (Options.Membership != MembershipMode::Open || Failure || Voters.empty())
+    return true;
+  return !isChangePending() && !(isVoter(self()) && isAboveSmallestSize());
+}
+
+bool Consensus::isAboveSmallestSize() const {
+  return Voters.size() > 2 * Options.ToleratedDiskLosses + 1;
+}
+
+bool Consensus::isLeaving(const Peer &Each, Millis Now) const {
+  return Now - Each.LeaveRequested < Options.ElectionTimeout;
+}
+
+void Consensus::requestLeave(Millis Now) {
+  if (!IsLeaving || Leader.empty() || hasLeft() ||
+      Now - LastLeaveRequest < Options.HeartbeatInterval)
+    return;
+  LastLeaveRequest = Now;
+  send(Leader, LeaveRequest{});
+}
+
+void Consensus::on(const Member &From, const LeaveRequest &, Millis Now) {
+  if (!isLeader())
+    return;
+  const auto Known = Peers.find(From.Name);
+  if (Known == Peers.end() || Known->second.Identity != From)
+    return;
+  Known->second.LeaveRequested = Now;
+  removeLeavingVoter(Now);
+}
+
+void Consensus::removeLeavingVoter(Millis Now) {
+  if (Options.Membership != MembershipMode::Open || !isReadyLeader() ||
+      isChangePending() || !isAboveSmallestSize())
+    return;
+  const Member *Leaving = nullptr;
+  for (const Member &Each : Voters) {
+    const auto Known = Peers.find(Each.Name);
+    if (Known != Peers.end() && Known->second.Identity == Each &&
+        isLeaving(Known->second, Now))
+      Leaving = &Each;
+  }
+  // Another leader would have to be elected first if this host left before the
+  // others that are waiting.
+  const Member Self = self();
+  if (Leaving == nullptr && IsLeaving && isVoter(Self))
+    Leaving = &Self;
+  if (Leaving == nullptr)
+    return;
+  Members Next;
+  for (const Member &Each : Voters)
+    if (Each != *Leaving)
+      Next.push_back(Each);
+  static_cast<void>(changeVoters(std::move(Next), Now));
+}
+
+// A host that has left still receives entries while it asks, to learn that the
+// change is committed.
+void Consensus::forgetRemovedPeers(Millis Now) {
+  for (auto Each = Peers.begin(); Each != Peers.end();)
+    if (Each->second.HasLeft && !isChangePending() &&
+        !isLeaving(Each->second, Now))
+      Each = Peers.erase(Each);
+    else
+      ++Each;
+}
+
 std::size_t Consensus::disksHolding(std::uint64_t Index) const {
   std::size_t Out = Log.lastIndex() >= Index ? 1 : 0;
   for (const auto &[Name, Each] : Peers)
@@ -236,6 +320,9 @@
   // The others receive the commit of the change, and one of them becomes
   // leader.
   startRound(Now);
+  for (const Member &Each : Voters)
+    if (!Each.isVacant())
+      send(Each.Name, LeadershipEnd{Log.term()});
   becomeFollower(Log.term(), "", Now);
 }
 
--- a/Source/Consensus/Messages.h
+++ b/Source/Consensus/Messages.h
@@ -143,9 +143,25 @@
   }
 };
 
+/// Sent to the leader by a voter that is about to stop, until it is no voter.
+/// The leader removes it if the group bears the tolerated losses without it.
+struct LeaveRequest {
+  bool operator==(const LeaveRequest &) const = default;
+  template <class Archive> void serialize(Archive &) {}
+};
+
+/// Sent to the voters by a leader that has left the group: they elect another
+/// at once, without waiting for an election timeout.
+struct LeadershipEnd {
+  std::uint64_t Term = 0;
+
+  bool operator==(const LeadershipEnd &) const = default;
+  template <class Archive> void serialize(Archive &Ar) { Ar(Term); }
+};
+
 using ConsensusBody =
     std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply,
-                 SnapshotInstall, GroupDiscovery>;
+                 SnapshotInstall, GroupDiscovery, LeaveRequest, LeadershipEnd>;
 
 struct ConsensusMessage {
   Member From;
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -70,6 +70,9 @@
 
 void SteeringNode::tick() {
   const Millis Now = Deps.Time.now();
+  // A change of a leader that leaves could not be confirmed any more.
+  if (IsStopping && Changes.empty())
+    Agreement.leave();
   Agreement.tick(Now);
   if (Leading && Now - LastWatch >= WatchInterval) {
     LastWatch = Now;
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -65,6 +65,12 @@
   void deregister(const std::string &Target, std::uint64_t Incarnation,
                   DoneHandler OnDone);
 
+  /// Prepares the end of the process: a voter that the group can do without
+  /// asks to be removed, once its own changes are done.
+  void beginStop() { IsStopping = true; }
+  /// True if the process may end without the group missing this host.
+  bool hasLeft() const { return Agreement.hasLeft(); }
+
   bool leads() const { return Leading; }
   /// Address of the leading host; empty if none is known.
   const std::string &leader() const { return Agreement.leader(); }
@@ -200,6 +206,7 @@
   TargetDirectory Directory;
   PromotionCoordinator Coordinator;
   bool Leading = false;
+  bool IsStopping = false;
   bool IsProcessingOutputs = false;
   std::uint64_t AppliedIndex = 0;
   /// The last entry on the disk at the start. signalAudited is not emitted for
--- a/Tests/Support/FakeControlGroup.cpp
+++ b/Tests/Support/FakeControlGroup.cpp
@@ -125,6 +125,28 @@
     Disk->second->crash(Torn);
 }
 
+bool FakeControlGroup::stop(const std::vector<std::string> &Which,
+                            Millis Timeout) {
+  std::vector<std::string> Running = Which;
+  for (const std::string &Each : Running)
+    host(Each)->leave();
+  const bool HaveLeft = runUntil(
+      [&] {
+        std::vector<std::string> Remaining;
+        for (const std::string &Each : Running)
+          if (host(Each)->hasLeft())
+            crash(Each);
+          else
+            Remaining.push_back(Each);
+        Running = std::move(Remaining);
+        return Running.empty();
+      },
+      Timeout);
+  for (const std::string &Each : Running)
+    crash(Each);
+  return HaveLeft;
+}
+
 Consensus *FakeControlGroup::host(const std::string &Name) {
   const auto Found = Hosts.find(Name);
   return Found == Hosts.end() ? nullptr : Found->second->Node.get();
--- a/Tests/Support/FakeControlGroup.h
+++ b/Tests/Support/FakeControlGroup.h
@@ -41,6 +41,11 @@
   void start(const std::string &Name);
   /// Stops a host; the first \p Torn unsynced bytes of each file survive.
   void crash(const std::string &Name, std::size_t Torn = 0);
+  /// Announces the stop of these hosts at the same time and stops each as soon
+  /// as it has left, or after \p Timeout. Returns true if all have left by
+  /// then.
+  bool stop(const std::vector<std::string> &Which,
+            Millis Timeout = Millis(3000));
   void loseDisk(const std::string &Name) { Disks.erase(Name); }
   /// Stops a host permanently and starts another one, which knows only the
   /// seeds.
--- a/Tests/Unit/ReplacedHostsTest.cpp
+++ b/Tests/Unit/ReplacedHostsTest.cpp
@@ -135,6 +135,60 @@
   }
 }
 
+/// Replaces one or two hosts a round, the new ones first. The old ones stop as
+/// planned, together or in turn, beside restarts of leaders and lost messages.
+/// A change is acknowledged before or after they stop, and two disks are lost
+/// at once.
+void runDrawnPlannedStops(int Seed) {
+  CAPTURE(Seed);
+  auto Group = groupOfFive(Seed);
+  Group.SyncDuration = Millis(Seed % 3 == 0 ? 20 : 0);
+  std::vector<std::pair<std::uint64_t, std::string>> Durable;
+  int Spares = 0;
+  for (int Round = 0; Round < 6; ++Round) {
+    CAPTURE(Round);
+    const std::vector<std::string> Replaced =
+        drawHosts(Group, 1 + Group.Random() % 2);
+    const std::size_t Grown = GroupSize + Replaced.size();
+    for (std::size_t Each = 0; Each < Replaced.size(); ++Each)
+      Group.add("spare-" + std::to_string(++Spares));
+    REQUIRE(Group.runUntil(
+        [&] { return Group.hasVoters(Grown) && Group.isSettled(); },
+        CatchUpTimeout));
+    const std::string Change = "change " + std::to_string(Round);
+    const bool IsBefore = Group.Random() % 2 == 0;
+    std::uint64_t Added =
+        IsBefore ? Group.proposeDurably(Change, LostDisks) : 0;
+    Group.Faults.Lost = static_cast<int>(Group.Random() % 3) * 50;
+    if (Group.Random() % 3 == 0) {
+      restartLeader(Group, drawTime(Group, 1000));
+      REQUIRE(Group.runUntil([&] { return Group.isSettled(); }));
+    }
+    const bool AreTogether = Group.Random() % 2 == 0;
+    INFO(Group.describe());
+    if (AreTogether)
+      CHECK(Group.stop(Replaced));
+    for (const std::string &Each : Replaced) {
+      if (!AreTogether) {
+        Group.run(drawTime(Group, 1000));
+        CHECK(Group.stop({Each}));
+      }
+      Group.remove(Each);
+    }
+    while (Added == 0)
+      Added = Group.proposeDurably(Change, LostDisks);
+    Durable.emplace_back(Added, Change);
+    Group.Faults.Lost = 0;
+    Group.restartWithLostDisks(drawHosts(Group, LostDisks));
+    Group.runUntil([&] { return isRestored(Group); }, RecoveryTimeout);
+    INFO(Group.describe());
+    REQUIRE(isRestored(Group));
+    Group.checkLogs();
+    for (const auto &[Index, Text] : Durable)
+      CHECK(Group.isHeld(Index, Text));
+  }
+}
+
 } // namespace
 
 TEST_CASE("Two hosts replaced at once count as voters no longer",
@@ -199,6 +253,125 @@
   CHECK(Group.runUntil([&] { return Group.isSettled(); }));
 }
 
+TEST_CASE("Replaced hosts that stop as planned leave at once",
+          "[open-group][planned-stop]") {
+  // Guards against seven voters of which two have just stopped as planned: the
+  // loss of two disks then leaves no majority of them.
+  const auto Seed = GENERATE(range(1, 41));
+  const std::size_t Count = GENERATE(1U, 2U);
+  const bool AreTogether = GENERATE(false, true);
+  CAPTURE(Seed, Count, AreTogether);
+  auto Group = groupOfFive(Seed);
+  const std::vector<std::string> Replaced = drawHosts(Group, Count);
+  for (std::size_t Each = 1; Each <= Count; ++Each)
+    Group.add("spare-" + std::to_string(Each));
+  REQUIRE(Group.runUntil(
+      [&] { return Group.hasVoters(GroupSize + Count) && Group.isSettled(); }));
+  const auto Index = Group.proposeDurably("kept", LostDisks);
+  REQUIRE(Index != 0);
+  if (AreTogether)
+    CHECK(Group.stop(Replaced));
+  for (const std::string &Each : Replaced) {
+    if (!AreTogether)
+      CHECK(Group.stop({Each}));
+    Group.remove(Each);
+  }
+  expectKeptAfterLoss(Group, Index);
+  CHECK(Group.runUntil([&] { return isRestored(Group); }, RecoveryTimeout));
+}
+
+TEST_CASE("A planned restart at the smallest size keeps its seat",
+          "[open-group][planned-stop]") {
+  // Guards against a rolling restart that shrinks a group below the size that
+  // bears the tolerated losses, or that waits for the group.
+  const auto Seed = GENERATE(range(1, 21));
+  CAPTURE(Seed);
+  auto Group = groupOfFive(Seed);
+  for (const std::string &Each : std::vector<std::string>(Group.Names)) {
+    const Members Before = Group.leader()->voters();
+    CHECK(Group.stop({Each}, Millis(0)));
+    Group.run(drawTime(Group, 2500));
+    Group.start(Each);
+    REQUIRE(Group.runUntil([&] { return Group.isSettled(); }));
+    CHECK(Group.leader()->voters() == Before);
+  }
+}
+
+TEST_CASE("Hosts above the smallest size restart in turn and vote again",
+          "[open-group][planned-stop]") {
+  // Guards against a host that left for a restart and stays outside, and
+  // against a group that is smaller afterwards.
+  const auto Seed = GENERATE(range(1, 21));
+  CAPTURE(Seed);
+  auto Group = groupOfFive(Seed);
+  addTwoReplacements(Group);
+  for (const std::string &Each : std::vector<std::string>(Group.Names)) {
+    CHECK(Group.stop({Each}));
+    Group.run(drawTime(Group, 500));
+    Group.start(Each);
+    REQUIRE(Group.runUntil(
+        [&] { return Group.hasVoters(7) && Group.isSettled(); }));
+  }
+}
+
+TEST_CASE("All hosts of a large group stop together and return",
+          "[open-group][planned-stop]") {
+  // Guards against hosts that wait for each other's consent to stop.
+  const auto Seed = GENERATE(range(1, 41));
+  CAPTURE(Seed);
+  auto Group = groupOfFive(Seed);
+  addTwoReplacements(Group);
+  const auto Index = Group.proposeDurably("kept", LostDisks);
+  REQUIRE(Index != 0);
+  CHECK(Group.stop(Group.Names));
+  Group.run(drawTime(Group, 2500));
+  for (const std::string &Each : Group.Names)
+    Group.start(Each);
+  CHECK(Group.runUntil([&] { return Group.hasVoters(7) && Group.isSettled(); },
+                       RecoveryTimeout));
+  CHECK(Group.isHeld(Index, "kept"));
+}
+
+TEST_CASE("A leader that leaves has a successor at once",
+          "[open-group][planned-stop]") {
+  // Guards against a group that waits for an election timeout although its
+  // leader has said that it stops.
+  const auto Seed = GENERATE(range(1, 41));
+  CAPTURE(Seed);
+  auto Group = groupOfFive(Seed);
+  // In the order in which they were sent.
+  Group.Faults.MaxDelay = Millis(1);
+  Group.add("spare-1");
+  REQUIRE(
+      Group.runUntil([&] { return Group.hasVoters(6) && Group.isSettled(); }));
+  const std::string Leader = Group.leader()->leader();
+  CHECK(Group.stop({Leader}));
+  const Millis Stopped = Group.Now;
+  REQUIRE(Group.runUntil([&] { return Group.leader() != nullptr; }));
+  // Less than the shortest time without a leader's message before an election.
+  CHECK((Group.Now - Stopped).count() < 300);
+  CHECK(Group.hasVoters(GroupSize));
+}
+
+TEST_CASE("A host that stops in a partition does not wait for ever",
+          "[open-group][planned-stop]") {
+  // Guards against a host that rejoins for good as a voter that is leaving,
+  // after its request reached no leader.
+  const auto Seed = GENERATE(range(1, 21));
+  CAPTURE(Seed);
+  auto Group = groupOfFive(Seed);
+  Group.add("spare-1");
+  REQUIRE(
+      Group.runUntil([&] { return Group.hasVoters(6) && Group.isSettled(); }));
+  const std::string Isolated = drawHosts(Group, 1).front();
+  isolate(Group, Isolated);
+  CHECK_FALSE(Group.stop({Isolated}, Millis(1000)));
+  Group.Cuts.clear();
+  Group.start(Isolated);
+  CHECK(Group.runUntil([&] { return Group.hasVoters(6) && Group.isSettled(); },
+                       RecoveryTimeout));
+}
+
 TEST_CASE("The smaller part of a split group remains in it", "[open-group]") {
   // Guards against a group that removes the hosts beyond a partition and then
   // consists of too few disks for the tolerated losses.
@@ -299,8 +472,17 @@
   runDrawnReplacements(GENERATE(range(1, 61)));
 }
 
+TEST_CASE("Drawn planned stops keep durable changes through lost disks",
+          "[open-group][planned-stop]") {
+  // Guards against orders of planned stops, elections and returns after which
+  // the group counts hosts that have stopped.
+  runDrawnPlannedStops(GENERATE(range(1, 61)));
+}
+
 TEST_CASE("More seeds of drawn replacements and losses", "[.][seeds-long]") {
   // Run by command after a change of the consensus code.
-  for (int Seed = 61; Seed <= 3000; ++Seed)
+  for (int Seed = 61; Seed <= 3000; ++Seed) {
     runDrawnReplacements(Seed);
+    runDrawnPlannedStops(Seed);
+  }
 }
