Fit elections of control hosts to the duration of syncs

What callers saw: with disks whose syncs take 0.2 s and more, a control group elected no leader for seconds or for as long as one looked, or leader after leader: no plan was acknowledged or read, and hosts that stop were not removed.

Cause, from the logs of real processes (search below): with 264 ms a sync two of four hosts were candidates in step for 13 s, terms 3 to 15. A candidate asked for votes of another term after 250 to 500 ms; a vote took 530 ms, as the voter wrote the term and the vote one after the other, and so came for a term that was over. A leader stepped down 1 s after its election, before the first replies to its first entry could arrive. With 175 ms three hosts were candidates at the same time after a leader had left, as their turns are 60 ms apart.

Change: a voter writes term and vote in one sync. Each host measures its syncs, up to the election timeout; a candidate waits for at least one of them, the turns of candidates are two apart, a voter waits three for the leader that it voted for, and a leader four for replies. With fast disks the times are what they were.

--- a/Source/Consensus/Consensus.cpp
+++ b/Source/Consensus/Consensus.cpp
@@ -56,12 +56,24 @@
 // that did not run for another reason has written nothing and starts its
 // election at once.
 void Consensus::excludeSyncTime(Millis Now) {
-  if (Log.syncedWrites() != WritesBefore && Now - LastCall > MaxCallInterval)
-    ElectionDeadline += Now - LastCall;
+  const std::uint64_t Writes = Log.syncedWrites() - WritesBefore;
+  const Millis Passed = Now - LastCall;
+  if (Writes != 0) {
+    Millis Each(0);
+    if (Passed > MaxCallInterval) {
+      ElectionDeadline += Passed;
+      Each = Passed / static_cast<std::int64_t>(Writes);
+    }
+    SyncTime = std::min(Options.ElectionTimeout, std::max(Each, SyncTime / 2));
+  }
   WritesBefore = Log.syncedWrites();
   LastCall = Now;
 }
 
+Millis Consensus::atLeastSyncs(int Count, Millis Minimum) const {
+  return std::max(Minimum, SyncTime * Count);
+}
+
 void Consensus::resetElectionTimer(Millis Now) {
   setElectionTimer(Now, Options.ElectionTimeout);
 }
@@ -86,7 +98,11 @@
       });
   std::uniform_int_distribution<std::int64_t> Extra(
       0, FirstElectionSpacing.count() / 2);
-  ElectionDeadline = Now + FirstElectionSpacing * Rank + Millis(Extra(Random));
+  ElectionDeadline = Now + electionSpacing() * Rank + Millis(Extra(Random));
+}
+
+Millis Consensus::electionSpacing() const {
+  return atLeastSyncs(SyncsPerCandidacy, FirstElectionSpacing);
 }
 
 void Consensus::start(Millis Now) {
--- a/Source/Consensus/Consensus.h
+++ b/Source/Consensus/Consensus.h
@@ -186,6 +186,16 @@
   /// Interval between two attempts to recover a disk that refused a write. Each
   /// attempt costs a write and a sync.
   static constexpr Millis RecoveryRetryInterval = Millis(250);
+  /// The syncs between a request for a vote and the vote.
+  static constexpr int SyncsPerVote = 1;
+  /// The syncs from a pre-vote to the vote: that of the candidate comes first.
+  static constexpr int SyncsPerCandidacy = 2;
+  /// The syncs from a vote to the first message of the leader.
+  static constexpr int SyncsPerElection = 3;
+  /// The syncs from a message of a leader to the reply: two of the voter, and
+  /// those of the leader meanwhile.
+  static constexpr int SyncsPerReply = 4;
+
   /// A voter of an open group that has been silent for this long may be
   /// removed. The value exceeds the duration of a restart.
   static constexpr Millis SilentVoterTimeout = Millis(1500);
@@ -226,16 +236,23 @@
   /// could not hear a leader. The remaining time to the election is what it was
   /// before the sync, however long that took.
   void excludeSyncTime(Millis Now);
+  /// Returns \p Minimum, or the usual duration of \p Count syncs if that is
+  /// longer. Other hosts most likely have disks like this one: with slow disks
+  /// a vote or a reply takes longer than the timeouts are made for.
+  Millis atLeastSyncs(int Count, Millis Minimum) const;
   void resetElectionTimer(Millis Now);
   /// Sets the deadline to a random time between \p Minimum and twice \p Minimum
   /// from now.
   void setElectionTimer(Millis Now, Millis Minimum);
   void setFirstElection(Millis Now);
+  /// Interval between the first elections of two hosts.
+  Millis electionSpacing() const;
   void initializeRole();
   void reloadVoters();
 
+  /// Gives the vote of a new term to \p Vote, if any.
   void becomeFollower(std::uint64_t Term, const std::string &NewLeader,
-                      Millis Now);
+                      Millis Now, const std::string &Vote = "");
   std::set<std::string> knownHosts() const;
   void sendDiscovery();
   void startPreVote(Millis Now);
@@ -270,6 +287,8 @@
   bool bearsDiskLoss(std::size_t Present, std::size_t LostDisks) const;
   Peer newPeer(const Member &Host, bool Voter, Millis Now) const;
   bool isChangePending() const;
+  /// True if the host has replied to this leader recently.
+  bool hasReplied(const Peer &Each, Millis Now) const;
   Expected<void> checkChange(Millis Now) const;
   Expected<std::uint64_t> changeVoters(Members Next, Millis Now);
   Expected<std::uint64_t> appendVoters(Members Next, Millis Now);
@@ -300,6 +319,9 @@
   Millis ElectionDeadline;
   Millis LastCall;                ///< Of a message or of the timers.
   std::uint64_t WritesBefore = 0; ///< Log.syncedWrites() at LastCall.
+  /// Recent duration of a sync of this host, 0 for fast disks. At most the
+  /// election timeout, so that a disk that hung once delays no election.
+  Millis SyncTime;
   Millis LastLeaderContact = NeverSent;
   Millis LastHeartbeat;
   ElectionCounts Elections;
--- a/Source/Consensus/ConsensusElections.cpp
+++ b/Source/Consensus/ConsensusElections.cpp
@@ -93,8 +93,8 @@
 // Elections.
 
 void Consensus::becomeFollower(std::uint64_t Term, const std::string &NewLeader,
-                               Millis Now) {
-  if (Term > Log.term() && !check(Log.setTerm(Term, "")))
+                               Millis Now, const std::string &Vote) {
+  if (Term > Log.term() && !check(Log.setTerm(Term, Vote)))
     return;
   if (isLeader())
     failReads();
@@ -113,7 +113,7 @@
 
 void Consensus::startPreVote(Millis Now) {
   if (LastLeaderContact == NeverSent)
-    setElectionTimer(Now, FirstElectionSpacing *
+    setElectionTimer(Now, electionSpacing() *
                               static_cast<std::int64_t>(Voters.size()));
   else
     resetElectionTimer(Now);
@@ -142,7 +142,8 @@
 void Consensus::startElection(Millis Now) {
   // A majority has just confirmed that there is no leader, so a lost election
   // is retried without waiting for the full election timeout.
-  setElectionTimer(Now, Options.ElectionTimeout / 2);
+  setElectionTimer(Now,
+                   atLeastSyncs(SyncsPerVote, Options.ElectionTimeout / 2));
   Votes.reset();
   if (!check(Log.setTerm(Log.term() + 1, Options.Name)))
     return;
@@ -178,15 +179,16 @@
     // The sender is about to start an election. An election of this host at the
     // same time would split the votes.
     if (Granted)
-      ElectionDeadline = std::max(ElectionDeadline, Now + FirstElectionSpacing);
+      ElectionDeadline = std::max(ElectionDeadline, Now + electionSpacing());
     send(From.Name,
          VoteReply{Granted ? Request.Term : Log.term(), true, Granted});
     return;
   }
   if (IsLeaderAlive && Request.Term > Log.term())
     return;
+  // The term and the vote take one sync together.
   if (Request.Term > Log.term())
-    becomeFollower(Request.Term, "", Now);
+    becomeFollower(Request.Term, "", Now, UpToDate ? From.Name : "");
   if (Failure)
     return;
   const bool IsVoteAvailable =
@@ -196,7 +198,8 @@
   if (Granted) {
     if (!check(Log.setTerm(Log.term(), From.Name)))
       return;
-    resetElectionTimer(Now);
+    setElectionTimer(Now,
+                     atLeastSyncs(SyncsPerElection, Options.ElectionTimeout));
   }
   send(From.Name, VoteReply{Log.term(), false, Granted});
 }
@@ -258,7 +261,9 @@
 void Consensus::checkLeadership(Millis Now) {
   std::size_t Reachable = isVoter(self()) ? 1 : 0;
   for (const auto &[Name, Each] : Peers)
-    if (Each.Voter && Now - Each.LastReply < Options.ElectionTimeout * 2)
+    if (Each.Voter &&
+        Now - Each.LastReply <
+            atLeastSyncs(SyncsPerReply, Options.ElectionTimeout * 2))
       ++Reachable;
   if (Reachable < majority())
     becomeFollower(Log.term(), "", Now);
--- a/Source/Consensus/ConsensusMembership.cpp
+++ b/Source/Consensus/ConsensusMembership.cpp
@@ -77,7 +77,7 @@
     return;
   for (const auto &[Name, Each] : Peers) {
     if (Each.Voter || Each.HasLeft || Each.Match < CommitIndex ||
-        Now - Each.LastReply >= Options.ElectionTimeout)
+        !hasReplied(Each, Now))
       continue;
     const Member *Seat = findByName(Voters, Name);
     // In a listed group, a host without a seat waits for the command of the
@@ -294,6 +294,11 @@
   return changeVoters(std::move(Next), Now);
 }
 
+bool Consensus::hasReplied(const Peer &Each, Millis Now) const {
+  return Now - Each.LastReply <
+         atLeastSyncs(SyncsPerReply, Options.ElectionTimeout);
+}
+
 Expected<void> Consensus::checkChange(Millis Now) const {
   if (!isReadyLeader() || Failure)
     return fail(ErrorCode::Unavailable, notLeaderReason(Now));
@@ -312,7 +317,7 @@
     const auto Known = Peers.find(Each.Name);
     if (Each == self() ||
         (Known != Peers.end() && Known->second.Identity == Each &&
-         Now - Known->second.LastReply < Options.ElectionTimeout))
+         hasReplied(Known->second, Now)))
       ++Reachable;
   }
   if (Reachable < Next.size() / 2 + 1)
--- a/Tests/Unit/SlowDiskElectionTest.cpp
+++ b/Tests/Unit/SlowDiskElectionTest.cpp
@@ -166,3 +166,35 @@
           (LongestBefore + Growth).count());
   }
 }
+
+TEST_CASE("Slow disks elect a leader that stays", "[consensus]") {
+  // Guards against candidates that ask again before the votes can arrive, and
+  // against leaders that step down before the first replies can: with syncs as
+  // long as half of the election timeout, groups elected one leader after the
+  // other, or none.
+  const Millis Sync(GENERATE(100, 160, 220));
+  const std::size_t Hosts = GENERATE(4U, 5U, 6U);
+  const auto Seed = GENERATE(range(1, 21));
+  CAPTURE(Sync.count(), Hosts, Seed);
+  FakeControlGroup Group(static_cast<std::uint64_t>(Seed), Hosts);
+  REQUIRE(Group.runUntil([&] { return Group.isSettled(); }));
+  Group.SyncDuration = Sync;
+  Group.run(Millis(1000));
+  REQUIRE(Group.runUntil([&] { return Group.leader() != nullptr; }));
+  const std::string Name = Group.leader()->leader();
+  Group.crash(Name);
+  Group.run(Sync);
+  Group.start(Name);
+  // The time after which the users' callers must be served again.
+  constexpr Millis RecoveryTimeout(12000);
+  CHECK(Group.runUntil([&] { return Group.isSettled(); }, RecoveryTimeout));
+  const Consensus *Leader = Group.leader();
+  REQUIRE(Leader != nullptr);
+  const std::uint64_t Term = Leader->term();
+  for (int Change = 0; Change < 5; ++Change) {
+    CHECK(Group.proposeDurably("change", 1) != 0);
+    Group.run(Millis(1000));
+  }
+  CHECK(Group.leader() != nullptr);
+  CHECK(Leader->term() == Term);
+}
