--- /dev/null
+++ b/Tests/Replacement/SlowSync.cpp
@@ -0,0 +1,31 @@
+/// \file
+/// Preloaded into a process to delay its disk syncs by SLOW_SYNC_MS.
+
+#include <cstdlib>
+#include <ctime>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+namespace {
+
+void delay() {
+  const char *Text = std::getenv("SLOW_SYNC_MS");
+  const long Ms = Text == nullptr ? 0 : std::strtol(Text, nullptr, 10);
+  constexpr long MsPerSecond = 1000;
+  constexpr long NsPerMs = 1000000;
+  timespec Left{Ms / MsPerSecond, Ms % MsPerSecond * NsPerMs};
+  while (nanosleep(&Left, &Left) != 0)
+    ;
+}
+
+} // namespace
+
+extern "C" int fsync(int File) {
+  delay();
+  return static_cast<int>(syscall(SYS_fsync, File));
+}
+
+extern "C" int fdatasync(int File) {
+  delay();
+  return static_cast<int>(syscall(SYS_fdatasync, File));
+}
