--- a/Tests/Replacement/Main.cpp
+++ b/Tests/Replacement/Main.cpp
@@ -12,7 +12,7 @@
   using namespace corianderdyke::replacement;
   std::string Program;
   std::string Folder;
-  std::string SlowSync;
+  std::string SlowProgram;
   std::uint64_t Seed = 1;
   bool IsLossAfterStops = false;
   bool IsVerbose = false;
@@ -21,7 +21,8 @@
                "lost or late although no more was lost than allowed."};
   App.add_option("--program", Program, "The program to test")->required();
   App.add_option("--folder", Folder, "Folder for logs and data")->required();
-  App.add_option("--slow-sync", SlowSync, "Library that delays syncs");
+  App.add_option("--slow-program", SlowProgram,
+                 "The program to test with slow disks; none if missing");
   App.add_option("--seed", Seed, "Seed of times and orders");
   App.add_flag("--loss-after-stops", IsLossAfterStops,
                "The disks are lost right after the planned stops");
@@ -30,10 +31,10 @@
 
   Steps Drawn =
       IsLossAfterStops ? Steps::lossRightAfterStops(Seed) : Steps::draw(Seed);
-  if (SlowSync.empty())
+  if (SlowProgram.empty())
     Drawn.SyncDelay = corianderdyke::Millis(0);
   if (Drawn.SyncDelay.count() != 0) {
-    ::setenv("LD_PRELOAD", SlowSync.c_str(), 1);
+    Program = SlowProgram;
     ::setenv("SLOW_SYNC_MS", std::to_string(Drawn.SyncDelay.count()).c_str(),
              1);
   }
--- a/Tests/Replacement/SlowSync.cpp
+++ b/Tests/Replacement/SlowSync.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Preloaded into a process to delay its disk syncs by SLOW_SYNC_MS.
+/// Delays the disk syncs of the program that it is linked into by SLOW_SYNC_MS.
 
 #include <cstdlib>
 #include <ctime>
