--- a/Tests/Replacement/Play.cpp
+++ b/Tests/Replacement/Play.cpp
@@ -174,7 +174,8 @@
 }
 
 std::string Play::address(std::size_t Number) const {
-  return Network.prefix() + ".1." + std::to_string(Number + 1);
+  // The stand-ins of review/ use the addresses below 127.N.5, unclaimed.
+  return Network.prefix() + ".11." + std::to_string(Number + 1);
 }
 
 // As deploy/control.toml.template.
@@ -205,7 +206,7 @@
                       << "[group]\nseeds = [" << Seeds
                       << "]\nmay_found = " << (Founds ? "true" : "false")
                       << "\nlost_disks_borne = 2\npromotions = \""
-                      << Network.prefix() << ".4.1:8783\"\n";
+                      << Network.prefix() << ".14.1:8783\"\n";
   note(Name + " starts");
   Hosts.erase(Number);
   const auto Made = Hosts.emplace(
--- a/Tests/Replacement/Play.h
+++ b/Tests/Replacement/Play.h
@@ -68,7 +68,9 @@
   /// True if more was lost at the same time than the group has to bear: a new
   /// host, one that is back or the host that it replaces still counts as lost
   /// while it catches up.
-  bool isExcused() const { return LossAt < AllCaughtUpAt; }
+  bool isExcused() const {
+    return LossAt != Millis(0) && LossAt < AllCaughtUpAt;
+  }
   /// What happened when, for a report.
   const std::string &record() const { return Record; }
 
