--- a/Tests/Replacement/Main.cpp
+++ b/Tests/Replacement/Main.cpp
@@ -15,6 +15,7 @@
   std::string SlowProgram;
   std::uint64_t Seed = 1;
   bool IsLossAfterStops = false;
+  bool AwaitsVotes = false;
   bool IsVerbose = false;
   CLI::App App{"Replaces two control hosts, then loses two disks, with real "
                "processes. Exits with 1 if the acknowledged desired state is "
@@ -26,11 +27,14 @@
   App.add_option("--seed", Seed, "Seed of times and orders");
   App.add_flag("--loss-after-stops", IsLossAfterStops,
                "The disks are lost right after the planned stops");
+  App.add_flag("--await-votes", AwaitsVotes,
+               "The replaced hosts stop once their replacements vote");
   App.add_flag("--verbose", IsVerbose, "Prints each step");
   CLI11_PARSE(App, Count, Words);
 
   Steps Drawn =
       IsLossAfterStops ? Steps::lossRightAfterStops(Seed) : Steps::draw(Seed);
+  Drawn.AwaitsVotes |= AwaitsVotes;
   if (SlowProgram.empty())
     Drawn.SyncDelay = corianderdyke::Millis(0);
   if (Drawn.SyncDelay.count() != 0) {
--- a/Tests/Replacement/Play.cpp
+++ b/Tests/Replacement/Play.cpp
@@ -121,6 +121,7 @@
   Out.SyncDelay = Millis(0);
   Out.IsKilled = false;
   Out.StopAfter = Millis(4500);
+  Out.AwaitsVotes = true;
   Out.LossAfter = Out.LossAfter / 4;
   Out.Change = ChangeTime::BeforeStops;
   Out.PausedFor = Millis(0);
@@ -256,20 +257,49 @@
   });
 }
 
-void Play::restartLeader() {
+std::optional<std::pair<std::size_t, std::string>> Play::findLeader() {
   for (const auto &[Number, Each] : Hosts) {
-    const HttpAnswer Got =
+    HttpAnswer Got =
         call(address(Number), MetricsPort, "GET", "/metrics", "", CallTimeout);
-    if (Got.Body.find("corianderdyke_control_leader 1") == std::string::npos)
-      continue;
-    const std::size_t Leader = Number;
-    stopHost(Leader, true);
-    advance(Millis(300));
-    startHost(Leader, false);
-    noteLost();
-    advance(Millis(1500));
+    if (Got.Body.find("corianderdyke_control_leader 1") != std::string::npos)
+      return std::pair(Number, std::move(Got.Body));
+  }
+  return std::nullopt;
+}
+
+void Play::restartLeader() {
+  const auto Leader = findLeader();
+  if (!Leader)
     return;
+  stopHost(Leader->first, true);
+  advance(Millis(300));
+  startHost(Leader->first, false);
+  awaitRunning(Leader->first);
+  noteLost();
+  advance(Millis(1500));
+}
+
+bool Play::awaitRunning(std::size_t Number) {
+  for (const Millis Until = now() + ChangeTimeout; now() < Until;) {
+    if (call(address(Number), MetricsPort, "GET", "/metrics", "", CallTimeout)
+            .Status == StatusOk)
+      return true;
+    advance(Millis(20));
+  }
+  return false;
+}
+
+bool Play::awaitVoters(std::size_t Count) {
+  const std::string Line =
+      "corianderdyke_control_voters " + std::to_string(Count) + "\n";
+  for (const Millis Until = now() + ChangeTimeout; now() < Until;) {
+    const auto Leader = findLeader();
+    if (Leader && Leader->second.find(Line) != std::string::npos)
+      return true;
+    advance(Millis(50));
   }
+  note("there are not " + std::to_string(Count) + " voters");
+  return false;
 }
 
 bool Play::replaceConfig(std::uint64_t Version) {
@@ -311,15 +341,20 @@
   return 0;
 }
 
-void Play::replaceHosts() {
+bool Play::replaceHosts() {
   if (Drawn.PausedFor.count() != 0)
     Due.emplace(now() + Drawn.PausedAfter, [this] { pauseHost(); });
   startHost(GroupSize, false);
   advance(Drawn.SecondStartAfter);
   startHost(GroupSize + 1, false);
+  if (!awaitRunning(GroupSize) || !awaitRunning(GroupSize + 1))
+    return false;
   noteLost();
   advance(Drawn.StopAfter);
-  const auto Change = [this](ChangeTime When) {
+  if (Drawn.AwaitsVotes && !awaitVoters(HostCount))
+    return false;
+  bool IsAcknowledged = false;
+  const auto Change = [&](ChangeTime When) {
     if (Drawn.Change == When)
       IsAcknowledged = replaceConfig(2);
   };
@@ -332,6 +367,7 @@
   if (Drawn.Change == ChangeTime::AfterStops)
     advance(Drawn.ChangeAfter);
   Change(ChangeTime::AfterStops);
+  return IsAcknowledged;
 }
 
 void Play::loseDisks() {
@@ -356,10 +392,11 @@
     return Verdict::Refused;
   for (int Each = 0; Each < Drawn.LeaderRestarts; ++Each)
     restartLeader();
-  replaceHosts();
-  if (!IsAcknowledged)
+  if (!replaceHosts())
     return Verdict::Refused;
   loseDisks();
+  for (const std::size_t Each : Drawn.StartOrder)
+    awaitRunning(Each);
   const Millis AllBackAt = now();
   if (readVersion(ReadTimeout) != 2)
     return Verdict::Broken;
--- a/Tests/Replacement/Play.h
+++ b/Tests/Replacement/Play.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -31,7 +32,9 @@
   std::vector<std::size_t> Replaced; ///< In the order in which they stop.
   bool IsKilled = false;             ///< They stop without a signal before.
   Millis SecondStartAfter;
-  Millis StopAfter; ///< From the start of the second replacement.
+  Millis StopAfter; ///< From when the replacements run.
+  /// Whether the replacements are voters before the replaced hosts stop.
+  bool AwaitsVotes = false;
   Millis SecondStopAfter;
   ChangeTime Change = ChangeTime::AfterStops;
   Millis ChangeAfter;
@@ -45,8 +48,8 @@
   Millis PausedFor;   ///< 0: no host is paused.
 
   static Steps draw(std::uint64_t Seed);
-  /// Two hosts run beside their replacements for longer than these need to
-  /// catch up, and the disks are lost right after the planned stops.
+  /// Two hosts stop as planned once their replacements have caught up and vote,
+  /// and the disks are lost right after that.
   static Steps lossRightAfterStops(std::uint64_t Seed);
   std::string text() const;
 };
@@ -83,6 +86,11 @@
   void startHost(std::size_t Number, bool Founds);
   void stopHost(std::size_t Number, bool IsKilled);
   void awaitStops();
+  /// Waits until a host answers: its process may start slowly beside others.
+  bool awaitRunning(std::size_t Number);
+  bool awaitVoters(std::size_t Count);
+  /// Number of the leading host and the metrics of that host.
+  std::optional<std::pair<std::size_t, std::string>> findLeader();
   void pauseHost();
   /// Kills the leading host and starts it again.
   void restartLeader();
@@ -90,7 +98,8 @@
   bool replaceConfig(std::uint64_t Version);
   /// The version that a host tells, 0 if none does in time.
   std::uint64_t readVersion(Millis Timeout);
-  void replaceHosts();
+  /// False if the replacements or the change were not accepted in time.
+  bool replaceHosts();
   void loseDisks();
 
   static constexpr Millis CatchUp = Millis(4000);
@@ -105,7 +114,6 @@
   std::multimap<Millis, std::function<void()>> Due;
   /// Hosts that were told to stop, and when they are killed.
   std::map<std::size_t, Millis> Stopping;
-  bool IsAcknowledged = true;
   Millis LossAt;
   Millis AllCaughtUpAt;
   std::string Record;
