Please the linter in the plays of replaced hosts

It reported the value of connect() as unused, and parameters of fsync and fdatasync that are named otherwise in unistd.h.

--- a/Tests/Replacement/Operator.cpp
+++ b/Tests/Replacement/Operator.cpp
@@ -28,7 +28,9 @@
 std::string exchange(int Socket, const sockaddr_in &To,
                      const std::string &Request,
                      SteadyClock::time_point Until) {
-  ::connect(Socket, reinterpret_cast<const sockaddr *>(&To), sizeof To);
+  // It goes on in the background, as the socket does not block.
+  static_cast<void>(
+      ::connect(Socket, reinterpret_cast<const sockaddr *>(&To), sizeof To));
   if (!awaitEvent(Socket, POLLOUT, Until) ||
       ::send(Socket, Request.data(), Request.size(), MSG_NOSIGNAL) !=
           static_cast<ssize_t>(Request.size()))
--- a/Tests/Replacement/SlowSync.cpp
+++ b/Tests/Replacement/SlowSync.cpp
@@ -4,7 +4,10 @@
 #include <cstdlib>
 #include <ctime>
 #include <sys/syscall.h>
-#include <unistd.h>
+
+// Not from unistd.h, whose declarations of fsync and fdatasync name their
+// parameters differently.
+extern "C" long syscall(long Number, ...);
 
 namespace {
 
