--- a/Tests/Soak/FaultyLink.cpp
+++ b/Tests/Soak/FaultyLink.cpp
@@ -66,7 +66,11 @@
     if (IsMuted && Owner->CurrentFault != LinkFault::None)
       return;
     const auto Held = shared_from_this();
-    Owner->Loop.defer([Held] { Held->Owner->Pairs.erase(Held); });
+    // The loop may run this after the link, when it is destroyed itself.
+    Owner->Loop.defer([Held, Exists = Owner->Exists] {
+      if (*Exists)
+        Held->Owner->Pairs.erase(Held);
+    });
   }
 
   static void resetOnClose(bufferevent *Of) {
@@ -93,6 +97,7 @@
 }
 
 FaultyLink::~FaultyLink() {
+  *Exists = false;
   Pairs.clear();
   evconnlistener_free(Listener);
 }
--- a/Tests/Soak/FaultyLink.h
+++ b/Tests/Soak/FaultyLink.h
@@ -47,6 +47,8 @@
   LinkFault CurrentFault = LinkFault::None;
   evconnlistener *Listener = nullptr;
   std::set<std::shared_ptr<Pair>> Pairs;
+  /// False once this link is destroyed.
+  std::shared_ptr<bool> Exists = std::make_shared<bool>(true);
 };
 
 } // namespace corianderdyke::soak
