Share how voters join in the tests of replaced hosts

Cause: four tests added spare hosts and waited until all voted, with the same lines. Change: addVoters() does so; draws and assertions are unchanged.

--- a/Tests/Unit/ReplacedHostsTest.cpp
+++ b/Tests/Unit/ReplacedHostsTest.cpp
@@ -45,6 +45,14 @@
   return Group.hasVoters(GroupSize) && Group.isSettled();
 }
 
+/// Hosts join a group of five until all of them vote.
+void addVoters(FakeControlGroup &Group, std::size_t Count) {
+  for (std::size_t Each = 1; Each <= Count; ++Each)
+    Group.add("spare-" + std::to_string(Each));
+  REQUIRE(Group.runUntil(
+      [&] { return Group.hasVoters(GroupSize + Count) && Group.isSettled(); }));
+}
+
 /// Two replacements join, so that seven hosts vote. Returns the hosts to stop.
 std::vector<std::string> addTwoReplacements(FakeControlGroup &Group) {
   std::vector<std::string> Replaced = drawHosts(Group, 2);
@@ -263,10 +271,7 @@
   CAPTURE(Seed, Count, AreTogether);
   auto Group = groupOfFive(Seed);
   const std::vector<std::string> Replaced = drawHosts(Group, Count);
-  for (std::size_t Each = 1; Each <= Count; ++Each)
-    Group.add("spare-" + std::to_string(Each));
-  REQUIRE(Group.runUntil(
-      [&] { return Group.hasVoters(GroupSize + Count) && Group.isSettled(); }));
+  addVoters(Group, Count);
   const auto Index = Group.proposeDurably("kept", LostDisks);
   REQUIRE(Index != 0);
   if (AreTogether)
@@ -341,9 +346,7 @@
   auto Group = groupOfFive(Seed);
   // In the order in which they were sent.
   Group.Faults.MaxDelay = Millis(1);
-  Group.add("spare-1");
-  REQUIRE(
-      Group.runUntil([&] { return Group.hasVoters(6) && Group.isSettled(); }));
+  addVoters(Group, 1);
   const std::string Leader = Group.leader()->leader();
   CHECK(Group.stop({Leader}));
   const Millis Stopped = Group.Now;
@@ -360,9 +363,7 @@
   const auto Seed = GENERATE(range(1, 21));
   CAPTURE(Seed);
   auto Group = groupOfFive(Seed);
-  Group.add("spare-1");
-  REQUIRE(
-      Group.runUntil([&] { return Group.hasVoters(6) && Group.isSettled(); }));
+  addVoters(Group, 1);
   const std::string Isolated = drawHosts(Group, 1).front();
   isolate(Group, Isolated);
   CHECK_FALSE(Group.stop({Isolated}, Millis(1000)));
@@ -449,10 +450,7 @@
   CAPTURE(Seed, Count);
   auto Group = groupOfFive(Seed);
   const std::vector<std::string> Replaced = drawHosts(Group, Count);
-  for (std::size_t Each = 1; Each <= Count; ++Each)
-    Group.add("spare-" + std::to_string(Each));
-  REQUIRE(Group.runUntil(
-      [&] { return Group.hasVoters(GroupSize + Count) && Group.isSettled(); }));
+  addVoters(Group, Count);
   for (const std::string &Each : Replaced)
     Group.remove(Each);
   Group.run(drawTime(Group, 2500));
