Review case 8: a stray check-in makes a healthy server unusable for 60 s

Callers are refused with BUSY for a minute, while all three servers of their service are healthy and check in.

Order of events: the processes that serve control are killed and come back. 6 s later another writer sends one check-in for each server's address, of a service that no desired state names. Each is answered with 200, and control takes the server at that address for gone and ignores its check-ins.

--- /dev/null
+++ b/review/8/Case.cpp
@@ -0,0 +1,184 @@
+/// \file
+/// After a final fault, check-ins of another writer arrive once: of a service
+/// that the desired state doesn't name, at the addresses of the servers. Are
+/// clients served again?
+///
+/// Usage: case PROGRAM FOLDER RECORD, with TROUBLE=0 for the same without these
+/// check-ins.
+
+#include "../standin-2/Client.h"
+#include "../standin-2/Database.h"
+#include "../standin-2/Deployment.h"
+#include "../standin-2/Record.h"
+
+#include <atomic>
+#include <cstdlib>
+#include <memory>
+#include <random>
+#include <thread>
+
+using namespace review2;
+
+namespace {
+
+constexpr int Clients = 20;
+
+/// Requests sent and served, by the phase in which they were sent.
+struct Phase {
+  std::atomic<int> Sent{0};
+  std::atomic<int> Served{0};
+
+  int percent() const { return Sent == 0 ? 0 : Served * 100 / Sent; }
+};
+
+struct Traffic {
+  Phase Before; ///< Until the final fault.
+  Phase Between;
+  Phase After; ///< Later than recovery_s after the machines are back.
+  std::atomic<Phase *> Now{nullptr};
+  std::atomic<bool> IsOver{false};
+};
+
+/// One read, write or transaction; true if it was served.
+bool runOperation(Client &Session, const std::string &Id, int Kind,
+                  Record &Notes) {
+  const auto Query = [&](const char *Part, const std::string &Text) {
+    Answer Got = Session.query(Id + Part, Text, Ms(1000));
+    Notes.count(Text.substr(0, Text.find(' ')) +
+                (!Got.IsWhole    ? " without an answer"
+                 : Got.IsSuccess ? " served"
+                                 : " answered " + Got.Code));
+    return Got;
+  };
+  if (Kind < 6)
+    return Query("r", "FETCH bale-1").IsSuccess;
+  if (Kind < 8)
+    return Query("w", "STORE bale-2 " + Id).IsSuccess;
+  Query("b", "BEGIN");
+  const bool IsRead = Query("r", "FETCH bale-1").IsSuccess;
+  if (!IsRead) {
+    Query("e", "ROLLBACK");
+    return false;
+  }
+  return Query("e", Kind == 8 ? "COMMIT" : "ROLLBACK").IsSuccess;
+}
+
+void runClient(const Address &Proxy, int Number, Traffic &All, Record &Notes) {
+  std::mt19937 Random(static_cast<unsigned>(Number));
+  Client Session;
+  for (int Each = 0; !All.IsOver; ++Each) {
+    Phase &Current = *All.Now.load();
+    ++Current.Sent;
+    const std::string Id =
+        "c" + std::to_string(Number) + "x" + std::to_string(Each);
+    const bool IsOpen =
+        Session.isOpen() ||
+        Session.open(Proxy, "scans", "u" + std::to_string(Number));
+    if (!IsOpen)
+      Notes.count("session not opened");
+    else if (runOperation(Session, Id, static_cast<int>(Random() % 10), Notes))
+      ++Current.Served;
+    std::this_thread::sleep_for(Ms(40 + Random() % 40));
+  }
+}
+
+/// A check-in in the protocol's form, of a service that isn't named.
+void sendStrayCheckIn(const Deployment &System, int Which, Record &Notes) {
+  const std::string Id = "x-" + std::to_string(Which);
+  const std::string Body = "{\"service\":\"reports\",\"address\":\"" +
+                           System.server(Which).text() +
+                           "\",\"zone\":\"zone-1\",\"version\":\"v1\","
+                           "\"capacity\":2,\"state\":\"ready\","
+                           "\"cold_remaining_ms\":0,\"db_role\":\"replica\","
+                           "\"sequence\":1}";
+  for (const Address &Each : System.controls()) {
+    const HttpReply Reply = callControl(
+        Each, {"POST", "/-/Instances.Heartbeat/" + Id, Body}, Ms(1000));
+    Notes.line("check-in of " + Id + " for the service reports at " +
+               System.server(Which).text() + ": " +
+               std::to_string(Reply.Status));
+    if (Reply.Status != 0 && Reply.Status != 503)
+      return;
+  }
+}
+
+int judge(const Traffic &All, Record &Notes) {
+  Notes.writeCounts();
+  const auto Show = [&Notes](const char *When, const Phase &Of) {
+    Notes.say(std::to_string(Of.Served) + " of " + std::to_string(Of.Sent) +
+              " requests served " + When);
+  };
+  Show("before the final fault", All.Before);
+  Show("from the final fault until 12 s after it", All.Between);
+  Show("later than 12 s after the machines were back", All.After);
+  if (All.Before.percent() < 25) {
+    Notes.say("the case could not run: too little was served before");
+    return 2;
+  }
+  const bool IsBroken = All.After.percent() < 25;
+  Notes.say(IsBroken ? "RECOVER is broken" : "RECOVER held");
+  return IsBroken ? 1 : 0;
+}
+
+int run(const std::string &Program, const std::string &Folder, Record &Notes,
+        bool HasTrouble) {
+  DeploymentOptions Wanted;
+  Wanted.Program = Program;
+  Wanted.Folder = Folder;
+  Wanted.Proxies = 2;
+  Deployment System(Wanted);
+  DatabaseOptions Shape;
+  Shape.Servers = System.servers();
+  Shape.Controls = System.controls();
+  Shape.Provider = System.provider();
+  Database Service(Shape, Notes);
+  System.startAll();
+  if (!System.configure(OneRoute().body(), Ms(15000)) ||
+      !System.waitReady(Ms(15000))) {
+    Notes.say("the case could not run: the deployment did not start");
+    return 2;
+  }
+  std::this_thread::sleep_for(Ms(2000));
+  Notes.line("traffic begins");
+  Traffic All;
+  All.Now = &All.Before;
+  std::vector<std::thread> Threads;
+  Threads.reserve(Clients);
+  for (int Each = 0; Each < Clients; ++Each)
+    Threads.emplace_back([&, Each] {
+      runClient(System.proxy(Each % Wanted.Proxies), Each, All, Notes);
+    });
+  std::this_thread::sleep_for(Ms(8000));
+  Notes.line("final fault: all processes that serve control are killed");
+  All.Now = &All.Between;
+  for (int Each = 0; Each < Wanted.Controls; ++Each)
+    System.killControl(Each);
+  std::this_thread::sleep_for(Ms(700));
+  for (int Each = 0; Each < Wanted.Controls; ++Each)
+    System.startControl(Each, false);
+  Notes.line("they are back");
+  std::this_thread::sleep_for(Ms(6000));
+  if (HasTrouble)
+    for (int Each = 0; Each < Wanted.Servers; ++Each)
+      sendStrayCheckIn(System, Each, Notes);
+  std::this_thread::sleep_for(Ms(6500));
+  All.Now = &All.After;
+  std::this_thread::sleep_for(Ms(10000));
+  All.IsOver = true;
+  for (std::thread &Each : Threads)
+    Each.join();
+  return judge(All, Notes);
+}
+
+} // namespace
+
+int main(int Count, char **Words) {
+  if (Count != 4)
+    return 2;
+  Record Notes(Words[3]);
+  if (!Notes.isOpen())
+    return 2;
+  const char *Trouble = std::getenv("TROUBLE");
+  return run(Words[1], Words[2], Notes,
+             Trouble == nullptr || std::string(Trouble) != "0");
+}
