--- a/review/5/Case.cpp
+++ b/review/5/Case.cpp
@@ -4,7 +4,7 @@
 /// replica receives nothing for 6 s, and then the order is carried out: does
 /// the promoted server have all acknowledged commits?
 ///
-/// Usage: case PROGRAM FOLDER RECORD, with TROUBLE=0 for the same without these
+/// TROUBLE=0 runs the same without these
 /// three.
 
 #include "../standin-2/Client.h"
@@ -18,6 +18,7 @@
 #include <thread>
 
 using namespace review2;
+using review2::Record;
 
 namespace {
 
@@ -126,8 +127,8 @@
   return Lost > 0 ? 1 : 0;
 }
 
-int run(const std::string &Program, const std::string &Folder, Record &Notes,
-        bool HasTrouble) {
+int runCase(const std::string &Program, const std::string &Folder,
+            Record &Notes, bool HasTrouble) {
   DeploymentOptions Wanted;
   Wanted.Program = Program;
   Wanted.Folder = Folder;
@@ -176,13 +177,7 @@
 
 } // namespace
 
-int main(int Count, char **Words) {
-  if (Count != 4)
-    return 2;
-  Record Notes(Words[3]);
-  if (!Notes.isOpen())
-    return 2;
-  const char *Trouble = std::getenv("TROUBLE");
-  return run(Words[1], Words[2], Notes,
-             Trouble == nullptr || std::string(Trouble) != "0");
+int review::run(const review::Arguments &Given, review::Record &Log) {
+  review2::Record Notes(Log);
+  return runCase(Given.Program, Given.Folder, Notes, Given.HasTrouble);
 }
--- a/review/8/Case.cpp
+++ b/review/8/Case.cpp
@@ -3,7 +3,7 @@
 /// that the desired state doesn't name, at the addresses of the servers. Are
 /// clients served again?
 ///
-/// Usage: case PROGRAM FOLDER RECORD, with TROUBLE=0 for the same without these
+/// TROUBLE=0 runs the same without these
 /// check-ins.
 
 #include "../standin-2/Client.h"
@@ -18,6 +18,7 @@
 #include <thread>
 
 using namespace review2;
+using review2::Record;
 
 namespace {
 
@@ -120,8 +121,8 @@
   return IsBroken ? 1 : 0;
 }
 
-int run(const std::string &Program, const std::string &Folder, Record &Notes,
-        bool HasTrouble) {
+int runCase(const std::string &Program, const std::string &Folder,
+            Record &Notes, bool HasTrouble) {
   DeploymentOptions Wanted;
   Wanted.Program = Program;
   Wanted.Folder = Folder;
@@ -172,13 +173,7 @@
 
 } // namespace
 
-int main(int Count, char **Words) {
-  if (Count != 4)
-    return 2;
-  Record Notes(Words[3]);
-  if (!Notes.isOpen())
-    return 2;
-  const char *Trouble = std::getenv("TROUBLE");
-  return run(Words[1], Words[2], Notes,
-             Trouble == nullptr || std::string(Trouble) != "0");
+int review::run(const review::Arguments &Given, review::Record &Log) {
+  review2::Record Notes(Log);
+  return runCase(Given.Program, Given.Folder, Notes, Given.HasTrouble);
 }
--- a/review/standin-2/Record.h
+++ b/review/standin-2/Record.h
@@ -1,12 +1,13 @@
 /// \file
-/// What a case writes down: lines with their times, and counts.
+/// What a case writes down: lines in the record of the run, and counts.
 
 #ifndef CORIANDERDYKE_REVIEW_STANDIN2_RECORD_H
 #define CORIANDERDYKE_REVIEW_STANDIN2_RECORD_H
 
-#include <chrono>
+#include "../standin/Main.h"
+
 #include <cstdint>
-#include <cstdio>
+#include <iostream>
 #include <map>
 #include <mutex>
 #include <string>
@@ -15,27 +16,14 @@
 
 class Record {
 public:
-  explicit Record(const std::string &Path)
-      : File(std::fopen(Path.c_str(), "w")) {}
-  ~Record() {
-    if (File != nullptr)
-      std::fclose(File);
-  }
-  Record(const Record &) = delete;
-  Record &operator=(const Record &) = delete;
-
-  bool isOpen() const { return File != nullptr; }
+  explicit Record(review::Record &Log) : Log(Log) {}
 
-  void line(const std::string &Text) {
-    const std::lock_guard<std::mutex> Held(Guard);
-    write(Text, File);
-  }
+  void line(const std::string &Text) { Log.write("case", Text); }
 
   /// Writes a line that is shown, too.
   void say(const std::string &Text) {
-    const std::lock_guard<std::mutex> Held(Guard);
-    write(Text, File);
-    write(Text, stdout);
+    line(Text);
+    std::cout << Text << std::endl;
   }
 
   void count(const std::string &What) {
@@ -46,26 +34,13 @@
   void writeCounts() {
     const std::lock_guard<std::mutex> Held(Guard);
     for (const auto &[What, Number] : Counts)
-      write(std::to_string(Number) + " x " + What, File);
-  }
-
-  double seconds() const {
-    return std::chrono::duration<double>(std::chrono::steady_clock::now() -
-                                         Begin)
-        .count();
+      line(std::to_string(Number) + " x " + What);
   }
 
 private:
-  void write(const std::string &Text, std::FILE *To) const {
-    std::fprintf(To, "%8.3f s  %s\n", seconds(), Text.c_str());
-    std::fflush(To);
-  }
-
-  std::FILE *File;
+  review::Record &Log;
   std::mutex Guard;
   std::map<std::string, std::uint64_t> Counts;
-  std::chrono::steady_clock::time_point Begin =
-      std::chrono::steady_clock::now();
 };
 
 } // namespace review2
