--- a/review/5/Case.cpp
+++ b/review/5/Case.cpp
@@ -4,8 +4,7 @@
 /// replica receives nothing for 6 s, and then the order is carried out: does
 /// the promoted server have all acknowledged commits?
 ///
-/// TROUBLE=0 runs the same without these
-/// three.
+/// TROUBLE=0 runs the same without these three.
 
 #include "../standin-2/Client.h"
 #include "../standin-2/Database.h"
--- a/review/6/Case.cpp
+++ b/review/6/Case.cpp
@@ -4,8 +4,7 @@
 /// acknowledged, all other control hosts are killed, and two come back with
 /// empty disks: can the acknowledged desired state be read back?
 ///
-/// TROUBLE=0 runs the same without the
-/// replacement.
+/// TROUBLE=0 runs the same without the replacement.
 
 #include "../standin-2/Deployment.h"
 #include "../standin-2/Record.h"
--- a/review/8/Case.cpp
+++ b/review/8/Case.cpp
@@ -3,8 +3,7 @@
 /// that the desired state doesn't name, at the addresses of the servers. Are
 /// clients served again?
 ///
-/// TROUBLE=0 runs the same without these
-/// check-ins.
+/// TROUBLE=0 runs the same without these check-ins.
 
 #include "../standin-2/Client.h"
 #include "../standin-2/Database.h"
--- a/review/standin-2/Database.h
+++ b/review/standin-2/Database.h
@@ -467,6 +467,8 @@
           });
       if (Copies >= Options.SyncReplicas)
         return true;
+      if (To.Lines.isClosedByPeer())
+        return false;
       Changed.wait_for(Held, Ms(20));
     }
   }
--- a/review/standin-2/Wire.h
+++ b/review/standin-2/Wire.h
@@ -168,6 +168,11 @@
   bool write(const std::string &Bytes) const { return Carrier.write(Bytes); }
   void close() { Carrier.close(); }
 
+  bool isClosedByPeer() const {
+    char Next = 0;
+    return ::recv(Carrier.descriptor(), &Next, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+
   /// Reads the next line into \p Line.
   Socket::Outcome next(std::string &Line, Moment Until) {
     while (true) {
