--- a/review/5/Case.cpp
+++ b/review/5/Case.cpp
@@ -21,8 +21,8 @@
 
 namespace {
 
-constexpr int Writers = 12;
-constexpr int Readers = 6;
+constexpr int Writers = 15;
+constexpr int Readers = 10;
 
 /// Writes whose success a client has received.
 class Acknowledged {
@@ -86,9 +86,9 @@
 void disrupt(Database &Service, Record &Notes) {
   const std::size_t Leader = Service.primary().value_or(0);
   Notes.line("server " + std::to_string(Leader) +
-             ", the primary, is cut off from control and proxies 1 and 2");
+             ", the primary, is cut off from control and 3 of 5 proxies");
   Service.leaveOrderUnanswered(Ms(6000));
-  Service.cutOff(Leader, {1, 2});
+  Service.cutOff(Leader, {1, 2, 3});
   std::this_thread::sleep_for(Ms(1200));
   Service.cutOff(Leader, {});
   Notes.line("the cut ends");
@@ -131,6 +131,7 @@
   DeploymentOptions Wanted;
   Wanted.Program = Program;
   Wanted.Folder = Folder;
+  Wanted.Proxies = 5;
   Deployment System(Wanted);
   DatabaseOptions Shape;
   Shape.Servers = System.servers();
