Count targets that leave as a control leader begins

A drawn test with two synchronous replicas lost 134 acknowledged commits: a promotion passed over a replica that held them. Two targets had been replaced by empty ones, one of them while the leadership of control moved.

Cause: who left a group is found by comparing its targets with those of the check before, and a new leader's first check comes up to 50 ms after it begins to lead. A target whose successor reports within that time was never seen, so it was not counted as one without an answer.

The new test "A target replaced as a control leader begins still counts" forces the heartbeat into that moment; it failed before in all three checks (an order to b, which then led without the commits).

A new leader now takes the targets of the replicated state for the members of the check before.

--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -46,6 +46,8 @@
   MayBeStopped.clear();
   for (const TargetRecord &Each : Directory.all()) {
     if (!Each.IsGone && !Each.IsPrimary)
+    if (!Each.IsGone)
+      Groups[Each.Group].Quorum.addMember(Each);
       MayBeStopped.insert(Each.Id);
     if (!Each.IsGone && Each.IsPrimary) {
       Groups[Each.Group].LastPrimary = Each.Id;
--- a/Source/Steering/ReadQuorum.h
+++ b/Source/Steering/ReadQuorum.h
@@ -24,6 +24,9 @@
   /// Adds a target that left under an earlier leader; to be called before the
   /// first update.
   void addDeparted(const TargetRecord &Last);
+  /// Adds a target known from an earlier leader; to be called before the first
+  /// update, which may find that it has left.
+  void addMember(const TargetRecord &Last) { Members[Last.Id] = Last; }
   /// Updates the targets of the group and the number of synchronous replicas
   /// according to the plan. Until settle() is called, a target that left counts
   /// as one that may hold commits and does not answer.
--- a/Tests/Unit/SyncReplicaPromotionTest.cpp
+++ b/Tests/Unit/SyncReplicaPromotionTest.cpp
@@ -135,6 +135,29 @@
   CHECK(Setup.Fleet.leader()->state().targets().count("c") == 0);
 }
 
+TEST_CASE("A target replaced as a control leader begins still counts",
+          "[steering]") {
+  // Guards against a leader that learns of the replacement before its first
+  // check of the group, and so never counts the target that left.
+  SyncFleet Setup(1);
+  Setup.Deaf = {"b"};
+  Setup.run(Millis(1000));
+  Setup.crash("a");
+  Setup.crash("c");
+  Setup.replace("c");
+  FakeFleet &Fleet = Setup.Fleet;
+  const std::string Old = Fleet.leader()->leader();
+  for (auto &[Name, Each] : Fleet.Controls)
+    Each.Node->signalLeadership().connect([&Fleet](bool IsLeading) {
+      if (IsLeading)
+        Fleet.Loop.at(Fleet.Loop.now(), [&Fleet] { Fleet.sendHeartbeats(); });
+    });
+  Fleet.killControl(Old);
+  Setup.run(Millis(8000));
+  Setup.checkPrimaryReturns();
+  CHECK(Setup.Lost.empty());
+}
+
 TEST_CASE("Without synchronous replicas in the plan a group waits no longer",
           "[steering]") {
   // Guards against a group that stays without a primary although the operator
