End promotion orders whose answer is missing

Cause: control forgot an order without an answer, relying on the next order to have a higher token. If the primary works again there is no next order. After a restart of all control hosts nobody knew of it.

Orders are open in the replicated state until their end is known. A primary that an open order would displace is asked whether it leads and ordered to lead on, which the provider accepts without another effect; from then on it rejects the earlier order. The confirmation is repeated with its token until it is answered. With synchronous replicas the target of an open order receives again first, and the others once the order is void. 429 counts as an answer. Steps, an audited entry and a metric show open orders.

--- a/Source/App/SteeringMetrics.cpp
+++ b/Source/App/SteeringMetrics.cpp
@@ -216,5 +216,9 @@
   To.add("corianderdyke_lead_reliefs_total",
          static_cast<double>(From.Control->promotionCoordinator().reliefs()));
 }
+  for (const auto &[Group, Count] :
+       From.Control->promotionCoordinator().openOrders())
+    To.add("corianderdyke_promotion_open_orders", static_cast<double>(Count),
+           {{"group", Group}});
 
 } // namespace corianderdyke
--- a/Source/Operators/MetricSet.cpp
+++ b/Source/Operators/MetricSet.cpp
@@ -187,6 +187,10 @@
        "whose replicas lagged, on the leading control host."},
       {"corianderdyke_peer_sent_bytes_total", MetricType::Counter, "", "all",
        "Bytes sent to the system's other processes."},
+      {"corianderdyke_promotion_open_orders", MetricType::Gauge, "group",
+       "control",
+       "Targets that an order without a known end may still promote, on the "
+       "leading control host."},
       {"corianderdyke_peer_received_bytes_total", MetricType::Counter, "",
        "all", "Bytes received from the system's other processes."},
       {"corianderdyke_peer_rejected_total", MetricType::Counter, "", "all",
--- a/Source/Steering/Ports.h
+++ b/Source/Steering/Ports.h
@@ -40,8 +40,9 @@
 class PromotionPort {
 public:
   enum class Result : std::uint8_t {
-    Accepted, ///< The target is about to lead.
+    Accepted, ///< The target leads or is about to.
     Rejected, ///< A later order is known, or the target does not run.
+    Deferred, ///< Too many requests: not executed, to be sent again.
     Unknown,  ///< No answer; the order may still be executed.
   };
   using OnResult = std::function<void(Result)>;
@@ -49,7 +50,8 @@
   virtual ~PromotionPort() = default;
 
   /// \p Token rises with each order; an order with a lower token than an
-  /// earlier one is rejected.
+  /// earlier one is rejected, also if it is executed late. An order for the
+  /// present primary is accepted and changes nothing else.
   virtual void promote(const std::string &Group, const std::string &Target,
                        std::uint64_t Token, OnResult Handler) = 0;
 };
--- a/Source/Steering/PromotionCoordinator.cpp
+++ b/Source/Steering/PromotionCoordinator.cpp
@@ -23,10 +23,10 @@
 } // namespace
 
 PromotionCoordinator::PromotionCoordinator(
-    Clock &Time, const TargetDirectory &Directory, TargetCommandPort &Commands,
-    PromotionPort &Promotions, Propose OnPropose, std::string Holder,
-    PromotionTimes Times)
-    : Time(Time), Directory(Directory), Commands(Commands),
+    Clock &Time, const TargetDirectory &Directory, const OpenOrders &Orders,
+    TargetCommandPort &Commands, PromotionPort &Promotions, Propose OnPropose,
+    std::string Holder, PromotionTimes Times)
+    : Time(Time), Directory(Directory), Orders(Orders), Commands(Commands),
       Promotions(Promotions), OnPropose(std::move(OnPropose)),
       Holder(std::move(Holder)), Times(Times) {}
 
@@ -37,6 +37,7 @@
   for (auto &[Name, Each] : Groups) {
     Each.Quorum = ReadQuorum();
     Each.Awaited.clear();
+    Each.Confirming = {.Attempt = Each.Confirming.Attempt + 1};
     resumeWatching(Each, Millis(0));
   }
   for (const TargetRecord &Each : Departed)
@@ -45,9 +46,9 @@
   StalenessVersion = 0;
   MayBeStopped.clear();
   for (const TargetRecord &Each : Directory.all()) {
-    if (!Each.IsGone && !Each.IsPrimary)
     if (!Each.IsGone)
       Groups[Each.Group].Quorum.addMember(Each);
+    if (!Each.IsGone && !Each.IsPrimary)
       MayBeStopped.insert(Each.Id);
     if (!Each.IsGone && Each.IsPrimary) {
       Groups[Each.Group].LastPrimary = Each.Id;
@@ -158,6 +159,7 @@
   for (const GroupPolicy &Each : Plan.Groups) {
     Group &In = Groups[Each.Name];
     In.SyncReplicas = Each.SyncReplicas;
+    updateRivals(Each.Name, In);
     In.Quorum.update(In.SyncReplicas == 0 ? std::vector<TargetRecord>()
                                           : Directory.ofGroup(Each.Name),
                      In.SyncReplicas);
@@ -184,6 +186,7 @@
     Step.emit(Name, "promoted",
               In.Successor + " leads after " +
                   std::to_string((Now - In.ChangeBeganAt).count()) + " ms");
+    recordTakeover(Name, In);
     In.Failures.clear();
     In.Awaited.clear();
     return resumeWatching(In, Millis(0));
@@ -247,6 +250,7 @@
   if (!Reported && !IsSilent) {
     if (Reached > 0 || Directory.lastUpdate(Primary->Id) > In.ChangeBeganAt)
       abandonChange(Name, In, *Primary);
+    considerConfirmation(Name, In, *Primary);
     considerSettling(Name, In, *Primary);
     return considerRelief(Name, In, *Primary);
   }
@@ -444,26 +448,6 @@
                   });
 }
 
-void PromotionCoordinator::resumeReceiving(Group &In) {
-  for (const std::string &Id : std::exchange(In.StoppedReplicas, {}))
-    if (const TargetRecord *Known = Directory.find(Id))
-      Commands.send(
-          addressOf(*Known), TargetCommand::Kind::ResumeReceiving, 0,
-          Times.QueryTimeout,
-          [this, Each = *Known](const Expected<TargetStatus> &Answer) {
-            handleResumeAnswer(Each, Answer);
-          });
-}
-
-// A replica whose answer is missing may still be stopped. The order is repeated
-// while no change is under way; a replica that restarts receives by itself.
-void PromotionCoordinator::handleResumeAnswer(
-    const TargetRecord &Replica, const Expected<TargetStatus> &Answer) {
-  const bool HasEnded = !Answer && Answer.error().Code == ErrorCode::NotFound;
-  if (IsActive && !Answer && !HasEnded && isSameIncarnation(Replica))
-    Groups[Replica.Group].StoppedReplicas.insert(Replica.Id);
-}
-
 void PromotionCoordinator::chooseSuccessor(const std::string &Name) {
   Group &In = Groups[Name];
   if (In.Relief)
@@ -525,62 +509,4 @@
   Failed.RetryAt = Time.now() + Failed.Pause;
 }
 
-void PromotionCoordinator::proposePromotion(const std::string &Name,
-                                            const std::string &Target) {
-  Group &In = Groups[Name];
-  enter(In, Stage::Ordering);
-  In.Successor = Target;
-  std::string Positions;
-  for (const auto &[Id, Each] : In.Statuses)
-    Positions += (Positions.empty() ? "" : ", ") + Id + " has " +
-                 std::to_string(Each.Received.Term) + "." +
-                 std::to_string(Each.Received.Number);
-  for (const TargetRecord &Each : candidates(Name))
-    if (!In.Relief && In.Statuses.count(Each.Id) == 0)
-      Positions += ", " + Each.Id + " did not answer";
-  const std::string Why = In.Reason + "; " + Positions;
-  Step.emit(Name, "promotion-ordered", Target + ": " + Why);
-  const TargetRecord *Known = Directory.find(Target);
-  const std::uint64_t Incarnation = Known == nullptr ? 0 : Known->Incarnation;
-  OnPropose({Name, Target, Holder, Why},
-            [this, Name, Target, Incarnation,
-             Round = In.Round](std::optional<std::uint64_t> Token) {
-              if (!isCurrent(Name, Round, Stage::Ordering))
-                return;
-              // A target that has restarted since the query no longer has the
-              // log for which it was selected.
-              const TargetRecord *Now = Directory.find(Target);
-              const bool IsSame =
-                  Now != nullptr && Now->Incarnation == Incarnation;
-              if (!Token || !IsSame)
-                return resumeWatching(Groups[Name], AttemptPause);
-              sendPromotion(Name, Target, *Token);
-            });
-}
-
-void PromotionCoordinator::sendPromotion(const std::string &Name,
-                                         const std::string &Target,
-                                         std::uint64_t Token) {
-  Group &In = Groups[Name];
-  enter(In, Stage::Awaiting);
-  Promotions.promote(
-      Name, Target, Token,
-      [this, Name, Target, Round = In.Round](PromotionPort::Result Result) {
-        if (!isCurrent(Name, Round, Stage::Awaiting))
-          return;
-        Group &Current = Groups[Name];
-        if (Result == PromotionPort::Result::Accepted)
-          return;
-        Step.emit(Name, "promotion-refused",
-                  Target + (Result == PromotionPort::Result::Rejected
-                                ? ": rejected"
-                                : ": no answer"));
-        if (Result == PromotionPort::Result::Rejected)
-          recordFailure(Current, Target);
-        // An unanswered order may still be executed. The next order has a
-        // higher token, so it prevails in either order of arrival.
-        resumeWatching(Current, AttemptPause);
-      });
-}
-
 } // namespace corianderdyke
--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -15,6 +15,11 @@
 /// acknowledged commits without it, and once it answers it may be ordered
 /// again.
 ///
+/// An order without an answer may be executed seconds later. If the primary
+/// works again meanwhile, it is ordered to lead on: that changes nothing, but
+/// rejects the earlier order. Until then the target of the open order receives
+/// every commit that is acknowledged.
+///
 /// The class is driven by ticks and answers; its owner executes its requests.
 
 #ifndef CORIANDERDYKE_STEERING_PROMOTIONCOORDINATOR_H
@@ -28,6 +33,7 @@
 #include <functional>
 #include <set>
 #include <sigc++/sigc++.h>
+#include <variant>
 
 namespace corianderdyke {
 
@@ -46,6 +52,8 @@
   /// If the effect of a promotion is not observed within this time, another
   /// attempt follows.
   Millis PromotionTimeout = Millis(2500);
+  /// Time from the acceptance of an order until its target leads.
+  Millis TakeoverTime = Millis(1000);
   /// How long a planned change waits until its successor has the whole log.
   Millis CatchUpTimeout = Millis(1500);
   /// Pause between two queries while a successor catches up.
@@ -55,17 +63,21 @@
   Millis StartupGracePeriod = Millis(2500);
 };
 
+using PromotionCommand = std::variant<OrderPromotion, EndPromotion>;
+
 class PromotionCoordinator : public sigc::trackable {
 public:
-  /// Proposes the order to the control group. Runs the handler with the fencing
-  /// token once the order is committed, or with nothing if it is not.
+  /// Proposes the command to the control group. Runs the handler with its index
+  /// once it is committed, or with nothing if it is not. The index of an order
+  /// is its fencing token.
   using Propose = std::function<void(
-      OrderPromotion, std::function<void(std::optional<std::uint64_t>)>)>;
+      PromotionCommand, std::function<void(std::optional<std::uint64_t>)>)>;
 
+  /// \p Orders are those of the replicated state.
   PromotionCoordinator(Clock &Time, const TargetDirectory &Directory,
-                       TargetCommandPort &Commands, PromotionPort &Promotions,
-                       Propose OnPropose, std::string Holder,
-                       PromotionTimes Times = {});
+                       const OpenOrders &Orders, TargetCommandPort &Commands,
+                       PromotionPort &Promotions, Propose OnPropose,
+                       std::string Holder, PromotionTimes Times = {});
 
   /// Starts as a new leader and abandons changes of an earlier leadership.
   /// \p Departed are the targets that left and for which countsDeparted() was
@@ -86,6 +98,9 @@
                       const std::vector<GroupPressure> &Counts);
   /// Number of targets whose answers a change of primary waits for, by group.
   std::map<std::string, std::size_t> awaitedTargets() const;
+  /// Number of targets that an open order may promote in place of the present
+  /// primary, by group.
+  std::map<std::string, std::size_t> openOrders() const;
   /// Number of reliefs begun by this process, for metrics.
   std::uint64_t reliefs() const { return Reliefs; }
   /// Must be called every few tens of milliseconds while leading.
@@ -120,6 +135,18 @@
     Millis RetryAt; ///< Not ordered again before, with synchronous replicas.
   };
 
+  /// Orders the present primary to lead on, which ends earlier orders. Works
+  /// independently of the stages: another change has a higher token.
+  struct Confirmation {
+    std::string Primary = {};
+    std::uint64_t Incarnation = 0;
+    std::uint64_t Token = 0;   ///< 0 until the order is committed.
+    bool IsUnderWay = false;   ///< A query or the order awaits its answer.
+    std::uint64_t Attempt = 0; ///< Answers to earlier attempts are ignored.
+    Millis NextAt = {};
+    Millis Pause = {}; ///< From an order without an answer to the next one.
+  };
+
   struct Group {
     Stage CurrentStage = Stage::Watching;
     std::uint64_t Round = 0; ///< Answers of earlier rounds are ignored.
@@ -129,6 +156,7 @@
     std::string Reason;
     std::string OldPrimary;
     std::string Successor;
+    std::uint64_t SuccessorToken = 0; ///< Of the order, while awaiting.
     /// The primary at the last check of the group, and its incarnation.
     std::string LastPrimary;
     std::uint64_t LastPrimaryIncarnation = 0;
@@ -150,6 +178,11 @@
     std::set<std::string> Awaited;
     Millis NextSettlingAt;
     std::set<std::string> StoppedReplicas; ///< Ordered to stop receiving.
+    Confirmation Confirming;
+    /// Targets that must receive every acknowledged commit, because an order
+    /// that names them may be executed, and until when at least.
+    std::set<std::string> Rivals;
+    Millis RivalsUntil = Millis(-1000000);
     std::optional<Millis> NextQueryAt;
     Millis RetryAt;
     /// The smallest accepted age of reads that replicas may serve, according to
@@ -198,9 +231,6 @@
   void queryPositions(const std::string &Name);
   void scheduleQuery(Group &In);
   void stopReceiving(const std::string &Name);
-  void resumeReceiving(Group &In);
-  void handleResumeAnswer(const TargetRecord &Replica,
-                          const Expected<TargetStatus> &Answer);
   void queryAll(const std::string &Name, const std::vector<TargetRecord> &All,
                 TargetCommand::Kind What, std::uint64_t Term);
   void chooseSuccessor(const std::string &Name);
@@ -208,13 +238,31 @@
   std::string longestLog(const Group &In) const;
   /// Orders a target that failed again only after a growing pause.
   void recordFailure(Group &In, const std::string &Target) const;
-  void proposePromotion(const std::string &Name, const std::string &Target);
-  void sendPromotion(const std::string &Name, const std::string &Target,
-                     std::uint64_t Token);
   void checkProgress(const std::string &Name, Group &In);
   void enter(Group &In, Stage Next);
   void resumeWatching(Group &In, Millis Pause);
 
+  // Orders and their ends, in PromotionOrders.cpp.
+  void proposePromotion(const std::string &Name, const std::string &Target);
+  void sendPromotion(const std::string &Name, const std::string &Target,
+                     std::uint64_t Token);
+  /// Records the end of an order if its result tells it.
+  void recordEnd(const std::string &Name, std::uint64_t Token,
+                 PromotionPort::Result Result);
+  void recordTakeover(const std::string &Name, const Group &In);
+  void considerConfirmation(const std::string &Name, Group &In,
+                            const TargetRecord &Primary);
+  void orderConfirmation(const std::string &Name, const TargetRecord &Primary);
+  void sendConfirmation(const std::string &Name);
+  bool isConfirming(const std::string &Name, std::uint64_t Attempt) const;
+  void retryConfirmation(const std::string &Name, Millis Pause);
+  void updateRivals(const std::string &Name, Group &In);
+  /// The stopped replicas that may receive again now.
+  std::set<std::string> resumable(const Group &In) const;
+  void resumeReceiving(Group &In);
+  void handleResumeAnswer(const TargetRecord &Replica,
+                          const Expected<TargetStatus> &Answer);
+
   // Who must answer with synchronous replicas, in PromotionQuorum.cpp.
   /// Ends the attempt and returns true if targets that did not answer may hold
   /// acknowledged commits that the others lack.
@@ -251,6 +299,7 @@
 
   Clock &Time;
   const TargetDirectory &Directory;
+  const OpenOrders &Orders;
   TargetCommandPort &Commands;
   PromotionPort &Promotions;
   Propose OnPropose;
--- a/Source/Steering/ReplicatedState.cpp
+++ b/Source/Steering/ReplicatedState.cpp
@@ -4,6 +4,8 @@
 
 #include "Steering/ReplicatedState.h"
 
+#include "Common/Codec.h"
+
 namespace corianderdyke {
 
 TargetRecord departedRecord(TargetRecord Last) {
@@ -85,6 +87,7 @@
 }
 
 bool ReplicatedState::on(const OrderPromotion &Body, AuditRecord &Record) {
+  Orders.add(Body.Group, Body.Target, Record.Revision);
   Record.Actor = Body.Holder;
   Record.Action = "promotion-ordered";
   Record.Subject = Body.Group;
@@ -93,4 +96,36 @@
   return true;
 }
 
+bool ReplicatedState::on(const EndPromotion &Body, AuditRecord &Record) {
+  Record.Actor = "control";
+  Record.Action = "promotion-ended";
+  Record.Subject = Body.Group;
+  Record.From = "token " + std::to_string(Body.Token);
+  Record.To = Body.IsAccepted ? "accepted" : "rejected";
+  if (Body.IsAccepted)
+    Orders.endUpTo(Body.Group, Body.Token);
+  else
+    Orders.endOne(Body.Group, Body.Token);
+  return true;
+}
+
+struct ReplicatedState::EarlierLayout {
+  ReplicatedState State;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(State.Plan, State.Targets, State.Proxies, State.Seats, State.Audit);
+  }
+};
+
+Expected<ReplicatedState>
+ReplicatedState::restore(const std::string &Snapshot) {
+  auto Current = decode<ReplicatedState>(Snapshot);
+  if (Current)
+    return Current;
+  auto Earlier = decode<EarlierLayout>(Snapshot);
+  if (!Earlier)
+    return tl::unexpected(Current.error());
+  return std::move(Earlier->State);
+}
+
 } // namespace corianderdyke
--- a/Source/Steering/ReplicatedState.h
+++ b/Source/Steering/ReplicatedState.h
@@ -11,6 +11,7 @@
 #include "Quota/SeatLedger.h"
 #include "Relay/GatewayTable.h"
 #include "State/ControlState.h"
+#include "Steering/OpenOrders.h"
 
 #include <map>
 #include <variant>
@@ -26,7 +27,8 @@
 };
 
 /// Orders the promotion of a target. The entry's index is the fencing token of
-/// the order: later orders of any holder have higher tokens.
+/// the order: later orders of any holder have higher tokens. The order is open
+/// until an EndPromotion.
 struct OrderPromotion {
   std::string Group;
   std::string Target;
@@ -39,6 +41,19 @@
   }
 };
 
+/// Records that the order with the token Token cannot be executed any more.
+struct EndPromotion {
+  std::string Group;
+  std::uint64_t Token = 0;
+  /// Ends the earlier orders of the group too, because they are fenced off.
+  bool IsAccepted = false;
+
+  bool operator==(const EndPromotion &) const = default;
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(Group, Token, IsAccepted);
+  }
+};
+
 /// Records changes in targets' heartbeats, beyond their sequence numbers. A
 /// leader that starts after all processes were down reads the targets from this
 /// record. A target that left but may hold commits that too few others hold is
@@ -76,7 +91,7 @@
 struct ReplicatedCommand {
   Millis WallTime; ///< For display only.
   std::variant<AcceptPlan, OrderPromotion, RecordTargets, RecordProxies,
-               RecordQuotaSeats>
+               RecordQuotaSeats, EndPromotion>
       Body;
 
   bool operator==(const ReplicatedCommand &) const = default;
@@ -88,6 +103,10 @@
   /// Applies the entry at \p Index; returns true if it changed the state.
   bool apply(std::uint64_t Index, const ReplicatedCommand &Command);
 
+  /// The state in a snapshot. Snapshots of hosts that did not record open
+  /// orders are read too.
+  static Expected<ReplicatedState> restore(const std::string &Snapshot);
+
   const RoutePlan &plan() const { return Plan; }
   /// Targets that are not gone or count as departed, as last recorded.
   const std::map<std::string, TargetRecord> &targets() const { return Targets; }
@@ -97,15 +116,21 @@
   const SeatAssignments &seats() const { return Seats; }
   /// Changes in order; the oldest are dropped beyond MaxAuditRecords.
   const std::vector<AuditRecord> &audit() const { return Audit; }
+  /// Promotions that were ordered and may still be executed.
+  const OpenOrders &openOrders() const { return Orders; }
 
   bool operator==(const ReplicatedState &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
-    Ar(Plan, Targets, Proxies, Seats, Audit);
+    Ar(Plan, Targets, Proxies, Seats, Audit, Orders);
   }
 
 private:
+  /// The layout without open orders.
+  struct EarlierLayout;
+
   bool on(const AcceptPlan &Body, AuditRecord &Record);
   bool on(const OrderPromotion &Body, AuditRecord &Record);
+  bool on(const EndPromotion &Body, AuditRecord &Record);
   bool on(const RecordTargets &Body, AuditRecord &Record);
   bool on(const RecordProxies &Body, AuditRecord &Record);
   bool on(const RecordQuotaSeats &Body, AuditRecord &Record);
@@ -119,6 +144,7 @@
   std::map<std::string, ProxyRecord> Proxies;
   SeatAssignments Seats;
   std::vector<AuditRecord> Audit;
+  OpenOrders Orders;
 };
 
 } // namespace corianderdyke
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -45,10 +45,15 @@
     : Options(std::move(Given)), Deps(Deps),
       Agreement(consensusOptions(Options), Log, Seed),
       Coordinator(
-          Deps.Time, Directory, Deps.TargetCommands, Deps.Promotions,
-          [this](OrderPromotion Body, CommitHandler OnDone) {
-            propose({this->Deps.Time.wallTime(), std::move(Body)},
-                    std::move(OnDone));
+          Deps.Time, Directory, State.openOrders(), Deps.TargetCommands,
+          Deps.Promotions,
+          [this](PromotionCommand Body, CommitHandler OnDone) {
+            std::visit(
+                [&](auto &Each) {
+                  propose({this->Deps.Time.wallTime(), std::move(Each)},
+                          std::move(OnDone));
+                },
+                Body);
           },
           Options.ProcessName),
       ReplayEndIndex(Log.lastIndex()), IsReplayed(ReplayEndIndex == 0) {
@@ -247,7 +252,7 @@
 
 void SteeringNode::applyOutputs(ConsensusOutputs Outputs) {
   if (Outputs.RestoredState) {
-    auto Restored = decode<ReplicatedState>(*Outputs.RestoredState);
+    auto Restored = ReplicatedState::restore(*Outputs.RestoredState);
     if (!Restored)
       return Failed.emit(Restored.error());
     State = std::move(*Restored);
--- a/Tests/Support/FakeFleet.h
+++ b/Tests/Support/FakeFleet.h
@@ -77,7 +77,7 @@
     });
   }
 
-  void promote(const std::string &, const std::string &Target,
+  void promote(const std::string &Group, const std::string &Target,
                std::uint64_t Token, OnResult Handler) override {
     Orders.push_back({Target, Token});
     if (OnOrder)
@@ -88,25 +88,48 @@
               [Handler] { Handler(Result::Unknown); });
       return;
     }
+    if (LateOrders > 0) {
+      --LateOrders;
+      Loop.at(Loop.now() + Millis(1000),
+              [Handler] { Handler(Result::Unknown); });
+      Loop.at(Loop.now() + LateBy,
+              [this, Group, Target, Token] { execute(Group, Target, Token); });
+      return;
+    }
+    if (DeferredOrders > 0) {
+      --DeferredOrders;
+      Loop.at(Loop.now() + Millis(2), [Handler] { Handler(Result::Deferred); });
+      return;
+    }
     const Millis Late = NextPromotionDelay;
     NextPromotionDelay = Millis(0);
-    Loop.at(Loop.now() + Millis(2) + Late, [this, Target, Token, Handler] {
+    Loop.at(Loop.now() + Millis(2) + Late, [this, Group, Target, Token,
+                                            Handler] {
       const bool IsRefused = RefusedOrders > 0;
       RefusedOrders -= IsRefused ? 1 : 0;
-      if (IsRefused || Token < HighestToken || !Targets[Target].IsUp)
-        return Handler(Result::Rejected);
-      HighestToken = Token;
-      if (PromotionTime == Millis(0))
-        lead(Target);
-      else
-        Loop.at(Loop.now() + PromotionTime, [this, Target, Token] {
-          if (Token == HighestToken && Targets[Target].IsUp)
-            lead(Target);
-        });
-      Handler(Result::Accepted);
+      Handler(!IsRefused && execute(Group, Target, Token) ? Result::Accepted
+                                                          : Result::Rejected);
     });
   }
 
+  /// Checks the token when the order is executed. The present primary leads on.
+  bool execute(const std::string &Group, const std::string &Target,
+               std::uint64_t Token) {
+    if (Token < HighestTokens[Group] || !Targets[Target].IsUp)
+      return false;
+    HighestTokens[Group] = Token;
+    if (Targets[Target].IsPrimary)
+      return true;
+    if (PromotionTime == Millis(0))
+      lead(Target);
+    else
+      Loop.at(Loop.now() + PromotionTime, [this, Group, Target, Token] {
+        if (Token == HighestTokens[Group] && Targets[Target].IsUp)
+          lead(Target);
+      });
+    return true;
+  }
+
   void lead(const std::string &Target) {
     for (auto &[Id, Each] : Targets)
       if (Each.Group == Targets[Target].Group)
@@ -123,12 +146,16 @@
   FakeLoop &Loop;
   std::map<std::string, Target> Targets;
   std::vector<Order> Orders;
-  std::uint64_t HighestToken = 0;
+  std::map<std::string, std::uint64_t> HighestTokens; ///< By group.
   std::size_t StepDowns = 0;
   Millis NextPromotionDelay;
   Millis PromotionTime; ///< From the acceptance of an order to its effect.
   std::size_t RefusedOrders = 0; ///< Further orders that are rejected.
   std::size_t DroppedOrders = 0; ///< Further orders that are lost.
+  /// Further orders that get no answer and are executed after LateBy.
+  std::size_t LateOrders = 0;
+  Millis LateBy = Millis(6000);
+  std::size_t DeferredOrders = 0; ///< Further orders that are not executed.
   std::function<void(const std::string &)> OnOrder;
   std::function<void(const std::string &)> OnPromoted;
 };
