Acknowledge a repeated plan only once it is durable

The first send was held back until the group bears the loss, as it should; the operator's second send was acknowledged at once, because its version was in force. The same held for a new leader.

After 5 s the answer is 503, which operators repeat.

--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -19,8 +19,6 @@
 /// Interval of the checks of groups and subscribers while leading.
 constexpr Millis WatchInterval(50);
 constexpr std::size_t CompactAtBytes = 4U << 20U;
-/// Time within which all hosts of a new system have started and joined.
-constexpr Millis FormationTimeout(5000);
 
 ConsensusOptions consensusOptions(const SteeringOptions &From) {
   ConsensusOptions Out;
@@ -34,10 +32,6 @@
   return Out;
 }
 
-tl::unexpected<Error> notLeading() {
-  return fail(ErrorCode::Unavailable, "this control host doesn't lead");
-}
-
 } // namespace
 
 SteeringNode::SteeringNode(SteeringOptions Given, SteeringDependencies Deps,
@@ -104,23 +98,6 @@
 
 // Operators and targets.
 
-void SteeringNode::acceptPlan(RoutePlan Plan, DoneHandler OnDone) {
-  if (!Leading)
-    return OnDone(notLeading());
-  // A superseded or repeated plan has no effect.
-  if (Plan.Version <= State.plan().Version)
-    return OnDone({});
-  propose({Deps.Time.wallTime(), AcceptPlan{std::move(Plan)}},
-          [OnDone](std::optional<std::uint64_t> Index) {
-            if (Index)
-              OnDone({});
-            else
-              OnDone(fail(ErrorCode::Unavailable,
-                          "leadership moved before the change was kept; send "
-                          "it again"));
-          });
-}
-
 void SteeringNode::readPlan(PlanHandler OnRead) {
   awaitReadBarrier([this, OnRead](const Expected<void> &Done) {
     if (Done)
@@ -133,7 +110,7 @@
 void SteeringNode::applyHeartbeat(const TargetRecord &Reported,
                                   DoneHandler OnDone) {
   if (!Leading)
-    return OnDone(notLeading());
+    return OnDone(notLeadingError());
   const TargetRecord *Known = Directory.find(Reported.Id);
   const bool IsPromise =
       Reported.IsLeaving && (Known == nullptr || !Known->IsLeaving ||
@@ -151,7 +128,7 @@
 void SteeringNode::deregister(const std::string &Target,
                               std::uint64_t Incarnation, DoneHandler OnDone) {
   if (!Leading)
-    return OnDone(notLeading());
+    return OnDone(notLeadingError());
   Directory.deregister(Target, Incarnation, Deps.Time.now());
   publish();
   OnDone({});
@@ -215,14 +192,6 @@
 
 // Consensus.
 
-void SteeringNode::propose(ReplicatedCommand Command, CommitHandler OnDone) {
-  const auto Index = Agreement.propose(encode(Command), Deps.Time.now());
-  if (!Index)
-    return OnDone(std::nullopt);
-  Changes[*Index] = {Agreement.term(), false, std::move(OnDone)};
-  processOutputs();
-}
-
 void SteeringNode::processOutputs() {
   if (IsProcessingOutputs)
     return;
@@ -257,6 +226,7 @@
       return Failed.emit(Restored.error());
     State = std::move(*Restored);
     AppliedIndex = Agreement.log().snapshotIndex();
+    PlanIndex = AppliedIndex;
     checkReplayed();
   }
   for (const Entry &Each : Outputs.Committed) {
@@ -287,6 +257,8 @@
     const std::uint64_t Before = State.plan().Version;
     if (State.apply(Done.Index, *Command) && Done.Index > ReplayEndIndex)
       Audited.emit(State.audit().back());
+    if (State.plan().Version != Before)
+      PlanIndex = Done.Index;
     if (Leading && State.plan().Version != Before)
       for (auto &[Id, Each] : Subscribers) {
         Each.PlanSentAt = Millis(-1000000);
@@ -305,40 +277,8 @@
   OnDone(std::nullopt);
 }
 
-bool SteeringNode::isDurable(std::uint64_t Index) const {
-  if (Agreement.survivesDiskLoss(Index, Options.ToleratedDiskLosses))
-    return true;
-  // A system with fewer hosts than the setting requires cannot tolerate that
-  // loss at all, and its changes must not wait forever.
-  const std::size_t MaxLosses = (Agreement.voters().size() - 1) / 2;
-  return Deps.Time.now() - LeadingSince > FormationTimeout &&
-         MaxLosses < Options.ToleratedDiskLosses &&
-         Agreement.survivesDiskLoss(Index, MaxLosses);
-}
-
-void SteeringNode::finishChanges() {
-  for (auto Each = Changes.begin(); Each != Changes.end();) {
-    if (!Each->second.IsCommitted || !isDurable(Each->first)) {
-      ++Each;
-      continue;
-    }
-    const std::uint64_t Index = Each->first;
-    const CommitHandler OnDone = std::move(Each->second.OnDone);
-    Each = Changes.erase(Each);
-    OnDone(Index);
-    // The handler may have proposed another change.
-    Each = Changes.upper_bound(Index);
-  }
-}
-
-void SteeringNode::failChanges() {
-  const auto Waiting = std::exchange(Changes, {});
-  for (const auto &[Index, Change] : Waiting)
-    Change.OnDone(std::nullopt);
-}
-
 void SteeringNode::updateLeadership() {
-  if (!Agreement.isLeader() && !Changes.empty())
+  if (!Agreement.isLeader())
     failChanges();
   if (Agreement.isReadyLeader() == Leading)
     return;
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -40,6 +40,9 @@
   PromotionPort &Promotions;
 };
 
+/// The error of requests that only the leader serves.
+tl::unexpected<Error> notLeadingError();
+
 class SteeringNode : public sigc::trackable {
 public:
   /// The plan in force when the handler runs, or Unavailable.
@@ -54,7 +57,8 @@
   void start();
 
   /// Puts a plan in force; succeeds without effect if its version is not higher
-  /// than the current one. The caller has validated it.
+  /// than the current one. Done once the plan in force survives the tolerated
+  /// loss of disks, also if it was sent before. The caller has validated it.
   void acceptPlan(RoutePlan Plan, DoneHandler OnDone);
   /// Reads through the quorum.
   void readPlan(PlanHandler OnRead);
@@ -110,6 +114,13 @@
     CommitHandler OnDone;
   };
 
+  /// A plan that was sent again and waits until the one in force is durable.
+  struct RepeatedPlan {
+    std::uint64_t Index = 0;
+    Millis Since;
+    DoneHandler OnDone;
+  };
+
   struct Subscriber {
     Endpoint Address;
     Millis LastContact;
@@ -166,6 +177,8 @@
   void checkReplayed();
   void propose(ReplicatedCommand Command, CommitHandler OnDone);
   void finishChanges();
+  void awaitPlan(DoneHandler OnDone);
+  void finishRepeatedPlans();
   void failChanges();
   void updateLeadership();
   void checkConsensusStatus();
@@ -209,6 +222,8 @@
   bool IsStopping = false;
   bool IsProcessingOutputs = false;
   std::uint64_t AppliedIndex = 0;
+  /// Of the entry that put the plan in force, or of the snapshot that holds it.
+  std::uint64_t PlanIndex = 0;
   /// The last entry on the disk at the start. signalAudited is not emitted for
   /// entries up to it: otherwise readers of the logs would see, at each
   /// restart, one change per target and plan that nobody made.
@@ -220,6 +235,7 @@
   std::uint64_t RecordedRevision = 0; ///< Recorded revision of the directory.
   bool IsRecordingProxies = false;
   std::map<std::uint64_t, PendingChange> Changes;
+  std::vector<RepeatedPlan> RepeatedPlans;
   ReadBarriers Barriers;
   std::map<ProcessId, Subscriber> Subscribers;
   std::map<ProcessId, WaitingSubscribe> WaitingRequests;
