Confirm the leadership for each report of a leaving target

A target that reports that it is leaving takes the answer as a promise that it soon gets no new statements. A leader that was cut off from the other control hosts held back the answer to the first report, but not to the next one: 1.2 s later the target was acknowledged while proxies kept using it.

Cause: the promise was recognised by a change of the record, and the first report had made that change. The leader now remembers which targets it has acknowledged in this leadership, and confirms it for all others.

The window ends when the leader notices the loss of its quorum. "A partitioned control host acknowledges no repeated leave either" failed before (reports every 50 ms) and passes.

--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -111,18 +111,23 @@
                                   DoneHandler OnDone) {
   if (!Leading)
     return OnDone(notLeadingError());
-  const TargetRecord *Known = Directory.find(Reported.Id);
-  const bool IsPromise =
-      Reported.IsLeaving && (Known == nullptr || !Known->IsLeaving ||
-                             Known->Incarnation < Reported.Incarnation);
   Directory.applyHeartbeat(Reported, Deps.Time.now());
   publish();
   // The target takes the answer as a promise that it soon gets no new
   // statements. A leader that is partitioned from the other control hosts, and
-  // with them from most proxies, cannot keep this promise.
-  if (IsPromise)
-    return awaitReadBarrier(OnDone);
-  OnDone({});
+  // with them from most proxies, cannot keep this promise, also if the target
+  // reports again.
+  const auto Confirmed = ConfirmedLeaving.find(Reported.Id);
+  if (!Reported.IsLeaving || (Confirmed != ConfirmedLeaving.end() &&
+                              Confirmed->second == Reported.Incarnation))
+    return OnDone({});
+  awaitReadBarrier(
+      [this, OnDone, Id = Reported.Id,
+       Incarnation = Reported.Incarnation](const Expected<void> &Done) {
+        if (Done)
+          ConfirmedLeaving[Id] = Incarnation;
+        OnDone(Done);
+      });
 }
 
 void SteeringNode::deregister(const std::string &Target,
@@ -130,6 +135,7 @@
   if (!Leading)
     return OnDone(notLeadingError());
   Directory.deregister(Target, Incarnation, Deps.Time.now());
+  ConfirmedLeaving.erase(Target);
   publish();
   OnDone({});
 }
@@ -283,6 +289,7 @@
   if (Agreement.isReadyLeader() == Leading)
     return;
   Leading = Agreement.isReadyLeader();
+  ConfirmedLeaving.clear();
   LeadingSince = Deps.Time.now();
   Subscribers.clear();
   Proxies.startTerm(State.proxies(), LeadingSince);
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -237,6 +237,9 @@
   std::map<std::uint64_t, PendingChange> Changes;
   std::vector<RepeatedPlan> RepeatedPlans;
   ReadBarriers Barriers;
+  /// Leaving targets that were acknowledged in this leadership, and their
+  /// incarnations.
+  std::map<std::string, std::uint64_t> ConfirmedLeaving;
   std::map<ProcessId, Subscriber> Subscribers;
   std::map<ProcessId, WaitingSubscribe> WaitingRequests;
   ProxyList Proxies;
--- a/Tests/Unit/SteeringTest.cpp
+++ b/Tests/Unit/SteeringTest.cpp
@@ -78,6 +78,28 @@
   CHECK_FALSE(Acknowledged);
 }
 
+TEST_CASE("A partitioned control host acknowledges no repeated leave either",
+          "[steering]") {
+  // Guards against an acknowledgement that the target gets because it reports
+  // again.
+  ReadyFleet Setup;
+  FakeFleet &Fleet = Setup.Fleet;
+  const std::string Old = Fleet.leader()->leader();
+  for (const std::string &Other : Fleet.Names)
+    Fleet.Net.cutBoth(Old, Other);
+  TargetRecord Report = *Fleet.leader()->directory().find("b");
+  Report.IsLeaving = true;
+  std::size_t Acknowledged = 0;
+  for (Report.Sequence = 1000; Report.Sequence < 1020; ++Report.Sequence) {
+    Fleet.Controls[Old].Node->applyHeartbeat(
+        Report, [&](const Expected<void> &Done) {
+          Acknowledged += Done.has_value() ? 1 : 0;
+        });
+    Fleet.Loop.runFor(Millis(50));
+  }
+  CHECK(Acknowledged == 0);
+}
+
 TEST_CASE("A leader knows the targets at once after a power loss of all hosts",
           "[steering]") {
   ReadyFleet Setup;
