Refuse heartbeats of unnamed groups for known ids and addresses

Under the id of the primary, with a later start time, such a heartbeat made control lose the primary, and its crash was not followed by a promotion.

Cause: a new id at an address marked the target there as gone, and a later incarnation under a known id replaced the record. Neither looked at the group.

A heartbeat of a group that the plan does not name is refused with 409 if a target of a named one has its id or address. Before the first plan such records claim nothing: the first heartbeat of a named group takes address and id from them, at proxies too. They are limited in number and forgotten after 60 s of silence. Event 208 and a metric tell refusals by conflict.

--- a/Source/App/SteeringMetrics.cpp
+++ b/Source/App/SteeringMetrics.cpp
@@ -206,6 +206,9 @@
   AddForwards("returned", Forwards.Returned);
   AddForwards("over-limit", Forwards.OverLimit);
   AddForwards("unknown-proxy", Forwards.UnknownProxy);
+  for (const auto &[Conflict, Each] : From.Control->refusedHeartbeats())
+    To.add("corianderdyke_heartbeats_refused_total", static_cast<double>(Each),
+           {{"conflict", Conflict}});
   for (const auto &[Step, Each] : Steps)
     To.add("corianderdyke_promotion_steps_total", static_cast<double>(Each),
            {{"step", Step}});
@@ -213,12 +216,12 @@
        From.Control->promotionCoordinator().awaitedTargets())
     To.add("corianderdyke_promotion_awaited_targets",
            static_cast<double>(Count), {{"group", Group}});
-  To.add("corianderdyke_lead_reliefs_total",
-         static_cast<double>(From.Control->promotionCoordinator().reliefs()));
-}
   for (const auto &[Group, Count] :
        From.Control->promotionCoordinator().openOrders())
     To.add("corianderdyke_promotion_open_orders", static_cast<double>(Count),
            {{"group", Group}});
+  To.add("corianderdyke_lead_reliefs_total",
+         static_cast<double>(From.Control->promotionCoordinator().reliefs()));
+}
 
 } // namespace corianderdyke
--- a/Source/App/SteeringProcess.cpp
+++ b/Source/App/SteeringProcess.cpp
@@ -218,6 +218,15 @@
         logEvent(EventId::PromotionStep,
                  {{"group", Group}, {"step", Step}, {"reason", Reason}});
       });
+  Control->signalHeartbeatRefused().connect(
+      [](const TargetRecord &Reported, HeartbeatConflict Conflict) {
+        if (admitEvent(EventId::HeartbeatRefused))
+          logEvent(EventId::HeartbeatRefused,
+                   {{"target", Reported.Id},
+                    {"group", Reported.Group},
+                    {"address", Reported.Address.text()},
+                    {"conflict", conflictName(Conflict)}});
+      });
   Control->signalDiskStatus().connect([](const std::string &Refusal) {
     logEvent(Refusal.empty() ? EventId::DiskUsable : EventId::DiskRefuses,
              {{"error", Refusal}});
--- a/Source/Directory/TargetDirectory.cpp
+++ b/Source/Directory/TargetDirectory.cpp
@@ -7,6 +7,45 @@
 
 namespace corianderdyke {
 
+const char *conflictName(HeartbeatConflict What) {
+  switch (What) {
+  case HeartbeatConflict::None:
+    return "none";
+  case HeartbeatConflict::Id:
+    return "id";
+  case HeartbeatConflict::Address:
+    return "address";
+  case HeartbeatConflict::Limit:
+    break;
+  }
+  return "limit";
+}
+
+bool TargetDirectory::hasUndeclared() const {
+  return std::any_of(Targets.begin(), Targets.end(), [this](const auto &Each) {
+    return !isDeclared(Each.second.Record.Group);
+  });
+}
+
+HeartbeatConflict
+TargetDirectory::conflictOf(const TargetRecord &Reported) const {
+  if (isDeclared(Reported.Group))
+    return HeartbeatConflict::None;
+  std::size_t Undeclared = 0;
+  for (const auto &[Id, Each] : Targets) {
+    const TargetRecord &Known = Each.Record;
+    if (!isDeclared(Known.Group))
+      ++Undeclared;
+    else if (Id == Reported.Id)
+      return HeartbeatConflict::Id;
+    else if (Known.Address == Reported.Address && !Known.IsGone)
+      return HeartbeatConflict::Address;
+  }
+  return Undeclared >= MaxUndeclared && Targets.count(Reported.Id) == 0
+             ? HeartbeatConflict::Limit
+             : HeartbeatConflict::None;
+}
+
 void TargetDirectory::beginTerm(std::uint64_t Term) {
   FirstPrimaryEpoch = std::max(FirstPrimaryEpoch, Term * EpochsPerTerm);
 }
@@ -31,21 +70,25 @@
   const auto Found = Targets.find(Reported.Id);
   const bool IsNewIncarnation =
       Found == Targets.end() ||
-      Reported.Incarnation > Found->second.Record.Incarnation;
+      Reported.Incarnation > Found->second.Record.Incarnation ||
+      yields(Found->second.Record.Group, Reported.Group);
+  const bool HasAddress = isDeclared(Reported.Group);
   if (IsNewIncarnation) {
-    if (isSuperseded(Reported))
+    if (!takeAddress(Reported, Now))
       return false;
     if (Reported.IsPrimary)
       Reported.PrimaryEpoch = nextPrimaryEpoch(Reported.Group);
-    ++Revision;
-    supersede(Reported, Now);
-    insert(Reported.Id, {Reported, Now, Millis(), Revision});
+    insert(Reported.Id, {Reported, Now, Millis(), ++Revision, HasAddress});
     return true;
   }
   TrackedTarget &Old = Found->second;
   if (Reported.Incarnation < Old.Record.Incarnation || Old.Record.IsGone ||
       Reported.Sequence <= Old.Record.Sequence)
     return false;
+  const std::uint64_t Before = Revision;
+  if (HasAddress && !Old.HasAddress && !takeAddress(Reported, Now))
+    return false;
+  Old.HasAddress = HasAddress;
   Old.LastUpdate = Now;
   Reported.PrimaryEpoch = Old.Record.PrimaryEpoch;
   if (Reported.IsPrimary && !Old.Record.IsPrimary)
@@ -58,29 +101,34 @@
   Old.Record = std::move(Reported);
   if (IsChange)
     Old.ChangedRevision = ++Revision;
-  return IsChange;
+  return Revision != Before;
+}
+
+bool TargetDirectory::takeAddress(const TargetRecord &Reported, Millis Now) {
+  if (isSuperseded(Reported))
+    return false;
+  if (!isDeclared(Reported.Group))
+    return true;
+  for (auto &[Id, Each] : Targets)
+    if (Id != Reported.Id && Each.Record.Address == Reported.Address &&
+        !Each.Record.IsGone) {
+      Each.Record.IsGone = true;
+      Each.GoneAt = Now;
+      Each.ChangedRevision = ++Revision;
+    }
+  return true;
 }
 
 bool TargetDirectory::isSuperseded(const TargetRecord &Reported) const {
   return std::any_of(
-      Targets.begin(), Targets.end(), [&Reported](const auto &Each) {
+      Targets.begin(), Targets.end(), [this, &Reported](const auto &Each) {
         const TargetRecord &Known = Each.second.Record;
         return Known.Id != Reported.Id && Known.Address == Reported.Address &&
                Known.Incarnation > Reported.Incarnation &&
-               Reported.Incarnation > 0;
+               Reported.Incarnation > 0 && !yields(Known.Group, Reported.Group);
       });
 }
 
-void TargetDirectory::supersede(const TargetRecord &Newer, Millis Now) {
-  for (auto &[Id, Each] : Targets)
-    if (Id != Newer.Id && Each.Record.Address == Newer.Address &&
-        !Each.Record.IsGone) {
-      Each.Record.IsGone = true;
-      Each.GoneAt = Now;
-      Each.ChangedRevision = Revision;
-    }
-}
-
 bool TargetDirectory::deregister(const std::string &Id,
                                  std::uint64_t Incarnation, Millis Now) {
   const auto Found = Targets.find(Id);
@@ -105,9 +153,11 @@
       continue;
     }
     TrackedTarget &Old = Found->second;
-    if (Each.Incarnation < Old.Record.Incarnation)
+    const bool IsReplaced = yields(Old.Record.Group, Each.Group);
+    if (yields(Each.Group, Old.Record.Group) ||
+        (Each.Incarnation < Old.Record.Incarnation && !IsReplaced))
       continue;
-    if (Each.Incarnation > Old.Record.Incarnation) {
+    if (Each.Incarnation > Old.Record.Incarnation || IsReplaced) {
       insert(Each.Id, {Each, Now, Each.IsGone ? Now : Millis(), Next});
       IsChange = true;
       continue;
@@ -132,6 +182,13 @@
 }
 
 void TargetDirectory::purgeGone(Millis Now) {
+  for (auto &[Id, Each] : Targets)
+    if (!Each.Record.IsGone && !isDeclared(Each.Record.Group) &&
+        Now - Each.LastUpdate > GoneRetention) {
+      Each.Record.IsGone = true;
+      Each.GoneAt = Now;
+      Each.ChangedRevision = ++Revision;
+    }
   for (auto Each = Targets.begin(); Each != Targets.end();)
     if (Each->second.Record.IsGone &&
         Now - Each->second.GoneAt > GoneRetention) {
--- a/Source/Directory/TargetDirectory.h
+++ b/Source/Directory/TargetDirectory.h
@@ -49,8 +49,32 @@
   }
 };
 
+/// Why a heartbeat may not change the directory.
+enum class HeartbeatConflict : std::uint8_t {
+  None,
+  Id,      ///< A target of a declared group has the id.
+  Address, ///< A target of a declared group has the address.
+  Limit,   ///< Too many targets of groups that are not declared.
+};
+
+/// The name of the conflict in metrics.
+const char *conflictName(HeartbeatConflict What);
+
+/// Groups that the plan names are declared. Any program may report targets of
+/// other groups, so these replace no target of a declared group, and are
+/// replaced by those.
 class TargetDirectory {
 public:
+  /// Sets the declared groups. All are before the first call.
+  void declareGroups(std::set<std::string> Names) {
+    Declared = std::move(Names);
+  }
+  /// True if a target is known whose group is not declared.
+  bool hasUndeclared() const;
+
+  /// Checks whether a heartbeat may be applied.
+  HeartbeatConflict conflictOf(const TargetRecord &Reported) const;
+
   /// Starts primary epochs above all epochs of earlier terms: a leader without
   /// the records of those terms would otherwise give a new primary the epoch of
   /// a former one.
@@ -60,7 +84,9 @@
   /// must be published. A record with an older sequence or incarnation is
   /// ignored: a heartbeat delayed by a partition would otherwise revive an
   /// ended incarnation. The first heartbeat of a later incarnation replaces the
-  /// whole record, including the flags for leaving and gone.
+  /// whole record, including the flags for leaving and gone, and the first
+  /// heartbeat of a declared group replaces a record of another one. The caller
+  /// has checked conflictOf().
   bool applyHeartbeat(TargetRecord Reported, Millis Now);
 
   /// Deregisters one incarnation of a target. A late request of an earlier
@@ -70,7 +96,8 @@
   /// Merges records of another process; returns true if any record changed.
   bool merge(const std::vector<TargetRecord> &Others, Millis Now);
 
-  /// Removes targets that have been gone for longer than GoneRetention.
+  /// Removes targets that have been gone for longer than GoneRetention. Targets
+  /// of groups that are not declared are gone after the same time in silence.
   void purgeGone(Millis Now);
 
   std::vector<TargetRecord> all() const;
@@ -90,6 +117,9 @@
   /// A target that is gone is kept for this long, so that a late heartbeat of
   /// the same incarnation does not revive it.
   static constexpr Millis GoneRetention = Millis(60000);
+  /// Targets of groups that are not declared, all of which may register before
+  /// the first plan.
+  static constexpr std::size_t MaxUndeclared = 4096;
 
 private:
   struct TrackedTarget {
@@ -97,13 +127,25 @@
     Millis LastUpdate;
     Millis GoneAt;
     std::uint64_t ChangedRevision = 0; ///< Revision of the last change.
+    /// Its group was declared at its last heartbeat, so that it replaced other
+    /// targets at its address.
+    bool HasAddress = false;
   };
 
+  bool isDeclared(const std::string &Group) const {
+    return !Declared || Declared->count(Group) != 0;
+  }
+  /// True if a record of \p Group must not replace one of \p Known.
+  bool yields(const std::string &Group, const std::string &Known) const {
+    return !isDeclared(Group) && isDeclared(Known);
+  }
   void insert(const std::string &Id, TrackedTarget New);
+  /// Marks other targets at the address as gone, if the group is declared.
+  /// False if a later incarnation under another id has the address.
+  bool takeAddress(const TargetRecord &Reported, Millis Now);
   /// True if a later incarnation under another id is known at the same
   /// address.
   bool isSuperseded(const TargetRecord &Reported) const;
-  void supersede(const TargetRecord &Newer, Millis Now);
   std::uint64_t nextPrimaryEpoch(const std::string &Group) const;
 
   /// Upper bound of the changes of primary in one group within one term.
@@ -112,6 +154,7 @@
   std::map<std::string, TrackedTarget> Targets;
   /// Target ids by group; ids of removed targets are skipped on access.
   std::map<std::string, std::set<std::string>> ByGroup;
+  std::optional<std::set<std::string>> Declared; ///< Unset: every group is.
   std::uint64_t FirstPrimaryEpoch = 1;
   std::uint64_t Revision = 0;
 };
--- a/Source/Logs/LogEvents.cpp
+++ b/Source/Logs/LogEvents.cpp
@@ -135,6 +135,11 @@
       {EventId::StateRecalled, Severity::Info, "state-recalled",
        "The state in the data folder was restored at the start; its changes "
        "were logged when they were made."},
+      {EventId::HeartbeatRefused, Severity::Warning, "heartbeat-refused",
+       "A program reported a target of a group that the plan does not name; "
+       "the "
+       "fields state what conflicts with a target of a named group.",
+       20},
       {EventId::LeaseGained, Severity::Info, "lease-gained",
        "The proxy holds a lease and serves callers."},
       {EventId::LeaseLost, Severity::Warning, "lease-lost",
--- a/Source/Logs/LogEvents.h
+++ b/Source/Logs/LogEvents.h
@@ -30,6 +30,7 @@
   DiskUsable = 205,
   GroupStanding = 206,
   StateRecalled = 207,
+  HeartbeatRefused = 208,
   LeaseGained = 300,
   LeaseLost = 301,
   PlanInForce = 400,
--- a/Source/Operators/MetricSet.cpp
+++ b/Source/Operators/MetricSet.cpp
@@ -175,6 +175,11 @@
       {"corianderdyke_control_voters_silent", MetricType::Gauge, "", "control",
        "Voters that have not replied for 1.5 s, on the leading control host "
        "where targets enforce leadership."},
+      {"corianderdyke_heartbeats_refused_total", MetricType::Counter,
+       "conflict", "control",
+       "Heartbeats of groups that the plan does not name, refused because a "
+       "target of a named group has the id or address, or because of the limit "
+       "of such targets."},
       {"corianderdyke_promotion_steps_total", MetricType::Counter, "step",
        "control", "Steps of changes of primary, on the leading control host."},
       {"corianderdyke_promotion_awaited_targets", MetricType::Gauge, "group",
@@ -182,15 +187,15 @@
        "Targets without an answer that may hold acknowledged commits and that "
        "a "
        "change of primary waits for, on the leading control host."},
+      {"corianderdyke_promotion_open_orders", MetricType::Gauge, "group",
+       "control",
+       "Targets that an order without a known end may still promote, on the "
+       "leading control host."},
       {"corianderdyke_lead_reliefs_total", MetricType::Counter, "", "control",
        "Times that the lead of a group was ordered off a saturated primary "
        "whose replicas lagged, on the leading control host."},
       {"corianderdyke_peer_sent_bytes_total", MetricType::Counter, "", "all",
        "Bytes sent to the system's other processes."},
-      {"corianderdyke_promotion_open_orders", MetricType::Gauge, "group",
-       "control",
-       "Targets that an order without a known end may still promote, on the "
-       "leading control host."},
       {"corianderdyke_peer_received_bytes_total", MetricType::Counter, "",
        "all", "Bytes received from the system's other processes."},
       {"corianderdyke_peer_rejected_total", MetricType::Counter, "", "all",
--- a/Source/Plan/RoutePlan.h
+++ b/Source/Plan/RoutePlan.h
@@ -13,6 +13,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -115,6 +116,13 @@
     return Out;
   }
 
+  std::set<std::string> groupNames() const {
+    std::set<std::string> Out;
+    for (const GroupPolicy &Each : Groups)
+      Out.insert(Each.Name);
+    return Out;
+  }
+
   bool operator==(const RoutePlan &) const = default;
   template <class Archive> void serialize(Archive &Ar) {
     Ar(Version, Routes, Groups, Organisations, TransactionIdleTimeout,
--- a/Source/Steering/ControlClient.cpp
+++ b/Source/Steering/ControlClient.cpp
@@ -195,6 +195,10 @@
   if (Body.Plan.Version <= Plan.Version)
     return;
   Plan = Body.Plan;
+  Directory.declareGroups(Plan.groupNames());
+  // Records that the plan has made valid were passed over before.
+  if (Directory.hasUndeclared())
+    DirectoryHeld = {};
   IsPlanConfirmed = IsPlanConfirmed ||
                     (ConfirmedVersion > 0 && Plan.Version >= ConfirmedVersion);
   PlanChanged.emit();
--- a/Source/Steering/SteeringNode.cpp
+++ b/Source/Steering/SteeringNode.cpp
@@ -32,6 +32,13 @@
   return Out;
 }
 
+std::string describe(HeartbeatConflict What) {
+  if (What == HeartbeatConflict::Limit)
+    return "too many targets of such groups are known";
+  return std::string("a target of another group has this ") +
+         conflictName(What);
+}
+
 } // namespace
 
 SteeringNode::SteeringNode(SteeringOptions Given, SteeringDependencies Deps,
@@ -60,6 +67,7 @@
 }
 
 void SteeringNode::start() {
+  Directory.declareGroups(State.plan().groupNames());
   Agreement.start(Deps.Time.now());
   Deps.Peers.signalReceived().connect(
       sigc::mem_fun(*this, &SteeringNode::receive));
@@ -111,6 +119,14 @@
                                   DoneHandler OnDone) {
   if (!Leading)
     return OnDone(notLeadingError());
+  const HeartbeatConflict Conflict = Directory.conflictOf(Reported);
+  if (Conflict != HeartbeatConflict::None) {
+    ++RefusedHeartbeats[conflictName(Conflict)];
+    HeartbeatRefused.emit(Reported, Conflict);
+    return OnDone(fail(ErrorCode::Conflict, "the plan does not name " +
+                                                Reported.Group + ": " +
+                                                describe(Conflict)));
+  }
   Directory.applyHeartbeat(Reported, Deps.Time.now());
   publish();
   // The target takes the answer as a promise that it soon gets no new
@@ -233,6 +249,7 @@
     State = std::move(*Restored);
     AppliedIndex = Agreement.log().snapshotIndex();
     PlanIndex = AppliedIndex;
+    Directory.declareGroups(State.plan().groupNames());
     checkReplayed();
   }
   for (const Entry &Each : Outputs.Committed) {
@@ -263,8 +280,10 @@
     const std::uint64_t Before = State.plan().Version;
     if (State.apply(Done.Index, *Command) && Done.Index > ReplayEndIndex)
       Audited.emit(State.audit().back());
-    if (State.plan().Version != Before)
+    if (State.plan().Version != Before) {
       PlanIndex = Done.Index;
+      Directory.declareGroups(State.plan().groupNames());
+    }
     if (Leading && State.plan().Version != Before)
       for (auto &[Id, Each] : Subscribers) {
         Each.PlanSentAt = Millis(-1000000);
--- a/Source/Steering/SteeringNode.h
+++ b/Source/Steering/SteeringNode.h
@@ -63,7 +63,8 @@
   /// Reads through the quorum.
   void readPlan(PlanHandler OnRead);
   /// Applies a target's heartbeat; done once the update to the proxies is sent
-  /// or due.
+  /// or due. Conflict if the plan does not name the group and a target of a
+  /// named one has the id or address.
   void applyHeartbeat(const TargetRecord &Reported, DoneHandler OnDone);
   /// Deregisters one incarnation of a target.
   void deregister(const std::string &Target, std::uint64_t Incarnation,
@@ -104,6 +105,15 @@
     return ConsensusStatusChanged;
   }
   PromotionCoordinator &promotionCoordinator() { return Coordinator; }
+  /// Emitted with each heartbeat that was refused as a conflict.
+  sigc::signal<void(const TargetRecord &, HeartbeatConflict)> &
+  signalHeartbeatRefused() {
+    return HeartbeatRefused;
+  }
+  /// Number of refused heartbeats by conflict.
+  const std::map<std::string, std::uint64_t> &refusedHeartbeats() const {
+    return RefusedHeartbeats;
+  }
 
 private:
   using CommitHandler = std::function<void(std::optional<std::uint64_t>)>;
@@ -256,6 +266,8 @@
   Millis LastWatch;
   Millis LeadingSince;
   bool DiskRefuses = false;
+  std::map<std::string, std::uint64_t> RefusedHeartbeats;
+  sigc::signal<void(const TargetRecord &, HeartbeatConflict)> HeartbeatRefused;
   sigc::signal<void(const Error &)> Failed;
   sigc::signal<void(const std::string &)> DiskChanged;
   sigc::signal<void()> Replayed;
