Limit how long replicas stay stopped for an open order

While the promotion service cannot be reached nothing ends an open order. If the replica that it names crashes then, the primary would acknowledge nothing for as long as the outage lasts, since the other replicas stay stopped.

They receive again 20 s after the last order: the service executes an order seconds after it at most. The confirmation goes on.

--- a/Source/Steering/PromotionCoordinator.h
+++ b/Source/Steering/PromotionCoordinator.h
@@ -54,6 +54,10 @@
   Millis PromotionTimeout = Millis(2500);
   /// Time from the acceptance of an order until its target leads.
   Millis TakeoverTime = Millis(1000);
+  /// Replicas are kept stopped for an order without an answer for this long at
+  /// most. It is executed within seconds or not at all, and while the promotion
+  /// service cannot be reached nothing ends it.
+  Millis OrderLifetime = Millis(20000);
   /// How long a planned change waits until its successor has the whole log.
   Millis CatchUpTimeout = Millis(1500);
   /// Pause between two queries while a successor catches up.
@@ -183,6 +187,7 @@
     /// that names them may be executed, and until when at least.
     std::set<std::string> Rivals;
     Millis RivalsUntil = Millis(-1000000);
+    Millis LastOrderAt = Millis(-1000000); ///< Sent by this host.
     std::optional<Millis> NextQueryAt;
     Millis RetryAt;
     /// The smallest accepted age of reads that replicas may serve, according to
--- a/Source/Steering/PromotionOrders.cpp
+++ b/Source/Steering/PromotionOrders.cpp
@@ -61,6 +61,7 @@
                                          std::uint64_t Token) {
   Group &In = Groups[Name];
   In.SuccessorToken = Token;
+  In.LastOrderAt = Time.now();
   enter(In, Stage::Awaiting);
   Promotions.promote(
       Name, Target, Token,
@@ -217,7 +218,8 @@
     return Known == nullptr || Known->IsGone;
   });
   const Millis Now = Time.now();
-  if (!Open.empty()) {
+  const Millis LastOrderAt = std::max(In.LastOrderAt, LeadingSince);
+  if (!Open.empty() && Now - LastOrderAt < Times.OrderLifetime) {
     In.Rivals = std::move(Open);
     In.RivalsUntil = Now + Times.TakeoverTime;
   } else if (Now >= In.RivalsUntil || In.SyncReplicas == 0) {
--- a/Tests/Unit/OpenOrderTest.cpp
+++ b/Tests/Unit/OpenOrderTest.cpp
@@ -131,6 +131,22 @@
   CHECK(Setup.commit());
 }
 
+TEST_CASE("Replicas receive again if the provider stays unreachable",
+          "[steering]") {
+  // Guards against writes that wait for a crashed replica for as long as
+  // nothing ends the order that named it.
+  SyncFleet Setup(1);
+  Setup.Fleet.Targets.OnOrder = [&Setup](const std::string &) {
+    Setup.Fleet.Targets.DroppedOrders = 1;
+  };
+  leaveOrderOpen(Setup);
+  Setup.crash("b");
+  Setup.run(Millis(22000));
+  CHECK(openOrders(Setup) == 1);
+  CHECK(Setup.target("c").IsReplicating);
+  CHECK(Setup.commit());
+}
+
 TEST_CASE("Both replicas receive once the open order is void", "[steering]") {
   // Guards against a replica that stays stopped after the end of an order.
   SyncFleet Setup(1);
