Request the whole directory only when other groups are named

A proxy that holds a target of a group that the plan does not name, such as a service that was dropped while its servers run, requested the whole directory with each new plan. Only a plan with other groups can make records valid that were passed over. Records that a new leader merges from the replicated state keep their addresses: it would have ignored a target beside an outdated record of an earlier leadership, with a later start time, at the same address ("A recorded target keeps its address beside an outdated record", failed before).

--- a/Source/Directory/TargetDirectory.cpp
+++ b/Source/Directory/TargetDirectory.cpp
@@ -148,7 +148,8 @@
   for (const TargetRecord &Each : Others) {
     const auto Found = Targets.find(Each.Id);
     if (Found == Targets.end()) {
-      insert(Each.Id, {Each, Now, Each.IsGone ? Now : Millis(), Next});
+      insert(Each.Id, {Each, Now, Each.IsGone ? Now : Millis(), Next,
+                       isDeclared(Each.Group)});
       IsChange = true;
       continue;
     }
@@ -158,7 +159,8 @@
         (Each.Incarnation < Old.Record.Incarnation && !IsReplaced))
       continue;
     if (Each.Incarnation > Old.Record.Incarnation || IsReplaced) {
-      insert(Each.Id, {Each, Now, Each.IsGone ? Now : Millis(), Next});
+      insert(Each.Id, {Each, Now, Each.IsGone ? Now : Millis(), Next,
+                       isDeclared(Each.Group)});
       IsChange = true;
       continue;
     }
--- a/Source/Directory/TargetDirectory.h
+++ b/Source/Directory/TargetDirectory.h
@@ -127,8 +127,8 @@
     Millis LastUpdate;
     Millis GoneAt;
     std::uint64_t ChangedRevision = 0; ///< Revision of the last change.
-    /// Its group was declared at its last heartbeat, so that it replaced other
-    /// targets at its address.
+    /// Its group was declared at the last heartbeat or when it was merged, so
+    /// it has replaced other targets at its address.
     bool HasAddress = false;
   };
 
--- a/Source/Steering/ControlClient.cpp
+++ b/Source/Steering/ControlClient.cpp
@@ -194,10 +194,11 @@
   // been served by the newer one.
   if (Body.Plan.Version <= Plan.Version)
     return;
+  const bool HasOtherGroups = Body.Plan.groupNames() != Plan.groupNames();
   Plan = Body.Plan;
   Directory.declareGroups(Plan.groupNames());
-  // Records that the plan has made valid were passed over before.
-  if (Directory.hasUndeclared())
+  // Records that the plan has made valid may have been passed over before.
+  if (HasOtherGroups && Directory.hasUndeclared())
     DirectoryHeld = {};
   IsPlanConfirmed = IsPlanConfirmed ||
                     (ConfirmedVersion > 0 && Plan.Version >= ConfirmedVersion);
--- a/Tests/Unit/StrayHeartbeatTest.cpp
+++ b/Tests/Unit/StrayHeartbeatTest.cpp
@@ -163,6 +163,19 @@
   CHECK(Fleet.leader()->directory().ofGroup("stock").size() == 1);
 }
 
+TEST_CASE("A recorded target keeps its address beside an outdated record",
+          "[directory]") {
+  // Guards against a leader that ignores a target for a record of an earlier
+  // leadership, of a target whose clock was ahead.
+  TargetDirectory Directory;
+  Directory.declareGroups({"ledger"});
+  Directory.merge({record("old", "ledger", "10.0.0.1", 2000)}, Millis(0));
+  Directory.merge({record("new", "ledger", "10.0.0.1", 1000)}, Millis(0));
+  Directory.applyHeartbeat(record("new", "ledger", "10.0.0.1", 1000, 5),
+                           Millis(10));
+  CHECK(Directory.lastUpdate("new") == Millis(10));
+}
+
 TEST_CASE("Targets of unnamed groups are limited and forgotten",
           "[directory]") {
   // Guards against a program that reports ever new ids until memory is used up.
